--- /dev/null
+++ b/internal/modules/execio/http_client.go
@@ -0,0 +1,75 @@
+package execio
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/go-faster/errors"
+
+	"github.com/ibischute/ibischute/internal/modules/httpj"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+)
+
+// The header and paths of the executors' protocol.
+const (
+	HeaderRequestID = "Ibischute-Request-Id"
+	PathLoad        = "/-/load"
+	PathRequests    = "/-/requests/"
+)
+
+type httpClient struct {
+	work    *http.Client
+	control *http.Client
+}
+
+// NewHTTP returns a Client by HTTP. Work and control calls use separate connections, so that an abort is never
+// queued behind work.
+func NewHTTP(work, control *http.Client) Client {
+	return &httpClient{work: work, control: control}
+}
+
+// opaqueBody hides the type of a body. net/http sends a request again by itself when a reused connection breaks, if it
+// carries an Idempotency-Key and its body can be replayed; a body of unknown type that is never nil rules that out.
+type opaqueBody struct{ io.Reader }
+
+func (opaqueBody) Close() error { return nil }
+
+type emptyReader struct{}
+
+func (emptyReader) Read([]byte) (int, error) { return 0, io.EOF }
+
+func (c *httpClient) Send(ctx context.Context, address string, r Request) (*Answer, error) {
+	body := r.Body
+	if body == nil {
+		body = emptyReader{}
+	}
+	req, err := http.NewRequestWithContext(withGate(ctx, r.Gate), r.Method, "http://"+address+r.Path, opaqueBody{body})
+	if err != nil {
+		return nil, fault.Wrap(err, fault.CodeBadRequest, fault.NotRun, "build request")
+	}
+	req.Header = r.Header.Clone()
+	req.Header.Set(HeaderRequestID, string(r.ID))
+	req.ContentLength = r.Length
+	res, err := c.work.Do(req)
+	if err != nil {
+		if httpj.IsDialError(err) || errors.Is(err, errGateClosed) {
+			return nil, fault.Wrap(err, fault.CodeNotSent, fault.NotRun, "nothing sent to the executor")
+		}
+		return nil, fault.Wrap(err, fault.CodeBackend, fault.Unknown, "executor gave no answer")
+	}
+	return &Answer{Status: res.StatusCode, Header: res.Header, Body: res.Body}, nil
+}
+
+func (c *httpClient) Abort(ctx context.Context, address string, id ident.Request) error {
+	target := "http://" + address + PathRequests + url.PathEscape(string(id))
+	return httpj.Call(ctx, c.control, http.MethodDelete, target, nil, nil)
+}
+
+func (c *httpClient) Load(ctx context.Context, address string) (Load, error) {
+	var l Load
+	err := httpj.Call(ctx, c.control, http.MethodGet, "http://"+address+PathLoad, nil, &l)
+	return l, err
+}
--- /dev/null
+++ b/internal/modules/httpj/httpj.go
@@ -0,0 +1,144 @@
+// Package httpj makes HTTP calls with JSON bodies and typed failures, and binds connections to a local address.
+//
+// # Usage
+//
+//	client := httpj.NewClient(httpj.Dialer("127.0.0.1"), 16)
+//	err := httpj.Call(ctx, client, http.MethodPost, url, request, &response)
+package httpj
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/ibischute/ibischute/pkg/fault"
+)
+
+const (
+	dialTimeout     = 500 * time.Millisecond
+	idleTimeout     = 30 * time.Second
+	maxResponseSize = 16 << 20
+)
+
+// StatusError is an HTTP answer outside the 2xx range.
+type StatusError struct {
+	Code int
+	Body string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return "status " + strconv.Itoa(e.Code) + ": " + e.Body }
+
+// Status returns the HTTP status within err, or zero.
+func Status(err error) int {
+	var se *StatusError
+	if errors.As(err, &se) {
+		return se.Code
+	}
+	return 0
+}
+
+// Dialer returns a dialer that binds outgoing connections to the local IP; empty leaves the choice to the system.
+func Dialer(localIP string) *net.Dialer {
+	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
+	if ip := net.ParseIP(localIP); ip != nil {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return d
+}
+
+// NewTransport returns a transport with at most maxConns connections to a host. It follows no proxy settings and does
+// not decompress, so that bodies pass through unchanged.
+func NewTransport(d *net.Dialer, maxConns int) *http.Transport {
+	return &http.Transport{
+		DialContext: d.DialContext, MaxConnsPerHost: maxConns, MaxIdleConnsPerHost: maxConns,
+		IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}
+}
+
+// NewClient returns a client over NewTransport that follows no redirects.
+func NewClient(d *net.Dialer, maxConns int) *http.Client {
+	return &http.Client{Transport: NewTransport(d, maxConns), CheckRedirect: noRedirect}
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// IsDialError reports whether err shows that no connection was made, so that nothing can have been sent.
+func IsDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// Call sends in as JSON, unless it is nil, and decodes the answer into out, unless it is nil.
+func Call(ctx context.Context, c *http.Client, method, url string, in, out any) error {
+	req, err := newRequest(ctx, method, url, in)
+	if err != nil {
+		return err
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		if IsDialError(err) {
+			return fault.Wrap(err, fault.CodeNotSent, fault.NotRun, method+" not sent")
+		}
+		return fault.Wrap(err, fault.CodeUnknownOutcome, fault.Unknown, method+" got no answer")
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseSize))
+	if err != nil {
+		return fault.Wrap(err, fault.CodeUnknownOutcome, fault.Unknown, "answer cut")
+	}
+	if res.StatusCode/100 != 2 {
+		return &StatusError{Code: res.StatusCode, Body: string(body)}
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return fault.Wrap(err, fault.CodeUnknownOutcome, fault.Unknown, "answer is not the JSON expected")
+	}
+	return nil
+}
+
+func newRequest(ctx context.Context, method, url string, in any) (*http.Request, error) {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode request")
+		}
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.CodeInternal, fault.NotRun, "build request")
+	}
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	return req, nil
+}
+
+// Write answers a request with JSON.
+func Write(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Decode reads a JSON request body of at most limit bytes and rejects unknown keys.
+func Decode[T any](r *http.Request, limit int64) (T, error) {
+	var v T
+	dec := json.NewDecoder(io.LimitReader(r.Body, limit))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&v); err != nil {
+		return v, fault.Wrap(err, fault.CodeBadRequest, fault.NotRun, "request body")
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/modules/workio/workio.go
@@ -0,0 +1,124 @@
+// Package workio is the interface to the platform's workers, which run tasks under leases.
+//
+// # Usage
+//
+//	err := workers.Start(ctx, "cat-w-1", workio.Task{ID: "statements.0", Attempt: 1, ...})
+//	tasks, err := workers.Sync(ctx, "cat-w-1", leases)
+package workio
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+
+	"github.com/ibischute/ibischute/internal/modules/httpj"
+	"github.com/ibischute/ibischute/pkg/demand"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+)
+
+// TaskID identifies a task within the platform.
+type TaskID string
+
+// State is the state of a task at a worker.
+type State string
+
+// The states of a task.
+const (
+	StateRunning  State = "running"
+	StateFinished State = "finished"
+	StateFailed   State = "failed"
+	StateStopped  State = "stopped"
+	StateLapsed   State = "lapsed"
+)
+
+// Task is a task at a worker.
+type Task struct {
+	ID      TaskID `json:"id"`
+	Attempt uint64 `json:"attempt"`
+	LeaseMS int64  `json:"lease-ms"`
+	// RunMS is the declared run time, which the stand-in uses as the true one.
+	RunMS int64         `json:"run-ms"`
+	Size  demand.Vector `json:"size"`
+	// Checkpoint is the reference to resume from.
+	Checkpoint string `json:"checkpoint,omitempty"`
+	State      State  `json:"state,omitempty"`
+}
+
+// Client speaks to workers.
+type Client interface {
+	// Start starts an attempt of a task under a lease.
+	Start(ctx context.Context, w ident.Worker, t Task) error
+	// Sync extends the leases of the attempts given and lists the attempts that the worker knows, ended ones included.
+	Sync(ctx context.Context, w ident.Worker, renew []Lease) ([]Task, error)
+	// Stop ends an attempt; success means that it no longer runs.
+	Stop(ctx context.Context, w ident.Worker, t Task) error
+	// Checkpoint saves the progress of an attempt and returns the reference.
+	Checkpoint(ctx context.Context, w ident.Worker, t Task) (string, error)
+}
+
+// Lease asks for the extension of one attempt's lease.
+type Lease struct {
+	ID      TaskID `json:"id"`
+	Attempt uint64 `json:"attempt"`
+	LeaseMS int64  `json:"lease-ms"`
+}
+
+// SyncRequest is the body of a sync.
+type SyncRequest struct {
+	Renew []Lease `json:"renew"`
+}
+
+// CheckpointResponse is the answer to a checkpoint.
+type CheckpointResponse struct {
+	Reference string `json:"reference"`
+}
+
+type httpClient struct {
+	base   string
+	client *http.Client
+}
+
+// NewHTTP returns the Client of the platform at the base address.
+func NewHTTP(base string, client *http.Client) Client { return &httpClient{base: base, client: client} }
+
+func (c *httpClient) post(ctx context.Context, w ident.Worker, verb string, t Task, out any) error {
+	target := c.base + "/v1/workers/" + url.PathEscape(string(w)) + "/" + verb
+	return workerError(httpj.Call(ctx, c.client, http.MethodPost, target, t, out), verb)
+}
+
+func (c *httpClient) Start(ctx context.Context, w ident.Worker, t Task) error {
+	return c.post(ctx, w, "start", t, nil)
+}
+
+func (c *httpClient) Stop(ctx context.Context, w ident.Worker, t Task) error {
+	return c.post(ctx, w, "stop", t, nil)
+}
+
+func (c *httpClient) Checkpoint(ctx context.Context, w ident.Worker, t Task) (string, error) {
+	var out CheckpointResponse
+	err := c.post(ctx, w, "checkpoint", t, &out)
+	return out.Reference, err
+}
+
+func (c *httpClient) Sync(ctx context.Context, w ident.Worker, renew []Lease) ([]Task, error) {
+	var out []Task
+	target := c.base + "/v1/workers/" + url.PathEscape(string(w)) + "/sync"
+	err := httpj.Call(ctx, c.client, http.MethodPost, target, SyncRequest{Renew: renew}, &out)
+	return out, workerError(err, "sync")
+}
+
+// workerError maps an answer of the worker to a failure. A refusal proves that nothing was done.
+func workerError(err error, verb string) error {
+	switch {
+	case err == nil:
+		return nil
+	case httpj.Status(err) == http.StatusServiceUnavailable:
+		return fault.Wrap(err, fault.CodeUnavailable, fault.NotRun, verb)
+	case httpj.Status(err) != 0:
+		return fault.Wrap(err, fault.CodeConflict, fault.NotRun, verb)
+	case fault.IsErrNotRun(err):
+		return err
+	}
+	return fault.Wrap(err, fault.CodeUnknownOutcome, fault.Unknown, verb)
+}
--- /dev/null
+++ b/internal/services/keyed/keyed.go
@@ -0,0 +1,401 @@
+// Package keyed runs requests with an idempotency key at most once.
+//
+// Each key has a home domain and in it one owner. Before the owner dispatches, it records the start of the request and has
+// a majority of its domain's view record it too; a repeat, through whichever instance and at whichever owner, meets that
+// record and gets the first answer, or is told that the outcome is unknown. docs/design/idempotency.md weighs the ways.
+//
+// # Usage
+//
+//	k := keyed.New(options)
+//	supervisor.Add(k.Sync())
+//	answer, err := k.Do(ctx, keyed.Request{Key: "invoice-17", ...})
+package keyed
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/ibischute/ibischute/internal/modules/execio"
+	"github.com/ibischute/ibischute/internal/modules/hopio"
+	"github.com/ibischute/ibischute/internal/modules/rendez"
+	"github.com/ibischute/ibischute/internal/modules/suprv"
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/internal/services/member"
+	"github.com/ibischute/ibischute/internal/services/route"
+	"github.com/ibischute/ibischute/internal/state/copies"
+	"github.com/ibischute/ibischute/internal/state/intent"
+	"github.com/ibischute/ibischute/internal/state/view"
+	"github.com/ibischute/ibischute/pkg/bundle"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+const (
+	// maxKeys bounds the keys that one instance keeps.
+	maxKeys = 100_000
+	// maxKeptBody is the largest answer that is kept for repeats.
+	maxKeptBody = 16 << 10
+	// maxHops bounds the instances a keyed request passes on its way to the owner.
+	maxHops = 2
+	// recordTimeout bounds the wait for the others to record a start.
+	recordTimeout = 500 * time.Millisecond
+	// maxRecords bounds the records under way.
+	maxRecords = 1024
+	retryAfter = 500 * time.Millisecond
+	// maxForwards bounds how often one keyed request is handed to an owner.
+	maxForwards = 4
+	// moveInterval is the pause before an owner is looked for again.
+	moveInterval = 120 * time.Millisecond
+)
+
+// Membership is what this package needs to know of the domain.
+type Membership interface {
+	MayAct(now tick.Time, key ident.Key) bool
+	LeaseUntil(now tick.Time) tick.Time
+	Owner(key ident.Key) (view.Member, bool)
+	View() view.View
+	Wire() *wire.Member
+	IsJoined() bool
+	Peers(now tick.Time) []member.Peer
+}
+
+// Options are the surroundings of a Keyed.
+type Options struct {
+	Self    ident.Instance
+	Domain  ident.Domain
+	Domains []ident.Domain
+	Member  Membership
+	Router  *route.Router
+	Hop     hopio.Client
+	Dial    func(address string) wire.Peer
+	Config  func() *bundle.Bundle
+	Logger  zerolog.Logger
+	Now     func() tick.Time
+}
+
+// Request is a request behind an idempotency key.
+type Request struct {
+	route.Request
+	Key         string
+	Fingerprint string
+	Hops        int
+}
+
+// Keyed is the owner's and the forwarder's side of idempotency keys.
+type Keyed struct {
+	opts  Options
+	home  rendez.Set[ident.Domain]
+	calls *suprv.Group
+
+	stopped atomic.Bool
+
+	mu      sync.Mutex
+	store   *intent.Store
+	running map[ident.Key]chan struct{}
+	copies  *copies.Tracker
+}
+
+// New returns a Keyed without any key.
+func New(o Options) *Keyed {
+	return &Keyed{
+		opts: o, home: rendez.New(o.Domains), calls: suprv.NewGroup(maxRecords),
+		store: intent.New(maxKeys), running: map[ident.Key]chan struct{}{}, copies: copies.New(o.Self),
+	}
+}
+
+// homeOf returns the domain that keeps the tenant's keys.
+func (k *Keyed) homeOf(t ident.Tenant) ident.Domain {
+	if b := k.opts.Config(); b != nil {
+		if home := b.Tenant(t).Home; home != "" {
+			return home
+		}
+	}
+	home, _ := k.home.Winner(string(t))
+	return home
+}
+
+// Stop makes this instance begin no further request as an owner; called before it hands its keys over.
+func (k *Keyed) Stop() { k.stopped.Store(true) }
+
+// Do sees the request through at the owner of its key. While the key moves between owners it tries again for a short time.
+func (k *Keyed) Do(ctx context.Context, r Request) (*execio.Answer, error) {
+	key := ident.IdempotencyKey(r.Tenant, r.Key)
+	var last error
+	for range maxForwards {
+		answer, err := k.try(ctx, key, r)
+		if err == nil || !isMoving(err) || ctx.Err() != nil || r.Stream != nil {
+			return answer, err
+		}
+		last = err
+		pause(ctx, moveInterval)
+	}
+	return nil, last
+}
+
+// isMoving reports whether the failure shows that the owner of the key is changing.
+func isMoving(err error) bool {
+	if !fault.IsErrNotRun(err) {
+		return false
+	}
+	switch fault.From(err).Code {
+	case fault.CodeNoOwner, fault.CodeNotSent, fault.CodeDraining:
+		return true
+	}
+	return false
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (k *Keyed) try(ctx context.Context, key ident.Key, r Request) (*execio.Answer, error) {
+	address, isSelf, err := k.locate(key, r.Tenant)
+	if err != nil {
+		return nil, err
+	}
+	if isSelf {
+		return k.own(ctx, key, r)
+	}
+	if r.Hops >= maxHops {
+		return nil, fault.New(fault.CodeNoOwner, fault.NotRun, "the owner of the key is moving").WithRetry(retryAfter)
+	}
+	return k.forward(ctx, address, r)
+}
+
+// locate finds the owner of the key, or an instance of its home domain that can.
+func (k *Keyed) locate(key ident.Key, t ident.Tenant) (address string, isSelf bool, err error) {
+	home := k.homeOf(t)
+	if home != k.opts.Domain {
+		address, ok := k.peerIn(home)
+		if !ok {
+			return "", false, fault.New(fault.CodeNoOwner, fault.NotRun, "the key's home domain "+string(home)+
+				" cannot be reached").WithRetry(retryAfter)
+		}
+		return address, false, nil
+	}
+	o, ok := k.opts.Member.Owner(key)
+	if !ok {
+		return "", false, fault.New(fault.CodeNoOwner, fault.NotRun, "the domain has no members").WithRetry(retryAfter)
+	}
+	return o.Address, o.Name == k.opts.Self, nil
+}
+
+func (k *Keyed) peerIn(d ident.Domain) (string, bool) {
+	best := member.Peer{}
+	for _, p := range k.opts.Member.Peers(k.opts.Now()) {
+		if p.Domain == d && !p.Draining && p.Heard.After(best.Heard) {
+			best = p
+		}
+	}
+	return best.Address, best.Address != ""
+}
+
+func (k *Keyed) forward(ctx context.Context, address string, r Request) (*execio.Answer, error) {
+	m := hopio.Meta{
+		ID: r.ID, Service: r.Service, Class: r.Class, Tenant: r.Tenant, Priority: r.Priority, Share: r.Share,
+		MaxQueue: r.MaxQueue, DeadlineMS: r.Deadline.Sub(k.opts.Now()).Milliseconds(), Idempotent: r.Idempotent,
+		Key: r.Key, Path: r.Path, Hops: r.Hops + 1, Fingerprint: r.Fingerprint, RetryPercent: r.RetryPercent,
+	}
+	out := r.Request.Request.Request
+	out.Body, out.Length = r.Stream, r.Length
+	if r.Stream == nil {
+		out.Body, out.Length = bytes.NewReader(r.Body), int64(len(r.Body))
+	}
+	return k.opts.Hop.Forward(ctx, address, hopio.KindKeyed, m, out)
+}
+
+// own sees the request through at this instance, which owns the key.
+func (k *Keyed) own(ctx context.Context, key ident.Key, r Request) (*execio.Answer, error) {
+	now := k.opts.Now()
+	if k.stopped.Load() || !k.opts.Member.MayAct(now, key) || !k.isSynced() {
+		return nil, fault.New(fault.CodeNoOwner, fault.NotRun, "the owner of the key may not act yet").WithRetry(retryAfter)
+	}
+	in, done, isNew, err := k.begin(now, key, r)
+	if err != nil {
+		return nil, err
+	}
+	if !isNew {
+		return k.repeat(ctx, key, in, done)
+	}
+	known, err := k.recordAtOthers(ctx, in)
+	if err != nil || known != nil {
+		return k.giveUp(ctx, key, known, err)
+	}
+	r.NotAfter = k.opts.Member.LeaseUntil(now)
+	r.Right = func() bool { return k.opts.Member.MayAct(k.opts.Now(), key) }
+	answer, err := k.opts.Router.Do(ctx, r.Request)
+	if err != nil {
+		k.finishFailed(ctx, key, err)
+		return nil, err
+	}
+	answer.Body = &recorder{body: answer.Body, finish: func(body []byte, whole bool) {
+		k.finishAnswered(ctx, key, answer, body, whole)
+	}}
+	return answer, nil
+}
+
+// begin records the start in this instance's store. The channel is closed when the request has ended here.
+func (k *Keyed) begin(now tick.Time, key ident.Key, r Request) (*wire.Intent, chan struct{}, bool, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, known := k.store.Get(now, key); !known && k.copies.LostFor(now) > 0 {
+		return nil, nil, false, fault.New(fault.CodeUnknownOutcome, fault.Unknown,
+			"the domain lost records of earlier requests; whether this key ran is not known").WithRetry(k.copies.LostFor(now))
+	}
+	in, isNew, err := k.store.Begin(now, key, r.Fingerprint, k.retention())
+	if err != nil {
+		return nil, nil, false, err
+	}
+	if isNew {
+		k.running[key] = make(chan struct{})
+	}
+	return in, k.running[key], isNew, nil
+}
+
+func (k *Keyed) retention() time.Duration {
+	if b := k.opts.Config(); b != nil {
+		return b.KeyRetention
+	}
+	return time.Minute
+}
+
+// repeat answers a request whose key is known.
+func (k *Keyed) repeat(ctx context.Context, key ident.Key, in *wire.Intent, done chan struct{}) (*execio.Answer, error) {
+	if done != nil {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return nil, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "the first request is still running").
+				WithRetry(retryAfter)
+		}
+		k.mu.Lock()
+		in, _ = k.store.Get(k.opts.Now(), key)
+		k.mu.Unlock()
+	}
+	return replay(in)
+}
+
+// replay turns the state of a key into an answer.
+func replay(in *wire.Intent) (*execio.Answer, error) {
+	switch in.GetPhase() {
+	case wire.IntentPhase_INTENT_PHASE_ANSWERED:
+		h := http.Header{}
+		for _, f := range in.GetAnswer().GetHeaders() {
+			h.Add(f.GetName(), f.GetValue())
+		}
+		h.Set("Ibischute-Replayed", "true")
+		return &execio.Answer{
+			Status: int(in.GetAnswer().GetStatus()), Header: h,
+			Body: io.NopCloser(bytes.NewReader(in.GetAnswer().GetBody())),
+		}, nil
+	case wire.IntentPhase_INTENT_PHASE_NOT_RUN:
+		return nil, fault.New(fault.CodeNotSent, fault.NotRun, "the first request did not run").WithRetry(retryAfter)
+	default:
+		return nil, fault.New(fault.CodeUnknownOutcome, fault.Unknown,
+			"an earlier request with this key may have run; its answer is not known")
+	}
+}
+
+// giveUp ends a request that was not dispatched because the others did not record it, or know an earlier state.
+func (k *Keyed) giveUp(ctx context.Context, key ident.Key, known *wire.Intent, err error) (*execio.Answer, error) {
+	if known != nil {
+		k.mu.Lock()
+		k.store.Merge(k.opts.Now(), known, k.retention())
+		k.ended(key)
+		k.mu.Unlock()
+		return replay(known)
+	}
+	k.finish(ctx, key, wire.IntentPhase_INTENT_PHASE_NOT_RUN, nil)
+	return nil, err
+}
+
+// ended wakes those that wait for the request; it needs the lock.
+func (k *Keyed) ended(key ident.Key) {
+	if done, ok := k.running[key]; ok {
+		close(done)
+		delete(k.running, key)
+	}
+}
+
+func (k *Keyed) finishFailed(ctx context.Context, key ident.Key, err error) {
+	phase := wire.IntentPhase_INTENT_PHASE_UNKNOWN
+	if fault.IsErrNotRun(err) {
+		phase = wire.IntentPhase_INTENT_PHASE_NOT_RUN
+	}
+	k.finish(ctx, key, phase, nil)
+}
+
+func (k *Keyed) finishAnswered(ctx context.Context, key ident.Key, a *execio.Answer, body []byte, whole bool) {
+	if !whole {
+		k.finish(ctx, key, wire.IntentPhase_INTENT_PHASE_UNKNOWN, nil)
+		return
+	}
+	kept := &wire.Answer{Status: int32(a.Status), Body: body}
+	for name, values := range a.Header {
+		for _, v := range values {
+			kept.Headers = append(kept.Headers, &wire.Header{Name: name, Value: v})
+		}
+	}
+	k.finish(ctx, key, wire.IntentPhase_INTENT_PHASE_ANSWERED, kept)
+}
+
+// finish records the outcome here and tells the others, which may happen after the answer went out: until then they
+// know that the request started, and a repeat at them is told that the outcome is unknown.
+func (k *Keyed) finish(ctx context.Context, key ident.Key, phase wire.IntentPhase, answer *wire.Answer) {
+	k.mu.Lock()
+	in := k.store.Advance(k.opts.Now(), key, phase, answer, k.retention())
+	k.ended(key)
+	k.mu.Unlock()
+	if in == nil {
+		return
+	}
+	for _, m := range k.others() {
+		k.calls.Go(context.WithoutCancel(ctx), func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+			defer cancel()
+			_, _ = k.storeAt(ctx, m, in)
+		})
+	}
+}
+
+// recorder keeps a copy of a body up to a bound and reports its end.
+type recorder struct {
+	body   io.ReadCloser
+	buf    bytes.Buffer
+	over   bool
+	once   sync.Once
+	finish func(body []byte, whole bool)
+}
+
+func (b *recorder) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if b.buf.Len()+n > maxKeptBody {
+		b.over = true
+	}
+	if !b.over {
+		b.buf.Write(p[:n])
+	}
+	if err == io.EOF {
+		b.once.Do(func() { b.finish(b.buf.Bytes(), !b.over) })
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *recorder) Close() error {
+	b.once.Do(func() { b.finish(nil, false) })
+	return b.body.Close()
+}
--- /dev/null
+++ b/internal/services/keyed/record.go
@@ -0,0 +1,197 @@
+package keyed
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/ibischute/ibischute/internal/modules/suprv"
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/internal/state/view"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+)
+
+// syncInterval is how often an instance that has not taken over the keys of its domain tries to.
+const syncInterval = 200 * time.Millisecond
+
+// others returns the other members of the view.
+func (k *Keyed) others() []view.Member {
+	var out []view.Member
+	for _, m := range k.opts.Member.View().Members() {
+		if m.Name != k.opts.Self {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+type stored struct {
+	res *wire.StoreIntentResponse
+	err error
+}
+
+// recordAtOthers has a majority of the view, this instance included, record the start. It returns the state that another
+// member already has, if any.
+func (k *Keyed) recordAtOthers(ctx context.Context, in *wire.Intent) (*wire.Intent, error) {
+	others := k.others()
+	need := (len(others) + 1) / 2
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	results := make(chan stored, len(others))
+	for _, m := range others {
+		ok := k.calls.Go(ctx, func(ctx context.Context) {
+			res, err := k.storeAt(ctx, m, in)
+			results <- stored{res, err}
+		})
+		if !ok {
+			results <- stored{err: fault.New(fault.CodeOverloaded, fault.NotRun, "too many records under way")}
+		}
+	}
+	for i := 0; i < len(others) && need > 0; i++ {
+		s := <-results
+		if s.err != nil || !s.res.GetStored() {
+			continue
+		}
+		if len(s.res.GetIntents()) > 0 {
+			return s.res.GetIntents()[0], nil
+		}
+		need--
+	}
+	if need > 0 {
+		return nil, fault.New(fault.CodeNoOwner, fault.NotRun, "too few members of the domain recorded the key").
+			WithRetry(retryAfter)
+	}
+	return nil, nil
+}
+
+func (k *Keyed) storeAt(ctx context.Context, m view.Member, in *wire.Intent) (*wire.StoreIntentResponse, error) {
+	req := &wire.StoreIntentRequest{Owner: k.opts.Member.Wire(), Intents: []*wire.Intent{in}}
+	return k.opts.Dial(m.Address).StoreIntent(ctx, req)
+}
+
+// HandleStore records the states that the owner of keys sends, and returns the own ones that are newer.
+func (k *Keyed) HandleStore(req *wire.StoreIntentRequest) *wire.StoreIntentResponse {
+	v := k.opts.Member.View()
+	owner := ident.Instance(req.GetOwner().GetName())
+	if !v.Has(owner, ident.Incarnation(req.GetOwner().GetIncarnation())) || !k.isSynced() {
+		return &wire.StoreIntentResponse{}
+	}
+	now := k.opts.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	res := &wire.StoreIntentResponse{Stored: true}
+	for _, in := range req.GetIntents() {
+		if k.store.Len() >= 2*maxKeys {
+			return &wire.StoreIntentResponse{}
+		}
+		if newer := k.store.Merge(now, in, k.retention()); newer != nil {
+			res.Intents = append(res.Intents, newer)
+		}
+	}
+	return res
+}
+
+// HandleFetch returns the states of all keys kept here.
+func (k *Keyed) HandleFetch() *wire.FetchIntentsResponse {
+	now := k.opts.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return &wire.FetchIntentsResponse{
+		Intents: k.store.All(now), Synced: k.copies.IsComplete(), LostMs: k.copies.LostFor(now).Milliseconds(),
+	}
+}
+
+func (k *Keyed) isSynced() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.copies.IsComplete()
+}
+
+type syncService struct{ k *Keyed }
+
+// Sync returns the service that takes over keys after a join and restores copies after a loss.
+func (k *Keyed) Sync() suprv.Service { return syncService{k} }
+
+// String names the service in logs.
+func (syncService) String() string { return "keyed-sync" }
+
+// Serve implements suprv.Service.
+func (s syncService) Serve(ctx context.Context) error {
+	t := time.NewTicker(syncInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			s.k.syncOnce(ctx)
+		}
+	}
+}
+
+// syncOnce follows the view and pulls the keys of the members that the tracker asks for.
+func (k *Keyed) syncOnce(ctx context.Context) {
+	if !k.opts.Member.IsJoined() {
+		return
+	}
+	v := k.opts.Member.View()
+	k.mu.Lock()
+	self, _ := v.Member(k.opts.Self)
+	k.store.SetWriter(fmt.Sprintf("%s/%d", self.Name, self.Incarnation))
+	wasComplete := k.copies.IsComplete()
+	wasLost := k.copies.LostFor(k.opts.Now()) > 0
+	missing := k.copies.Follow(k.opts.Now(), v, k.retention())
+	k.mu.Unlock()
+	for _, m := range missing {
+		k.takeOver(ctx, m)
+	}
+	if !wasLost && k.lostFor() > 0 {
+		k.opts.Logger.Error().Dur("for", k.lostFor()).Msg("key-records-lost")
+	}
+	if !wasComplete && k.isSynced() {
+		k.opts.Logger.Info().Int("members", len(missing)).Msg("keys-taken-over")
+	}
+}
+
+func (k *Keyed) lostFor() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.copies.LostFor(k.opts.Now())
+}
+
+func (k *Keyed) takeOver(ctx context.Context, m view.Member) {
+	ctx, cancel := context.WithTimeout(ctx, 2*recordTimeout)
+	defer cancel()
+	res, err := k.opts.Dial(m.Address).FetchIntents(ctx, &wire.FetchIntentsRequest{})
+	if err != nil || !res.GetSynced() {
+		return
+	}
+	now := k.opts.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, in := range res.GetIntents() {
+		k.store.Merge(now, in, k.retention())
+	}
+	k.copies.Pulled(now, m, time.Duration(res.GetLostMs())*time.Millisecond)
+}
+
+// HandOver gives all keys kept here to the other members; called before this instance leaves.
+func (k *Keyed) HandOver(ctx context.Context) {
+	k.mu.Lock()
+	all := k.store.All(k.opts.Now())
+	k.mu.Unlock()
+	for _, m := range k.others() {
+		for chunk := range slices.Chunk(all, handOverChunk) {
+			req := &wire.StoreIntentRequest{Owner: k.opts.Member.Wire(), Intents: chunk}
+			if _, err := k.opts.Dial(m.Address).StoreIntent(ctx, req); err != nil {
+				k.opts.Logger.Warn().Err(err).Str("member", string(m.Name)).Msg("keys-not-handed-over")
+				break
+			}
+		}
+	}
+}
+
+// handOverChunk is how many keys go into one message.
+const handOverChunk = 500
--- /dev/null
+++ b/internal/services/lister/lister.go
@@ -0,0 +1,73 @@
+// Package lister keeps the newest instance list that the platform gave, through outages.
+//
+// # Usage
+//
+//	l := lister.New(source, logger)
+//	supervisor.Add(l)
+//	entries := l.List().Of(roster.KindExecutor, "catania")
+package lister
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/ibischute/ibischute/internal/modules/roster"
+)
+
+const (
+	fetchInterval = time.Second
+	fetchTimeout  = 2 * time.Second
+)
+
+// Lister holds the list.
+type Lister struct {
+	source roster.Source
+	logger zerolog.Logger
+	list   atomic.Pointer[roster.List]
+}
+
+// New returns a Lister with an empty list.
+func New(s roster.Source, logger zerolog.Logger) *Lister {
+	l := &Lister{source: s, logger: logger}
+	l.list.Store(&roster.List{})
+	return l
+}
+
+// String names the service in logs.
+func (*Lister) String() string { return "lister" }
+
+// List returns the newest list.
+func (l *Lister) List() roster.List { return *l.list.Load() }
+
+// Serve implements suprv.Service.
+func (l *Lister) Serve(ctx context.Context) error {
+	t := time.NewTicker(fetchInterval)
+	defer t.Stop()
+	isDown := false
+	for {
+		err := l.fetch(ctx)
+		if (err != nil) != isDown {
+			isDown = err != nil
+			l.logger.Warn().Bool("reachable", !isDown).Msg("instance-list")
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+}
+
+func (l *Lister) fetch(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	list, err := l.source.Fetch(ctx)
+	if err != nil {
+		return err
+	}
+	l.list.Store(&list)
+	return nil
+}
--- /dev/null
+++ b/internal/services/member/beat.go
@@ -0,0 +1,370 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ibischute/ibischute/internal/modules/roster"
+	"github.com/ibischute/ibischute/internal/modules/suprv"
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+type beatService struct{ m *Member }
+
+// Beat returns the service that exchanges heartbeats.
+func (m *Member) Beat() suprv.Service { return beatService{m} }
+
+// String names the service in logs.
+func (beatService) String() string { return "member-beat" }
+
+// Serve implements suprv.Service.
+func (s beatService) Serve(ctx context.Context) error {
+	t := time.NewTicker(s.m.opts.Beat)
+	defer t.Stop()
+	for {
+		s.m.beat(ctx)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			s.m.calls.Wait(ctx)
+			return ctx.Err()
+		}
+	}
+}
+
+// Announce exchanges heartbeats with the domain at once, so that a change of ownership takes effect early.
+func (m *Member) Announce(ctx context.Context) {
+	for _, address := range m.nearTargets() {
+		m.exchangeLater(ctx, address)
+	}
+}
+
+func (m *Member) beat(ctx context.Context) {
+	m.mu.Lock()
+	m.beats++
+	far := m.beats%farBeats == 1
+	m.mu.Unlock()
+	for _, address := range m.nearTargets() {
+		m.exchangeLater(ctx, address)
+	}
+	if far {
+		for _, address := range m.farTargets() {
+			m.exchangeLater(ctx, address)
+		}
+	}
+	m.forget()
+	for _, target := range m.suspects(m.opts.Now()) {
+		m.calls.Go(ctx, func(ctx context.Context) { m.fence(ctx, target) })
+	}
+}
+
+// nearTargets returns the addresses of the other members of the view.
+func (m *Member) nearTargets() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for _, v := range m.view.Members() {
+		if v.Name != m.opts.Self {
+			out = append(out, v.Address)
+		}
+	}
+	return out
+}
+
+// farTargets returns the addresses of instances outside of the view, from the list, the seeds and earlier heartbeats.
+func (m *Member) farTargets() []string {
+	near := map[string]bool{m.opts.Address: true}
+	for _, a := range m.nearTargets() {
+		near[a] = true
+	}
+	var out []string
+	add := func(address string) {
+		if !near[address] && len(out) < maxPeers {
+			near[address] = true
+			out = append(out, address)
+		}
+	}
+	for _, e := range m.opts.Roster().Entries {
+		if e.Kind == roster.KindEntry {
+			add(e.Address)
+		}
+	}
+	for _, s := range m.opts.Seeds {
+		add(s)
+	}
+	for _, p := range m.AllPeers() {
+		add(p.Address)
+	}
+	return out
+}
+
+// exchangeLater starts a heartbeat to the address unless one is under way.
+func (m *Member) exchangeLater(ctx context.Context, address string) {
+	m.mu.Lock()
+	busy := m.inFlight[address]
+	m.inFlight[address] = true
+	m.mu.Unlock()
+	if busy {
+		return
+	}
+	done := func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.inFlight, address)
+	}
+	started := m.calls.Go(ctx, func(ctx context.Context) {
+		defer done()
+		m.exchange(ctx, address)
+	})
+	if !started {
+		done()
+	}
+}
+
+func (m *Member) exchange(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, m.opts.Beat*2)
+	defer cancel()
+	sent := m.opts.Now()
+	req := &wire.ExchangeRequest{State: m.State(sent), PromiseMs: uint32(m.opts.Term.Milliseconds())}
+	res, err := m.opts.Dial(address).Exchange(ctx, req)
+	if err != nil {
+		return
+	}
+	now := m.opts.Now()
+	m.note(now, address, res.GetState())
+	m.notePromise(sent, res)
+	m.catchUp(ctx, address, res.GetState())
+}
+
+// notePromise counts a promise from the moment the request was sent, which is earlier than it was given.
+func (m *Member) notePromise(sent tick.Time, res *wire.ExchangeResponse) {
+	if res.GetPromisedMs() == 0 || ident.Domain(res.GetState().GetDomain()) != m.opts.Domain {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	from := res.GetState().GetMember()
+	until := sent.Add(time.Duration(res.GetPromisedMs()) * time.Millisecond)
+	m.keeper.Promise(ident.Instance(from.GetName()), ident.Incarnation(from.GetIncarnation()), until,
+		ident.Offset(res.GetState().GetViewOffset()))
+}
+
+// State returns what this instance states in heartbeats.
+func (m *Member) State(now tick.Time) *wire.PeerState {
+	m.mu.Lock()
+	s := &wire.PeerState{
+		Domain: string(m.opts.Domain), Member: m.wire(), ViewOffset: uint64(m.view.Epoch()), Draining: m.draining,
+	}
+	r := m.reporter
+	m.mu.Unlock()
+	if r != nil {
+		s.Held = r.HeldSlots(now)
+		s.Loads = r.Loads(now)
+		s.Version = uint64(r.Version())
+	}
+	return s
+}
+
+// note records what a peer stated.
+func (m *Member) note(now tick.Time, address string, s *wire.PeerState) {
+	if s.GetMember().GetName() == string(m.opts.Self) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, ok := m.peers[address]
+	if !ok {
+		if len(m.peers) >= maxPeers {
+			return
+		}
+		p = &Peer{Address: address}
+		m.peers[address] = p
+	}
+	p.Name = ident.Instance(s.GetMember().GetName())
+	p.Incarnation = ident.Incarnation(s.GetMember().GetIncarnation())
+	p.Domain = ident.Domain(s.GetDomain())
+	p.Heard, p.Loads, p.Draining = now, s.GetLoads(), s.GetDraining()
+	p.Epoch, p.Version = ident.Offset(s.GetViewOffset()), ident.Version(s.GetVersion())
+	if p.Domain == m.opts.Domain {
+		m.acknowledge(now, p, s)
+	}
+}
+
+// acknowledge needs the lock.
+func (m *Member) acknowledge(now tick.Time, p *Peer, s *wire.PeerState) {
+	held := make(map[ident.Key]int, len(s.GetHeld()))
+	for _, h := range s.GetHeld() {
+		held[ident.Key(h.GetKey())] = int(h.GetSlots())
+	}
+	m.table.Acknowledge(p.Name, p.Incarnation, p.Epoch, held)
+	if m.view.Has(p.Name, p.Incarnation) {
+		m.heardAt[p.Name] = now
+	}
+	m.notify()
+}
+
+// forget drops peers that have been silent for long.
+func (m *Member) forget() {
+	now := m.opts.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for address, p := range m.peers {
+		if now.Sub(p.Heard) > forgetBeats*m.opts.Beat {
+			delete(m.peers, address)
+		}
+	}
+}
+
+// catchUp fetches member records from a peer of the domain that knows a newer view.
+func (m *Member) catchUp(ctx context.Context, address string, s *wire.PeerState) {
+	m.mu.Lock()
+	from := m.view.Next()
+	behind := ident.Domain(s.GetDomain()) == m.opts.Domain && ident.Offset(s.GetViewOffset()) > from
+	m.mu.Unlock()
+	if !behind {
+		return
+	}
+	res, err := m.opts.Dial(address).FetchMembers(ctx, &wire.FetchMembersRequest{From: uint64(from)})
+	if err != nil {
+		return
+	}
+	now := m.opts.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, data := range res.GetRecords() {
+		m.apply(now, ident.Offset(res.GetFirst())+ident.Offset(i), data)
+	}
+}
+
+// suspects returns the members that have been silent for too long and for which a fence is due.
+func (m *Member) suspects(now tick.Time) []*wire.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.voting {
+		return nil
+	}
+	var out []*wire.Member
+	for _, v := range m.view.Members() {
+		heard, ok := m.heardAt[v.Name]
+		if !ok {
+			m.heardAt[v.Name] = now
+			continue
+		}
+		silent := now.Sub(heard) > suspectBeats*m.opts.Beat
+		if v.Name == m.opts.Self || !silent || now.Before(m.suspected[v.Name]) {
+			continue
+		}
+		m.suspected[v.Name] = now.Add(m.opts.Beat)
+		out = append(out, toWire(v))
+	}
+	for name := range m.heardAt {
+		if _, ok := m.view.Member(name); !ok {
+			delete(m.heardAt, name)
+			delete(m.suspected, name)
+		}
+	}
+	return out
+}
+
+// fence gathers co-signatures and appends the fence record once there are enough.
+func (m *Member) fence(ctx context.Context, target *wire.Member) {
+	ctx, cancel := context.WithTimeout(ctx, m.opts.Term)
+	defer cancel()
+	name, inc := ident.Instance(target.GetName()), ident.Incarnation(target.GetIncarnation())
+	m.mu.Lock()
+	signed := m.grantor.CoSign(m.opts.Now(), name, inc)
+	quorum := m.view.FenceQuorum(name)
+	members := m.view.Members()
+	self := m.wire()
+	m.mu.Unlock()
+	if !signed {
+		return
+	}
+	signers := []*wire.Member{self}
+	for _, v := range members {
+		if v.Name == m.opts.Self || v.Name == name || !v.Voting {
+			continue
+		}
+		res, err := m.opts.Dial(v.Address).CoSign(ctx, &wire.CoSignRequest{Asker: self, Target: target})
+		if err == nil && res.GetSigned() {
+			signers = append(signers, toWire(v))
+		}
+	}
+	if len(signers) < quorum {
+		m.opts.Logger.Debug().Str("target", string(name)).Int("signatures", len(signers)).Int("quorum", quorum).
+			Msg("fence-short-of-quorum")
+		return
+	}
+	m.opts.Logger.Warn().Str("target", string(name)).Uint64("incarnation", uint64(inc)).Msg("fencing")
+	m.append(ctx, &wire.MemberRecord{Kind: &wire.MemberRecord_Fence{
+		Fence: &wire.Fence{By: self, Target: target, CoSigners: signers[1:]},
+	}})
+}
+
+// HandleExchange answers a heartbeat.
+func (m *Member) HandleExchange(now tick.Time, req *wire.ExchangeRequest) *wire.ExchangeResponse {
+	from := req.GetState().GetMember()
+	m.note(now, from.GetPeerAddress(), req.GetState())
+	var promised time.Duration
+	m.mu.Lock()
+	near := ident.Domain(req.GetState().GetDomain()) == m.opts.Domain
+	if near && req.GetPromiseMs() > 0 && !m.draining {
+		promised = m.grantor.Promise(now, ident.Instance(from.GetName()), ident.Incarnation(from.GetIncarnation()),
+			time.Duration(req.GetPromiseMs())*time.Millisecond)
+	}
+	m.mu.Unlock()
+	return &wire.ExchangeResponse{State: m.State(now), PromisedMs: uint32(promised.Milliseconds())}
+}
+
+// HandleCoSign decides on a co-signature.
+func (m *Member) HandleCoSign(now tick.Time, req *wire.CoSignRequest) *wire.CoSignResponse {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	target := ident.Instance(req.GetTarget().GetName())
+	inc := ident.Incarnation(req.GetTarget().GetIncarnation())
+	switch {
+	case !m.view.Has(m.opts.Self, m.inc) || !m.voting:
+		return &wire.CoSignResponse{Reason: "not a voting member"}
+	case !m.view.Has(target, inc):
+		return &wire.CoSignResponse{Reason: "target is not a member"}
+	case now.Sub(m.heardAt[target]) < suspectBeats*m.opts.Beat:
+		return &wire.CoSignResponse{Reason: "target was heard from"}
+	case !m.grantor.CoSign(now, target, inc):
+		return &wire.CoSignResponse{Reason: "a promise stands"}
+	}
+	return &wire.CoSignResponse{Signed: true}
+}
+
+// HandleFetchMembers returns kept records of the member stream.
+func (m *Member) HandleFetchMembers(req *wire.FetchMembersRequest) (*wire.FetchMembersResponse, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	from := ident.Offset(req.GetFrom())
+	if from < m.firstRec {
+		return nil, fault.New(fault.CodeTrimmed, fault.NotRun, "member records not kept that far back")
+	}
+	res := &wire.FetchMembersResponse{First: uint64(from)}
+	for i := int(from - m.firstRec); i < len(m.records); i++ {
+		res.Records = append(res.Records, m.records[i])
+	}
+	return res, nil
+}
+
+// RemoveByOperator appends an operator's assertion that the member is dead.
+func (m *Member) RemoveByOperator(ctx context.Context, name ident.Instance, reason string) error {
+	v, ok := m.View().Member(name)
+	if !ok {
+		return fault.New(fault.CodeNotFound, fault.NotRun, "no member "+string(name))
+	}
+	rec := &wire.MemberRecord{Kind: &wire.MemberRecord_Remove{Remove: &wire.Remove{Target: toWire(v), Reason: reason}}}
+	data, err := proto.Marshal(rec)
+	if err != nil {
+		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode removal")
+	}
+	return m.appendData(ctx, "remove-"+string(name), data)
+}
--- /dev/null
+++ b/internal/services/member/tail.go
@@ -0,0 +1,199 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ibischute/ibischute/internal/modules/logio"
+	"github.com/ibischute/ibischute/internal/modules/suprv"
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/internal/state/view"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// maxKeptRecords bounds the records kept for peers that cannot read the log.
+const maxKeptRecords = 4096
+
+type tailService struct{ m *Member }
+
+// Tail returns the service that follows the member stream.
+func (m *Member) Tail() suprv.Service { return tailService{m} }
+
+// String names the service in logs.
+func (tailService) String() string { return "member-tail" }
+
+// Serve implements suprv.Service.
+func (s tailService) Serve(ctx context.Context) error {
+	m := s.m
+	wait := m.opts.Term / 4
+	for ctx.Err() == nil {
+		started := m.opts.Now()
+		batch, err := m.read(ctx, wait)
+		now := m.opts.Now()
+		if err != nil {
+			m.opts.Logger.Debug().Err(err).Msg("member-stream-unreadable")
+			pause(ctx, m.opts.Beat)
+			continue
+		}
+		m.fold(now, started, batch)
+		m.joinOrAdmit(ctx)
+	}
+	return ctx.Err()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (m *Member) read(ctx context.Context, wait time.Duration) (logio.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+m.opts.Term)
+	defer cancel()
+	m.mu.Lock()
+	from, joined := m.view.Next(), m.joined
+	m.mu.Unlock()
+	if !joined {
+		wait = 0
+	}
+	return m.opts.Log.Read(ctx, ident.MemberStream(m.opts.Domain), from, wait)
+}
+
+// fold applies a batch that was read from the log by a read that started at the time given.
+func (m *Member) fold(now, started tick.Time, b logio.Batch) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range b.Records {
+		m.apply(now, r.Offset, r.Data)
+	}
+	m.caughtUp = m.view.Next() >= b.Next
+	if m.caughtUp {
+		m.keeper.Read(started)
+	}
+}
+
+// apply folds one record; it needs the lock.
+func (m *Member) apply(now tick.Time, at ident.Offset, data []byte) {
+	if at != m.view.Next() {
+		return
+	}
+	var rec wire.MemberRecord
+	if err := proto.Unmarshal(data, &rec); err != nil {
+		m.opts.Logger.Warn().Err(err).Uint64("offset", uint64(at)).Msg("member-record-unreadable")
+	}
+	before := m.view
+	m.view = before.Apply(&rec, at)
+	m.keep(at, data)
+	if m.view.Epoch() == before.Epoch() {
+		return
+	}
+	m.table.Advance(now, m.view)
+	m.grantor.Forget(now, m.view)
+	m.noteOwnState(now, before)
+	m.opts.Logger.Info().Uint64("epoch", uint64(m.view.Epoch())).Int("members", m.view.Len()).
+		Str("record", fmt.Sprintf("%T", rec.GetKind())).Msg("view-changed")
+	m.notify()
+}
+
+// noteOwnState follows what the change of view means for this instance; it needs the lock.
+func (m *Member) noteOwnState(now tick.Time, before view.View) {
+	self, in := m.view.Member(m.opts.Self)
+	isMember := in && self.Incarnation == m.inc
+	if isMember && self.Voting && !m.voting {
+		m.grantor.Delay(now)
+	}
+	m.voting = isMember && self.Voting
+	if before.Has(m.opts.Self, m.inc) && !isMember && !m.draining {
+		m.inc = m.opts.NewIncarnation()
+		m.joined = false
+		m.keeper.Reset()
+		m.opts.Logger.Warn().Uint64("incarnation", uint64(m.inc)).Msg("fenced")
+	}
+}
+
+// keep remembers the record for peers that cannot read the log; it needs the lock.
+func (m *Member) keep(at ident.Offset, data []byte) {
+	if len(m.records) == 0 {
+		m.firstRec = at
+	}
+	m.records = append(m.records, data)
+	if len(m.records) > maxKeptRecords {
+		m.records = m.records[1:]
+		m.firstRec++
+	}
+}
+
+// joinOrAdmit appends this instance's join, or its admission of joiners.
+func (m *Member) joinOrAdmit(ctx context.Context) {
+	m.mu.Lock()
+	wantJoin := m.caughtUp && !m.draining && !m.view.Has(m.opts.Self, m.inc)
+	if m.view.Has(m.opts.Self, m.inc) {
+		m.joined = true
+	}
+	admits := m.missingAdmits()
+	self := m.wire()
+	m.mu.Unlock()
+	if wantJoin {
+		m.append(ctx, &wire.MemberRecord{Kind: &wire.MemberRecord_Join{Join: &wire.Join{Member: self}}})
+		return
+	}
+	for _, j := range admits {
+		m.append(ctx, &wire.MemberRecord{Kind: &wire.MemberRecord_Admit{Admit: &wire.Admit{By: self, Joiner: j}}})
+	}
+}
+
+// missingAdmits returns the joiners that this voting member has not admitted; it needs the lock.
+func (m *Member) missingAdmits() []*wire.Member {
+	if !m.caughtUp || !m.voting {
+		return nil
+	}
+	var out []*wire.Member
+	for _, j := range m.view.Members() {
+		if !j.Voting && !m.view.HasAdmitted(m.opts.Self, j.Name) {
+			out = append(out, toWire(j))
+		}
+	}
+	return out
+}
+
+func toWire(v view.Member) *wire.Member {
+	return &wire.Member{Name: string(v.Name), Incarnation: uint64(v.Incarnation), PeerAddress: v.Address}
+}
+
+// append adds a record to the member stream. A lost answer needs no care, since every record is idempotent.
+func (m *Member) append(ctx context.Context, rec *wire.MemberRecord) {
+	data, err := proto.Marshal(rec)
+	if err != nil {
+		m.opts.Logger.Error().Err(err).Msg("member-record-not-encoded")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.opts.Term)
+	defer cancel()
+	if err := m.appendData(ctx, "record", data); err != nil {
+		m.opts.Logger.Warn().Err(err).Msg("member-append-failed")
+		pause(ctx, m.opts.Beat)
+	}
+}
+
+// Leave appends the graceful end of this life. The caller has released everything before.
+func (m *Member) Leave(ctx context.Context) error {
+	data, err := proto.Marshal(&wire.MemberRecord{Kind: &wire.MemberRecord_Leave{Leave: &wire.Leave{Member: m.Wire()}}})
+	if err != nil {
+		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode leave")
+	}
+	return m.appendData(ctx, "leave", data)
+}
+
+func (m *Member) appendData(ctx context.Context, kind string, data []byte) error {
+	id := fmt.Sprintf("%s-%s-%d-%d", kind, m.opts.Self, m.Incarnation(), m.opts.Now())
+	_, err := m.opts.Log.Append(ctx, ident.MemberStream(m.opts.Domain), []logio.Record{{ID: id, Data: data}})
+	return err
+}
--- /dev/null
+++ b/internal/services/placer/loop.go
@@ -0,0 +1,293 @@
+package placer
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ibischute/ibischute/internal/modules/roster"
+	"github.com/ibischute/ibischute/internal/modules/suprv"
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/internal/modules/workio"
+	"github.com/ibischute/ibischute/internal/state/jobs"
+	"github.com/ibischute/ibischute/internal/state/lease"
+	"github.com/ibischute/ibischute/internal/state/tasks"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+const (
+	planInterval = 50 * time.Millisecond
+	// syncsPerLease is how often within a lease a worker is asked and its leases are renewed.
+	syncsPerLease = 5
+	// unheardInterval is how often a worker is asked that was not heard yet.
+	unheardInterval = 300 * time.Millisecond
+	callTimeout     = 2 * time.Second
+	defaultLease    = 5 * time.Second
+)
+
+type loopService struct{ p *Placer }
+
+// Loop returns the service that places tasks while this instance owns the placer key.
+func (p *Placer) Loop() suprv.Service { return loopService{p} }
+
+// String names the service in logs.
+func (loopService) String() string { return "placer" }
+
+// Serve implements suprv.Service.
+func (s loopService) Serve(ctx context.Context) error {
+	t := time.NewTicker(planInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.p.calls.Wait(ctx)
+			return ctx.Err()
+		case <-t.C:
+			s.p.cycle(ctx, s.p.opts.Now())
+		}
+	}
+}
+
+func (p *Placer) lease() time.Duration {
+	if b := p.opts.Config(); b != nil {
+		return b.Batch.WorkerLease
+	}
+	return defaultLease
+}
+
+// cycle takes the right to place, feeds the board and carries out its plan.
+func (p *Placer) cycle(ctx context.Context, now tick.Time) {
+	if !p.takeRight(now) {
+		return
+	}
+	p.feed()
+	p.syncWorkers(ctx, now)
+	p.recordFinished(ctx)
+	p.mu.Lock()
+	var actions []tasks.Action
+	if !p.caughtUp.Before(p.since) {
+		actions = p.board.Plan(now)
+	}
+	p.mu.Unlock()
+	for _, a := range actions {
+		p.carryOut(ctx, a)
+	}
+}
+
+// takeRight reports whether this instance may place, and starts from an empty board when that is new.
+func (p *Placer) takeRight(now tick.Time) bool {
+	mayAct := p.opts.Member.MayAct(now, ident.PlacerKey)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !mayAct {
+		if p.board != nil {
+			p.opts.Logger.Info().Msg("placer-stops")
+		}
+		p.board = nil
+		return false
+	}
+	if p.board == nil {
+		p.since = now
+		p.asked = map[ident.Worker]tick.Time{}
+		p.recorded = map[tasks.Key]bool{}
+		for _, j := range p.fold.All() {
+			p.dirty[j.ID()] = true
+		}
+		p.board = tasks.NewBoard(tasks.Options{
+			Epoch: p.opts.Member.View().Epoch(), Lease: lease.WithDrift(p.lease()), Since: now,
+		})
+		p.opts.Logger.Info().Msg("placer-starts")
+	}
+	return true
+}
+
+// feed brings the list of workers and the jobs onto the board.
+func (p *Placer) feed() {
+	workers := p.opts.Roster().Of(roster.KindWorker, p.opts.Domain)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := map[ident.Worker]bool{}
+	for _, e := range workers {
+		listed[ident.Worker(e.Name)] = true
+		p.board.PutWorker(tasks.Worker{
+			Name: ident.Worker(e.Name), Rack: e.Rack, Capacity: e.Capacity.Minus(e.Reserved), Leaving: e.Leaving,
+		})
+	}
+	p.board.DropWorkers(func(w ident.Worker) bool { return listed[w] })
+	for id := range p.dirty {
+		if j, ok := p.fold.Get(id); ok {
+			p.feedJob(j)
+		}
+		delete(p.dirty, id)
+	}
+}
+
+func (p *Placer) feedJob(j *jobs.Job) {
+	for i, t := range j.Tasks {
+		k := tasks.Key{Job: j.ID(), Index: uint32(i)}
+		if t.Done || j.Phase.IsEnded() {
+			p.board.DropTask(k)
+			delete(p.recorded, k)
+			continue
+		}
+		p.board.PutTask(tasks.Spec{
+			Key: k, Size: sizeOf(j.Spec), Team: ident.Team(j.Spec.GetTeam()), Urgent: j.Spec.GetUrgent(),
+			Deadline: deadlineOf(j.Spec), Checkpoint: t.Checkpoint, Order: p.order[j.ID()],
+		})
+	}
+}
+
+func deadlineOf(s *wire.JobSpec) time.Time {
+	if s.GetDeadlineUnixMs() == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(s.GetDeadlineUnixMs())
+}
+
+// syncWorkers asks the workers that are due and renews the leases of their attempts.
+func (p *Placer) syncWorkers(ctx context.Context, now tick.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.board.Workers() {
+		interval := p.lease() / syncsPerLease
+		if !p.board.IsHeard(w) {
+			interval = unheardInterval
+		}
+		if p.busy[w] || (p.asked[w] != 0 && now.Sub(p.asked[w]) < interval) {
+			continue
+		}
+		p.asked[w] = now
+		board, renew := p.board, p.board.Renewals(w)
+		p.busy[w] = p.calls.Go(ctx, func(ctx context.Context) { p.syncWorker(ctx, board, w, renew) })
+	}
+}
+
+func (p *Placer) syncWorker(ctx context.Context, board *tasks.Board, w ident.Worker, renew map[tasks.Key]tasks.Number) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	leases := make([]workio.Lease, 0, len(renew))
+	for k, n := range renew {
+		leases = append(leases, workio.Lease{ID: taskID(k), Attempt: uint64(n), LeaseMS: p.lease().Milliseconds()})
+	}
+	sent := p.opts.Now()
+	var list []workio.Task
+	err := error(fault.New(fault.CodeNotSent, fault.NotRun, "the right to place lapsed"))
+	if p.opts.Member.MayAct(sent, ident.PlacerKey) {
+		list, err = p.opts.Workers.Sync(ctx, w, leases)
+	}
+	now := p.opts.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.busy, w)
+	if p.board != board {
+		return
+	}
+	if err != nil {
+		board.Unreachable(now, w, len(leases) > 0)
+		return
+	}
+	board.Listed(now, sent, w, seenOf(list), len(leases) > 0)
+}
+
+func seenOf(list []workio.Task) []tasks.Seen {
+	states := map[workio.State]tasks.SeenState{
+		workio.StateRunning: tasks.SeenRunning, workio.StateFinished: tasks.SeenFinished, workio.StateFailed: tasks.SeenFailed,
+		workio.StateStopped: tasks.SeenEnded, workio.StateLapsed: tasks.SeenEnded,
+	}
+	out := make([]tasks.Seen, 0, len(list))
+	for _, t := range list {
+		out = append(out, tasks.Seen{
+			Key: keyOf(t.ID), Number: tasks.Number(t.Attempt), State: states[t.State], Size: t.Size,
+			Name: fmt.Sprintf("%s#%d", t.ID, t.Attempt),
+		})
+	}
+	return out
+}
+
+func taskID(k tasks.Key) workio.TaskID {
+	return workio.TaskID(string(k.Job) + "." + strconv.FormatUint(uint64(k.Index), 10))
+}
+
+func keyOf(id workio.TaskID) tasks.Key {
+	job, index, _ := strings.Cut(string(id), ".")
+	n, err := strconv.ParseUint(index, 10, 32)
+	if err != nil {
+		return tasks.Key{}
+	}
+	return tasks.Key{Job: ident.Job(job), Index: uint32(n)}
+}
+
+// recordFinished appends the ends of tasks. The record is idempotent and sent until it has come back from the log.
+func (p *Placer) recordFinished(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.board.Finished() {
+		k := t.Spec.Key
+		if p.recorded[k] {
+			continue
+		}
+		rec := &wire.JobRecord{Kind: &wire.JobRecord_Done{Done: &wire.TaskDone{
+			Job: string(k.Job), Task: k.Index, Attempt: uint64(t.Attempt.Number),
+		}}}
+		p.recorded[k] = p.calls.Go(ctx, func(ctx context.Context) {
+			if err := p.append(ctx, "done-"+string(taskID(k)), rec); err != nil {
+				p.mu.Lock()
+				delete(p.recorded, k)
+				p.mu.Unlock()
+			}
+		})
+	}
+}
+
+// carryOut starts or stops an attempt.
+func (p *Placer) carryOut(ctx context.Context, a tasks.Action) {
+	p.mu.Lock()
+	board := p.board
+	task := p.taskOf(a)
+	p.mu.Unlock()
+	p.calls.Go(ctx, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		err := p.call(ctx, a, task)
+		now := p.opts.Now()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.board != board || board == nil {
+			return
+		}
+		if a.Kind == tasks.KindStart {
+			board.Started(now, a.Task.Spec.Key, a.Number, err)
+			return
+		}
+		board.Stopped(a.Task.Spec.Key, a.Number, err)
+	})
+}
+
+// taskOf needs the lock.
+func (p *Placer) taskOf(a tasks.Action) workio.Task {
+	t := workio.Task{
+		ID: taskID(a.Task.Spec.Key), Attempt: uint64(a.Number), LeaseMS: p.lease().Milliseconds(), Size: a.Task.Spec.Size,
+		Checkpoint: a.Task.Spec.Checkpoint,
+	}
+	if j, ok := p.fold.Get(a.Task.Spec.Key.Job); ok {
+		t.RunMS = int64(j.Spec.GetRunMs())
+	}
+	return t
+}
+
+// call checks the right to place right before it sends.
+func (p *Placer) call(ctx context.Context, a tasks.Action, t workio.Task) error {
+	if !p.opts.Member.MayAct(p.opts.Now(), ident.PlacerKey) {
+		return fault.New(fault.CodeNotSent, fault.NotRun, "the right to place lapsed")
+	}
+	p.opts.Logger.Debug().Str("task", string(t.ID)).Uint64("attempt", t.Attempt).Str("worker", string(a.Worker)).
+		Str("action", string(a.Kind)).Msg("task-action")
+	if a.Kind == tasks.KindStart {
+		return p.opts.Workers.Start(ctx, a.Worker, t)
+	}
+	return p.opts.Workers.Stop(ctx, a.Worker, t)
+}
--- /dev/null
+++ b/internal/services/placer/placer.go
@@ -0,0 +1,350 @@
+// Package placer accepts batch jobs and places their tasks on the workers of the failure domain.
+//
+// Every instance of the domain follows the job stream; the owner of the placer key acts. A new placer reads the workers'
+// own lists, or waits out their leases, before it starts anything.
+//
+// # Usage
+//
+//	p := placer.New(options)
+//	supervisor.Add(p.Tail()); supervisor.Add(p.Committer()); supervisor.Add(p.Loop())
+//	status, err := p.Submit(ctx, spec)
+package placer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ibischute/ibischute/internal/modules/commit"
+	"github.com/ibischute/ibischute/internal/modules/logio"
+	"github.com/ibischute/ibischute/internal/modules/rendez"
+	"github.com/ibischute/ibischute/internal/modules/roster"
+	"github.com/ibischute/ibischute/internal/modules/suprv"
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/internal/modules/workio"
+	"github.com/ibischute/ibischute/internal/services/member"
+	"github.com/ibischute/ibischute/internal/state/jobs"
+	"github.com/ibischute/ibischute/internal/state/tasks"
+	"github.com/ibischute/ibischute/internal/state/view"
+	"github.com/ibischute/ibischute/pkg/bundle"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+const (
+	tailWait      = time.Second
+	readTimeout   = 4 * time.Second
+	retryInterval = 300 * time.Millisecond
+	// foldTimeout bounds the wait for an own record to come back from the log.
+	foldTimeout  = 3 * time.Second
+	foldInterval = 10 * time.Millisecond
+	maxCalls     = 128
+	maxTasks     = 10_000
+	maxRunTime   = 7 * 24 * time.Hour
+	maxListed    = 1000
+)
+
+// Membership is what this package needs to know of the domain.
+type Membership interface {
+	MayAct(now tick.Time, key ident.Key) bool
+	View() view.View
+	Peers(now tick.Time) []member.Peer
+}
+
+// Options are the surroundings of a Placer.
+type Options struct {
+	Domain  ident.Domain
+	Domains []ident.Domain
+	Member  Membership
+	Log     logio.Log
+	Workers workio.Client
+	Roster  func() roster.List
+	Config  func() *bundle.Bundle
+	Dial    func(address string) wire.Peer
+	Logger  zerolog.Logger
+	Now     func() tick.Time
+	Wall    func() time.Time
+}
+
+// Placer is an instance's part in the batch work of its domain.
+type Placer struct {
+	opts      Options
+	home      rendez.Set[ident.Domain]
+	committer *commit.Group
+	calls     *suprv.Group
+
+	mu       sync.Mutex
+	fold     *jobs.Fold
+	next     ident.Offset
+	caughtUp tick.Time
+	board    *tasks.Board
+	since    tick.Time
+	asked    map[ident.Worker]tick.Time
+	busy     map[ident.Worker]bool
+	order    map[ident.Job]uint64
+	recorded map[tasks.Key]bool
+	// dirty are the jobs that changed since they were brought onto the board.
+	dirty map[ident.Job]bool
+}
+
+// New returns a Placer that follows nothing yet.
+func New(o Options) *Placer {
+	return &Placer{
+		opts: o, home: rendez.New(o.Domains), committer: commit.New(o.Log, ident.JobStream(o.Domain)),
+		calls: suprv.NewGroup(maxCalls), fold: jobs.New(), asked: map[ident.Worker]tick.Time{},
+		busy: map[ident.Worker]bool{}, order: map[ident.Job]uint64{}, recorded: map[tasks.Key]bool{},
+		dirty: map[ident.Job]bool{},
+	}
+}
+
+// Committer returns the service that writes the job stream.
+func (p *Placer) Committer() suprv.Service { return p.committer }
+
+type tailService struct{ p *Placer }
+
+// Tail returns the service that follows the job stream.
+func (p *Placer) Tail() suprv.Service { return tailService{p} }
+
+// String names the service in logs.
+func (tailService) String() string { return "job-tail" }
+
+// Serve implements suprv.Service.
+func (s tailService) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := s.p.readOnce(ctx); err != nil {
+			s.p.opts.Logger.Debug().Err(err).Msg("job-stream-unreadable")
+			pause(ctx, retryInterval)
+		}
+	}
+	return ctx.Err()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (p *Placer) readOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	p.mu.Lock()
+	from := p.next
+	p.mu.Unlock()
+	started := p.opts.Now()
+	b, err := p.opts.Log.Read(ctx, ident.JobStream(p.opts.Domain), from, tailWait)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range b.Records {
+		p.apply(r)
+	}
+	if p.next >= b.Next {
+		p.caughtUp = started
+	}
+	return nil
+}
+
+// apply folds one record; it needs the lock.
+func (p *Placer) apply(r logio.Record) {
+	p.next = r.Offset + 1
+	var rec wire.JobRecord
+	err := proto.Unmarshal(r.Data, &rec)
+	if err == nil {
+		err = p.fold.Apply(&rec)
+	}
+	if err != nil {
+		p.opts.Logger.Warn().Err(err).Uint64("offset", uint64(r.Offset)).Msg("job-record-without-effect")
+		return
+	}
+	p.dirty[jobOf(&rec)] = true
+	if a := rec.GetAccept(); a != nil {
+		if _, known := p.order[ident.Job(a.GetId())]; !known {
+			p.order[ident.Job(a.GetId())] = uint64(r.Offset)
+		}
+	}
+}
+
+// jobOf returns the job that a record is about.
+func jobOf(rec *wire.JobRecord) ident.Job {
+	switch k := rec.GetKind().(type) {
+	case *wire.JobRecord_Accept:
+		return ident.Job(k.Accept.GetId())
+	case *wire.JobRecord_Done:
+		return ident.Job(k.Done.GetJob())
+	case *wire.JobRecord_Cancel:
+		return ident.Job(k.Cancel.GetId())
+	case *wire.JobRecord_GiveUp:
+		return ident.Job(k.GiveUp.GetJob())
+	case *wire.JobRecord_Checkpoint:
+		return ident.Job(k.Checkpoint.GetJob())
+	}
+	return ""
+}
+
+// Submit accepts a job in its home domain; a job is accepted once its record is in the log. Submitting the same job again
+// returns its status.
+func (p *Placer) Submit(ctx context.Context, spec *wire.JobSpec) (*wire.JobStatus, error) {
+	if err := p.check(spec); err != nil {
+		return nil, err
+	}
+	id := ident.Job(spec.GetId())
+	if home := p.homeOf(id); home != p.opts.Domain {
+		return p.callHome(ctx, home, func(peer wire.Peer) (*wire.JobStatus, error) {
+			return peer.SubmitJob(ctx, &wire.SubmitJobRequest{Spec: spec})
+		})
+	}
+	if known, err := p.known(spec); known != nil || err != nil {
+		return known, err
+	}
+	rec := &wire.JobRecord{Kind: &wire.JobRecord_Accept{Accept: spec}}
+	if err := p.append(ctx, "accept-"+spec.GetId(), rec); err != nil {
+		return nil, err
+	}
+	return p.awaitStatus(ctx, spec)
+}
+
+// known returns the status of a job that was accepted before.
+func (p *Placer) known(spec *wire.JobSpec) (*wire.JobStatus, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j, ok := p.fold.Get(ident.Job(spec.GetId()))
+	if !ok {
+		return nil, nil
+	}
+	if !proto.Equal(j.Spec, spec) {
+		return nil, fault.New(fault.CodeConflict, fault.NotRun, "the job was accepted with another specification")
+	}
+	return p.status(j), nil
+}
+
+// awaitStatus waits until the own record has come back from the log, which decides between racing submissions.
+func (p *Placer) awaitStatus(ctx context.Context, spec *wire.JobSpec) (*wire.JobStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, foldTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if s, err := p.known(spec); s != nil || err != nil {
+			return s, err
+		}
+		pause(ctx, foldInterval)
+	}
+	return nil, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "the record has not come back from the log yet").
+		WithRetry(time.Second)
+}
+
+// Cancel ends a job.
+func (p *Placer) Cancel(ctx context.Context, id ident.Job) (*wire.JobStatus, error) {
+	if home := p.homeOf(id); home != p.opts.Domain {
+		return p.callHome(ctx, home, func(peer wire.Peer) (*wire.JobStatus, error) {
+			return peer.CancelJob(ctx, &wire.JobRequest{Id: string(id)})
+		})
+	}
+	s, err := p.Show(id)
+	if err != nil || jobs.Phase(s.GetPhase()) == jobs.PhaseCancelled {
+		return s, err
+	}
+	if err := jobs.Phase(s.GetPhase()).To(jobs.PhaseCancelled); err != nil {
+		return nil, err
+	}
+	rec := &wire.JobRecord{Kind: &wire.JobRecord_Cancel{Cancel: &wire.JobRequest{Id: string(id)}}}
+	if err := p.append(ctx, "cancel-"+string(id), rec); err != nil {
+		return nil, err
+	}
+	s.Phase = string(jobs.PhaseCancelled)
+	return s, nil
+}
+
+// Show returns the status of a job of this domain.
+func (p *Placer) Show(id ident.Job) (*wire.JobStatus, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j, ok := p.fold.Get(id)
+	if !ok {
+		return nil, fault.New(fault.CodeNotFound, fault.NotRun, "no job "+string(id))
+	}
+	return p.status(j), nil
+}
+
+// ShowAnywhere returns the status of a job from its home domain.
+func (p *Placer) ShowAnywhere(ctx context.Context, id ident.Job) (*wire.JobStatus, error) {
+	if home := p.homeOf(id); home != p.opts.Domain {
+		return p.callHome(ctx, home, func(peer wire.Peer) (*wire.JobStatus, error) {
+			return peer.ShowJob(ctx, &wire.JobRequest{Id: string(id)})
+		})
+	}
+	return p.Show(id)
+}
+
+// List returns the newest jobs of this domain.
+func (p *Placer) List(limit int) *wire.ListJobsResponse {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if limit <= 0 || limit > maxListed {
+		limit = maxListed
+	}
+	all := p.fold.All()
+	all = all[max(0, len(all)-limit):]
+	out := &wire.ListJobsResponse{}
+	for _, j := range all {
+		out.Jobs = append(out.Jobs, p.status(j))
+	}
+	return out
+}
+
+// status needs the lock.
+func (p *Placer) status(j *jobs.Job) *wire.JobStatus {
+	s := &wire.JobStatus{
+		Spec: j.Spec, Phase: string(j.Phase), Reason: j.Reason, Done: uint32(j.DoneTasks()), Home: string(p.opts.Domain),
+	}
+	if j.Phase.IsEnded() {
+		return s
+	}
+	s.Pending = uint32(len(j.Tasks) - j.DoneTasks())
+	if p.board == nil {
+		return s
+	}
+	for i := range j.Tasks {
+		t, ok := p.board.Get(tasks.Key{Job: j.ID(), Index: uint32(i)})
+		if ok && t.Phase != tasks.PhasePending && t.Phase != tasks.PhaseFinished {
+			s.Running++
+			s.Pending--
+		}
+	}
+	return s
+}
+
+func (p *Placer) homeOf(id ident.Job) ident.Domain {
+	home, _ := p.home.Winner(string(id))
+	return home
+}
+
+func (p *Placer) callHome(
+	ctx context.Context, home ident.Domain, call func(wire.Peer) (*wire.JobStatus, error),
+) (*wire.JobStatus, error) {
+	for _, peer := range p.opts.Member.Peers(p.opts.Now()) {
+		if peer.Domain != home || peer.Draining {
+			continue
+		}
+		s, err := call(p.opts.Dial(peer.Address))
+		return s, wire.Fault(err)
+	}
+	return nil, fault.New(fault.CodeNoOwner, fault.NotRun, "the job's home domain "+string(home)+" cannot be reached").
+		WithRetry(time.Second)
+}
+
+func (p *Placer) append(ctx context.Context, id string, rec *wire.JobRecord) error {
+	data, err := proto.Marshal(rec)
+	if err != nil {
+		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode job record")
+	}
+	return p.committer.Append(ctx, logio.Record{ID: id, Data: data})
+}
--- /dev/null
+++ b/internal/services/rollo/rollo.go
@@ -0,0 +1,239 @@
+// Package rollo rolls configuration out: it follows the config stream and the peers and holds the version in force.
+//
+// A version comes from the log's tail or from a peer that is ahead. Both go through the same fold, which checks the
+// sign-offs, so it does not matter which of them answers first. A version never reverts.
+//
+// # Usage
+//
+//	r := rollo.New(options)
+//	supervisor.Add(r.Tail()); supervisor.Add(r.Spread())
+//	b := r.InForce()
+package rollo
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ibischute/ibischute/internal/modules/logio"
+	"github.com/ibischute/ibischute/internal/modules/suprv"
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/internal/services/member"
+	"github.com/ibischute/ibischute/internal/state/accept"
+	"github.com/ibischute/ibischute/pkg/bundle"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+const (
+	tailWait      = time.Second
+	callTimeout   = 2 * time.Second
+	retryInterval = 300 * time.Millisecond
+)
+
+// Options are the surroundings of a Rollout.
+type Options struct {
+	Root   bundle.Authority
+	Log    logio.Log
+	Peers  func(now tick.Time) []member.Peer
+	Dial   func(address string) wire.Peer
+	Logger zerolog.Logger
+	Now    func() tick.Time
+}
+
+// Rollout holds the configuration in force.
+type Rollout struct {
+	opts    Options
+	inForce atomic.Pointer[bundle.Bundle]
+
+	mu   sync.Mutex
+	fold *accept.Fold
+	next ident.Offset
+}
+
+// New returns a Rollout without a version in force.
+func New(o Options) *Rollout { return &Rollout{opts: o, fold: accept.New(o.Root)} }
+
+// InForce returns the bundle in force, or nil before the first one.
+func (r *Rollout) InForce() *bundle.Bundle { return r.inForce.Load() }
+
+// Version returns the version in force.
+func (r *Rollout) Version() ident.Version {
+	if b := r.InForce(); b != nil {
+		return b.Version
+	}
+	return 0
+}
+
+type tailService struct{ r *Rollout }
+
+// Tail returns the service that follows the config stream.
+func (r *Rollout) Tail() suprv.Service { return tailService{r} }
+
+// String names the service in logs.
+func (tailService) String() string { return "config-tail" }
+
+// Serve implements suprv.Service.
+func (s tailService) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := s.r.readOnce(ctx); err != nil {
+			s.r.opts.Logger.Debug().Err(err).Msg("config-stream-unreadable")
+			pause(ctx, retryInterval)
+		}
+	}
+	return ctx.Err()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Rollout) readOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, tailWait+callTimeout)
+	defer cancel()
+	r.mu.Lock()
+	from := r.next
+	r.mu.Unlock()
+	b, err := r.opts.Log.Read(ctx, ident.ConfigStream, from, tailWait)
+	if err != nil {
+		return err
+	}
+	for _, rec := range b.Records {
+		r.apply(rec.Data, rec.Offset)
+		r.mu.Lock()
+		r.next = rec.Offset + 1
+		r.mu.Unlock()
+	}
+	return nil
+}
+
+func (r *Rollout) apply(data []byte, at ident.Offset) {
+	rec, err := accept.Decode(data)
+	if err != nil {
+		r.opts.Logger.Warn().Err(err).Uint64("offset", uint64(at)).Msg("config-record-unreadable")
+		return
+	}
+	r.applyRecord(rec, at)
+}
+
+func (r *Rollout) applyRecord(rec *wire.ConfigRecord, at ident.Offset) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.fold.Apply(rec, at) {
+		return
+	}
+	b := r.fold.InForce()
+	r.inForce.Store(b)
+	r.opts.Logger.Info().Uint64("version", uint64(b.Version)).Msg("version-in-force")
+}
+
+type spreadService struct{ r *Rollout }
+
+// Spread returns the service that fetches newer versions from peers.
+func (r *Rollout) Spread() suprv.Service { return spreadService{r} }
+
+// String names the service in logs.
+func (spreadService) String() string { return "config-spread" }
+
+// Serve implements suprv.Service.
+func (s spreadService) Serve(ctx context.Context) error {
+	t := time.NewTicker(retryInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			s.r.fetchFromPeers(ctx)
+		}
+	}
+}
+
+func (r *Rollout) fetchFromPeers(ctx context.Context) {
+	own := r.Version()
+	for _, p := range r.opts.Peers(r.opts.Now()) {
+		if p.Version <= own {
+			continue
+		}
+		if r.fetch(ctx, p.Address, own) {
+			return
+		}
+	}
+}
+
+func (r *Rollout) fetch(ctx context.Context, address string, above ident.Version) bool {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	res, err := r.opts.Dial(address).FetchConfig(ctx, &wire.FetchConfigRequest{AboveVersion: uint64(above)})
+	if err != nil {
+		return false
+	}
+	for _, rec := range res.GetRecords() {
+		r.applyRecord(rec, 0)
+	}
+	return r.Version() > above
+}
+
+// HandleFetch returns the records that lead from a version to the newest one.
+func (r *Rollout) HandleFetch(req *wire.FetchConfigRequest) (*wire.FetchConfigResponse, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	recs, err := r.fold.Above(ident.Version(req.GetAboveVersion()))
+	if err != nil {
+		return nil, err
+	}
+	return &wire.FetchConfigResponse{Records: recs}, nil
+}
+
+// Propose appends a bundle as a proposal and returns its ID.
+func (r *Rollout) Propose(ctx context.Context, data []byte) (string, error) {
+	if _, problems := bundle.Parse(data); len(problems) > 0 {
+		return "", fault.Wrap(problems[0], fault.CodeBadRequest, fault.NotRun, "bundle")
+	}
+	id := bundle.ID(data)
+	err := r.append(ctx, "proposal-"+id, &wire.ConfigRecord{Kind: &wire.ConfigRecord_Proposal{
+		Proposal: &wire.Proposal{Id: id, Bundle: data},
+	}})
+	return id, err
+}
+
+// SignOff appends an operator's sign-off.
+func (r *Rollout) SignOff(ctx context.Context, id, operator string, signature []byte) error {
+	return r.append(ctx, "sign-off-"+id+"-"+operator, &wire.ConfigRecord{Kind: &wire.ConfigRecord_SignOff{
+		SignOff: &wire.SignOff{ProposalId: id, Operator: operator, Signature: signature},
+	}})
+}
+
+// append adds a record. Proposals and sign-offs are idempotent, so that a lost answer may simply be sent again.
+func (r *Rollout) append(ctx context.Context, recordID string, rec *wire.ConfigRecord) error {
+	data, err := proto.Marshal(rec)
+	if err != nil {
+		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode config record")
+	}
+	_, err = r.opts.Log.Append(ctx, ident.ConfigStream, []logio.Record{{ID: recordID, Data: data}})
+	return err
+}
+
+// Status returns one proposal.
+func (r *Rollout) Status(id string) (accept.Proposal, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fold.Status(id)
+}
+
+// All returns all proposals that are remembered.
+func (r *Rollout) All() []accept.Proposal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fold.All()
+}
--- /dev/null
+++ b/internal/services/sched/sched.go
@@ -0,0 +1,357 @@
+// Package sched runs requests on the executors that this instance owns.
+//
+// Requests wait at the owner in one queue for each service and are bound to an executor only when one of its slots is
+// free. The right to act is checked right before each send. A slot is given out again only on evidence that the work on
+// it ended: the whole answer, a refused connection, or the executor's confirmation of an abort.
+//
+// # Usage
+//
+//	s := sched.New(options)
+//	supervisor.Add(s.Watch())
+//	answer, err := s.Do(ctx, sched.Request{...})
+package sched
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/ibischute/ibischute/internal/modules/execio"
+	"github.com/ibischute/ibischute/internal/modules/roster"
+	"github.com/ibischute/ibischute/internal/modules/suprv"
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/internal/state/queue"
+	"github.com/ibischute/ibischute/internal/state/slots"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+const (
+	// maxDrains bounds the aborts under way.
+	maxDrains = 4096
+	// usualWeight is the weight of a new service time in the mean of its class.
+	usualWeight = 0.05
+	// initialServiceTime is assumed of a class before the first answer.
+	initialServiceTime = 10 * time.Millisecond
+	// minRetryAfter is the least advice in a refusal.
+	minRetryAfter = 100 * time.Millisecond
+	// maxTenantShare is the part of a class's queue that one tenant may fill while others wait.
+	maxTenantShare = 0.5
+)
+
+// Ownership tells what this instance may act on.
+type Ownership interface {
+	MayAct(now tick.Time, key ident.Key) bool
+	HasLease(now tick.Time) bool
+	Held(key ident.Key) int
+}
+
+// Options are the surroundings of a Scheduler.
+type Options struct {
+	Domain ident.Domain
+	Own    Ownership
+	Roster func() roster.List
+	Exec   execio.Client
+	Logger zerolog.Logger
+	Now    func() tick.Time
+}
+
+// Request is a request with what its order depends on.
+type Request struct {
+	execio.Request
+	Service  ident.Service
+	Class    ident.Class
+	Tenant   ident.Tenant
+	Priority int
+	Share    float64
+	MaxQueue int
+	Deadline tick.Time
+	// Queue allows the request to wait; without it a busy owner refuses at once.
+	Queue bool
+	// Right is asked right before sending, besides the right to act for the executor; nil is always.
+	Right func() bool
+}
+
+// Scheduler is the accountant and queue of the executors that this instance owns.
+type Scheduler struct {
+	opts     Options
+	drains   *suprv.Group
+	stopped  atomic.Bool
+	inFlight atomic.Int64
+
+	mu       sync.Mutex
+	services map[ident.Service]*service
+	isWarm   bool
+}
+
+type service struct {
+	pool  *slots.Pool
+	queue *queue.Queue[*waiter]
+	usual map[ident.Class]time.Duration
+}
+
+type waiter struct {
+	granted chan ident.Executor
+}
+
+// New returns a Scheduler without executors.
+func New(o Options) *Scheduler {
+	return &Scheduler{
+		opts: o, drains: suprv.NewGroup(maxDrains),
+		services: map[ident.Service]*service{},
+	}
+}
+
+// Do runs the request on an owned executor. The body of the answer must be closed.
+func (s *Scheduler) Do(ctx context.Context, r Request) (*execio.Answer, error) {
+	name, err := s.await(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	s.inFlight.Add(1)
+	return s.send(ctx, r, name)
+}
+
+// await waits for a slot.
+func (s *Scheduler) await(ctx context.Context, r Request) (ident.Executor, error) {
+	now := s.opts.Now()
+	s.mu.Lock()
+	svc, err := s.admit(now, r)
+	if err != nil {
+		s.mu.Unlock()
+		return "", err
+	}
+	w := &waiter{granted: make(chan ident.Executor, 1)}
+	item := svc.queue.Push(queue.Spec{
+		Priority: r.Priority, Tenant: r.Tenant, Share: r.Share, Deadline: r.Deadline,
+	}, w)
+	s.pump(now, svc)
+	s.mu.Unlock()
+	select {
+	case name, ok := <-w.granted:
+		if !ok {
+			return "", fault.New(fault.CodeDraining, fault.NotRun, "the owner stopped or lost its right to act")
+		}
+		return name, nil
+	case <-ctx.Done():
+		return "", s.abandon(ctx, svc, item, w)
+	}
+}
+
+// abandon takes a request whose context ended out of the queue, or gives its slot back.
+func (s *Scheduler) abandon(ctx context.Context, svc *service, item *queue.Item[*waiter], w *waiter) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !svc.queue.Remove(item) {
+		if name, ok := <-w.granted; ok {
+			svc.pool.Release(name)
+			s.pump(s.opts.Now(), svc)
+		}
+	}
+	return contextFault(ctx, fault.NotRun)
+}
+
+func contextFault(ctx context.Context, ran fault.Ran) *fault.Error {
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return fault.New(fault.CodeDeadline, ran, "the deadline passed").WithRetry(minRetryAfter)
+	}
+	return fault.New(fault.CodeCancelled, ran, "the caller left")
+}
+
+// admit decides whether the request may wait here; it needs the lock.
+func (s *Scheduler) admit(now tick.Time, r Request) (*service, error) {
+	svc, ok := s.services[r.Service]
+	if s.stopped.Load() {
+		return nil, fault.New(fault.CodeDraining, fault.NotRun, "this instance is stopping")
+	}
+	if !ok || !svc.pool.IsActing() || !s.opts.Own.HasLease(now) {
+		return nil, fault.New(fault.CodeNoOwner, fault.NotRun, "this instance acts for no executor of the service").
+			WithRetry(minRetryAfter)
+	}
+	if svc.queue.Len() == 0 && svc.pool.Free(now) > 0 {
+		return svc, nil
+	}
+	if !r.Queue {
+		return nil, fault.New(fault.CodeNoCapacity, fault.NotRun, "no free slot").WithRetry(minRetryAfter)
+	}
+	return svc, svc.admitToQueue(now, r)
+}
+
+func (v *service) admitToQueue(now tick.Time, r Request) error {
+	wait := v.expectedWait(now, r)
+	retry := max(wait, minRetryAfter)
+	if v.queue.LenTenant(r.Priority, r.Tenant) >= max(1, int(maxTenantShare*float64(r.MaxQueue))) {
+		return fault.New(fault.CodeOverloaded, fault.NotRun, "too many requests of the tenant wait").WithRetry(retry)
+	}
+	if v.queue.LenAhead(r.Priority) >= r.MaxQueue {
+		return fault.New(fault.CodeOverloaded, fault.NotRun, "the queue is full").WithRetry(retry)
+	}
+	if now.Add(wait + v.usualTime(r.Class)).After(r.Deadline) {
+		return fault.New(fault.CodeOverloaded, fault.NotRun, "the wait would pass the deadline").WithRetry(retry)
+	}
+	return nil
+}
+
+// expectedWait estimates how long the request would wait: the work ahead of it, of which a tenant with little queued
+// sees only its fair share, over the capacity.
+func (v *service) expectedWait(now tick.Time, r Request) time.Duration {
+	capacity := max(1, v.pool.Capacity(now))
+	ahead := float64(v.queue.LenAhead(r.Priority))
+	if r.Share > 0 {
+		rounds := float64(v.queue.LenTenant(r.Priority, r.Tenant)+1) / r.Share
+		fair := rounds * v.queue.ActiveShares(r.Priority, r.Tenant, r.Share)
+		ahead = min(ahead, fair+float64(v.queue.LenAhead(r.Priority-1)))
+	}
+	return time.Duration((ahead + 1) / float64(capacity) * float64(v.usualTime(r.Class)))
+}
+
+func (v *service) usualTime(c ident.Class) time.Duration {
+	if d, ok := v.usual[c]; ok {
+		return d
+	}
+	return initialServiceTime
+}
+
+// pump gives free slots to waiting requests; it needs the lock.
+func (s *Scheduler) pump(now tick.Time, svc *service) {
+	if s.stopped.Load() {
+		return
+	}
+	for svc.queue.Len() > 0 {
+		name, ok := svc.pool.Acquire(now)
+		if !ok {
+			return
+		}
+		w, _ := svc.queue.Pop()
+		w.granted <- name
+	}
+}
+
+// send sends the request to the executor whose slot it holds.
+func (s *Scheduler) send(ctx context.Context, r Request, name ident.Executor) (*execio.Answer, error) {
+	address, svc := s.addressOf(r.Service, name)
+	key := ident.ExecutorKey(name)
+	r.Gate = func() bool {
+		return s.opts.Own.MayAct(s.opts.Now(), key) && (r.Right == nil || r.Right())
+	}
+	started := s.opts.Now()
+	answer, err := s.opts.Exec.Send(ctx, address, r.Request)
+	t := &ticket{s: s, svc: svc, executor: name, address: address, class: r.Class, id: r.ID, started: started}
+	if err != nil {
+		return nil, s.failed(ctx, t, err)
+	}
+	answer.Body = &slotBody{body: answer.Body, ticket: t, isFailure: answer.Status >= serverErrors}
+	return answer, nil
+}
+
+const serverErrors = 500
+
+// failed settles the slot of a request that got no answer.
+func (s *Scheduler) failed(ctx context.Context, t *ticket, err error) error {
+	if fault.IsErrNotRun(err) {
+		t.release(false)
+		return err
+	}
+	if ctx.Err() != nil {
+		t.drain()
+		return contextFault(ctx, fault.Unknown)
+	}
+	t.report(false)
+	t.drain()
+	return err
+}
+
+func (s *Scheduler) addressOf(id ident.Service, name ident.Executor) (string, *service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	svc := s.services[id]
+	e, _ := svc.pool.Get(name)
+	return e.Address, svc
+}
+
+// Stop makes the scheduler give out no further slot and refuses what waits.
+func (s *Scheduler) Stop() {
+	s.stopped.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, svc := range s.services {
+		svc.refuseWaiting()
+	}
+}
+
+// refuseWaiting empties the queue; it needs the lock.
+func (v *service) refuseWaiting() {
+	for {
+		w, ok := v.queue.Pop()
+		if !ok {
+			return
+		}
+		close(w.granted)
+	}
+}
+
+// InFlight returns the number of requests that hold a slot.
+func (s *Scheduler) InFlight() int { return int(s.inFlight.Load()) }
+
+// Loads returns the free capacity for each service, for heartbeats.
+func (s *Scheduler) Loads(now tick.Time) []*wire.ServiceLoad {
+	if s.stopped.Load() || !s.opts.Own.HasLease(now) {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*wire.ServiceLoad
+	for name, svc := range s.services {
+		if !svc.pool.IsActing() {
+			continue
+		}
+		out = append(out, &wire.ServiceLoad{
+			Service: string(name), Free: int32(svc.pool.Free(now)), Queued: uint32(svc.queue.Len()),
+		})
+	}
+	return out
+}
+
+// Load returns this instance's own load for one service and whether it acts for any executor of it.
+func (s *Scheduler) Load(now tick.Time, service ident.Service) (free, queued int, acting bool) {
+	if s.stopped.Load() || !s.opts.Own.HasLease(now) {
+		return 0, 0, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	svc, ok := s.services[service]
+	if !ok || !svc.pool.IsActing() {
+		return 0, 0, false
+	}
+	return svc.pool.Free(now), svc.queue.Len(), true
+}
+
+// HeldSlots returns the slots in use of executors that this instance does not act for any more.
+func (s *Scheduler) HeldSlots(tick.Time) []*wire.HeldKey {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*wire.HeldKey
+	for _, svc := range s.services {
+		for _, e := range svc.pool.All() {
+			if e.InUse() > 0 && (!e.Acting || s.stopped.Load()) {
+				out = append(out, &wire.HeldKey{Key: string(ident.ExecutorKey(e.Name)), Slots: uint32(e.InUse())})
+			}
+		}
+	}
+	return out
+}
+
+// Executors returns the accounts of all executors of the domain.
+func (s *Scheduler) Executors() []slots.Executor {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []slots.Executor
+	for _, svc := range s.services {
+		out = append(out, svc.pool.All()...)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/stand/fleet/fleet.go
@@ -0,0 +1,461 @@
+// Package fleet runs a whole system as separate processes on loopback addresses: a platform, executors and entry
+// instances, which can be killed, frozen, stopped, restarted and cut off from each other.
+//
+// # Usage
+//
+//	f, err := fleet.Start(ctx, fleet.Config{Ibischute: path, Ibistand: path, Dir: dir, Domains: []string{"catania"}})
+//	defer f.Close()
+//	f.Kill("catania-1")
+package fleet
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ibischute/ibischute/internal/modules/httpj"
+	"github.com/ibischute/ibischute/internal/modules/roster"
+	"github.com/ibischute/ibischute/internal/stand/plat"
+	"github.com/ibischute/ibischute/internal/stand/tcprel"
+	"github.com/ibischute/ibischute/internal/web/opersv"
+	"github.com/ibischute/ibischute/pkg/bundle"
+	"github.com/ibischute/ibischute/pkg/demand"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+)
+
+// Config is what a Fleet consists of.
+type Config struct {
+	Ibischute, Ibistand string
+	Dir                 string
+	Domains             []string
+	Entries             int
+	Executors           int
+	Workers             int
+	Services            []string
+	ServiceTime         time.Duration
+	NoAbort             bool
+	// Cuttable puts relays in front of the peer ports and the platform, so that they can be cut.
+	Cuttable bool
+	ListLag  time.Duration
+	Retain   int
+	// EntryArgs are further flags of the entry instances.
+	EntryArgs []string
+}
+
+const (
+	callerPort    = 7101
+	peerPort      = 7102
+	operatorPort  = 7103
+	innerPeerPort = 7112
+	platformPort  = 7001
+	executorPort  = 7201
+	readyTimeout  = 30 * time.Second
+	pollInterval  = 20 * time.Millisecond
+	stopTimeout   = 20 * time.Second
+	workerCPU     = 64_000
+	workerMemory  = 250_000
+	workersInRack = 11
+	logMode       = 0o600
+)
+
+type process struct {
+	name  string
+	args  []string
+	path  string
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// Fleet is the running system.
+type Fleet struct {
+	Config
+	block  [2]int
+	client *http.Client
+	Key    ed25519.PrivateKey
+
+	mu        sync.Mutex
+	processes map[string]*process
+	peers     map[string]*tcprel.Relay
+	platforms map[string]*tcprel.Relay
+	executors map[string]string
+}
+
+// Start starts the system and returns once every instance answers; no bundle is in force yet.
+func Start(ctx context.Context, c Config) (*Fleet, error) {
+	_, key, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.CodeInternal, fault.NotRun, "make operator key")
+	}
+	f := &Fleet{
+		Config: c, block: [2]int{16 + rand.IntN(200), rand.IntN(250)}, client: httpj.NewClient(httpj.Dialer(""), 64),
+		Key: key, processes: map[string]*process{}, peers: map[string]*tcprel.Relay{},
+		platforms: map[string]*tcprel.Relay{}, executors: map[string]string{},
+	}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	args := []string{"platform", "--listen", f.platformAddress(), "--list-lag", f.ListLag.String()}
+	if f.Retain > 0 {
+		args = append(args, "--retain-records", fmt.Sprint(f.Retain))
+	}
+	if err := f.spawn("platform", f.Ibistand, args); err != nil {
+		return err
+	}
+	if err := f.await(ctx, "http://"+f.platformAddress()+"/stand/v1/report"); err != nil {
+		return err
+	}
+	for d, domain := range f.Domains {
+		if err := f.startDomain(ctx, d, domain); err != nil {
+			return err
+		}
+	}
+	for _, name := range f.EntryNames() {
+		if err := f.await(ctx, "http://"+f.OperatorAddress(name)+"/healthz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startDomain(ctx context.Context, d int, domain string) error {
+	for i := range f.Workers {
+		if err := f.register(ctx, roster.Entry{
+			Kind: roster.KindWorker, Name: fmt.Sprintf("%s-w-%d", domain, i+1), Domain: ident.Domain(domain),
+			Rack:     fmt.Sprintf("%s-r-%d", domain, i/workersInRack+1),
+			Capacity: demand.Vector{CPU: workerCPU, Memory: workerMemory},
+		}); err != nil {
+			return err
+		}
+	}
+	for i := range f.Executors {
+		if err := f.startExecutor(ctx, d, domain, i); err != nil {
+			return err
+		}
+	}
+	for i := range f.Entries {
+		name := fmt.Sprintf("%s-%d", domain, i+1)
+		if err := f.register(ctx, roster.Entry{
+			Kind: roster.KindEntry, Name: name, Domain: ident.Domain(domain), Address: f.PeerAddress(name),
+		}); err != nil {
+			return err
+		}
+		if err := f.StartEntry(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startExecutor(ctx context.Context, d int, domain string, i int) error {
+	name := fmt.Sprintf("%s-ex-%d", domain, i+1)
+	address := fmt.Sprintf("%s:%d", f.ip(d+1, 100+i/50), executorPort+i)
+	args := []string{
+		"executor", "--listen", address, "--name", name, "--domain", domain,
+		"--service", f.Services[i%len(f.Services)], "--service-time", f.ServiceTime.String(),
+	}
+	if f.NoAbort {
+		args = append(args, "--no-abort")
+	}
+	if err := f.spawn(name, f.Ibistand, args); err != nil {
+		return err
+	}
+	f.executors[name] = address
+	if err := f.await(ctx, "http://"+address+"/stand/v1/report"); err != nil {
+		return err
+	}
+	return f.register(ctx, roster.Entry{
+		Kind: roster.KindExecutor, Name: name, Domain: ident.Domain(domain), Address: address,
+		Service: ident.Service(f.Services[i%len(f.Services)]), Slots: 8,
+	})
+}
+
+func (f *Fleet) ip(third, fourth int) string {
+	return fmt.Sprintf("127.%d.%d.%d", f.block[0], (f.block[1]+third)%250, fourth)
+}
+
+func (f *Fleet) platformAddress() string { return fmt.Sprintf("%s:%d", f.ip(0, 1), platformPort) }
+
+// EntryIP returns the address that an entry instance listens on and calls from.
+func (f *Fleet) EntryIP(name string) string {
+	i := strings.LastIndexByte(name, '-')
+	d := slices.Index(f.Domains, name[:i])
+	var n int
+	_, _ = fmt.Sscan(name[i+1:], &n)
+	return f.ip(d+1, n)
+}
+
+// CallerAddress returns the callers' port of an entry instance.
+func (f *Fleet) CallerAddress(name string) string {
+	return fmt.Sprintf("%s:%d", f.EntryIP(name), callerPort)
+}
+
+// PeerAddress returns the peer port of an entry instance.
+func (f *Fleet) PeerAddress(name string) string {
+	return fmt.Sprintf("%s:%d", f.EntryIP(name), peerPort)
+}
+
+// OperatorAddress returns the operators' port of an entry instance.
+func (f *Fleet) OperatorAddress(name string) string {
+	return fmt.Sprintf("%s:%d", f.EntryIP(name), operatorPort)
+}
+
+// PlatformURL returns the base URL of the platform.
+func (f *Fleet) PlatformURL() string { return "http://" + f.platformAddress() }
+
+// ExecutorAddress returns the address of an executor.
+func (f *Fleet) ExecutorAddress(name string) string { return f.executors[name] }
+
+// EntryNames returns the names of the entry instances.
+func (f *Fleet) EntryNames() []string {
+	var out []string
+	for _, d := range f.Domains {
+		for i := range f.Entries {
+			out = append(out, fmt.Sprintf("%s-%d", d, i+1))
+		}
+	}
+	return out
+}
+
+func (f *Fleet) register(ctx context.Context, e roster.Entry) error {
+	return f.Register(ctx, plat.RegisterRequest{Entry: e, Now: true})
+}
+
+// Register changes the platform's instance list.
+func (f *Fleet) Register(ctx context.Context, r plat.RegisterRequest) error {
+	return httpj.Call(ctx, f.client, http.MethodPost, f.PlatformURL()+"/stand/v1/instances", r, nil)
+}
+
+// StartEntry starts an entry instance, again after it ended.
+func (f *Fleet) StartEntry(name string) error {
+	domain := name[:strings.LastIndexByte(name, '-')]
+	platform := f.PlatformURL()
+	args := []string{
+		"serve", "--name", name, "--domain", domain, "--caller-address", f.CallerAddress(name),
+		"--peer-address", f.PeerAddress(name), "--operator-address", f.OperatorAddress(name),
+		"--root-key", "root=" + base64.StdEncoding.EncodeToString(f.Key.Public().(ed25519.PublicKey)),
+		"--insecure-operator", "--log-level", "debug",
+	}
+	for _, d := range f.Domains {
+		args = append(args, "--domains", d)
+	}
+	if f.Cuttable {
+		var err error
+		if platform, err = f.relays(name); err != nil {
+			return err
+		}
+		args = append(args, "--peer-listen", fmt.Sprintf("%s:%d", f.EntryIP(name), innerPeerPort))
+	}
+	args = append(args, "--platform", platform)
+	return f.spawn(name, f.Ibischute, append(args, f.EntryArgs...))
+}
+
+// relays puts relays in front of the instance's peer port and its way to the platform.
+func (f *Fleet) relays(name string) (string, error) {
+	address := fmt.Sprintf("%s:%d", f.EntryIP(name), platformPort)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.peers[name] != nil {
+		return "http://" + address, nil
+	}
+	peer, err := tcprel.Listen(f.PeerAddress(name), fmt.Sprintf("%s:%d", f.EntryIP(name), innerPeerPort))
+	if err != nil {
+		return "", err
+	}
+	f.peers[name] = peer
+	platform, err := tcprel.Listen(address, f.platformAddress())
+	if err != nil {
+		return "", err
+	}
+	f.platforms[name] = platform
+	return "http://" + address, nil
+}
+
+func (f *Fleet) spawn(name, path string, args []string) error {
+	log, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, logMode)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(path, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p := &process{name: name, path: path, args: args, cmd: cmd, ended: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(p.ended)
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.processes[name] = p
+	return nil
+}
+
+func (f *Fleet) process(name string) (*process, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.processes[name]
+	if !ok {
+		return nil, fault.New(fault.CodeNotFound, fault.NotRun, "no process "+name)
+	}
+	return p, nil
+}
+
+// Signal sends a signal to a process.
+func (f *Fleet) Signal(name string, s syscall.Signal) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	return p.cmd.Process.Signal(s)
+}
+
+// Kill ends a process at once.
+func (f *Fleet) Kill(name string) error {
+	if err := f.Signal(name, syscall.SIGKILL); err != nil {
+		return err
+	}
+	p, _ := f.process(name)
+	<-p.ended
+	return nil
+}
+
+// Stop asks a process to stop and waits until it has.
+func (f *Fleet) Stop(name string) error {
+	if err := f.Signal(name, syscall.SIGTERM); err != nil {
+		return err
+	}
+	p, _ := f.process(name)
+	select {
+	case <-p.ended:
+		return nil
+	case <-time.After(stopTimeout):
+		return fault.New(fault.CodeDeadline, fault.Unknown, name+" did not stop")
+	}
+}
+
+// Freeze suspends a process, Thaw lets it go on.
+func (f *Fleet) Freeze(name string) error { return f.Signal(name, syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (f *Fleet) Thaw(name string) error { return f.Signal(name, syscall.SIGCONT) }
+
+// CutPeers cuts or heals the connections between two entry instances, both ways.
+func (f *Fleet) CutPeers(a, b string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers[a].Cut(f.EntryIP(b), cut)
+	f.peers[b].Cut(f.EntryIP(a), cut)
+}
+
+// CutPlatform cuts or heals an entry instance's connections to the platform.
+func (f *Fleet) CutPlatform(name string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.platforms[name].CutAll(cut)
+}
+
+// Faults sets the switches of the platform.
+func (f *Fleet) Faults(ctx context.Context, faults plat.Faults) error {
+	return httpj.Call(ctx, f.client, http.MethodPost, f.PlatformURL()+"/stand/v1/faults", faults, nil)
+}
+
+func (f *Fleet) await(ctx context.Context, url string) error {
+	return Await(ctx, readyTimeout, func() bool {
+		return httpj.Call(ctx, f.client, http.MethodGet, url, nil, new(any)) == nil ||
+			f.answers(ctx, url)
+	})
+}
+
+func (f *Fleet) answers(ctx context.Context, url string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	res, err := f.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	_, _ = io.Copy(io.Discard, res.Body)
+	return res.StatusCode == http.StatusOK
+}
+
+// Await polls a condition until it holds.
+func Await(ctx context.Context, timeout time.Duration, ok func() bool) error {
+	deadline := time.Now().Add(timeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if ok() {
+			return nil
+		}
+		time.Sleep(pollInterval)
+	}
+	return fault.New(fault.CodeDeadline, fault.Unknown, "the condition did not hold in time")
+}
+
+// AwaitReady waits until the entry instances are ready for callers.
+func (f *Fleet) AwaitReady(ctx context.Context, names ...string) error {
+	for _, name := range names {
+		url := "http://" + f.OperatorAddress(name) + "/readyz"
+		if err := Await(ctx, readyTimeout, func() bool { return f.answers(ctx, url) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Status returns the state of an entry instance.
+func (f *Fleet) Status(ctx context.Context, name string) (opersv.Status, error) {
+	var s opersv.Status
+	err := httpj.Call(ctx, f.client, http.MethodGet, "http://"+f.OperatorAddress(name)+"/v1/status", nil, &s)
+	return s, err
+}
+
+// Publish proposes a bundle and signs it off as the root operator.
+func (f *Fleet) Publish(ctx context.Context, via string, data []byte) error {
+	base := "http://" + f.OperatorAddress(via) + "/v1/bundles"
+	var out opersv.ProposeResponse
+	if err := httpj.Call(ctx, f.client, http.MethodPost, base, opersv.ProposeRequest{Bundle: data}, &out); err != nil {
+		return err
+	}
+	req := opersv.SignOffRequest{Operator: "root", Signature: bundle.Sign(f.Key, out.ID)}
+	return httpj.Call(ctx, f.client, http.MethodPost, base+"/"+out.ID+"/sign-offs", req, nil)
+}
+
+// Close ends every process that the fleet started.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.processes {
+		_ = p.cmd.Process.Signal(syscall.SIGKILL)
+	}
+	for _, p := range f.processes {
+		<-p.ended
+	}
+	for _, r := range f.peers {
+		_ = r.Close()
+	}
+	for _, r := range f.platforms {
+		_ = r.Close()
+	}
+}
--- /dev/null
+++ b/internal/state/owner/owner.go
@@ -0,0 +1,164 @@
+// Package owner decides which keys an entry instance may act on.
+//
+// The winner of a key in the present View owns it, but acts on it only once no other instance can still be acting on it
+// under an older View: every other member has acknowledged a View in which the key is not its own, and every member that
+// was removed without a release has been out for long enough.
+//
+// # Usage
+//
+//	t := owner.NewTable("cat-1", wait)
+//	t.Advance(now, view)
+//	t.Acknowledge("cat-2", incarnation, epoch, held)
+//	if t.IsActing(now, key) { ... }
+package owner
+
+import (
+	"time"
+
+	"github.com/ibischute/ibischute/internal/state/view"
+	"github.com/ibischute/ibischute/pkg/ident"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// maxHistory bounds the earlier Views that a Table keeps. A member whose acknowledgement is older than the history
+// blocks the keys of others until it catches up or is fenced.
+const maxHistory = 32
+
+type acknowledgement struct {
+	incarnation ident.Incarnation
+	epoch       ident.Offset
+	held        map[ident.Key]int
+}
+
+type ghost struct {
+	ended view.Ended
+	until tick.Time
+}
+
+// Table is one instance's knowledge about the ownership of keys in its failure domain.
+type Table struct {
+	self    ident.Instance
+	wait    time.Duration
+	history []view.View
+	acks    map[ident.Instance]acknowledgement
+	ghosts  []ghost
+}
+
+// NewTable returns a Table; wait is how long a fenced member may still act after its fence was confirmed.
+func NewTable(self ident.Instance, wait time.Duration) *Table {
+	return &Table{self: self, wait: wait, acks: map[ident.Instance]acknowledgement{}}
+}
+
+// View returns the present View.
+func (t *Table) View() view.View {
+	if len(t.history) == 0 {
+		return view.View{}
+	}
+	return t.history[len(t.history)-1]
+}
+
+// Advance adopts a newer View at the time now.
+func (t *Table) Advance(now tick.Time, v view.View) {
+	previous := t.View()
+	if len(t.history) > 0 && v.Epoch() <= previous.Epoch() {
+		t.history[len(t.history)-1] = v
+		return
+	}
+	t.history = append(t.history, v)
+	if len(t.history) > maxHistory {
+		t.history = t.history[1:]
+	}
+	for _, e := range v.Ended() {
+		if e.At > previous.Epoch() && !e.Dead {
+			t.ghosts = append(t.ghosts, ghost{ended: e, until: now.Add(t.wait)})
+		}
+	}
+	t.forget(now)
+}
+
+func (t *Table) forget(now tick.Time) {
+	kept := t.ghosts[:0]
+	for _, g := range t.ghosts {
+		if now.Before(g.until) {
+			kept = append(kept, g)
+		}
+	}
+	t.ghosts = kept
+	for name := range t.acks {
+		if _, ok := t.View().Member(name); !ok {
+			delete(t.acks, name)
+		}
+	}
+}
+
+// Acknowledge records that the incarnation of a member has adopted the View of the epoch and still uses the slots
+// given of keys that are no longer its own.
+func (t *Table) Acknowledge(
+	from ident.Instance, inc ident.Incarnation, epoch ident.Offset, held map[ident.Key]int,
+) {
+	old, ok := t.acks[from]
+	if ok && (old.incarnation > inc || (old.incarnation == inc && old.epoch > epoch)) {
+		return
+	}
+	t.acks[from] = acknowledgement{incarnation: inc, epoch: epoch, held: held}
+}
+
+// IsOwner reports whether the instance is the winner of the key in the present View.
+func (t *Table) IsOwner(key ident.Key) bool {
+	w, ok := t.View().Winner(key)
+	return ok && w == t.self
+}
+
+// IsActing reports whether the instance may act on the key, its lease aside.
+func (t *Table) IsActing(now tick.Time, key ident.Key) bool {
+	if !t.IsOwner(key) {
+		return false
+	}
+	for _, m := range t.View().Members() {
+		if m.Name != t.self && t.mayActUnderOldView(m, key) {
+			return false
+		}
+	}
+	for _, g := range t.ghosts {
+		if now.Before(g.until) && t.wonBetween(g.ended.Member, key, g.ended.Member.Joined, g.ended.At) {
+			return false
+		}
+	}
+	return true
+}
+
+// Held returns the slots of the key that former owners still use.
+func (t *Table) Held(key ident.Key) int {
+	n := 0
+	for _, a := range t.acks {
+		n += a.held[key]
+	}
+	return n
+}
+
+func (t *Table) mayActUnderOldView(m view.Member, key ident.Key) bool {
+	acked := m.Joined
+	if a, ok := t.acks[m.Name]; ok && a.incarnation == m.Incarnation && a.epoch > acked {
+		acked = a.epoch
+	}
+	return t.wonBetween(m, key, acked, t.View().Epoch())
+}
+
+// wonBetween reports whether the member may have owned the key in a View with an epoch in [from, before).
+func (t *Table) wonBetween(m view.Member, key ident.Key, from, before ident.Offset) bool {
+	if from >= before {
+		return false
+	}
+	if t.history[0].Epoch() > from {
+		return true
+	}
+	for _, v := range t.history {
+		if v.Epoch() < from || v.Epoch() >= before || !v.Has(m.Name, m.Incarnation) {
+			continue
+		}
+		if w, ok := v.Winner(key); ok && w == m.Name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/state/view/view.go
@@ -0,0 +1,284 @@
+// Package view folds the member stream of a failure domain into the set of its entry instances.
+//
+// The order of the log decides. The fold is pure and the same on every instance. A View is immutable.
+//
+// A joiner owns keys at once but takes part in votes only after a majority of the voting members has recorded that it
+// knows of the joiner. Without that rule a fence could gather its co-signatures from joiners that the promisers of the
+// fenced instance have never heard of.
+//
+// # Usage
+//
+//	v := view.View{}
+//	v = v.Apply(record, offset)
+//	for _, m := range v.Members() { ... }
+package view
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/ibischute/ibischute/internal/modules/rendez"
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/pkg/ident"
+)
+
+// Member is one entry instance in a View.
+type Member struct {
+	Name        ident.Instance
+	Incarnation ident.Incarnation
+	Address     string
+	// Joined is the epoch that the member's join started.
+	Joined ident.Offset
+	// Voting reports whether the member counts in votes on fences.
+	Voting bool
+}
+
+// Ended is a member that was removed without having released its keys.
+type Ended struct {
+	Member Member
+	// At is the epoch of the View that no longer has the member.
+	At ident.Offset
+	// Dead reports that the process is known to have ended; a fenced process may still run.
+	Dead bool
+}
+
+// View is the set of members after a prefix of the member stream.
+type View struct {
+	members map[ident.Instance]Member
+	admits  map[ident.Instance]map[ident.Instance]ident.Incarnation
+	ended   []Ended
+	next    ident.Offset
+	epoch   ident.Offset
+	owners  rendez.Set[ident.Instance]
+}
+
+// maxEnded bounds the removed members that a View remembers.
+const maxEnded = 64
+
+// Next returns the offset after the last folded record.
+func (v View) Next() ident.Offset { return v.next }
+
+// Epoch returns the offset after the last record that changed the members.
+func (v View) Epoch() ident.Offset { return v.epoch }
+
+// Len returns the number of members.
+func (v View) Len() int { return len(v.members) }
+
+// Member returns the member with the name.
+func (v View) Member(name ident.Instance) (Member, bool) {
+	m, ok := v.members[name]
+	return m, ok
+}
+
+// Has reports whether the incarnation of the instance is a member.
+func (v View) Has(name ident.Instance, inc ident.Incarnation) bool {
+	m, ok := v.members[name]
+	return ok && m.Incarnation == inc
+}
+
+// Members returns the members ordered by name.
+func (v View) Members() []Member {
+	out := make([]Member, 0, len(v.members))
+	for _, name := range v.Names() {
+		out = append(out, v.members[name])
+	}
+	return out
+}
+
+// Names returns the names of the members in order.
+func (v View) Names() []ident.Instance { return slices.Sorted(maps.Keys(v.members)) }
+
+// Ended returns the members that were removed without a release, oldest first.
+func (v View) Ended() []Ended { return v.ended }
+
+// Winner returns the member that owns the key in this View.
+func (v View) Winner(key ident.Key) (ident.Instance, bool) {
+	return v.owners.Winner(string(key))
+}
+
+// voters returns the number of voting members.
+func (v View) voters() int {
+	n := 0
+	for _, m := range v.members {
+		if m.Voting {
+			n++
+		}
+	}
+	return n
+}
+
+// FenceQuorum returns how many co-signatures a fence of the member needs: a majority of the other voting members.
+func (v View) FenceQuorum(target ident.Instance) int {
+	return majority(v.othersVoting(target, false))
+}
+
+// BlockQuorum returns how many promises keep a fence of the member from gathering its quorum. Members that are not yet
+// voting count as if they were, since they may become voting without the member's knowledge.
+func (v View) BlockQuorum(target ident.Instance) int {
+	others := v.othersVoting(target, true)
+	return max(0, others-majority(others)+1)
+}
+
+func (v View) othersVoting(target ident.Instance, all bool) int {
+	n := 0
+	for name, m := range v.members {
+		if name != target && (m.Voting || all) {
+			n++
+		}
+	}
+	return n
+}
+
+func majority(n int) int { return n/2 + 1 }
+
+// Apply returns the View after the record at the offset. Records that the rules do not allow change nothing but Next.
+func (v View) Apply(rec *wire.MemberRecord, at ident.Offset) View {
+	n := v.clone()
+	n.next = at + 1
+	changed := false
+	switch k := rec.GetKind().(type) {
+	case *wire.MemberRecord_Join:
+		changed = n.join(k.Join.GetMember(), at)
+	case *wire.MemberRecord_Leave:
+		changed = n.leave(k.Leave.GetMember())
+	case *wire.MemberRecord_Fence:
+		changed = n.fence(k.Fence, at)
+	case *wire.MemberRecord_Admit:
+		changed = n.admit(k.Admit)
+	case *wire.MemberRecord_Remove:
+		changed = n.remove(k.Remove.GetTarget(), at, false)
+	}
+	if changed {
+		n.epoch = n.next
+		n.owners = rendez.New(n.Names())
+	}
+	return n
+}
+
+func (v View) clone() View {
+	n := v
+	n.members = maps.Clone(v.members)
+	if n.members == nil {
+		n.members = map[ident.Instance]Member{}
+	}
+	n.admits = make(map[ident.Instance]map[ident.Instance]ident.Incarnation, len(v.admits))
+	for k, a := range v.admits {
+		n.admits[k] = maps.Clone(a)
+	}
+	n.ended = slices.Clone(v.ended)
+	return n
+}
+
+// join adds the member. A process at the address of another member proves that the other one has ended, since two
+// processes cannot listen at one address.
+func (v *View) join(m *wire.Member, at ident.Offset) bool {
+	name := ident.Instance(m.GetName())
+	inc := ident.Incarnation(m.GetIncarnation())
+	old, known := v.members[name]
+	if known && (old.Incarnation >= inc || old.Address != m.GetPeerAddress()) {
+		return false
+	}
+	voting := known && old.Voting
+	for _, other := range v.Members() {
+		if other.Address == m.GetPeerAddress() {
+			voting = voting || other.Voting
+			v.end(other, at, true)
+		}
+	}
+	v.members[name] = Member{
+		Name: name, Incarnation: inc, Address: m.GetPeerAddress(), Joined: at + 1,
+		Voting: voting || v.voters() == 0,
+	}
+	return true
+}
+
+func (v *View) leave(m *wire.Member) bool {
+	name := ident.Instance(m.GetName())
+	if !v.Has(name, ident.Incarnation(m.GetIncarnation())) {
+		return false
+	}
+	v.drop(name)
+	return true
+}
+
+func (v *View) remove(m *wire.Member, at ident.Offset, dead bool) bool {
+	name := ident.Instance(m.GetName())
+	if !v.Has(name, ident.Incarnation(m.GetIncarnation())) {
+		return false
+	}
+	v.end(v.members[name], at, dead)
+	return true
+}
+
+func (v *View) fence(f *wire.Fence, at ident.Offset) bool {
+	target := ident.Instance(f.GetTarget().GetName())
+	if !v.Has(target, ident.Incarnation(f.GetTarget().GetIncarnation())) {
+		return false
+	}
+	signers := map[ident.Instance]bool{}
+	for _, s := range append([]*wire.Member{f.GetBy()}, f.GetCoSigners()...) {
+		name := ident.Instance(s.GetName())
+		m, ok := v.members[name]
+		if ok && m.Voting && name != target && m.Incarnation == ident.Incarnation(s.GetIncarnation()) {
+			signers[name] = true
+		}
+	}
+	if len(signers) < v.FenceQuorum(target) {
+		return false
+	}
+	return v.remove(f.GetTarget(), at, false)
+}
+
+func (v *View) admit(a *wire.Admit) bool {
+	by := ident.Instance(a.GetBy().GetName())
+	joiner := ident.Instance(a.GetJoiner().GetName())
+	voter, ok := v.members[by]
+	if !ok || !voter.Voting || voter.Incarnation != ident.Incarnation(a.GetBy().GetIncarnation()) {
+		return false
+	}
+	j, ok := v.members[joiner]
+	if !ok || j.Voting || j.Incarnation != ident.Incarnation(a.GetJoiner().GetIncarnation()) {
+		return false
+	}
+	if v.admits[joiner] == nil {
+		v.admits[joiner] = map[ident.Instance]ident.Incarnation{}
+	}
+	v.admits[joiner][by] = voter.Incarnation
+	if v.validAdmits(joiner) < majority(v.voters()) {
+		return false
+	}
+	j.Voting = true
+	v.members[joiner] = j
+	delete(v.admits, joiner)
+	return true
+}
+
+func (v *View) validAdmits(joiner ident.Instance) int {
+	n := 0
+	for by, inc := range v.admits[joiner] {
+		if m, ok := v.members[by]; ok && m.Voting && m.Incarnation == inc {
+			n++
+		}
+	}
+	return n
+}
+
+func (v *View) end(m Member, at ident.Offset, dead bool) {
+	v.ended = append(v.ended, Ended{Member: m, At: at + 1, Dead: dead})
+	if len(v.ended) > maxEnded {
+		v.ended = slices.Clone(v.ended[len(v.ended)-maxEnded:])
+	}
+	v.drop(m.Name)
+}
+
+func (v *View) drop(name ident.Instance) {
+	delete(v.members, name)
+	delete(v.admits, name)
+}
+
+// HasAdmitted reports whether the member's admission of the joiner has been recorded.
+func (v View) HasAdmitted(by, joiner ident.Instance) bool {
+	inc, ok := v.admits[joiner][by]
+	m, isMember := v.members[by]
+	return ok && isMember && m.Incarnation == inc
+}
--- /dev/null
+++ b/internal/web/entry/entry.go
@@ -0,0 +1,242 @@
+// Package entry assembles an entry instance: the services under their supervisor and the servers in front of them.
+//
+// # Usage
+//
+//	e, err := entry.New(settings, logger)
+//	err = e.Run(ctx) // ends gracefully when the context ends
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/ibischute/ibischute/internal/modules/execio"
+	"github.com/ibischute/ibischute/internal/modules/hopio"
+	"github.com/ibischute/ibischute/internal/modules/httpj"
+	"github.com/ibischute/ibischute/internal/modules/logio"
+	"github.com/ibischute/ibischute/internal/modules/meter"
+	"github.com/ibischute/ibischute/internal/modules/params"
+	"github.com/ibischute/ibischute/internal/modules/roster"
+	"github.com/ibischute/ibischute/internal/modules/suprv"
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/internal/modules/workio"
+	"github.com/ibischute/ibischute/internal/services/keyed"
+	"github.com/ibischute/ibischute/internal/services/lister"
+	"github.com/ibischute/ibischute/internal/services/member"
+	"github.com/ibischute/ibischute/internal/services/placer"
+	"github.com/ibischute/ibischute/internal/services/rollo"
+	"github.com/ibischute/ibischute/internal/services/route"
+	"github.com/ibischute/ibischute/internal/services/sched"
+	"github.com/ibischute/ibischute/internal/web/front"
+	"github.com/ibischute/ibischute/internal/web/opersv"
+	"github.com/ibischute/ibischute/internal/web/peersv"
+	"github.com/ibischute/ibischute/pkg/ident"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+const (
+	platformConnections = 64
+	peerConnections     = 16
+	controlConnections  = 4
+	hopConnections      = 512
+	maxPeerClients      = 512
+)
+
+// Entry is an entry instance.
+type Entry struct {
+	settings params.Settings
+	logger   zerolog.Logger
+	meter    *meter.Meter
+	lister   *lister.Lister
+	member   *member.Member
+	sched    *sched.Scheduler
+	router   *route.Router
+	keyed    *keyed.Keyed
+	rollout  *rollo.Rollout
+	placer   *placer.Placer
+	front    *front.Front
+	peersv   *peersv.Server
+	opersv   *opersv.Server
+	draining atomic.Bool
+	drain    chan struct{}
+}
+
+// New assembles an instance from checked settings.
+func New(s params.Settings, logger zerolog.Logger) (*Entry, error) {
+	root, err := s.Root()
+	if err != nil {
+		return nil, err
+	}
+	token, err := s.Token()
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{settings: s, logger: logger, meter: meter.New(), drain: make(chan struct{}, 1)}
+	dialer := httpj.Dialer(s.LocalIP())
+	platform := httpj.NewClient(dialer, platformConnections)
+	log := logio.NewHTTP(s.Platform, platform)
+	dial := peerDialer(httpj.NewClient(dialer, peerConnections))
+	e.lister = lister.New(roster.NewHTTP(s.Platform, platform), logger)
+	life := newIncarnation()
+	e.member = member.New(member.Options{
+		Self: ident.Instance(s.Name), Domain: ident.Domain(s.Domain), Address: s.Peer, Incarnation: life,
+		Term: s.LeaseTerm, Beat: s.Heartbeat, Seeds: s.Seeds, Log: log, Dial: dial, Roster: e.lister.List, Logger: logger,
+		Now: tick.Now, NewIncarnation: newIncarnation,
+	})
+	e.rollout = rollo.New(rollo.Options{
+		Root: root, Log: log, Peers: e.member.Peers, Dial: dial, Logger: logger, Now: tick.Now,
+	})
+	control := httpj.NewClient(dialer, controlConnections)
+	e.sched = sched.New(sched.Options{
+		Domain: ident.Domain(s.Domain), Own: e.member, Roster: e.lister.List, Logger: logger, Now: tick.Now,
+		Exec: execio.NewHTTP(execio.NewWork(s.LocalIP(), s.ExecutorConnections), control),
+	})
+	e.assembleRequests(s, dial)
+	e.placer = placer.New(placer.Options{
+		Domain: ident.Domain(s.Domain), Domains: s.DomainIDs(), Member: e.member, Log: log,
+		Workers: workio.NewHTTP(s.Platform, platform), Roster: e.lister.List, Config: e.rollout.InForce, Dial: dial,
+		Logger: logger, Now: tick.Now, Wall: tick.Wall,
+	})
+	e.assembleServers(s, life, token)
+	e.member.SetReporter(reporter{e})
+	return e, nil
+}
+
+func newIncarnation() ident.Incarnation { return ident.Incarnation(tick.Wall().UnixMilli()) }
+
+// assembleRequests builds the path of requests.
+func (e *Entry) assembleRequests(s params.Settings, dial func(string) wire.Peer) {
+	hop := hopio.NewHTTP(execio.NewHTTP(execio.NewWork(s.LocalIP(), hopConnections), nil))
+	e.router = route.New(route.Options{
+		Domain: ident.Domain(s.Domain), Local: e.sched, Peers: e.member.Peers, Hop: hop, Now: tick.Now, Wall: tick.Wall,
+		OnRetry: func(service ident.Service) {
+			e.meter.Count("retries", map[string]string{"service": string(service)}, 1)
+		},
+	})
+	e.keyed = keyed.New(keyed.Options{
+		Self: ident.Instance(s.Name), Domain: ident.Domain(s.Domain), Domains: s.DomainIDs(), Member: e.member,
+		Router: e.router, Hop: hop, Dial: dial, Config: e.rollout.InForce, Logger: e.logger, Now: tick.Now,
+	})
+}
+
+func (e *Entry) assembleServers(s params.Settings, life ident.Incarnation, token string) {
+	e.front = front.New(front.Options{
+		Name: ident.Instance(s.Name), Life: life, Router: e.router, Keyed: e.keyed, Config: e.rollout.InForce,
+		Parts: func(now tick.Time) int { return len(e.member.Peers(now)) + 1 }, Meter: e.meter, Logger: e.logger,
+		Now: tick.Now, IsReady: e.IsReady,
+	})
+	e.peersv = peersv.New(peersv.Options{
+		Member: e.member, Sched: e.sched, Keyed: e.keyed, Rollout: e.rollout, Placer: e.placer, Now: tick.Now, Wall: tick.Wall,
+	})
+	e.opersv = opersv.New(opersv.Options{
+		Name: ident.Instance(s.Name), Domain: ident.Domain(s.Domain), Token: token, Member: e.member, Sched: e.sched,
+		Rollout: e.rollout, Placer: e.placer, Meter: e.meter, Now: tick.Now, IsReady: e.IsReady, Drain: e.requestDrain,
+	})
+}
+
+func peerDialer(client *http.Client) func(address string) wire.Peer {
+	cache, _ := lru.New[string, wire.Peer](maxPeerClients)
+	return func(address string) wire.Peer {
+		if p, ok := cache.Get(address); ok {
+			return p
+		}
+		p := wire.NewPeerProtobufClient("http://"+address, client)
+		cache.Add(address, p)
+		return p
+	}
+}
+
+// IsReady reports whether the balancer should send callers here: a version is in force, and a way to an owner is known.
+func (e *Entry) IsReady() bool {
+	if e.draining.Load() || e.rollout.InForce() == nil {
+		return false
+	}
+	return e.member.IsJoined() || len(e.member.Peers(tick.Now())) > 0
+}
+
+func (e *Entry) requestDrain() {
+	select {
+	case e.drain <- struct{}{}:
+	default:
+	}
+}
+
+// reporter states this instance's loads and version in heartbeats.
+type reporter struct{ e *Entry }
+
+// Loads implements member.Reporter.
+func (r reporter) Loads(now tick.Time) []*wire.ServiceLoad { return r.e.sched.Loads(now) }
+
+// HeldSlots implements member.Reporter.
+func (r reporter) HeldSlots(now tick.Time) []*wire.HeldKey { return r.e.sched.HeldSlots(now) }
+
+// Version implements member.Reporter.
+func (r reporter) Version() ident.Version { return r.e.rollout.Version() }
+
+// supervisor returns the tree of the long-lived services.
+func (e *Entry) supervisor() *suture.Supervisor {
+	root := suprv.New("ibischute", e.logger)
+	platform := suprv.New("platform", e.logger)
+	platform.Add(e.lister)
+	root.Add(platform)
+	domain := suprv.New("domain", e.logger)
+	domain.Add(e.member.Tail())
+	domain.Add(e.member.Beat())
+	domain.Add(e.keyed.Sync())
+	root.Add(domain)
+	config := suprv.New("config", e.logger)
+	config.Add(e.rollout.Tail())
+	config.Add(e.rollout.Spread())
+	root.Add(config)
+	work := suprv.New("work", e.logger)
+	work.Add(e.sched.Watch())
+	work.Add(e.placer.Tail())
+	work.Add(e.placer.Committer())
+	work.Add(e.placer.Loop())
+	work.Add(gaugeService{e})
+	root.Add(work)
+	return root
+}
+
+const gaugeInterval = 2 * time.Second
+
+// gaugeService shows state as metrics.
+type gaugeService struct{ e *Entry }
+
+// String names the service in logs.
+func (gaugeService) String() string { return "gauges" }
+
+// Serve implements suprv.Service.
+func (g gaugeService) Serve(ctx context.Context) error {
+	t := time.NewTicker(gaugeInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			g.e.updateGauges(tick.Now())
+		}
+	}
+}
+
+func (e *Entry) updateGauges(now tick.Time) {
+	set := func(name string, v float64) { e.meter.Gauge(name, nil, v) }
+	set("members", float64(e.member.View().Len()))
+	set("peers", float64(len(e.member.Peers(now))))
+	set("lease_left_seconds", max(0, e.member.LeaseUntil(now).Sub(now).Seconds()))
+	set("config_version", float64(e.rollout.Version()))
+	set("requests_in_flight", float64(e.front.InFlight()))
+	set("slots_in_use", float64(e.sched.InFlight()))
+	for _, l := range e.sched.Loads(now) {
+		labels := map[string]string{"service": l.GetService()}
+		e.meter.Gauge("slots_free", labels, float64(l.GetFree()))
+		e.meter.Gauge("queue_length", labels, float64(l.GetQueued()))
+	}
+}
--- /dev/null
+++ b/internal/web/entry/run.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/ibischute/ibischute/pkg/fault"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 32 << 10
+	// noticeTime is how long a stopping instance goes on taking requests, until the balancer and its peers have noticed.
+	noticeTime    = 2 * time.Second
+	handOverTime  = 2 * time.Second
+	quietInterval = 20 * time.Millisecond
+	closeTime     = time.Second
+)
+
+type server struct {
+	name     string
+	http     *http.Server
+	listener net.Listener
+}
+
+func (e *Entry) listen(name, address string, h http.Handler) (*server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.CodeSetting, fault.NotRun, "listen on --"+name+"-address")
+	}
+	return &server{name: name, listener: l, http: &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}}, nil
+}
+
+// Run serves until the context ends or a drain is asked for, and then stops gracefully.
+func (e *Entry) Run(ctx context.Context) error {
+	servers, err := e.listenAll()
+	if err != nil {
+		return err
+	}
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	ended := make(chan error, len(servers)+1)
+	for _, s := range servers {
+		go func() { ended <- s.http.Serve(s.listener) }()
+	}
+	services := e.supervisor().ServeBackground(work)
+	e.logger.Info().Str("domain", e.settings.Domain).Str("caller-address", e.settings.Caller).
+		Str("peer-address", e.settings.Peer).Str("operator-address", e.settings.Operator).Msg("started")
+	select {
+	case <-ctx.Done():
+	case <-e.drain:
+	case err := <-ended:
+		return fault.Wrap(err, fault.CodeInternal, fault.Unknown, "a server ended")
+	}
+	e.stop(work, servers)
+	stopWork()
+	<-services
+	if err := e.meter.Close(); err != nil {
+		e.logger.Debug().Err(err).Msg("metrics-not-closed")
+	}
+	e.logger.Info().Msg("stopped")
+	return nil
+}
+
+func (e *Entry) listenAll() ([]*server, error) {
+	var out []*server
+	for _, s := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"caller", e.settings.Caller, e.closeWhileDraining(e.front.Handler())},
+		{"peer", e.settings.PeerBind, e.peersv.Handler()},
+		{"operator", e.settings.Operator, e.opersv.Handler()},
+	} {
+		srv, err := e.listen(s.name, s.address, s.handler)
+		if err != nil {
+			for _, open := range out {
+				_ = open.listener.Close()
+			}
+			return nil, err
+		}
+		out = append(out, srv)
+	}
+	return out, nil
+}
+
+// closeWhileDraining asks callers to open no further request on their connection once the instance is stopping.
+func (e *Entry) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// stop hands over what the instance owns, takes requests until the others have noticed, and waits for those in flight.
+func (e *Entry) stop(ctx context.Context, servers []*server) {
+	e.logger.Info().Int("in-flight", e.front.InFlight()).Msg("stopping")
+	deadline := time.Now().Add(e.settings.DrainTime)
+	e.draining.Store(true)
+	e.member.SetDraining()
+	e.sched.Stop()
+	e.keyed.Stop()
+	e.handOver(ctx)
+	e.member.Announce(ctx)
+	pause(ctx, min(noticeTime, time.Until(deadline)))
+	e.awaitQuiet(ctx, deadline)
+	for _, s := range servers {
+		e.shutdown(ctx, s, deadline)
+	}
+}
+
+func (e *Entry) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	e.keyed.HandOver(ctx)
+	if err := e.member.Leave(ctx); err != nil {
+		e.logger.Warn().Err(err).Msg("leave-not-recorded")
+	}
+}
+
+func (e *Entry) awaitQuiet(ctx context.Context, deadline time.Time) {
+	for time.Now().Before(deadline) {
+		if e.front.InFlight()+e.peersv.InFlight()+e.sched.InFlight() == 0 {
+			return
+		}
+		pause(ctx, quietInterval)
+	}
+	e.logger.Warn().Int("in-flight", e.front.InFlight()).Msg("drain-time-over")
+}
+
+func (e *Entry) shutdown(ctx context.Context, s *server, deadline time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, max(closeTime, time.Until(deadline)))
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		e.logger.Warn().Err(err).Str("server", s.name).Msg("connections-cut")
+		_ = s.http.Close()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/web/front/front.go
@@ -0,0 +1,266 @@
+// Package front is the callers' HTTP API.
+//
+// It admits a request under the version in force at its receipt, hands it to the router or to the owner of its
+// idempotency key, and streams the answer. A refusal is sent at once and says whether the request ran and when to come
+// back. docs/API.md documents it.
+//
+// # Usage
+//
+//	f := front.New(options)
+//	server := &http.Server{Handler: f.Handler()}
+package front
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
+
+	"github.com/ibischute/ibischute/internal/modules/execio"
+	"github.com/ibischute/ibischute/internal/modules/hopio"
+	"github.com/ibischute/ibischute/internal/modules/meter"
+	"github.com/ibischute/ibischute/internal/modules/relay"
+	"github.com/ibischute/ibischute/internal/services/keyed"
+	"github.com/ibischute/ibischute/internal/services/route"
+	"github.com/ibischute/ibischute/internal/services/sched"
+	"github.com/ibischute/ibischute/internal/state/admit"
+	"github.com/ibischute/ibischute/internal/web/problem"
+	"github.com/ibischute/ibischute/pkg/bundle"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// The headers of the API.
+const (
+	HeaderTenant   = "Ibischute-Tenant"
+	HeaderClass    = "Ibischute-Class"
+	HeaderDeadline = "Ibischute-Deadline-Ms"
+	HeaderKey      = "Idempotency-Key"
+	HeaderVersion  = "Ibischute-Config-Version"
+	anonymous      = "anonymous"
+	maxKeyLength   = 256
+	maxNameLength  = 64
+	// maxRequests bounds the requests under way at one instance.
+	maxRequests = 8192
+)
+
+// Options are the surroundings of a Front.
+type Options struct {
+	Name    ident.Instance
+	Life    ident.Incarnation
+	Router  *route.Router
+	Keyed   *keyed.Keyed
+	Config  func() *bundle.Bundle
+	Parts   func(now tick.Time) int
+	Meter   *meter.Meter
+	Logger  zerolog.Logger
+	Now     func() tick.Time
+	IsReady func() bool
+}
+
+// Front serves callers.
+type Front struct {
+	opts     Options
+	limiter  *admit.Limiter
+	lastID   atomic.Uint64
+	inFlight atomic.Int64
+}
+
+// New returns a Front.
+func New(o Options) *Front { return &Front{opts: o, limiter: admit.New()} }
+
+// InFlight returns the number of requests under way.
+func (f *Front) InFlight() int { return int(f.inFlight.Load()) }
+
+// Handler returns the HTTP API.
+func (f *Front) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.HandleFunc("/v1/services/{service}", f.handle)
+	r.HandleFunc("/v1/services/{service}/*", f.handle)
+	r.Get("/readyz", f.handleReady)
+	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
+		problem.Write(w, "", fault.New(fault.CodeNotFound, fault.NotRun, "paths start with /v1/services/{service}/"))
+	})
+	return r
+}
+
+func (f *Front) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if !f.opts.IsReady() {
+		problem.Write(w, "", fault.New(fault.CodeNotReady, fault.NotRun, "not ready").WithRetry(time.Second))
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// call is one request from its receipt to its answer.
+type call struct {
+	id      ident.Request
+	began   tick.Time
+	service ident.Service
+	class   bundle.Class
+	tenant  bundle.Tenant
+	bundle  *bundle.Bundle
+}
+
+func (f *Front) handle(w http.ResponseWriter, r *http.Request) {
+	if f.inFlight.Add(1) > maxRequests {
+		f.inFlight.Add(-1)
+		problem.Write(w, "", fault.New(fault.CodeOverloaded, fault.NotRun, "too many requests under way").
+			WithRetry(time.Second))
+		return
+	}
+	defer f.inFlight.Add(-1)
+	c := f.begin(r)
+	answer, cancel, err := f.serve(r, c)
+	defer cancel()
+	if err != nil {
+		f.done(c, string(fault.From(err).Code))
+		f.refuse(w, c, err)
+		return
+	}
+	w.Header().Set(execio.HeaderRequestID, string(c.id))
+	w.Header().Set(HeaderVersion, strconv.FormatUint(uint64(c.bundle.Version), 10))
+	if err := relay.Answer(w, answer); err != nil {
+		f.done(c, string(fault.From(err).Code))
+		relay.Cut()
+	}
+	f.done(c, "answered")
+}
+
+func (f *Front) begin(r *http.Request) *call {
+	id := string(f.opts.Name) + "-" + strconv.FormatUint(uint64(f.opts.Life), 36) + "-" +
+		strconv.FormatUint(f.lastID.Add(1), 36)
+	return &call{
+		id: ident.Request(id), began: f.opts.Now(), service: ident.Service(chi.URLParam(r, "service")),
+		bundle: f.opts.Config(),
+	}
+}
+
+func (f *Front) refuse(w http.ResponseWriter, c *call, err error) {
+	fe := fault.From(err)
+	f.opts.Logger.Debug().Str("request", string(c.id)).Str("service", string(c.service)).
+		Str("class", string(c.class.Name)).Str("tenant", string(c.tenant.Name)).Str("code", string(fe.Code)).
+		Str("ran", string(fe.Ran)).Str("detail", fe.Detail).Msg("request-refused")
+	problem.Write(w, c.id, fe)
+}
+
+func (f *Front) done(c *call, outcome string) {
+	took := f.opts.Now().Sub(c.began)
+	service := c.service
+	if c.class.Name == "" {
+		service = "unknown"
+	}
+	f.opts.Meter.Request(service, c.class.Name, c.tenant.Name, outcome, took)
+	f.opts.Logger.Debug().Str("request", string(c.id)).Str("service", string(service)).Str("outcome", outcome).
+		Dur("took", took).Msg("request-done")
+}
+
+// serve checks the request and runs it. The context of the answer lives until cancel is called.
+func (f *Front) serve(r *http.Request, c *call) (*execio.Answer, context.CancelFunc, error) {
+	deadline, err := f.check(r, c)
+	if err != nil {
+		return nil, func() {}, err
+	}
+	if wait, ok := f.limiter.Take(c.began, c.tenant, f.opts.Parts(c.began)); !ok {
+		return nil, func() {}, fault.New(fault.CodeRateLimited, fault.NotRun, "the tenant's rate is used up").WithRetry(wait)
+	}
+	req, err := f.request(r, c, deadline)
+	if err != nil {
+		return nil, func() {}, err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), deadline)
+	key := r.Header.Get(HeaderKey)
+	if key == "" || req.Idempotent {
+		answer, err := f.opts.Router.Do(ctx, req)
+		return answer, cancel, err
+	}
+	answer, err := f.opts.Keyed.Do(ctx, keyed.Request{Request: req, Key: key, Fingerprint: fingerprint(req)})
+	return answer, cancel, err
+}
+
+// check finds the class, the tenant and the deadline.
+func (f *Front) check(r *http.Request, c *call) (time.Duration, error) {
+	if c.bundle == nil {
+		return 0, fault.New(fault.CodeNotReady, fault.NotRun, "no configuration is in force yet").WithRetry(time.Second)
+	}
+	class, ok := c.bundle.Class(c.service, ident.Class(r.Header.Get(HeaderClass)))
+	if !ok {
+		return 0, fault.New(fault.CodeNotFound, fault.NotRun, "no such service or class")
+	}
+	c.class = class
+	name := r.Header.Get(HeaderTenant)
+	if name == "" {
+		name = anonymous
+	}
+	if len(name) > maxNameLength || len(r.Header.Get(HeaderKey)) > maxKeyLength {
+		return 0, fault.New(fault.CodeBadRequest, fault.NotRun, "tenant or idempotency key is too long")
+	}
+	c.tenant = c.bundle.Tenant(ident.Tenant(name))
+	return deadlineOf(r, class)
+}
+
+func deadlineOf(r *http.Request, class bundle.Class) (time.Duration, error) {
+	text := r.Header.Get(HeaderDeadline)
+	if text == "" {
+		return class.DefaultDeadline, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 1 || ms > class.MaxDeadline.Milliseconds() {
+		return 0, fault.New(fault.CodeBadRequest, fault.NotRun,
+			HeaderDeadline+" must be a number from 1 to "+strconv.FormatInt(class.MaxDeadline.Milliseconds(), 10))
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func (f *Front) request(r *http.Request, c *call, deadline time.Duration) (route.Request, error) {
+	req := route.Request{
+		Request: sched.Request{
+			Request: execio.Request{
+				ID: c.id, Method: r.Method, Path: servicePath(r), Header: forwardedHeader(r), Length: r.ContentLength,
+			},
+			Service: c.service, Class: c.class.Name, Tenant: c.tenant.Name, Priority: c.class.Priority,
+			Share: c.tenant.Share, MaxQueue: c.class.MaxQueue, Deadline: c.began.Add(deadline),
+		},
+		Idempotent:   c.class.Idempotent || isSafe(r.Method),
+		RetryPercent: c.bundle.RetryPercent,
+	}
+	req.Header.Set(HeaderTenant, string(c.tenant.Name))
+	return req, route.ReadBody(r.Body, &req)
+}
+
+// servicePath returns the path and query below the service.
+func servicePath(r *http.Request) string {
+	path := "/" + chi.URLParam(r, "*")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+// forwardedHeader returns the caller's headers without those that concern one connection or that only instances set.
+func forwardedHeader(r *http.Request) http.Header {
+	h := relay.EndToEnd(r.Header)
+	h.Del(hopio.HeaderMeta)
+	h.Del(execio.HeaderRequestID)
+	return h
+}
+
+func isSafe(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+// fingerprint tells apart requests that wrongly share an idempotency key. A streamed body is not part of it.
+func fingerprint(req route.Request) string {
+	h := sha256.New()
+	_, _ = io.WriteString(h, string(req.Service)+"\n"+req.Method+"\n"+req.Path+"\n")
+	_, _ = h.Write(req.Body)
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
--- /dev/null
+++ b/pkg/demand/demand.go
@@ -0,0 +1,35 @@
+// Package demand is the resource vector of tasks and workers.
+//
+// # Usage
+//
+//	left := capacity.Minus(used)
+//	if task.Fits(left) { ... }
+package demand
+
+// MilliCPU is a thousandth of a processor.
+type MilliCPU int64
+
+// MegaBytes is memory in units of 10^6 bytes.
+type MegaBytes int64
+
+// Vector is an amount of each resource.
+type Vector struct {
+	CPU          MilliCPU  `json:"milli-cpu"    yaml:"milli-cpu"`
+	Memory       MegaBytes `json:"memory-mb"    yaml:"memory-mb"`
+	Accelerators int64     `json:"accelerators" yaml:"accelerators"`
+}
+
+// Plus returns the sum of v and o.
+func (v Vector) Plus(o Vector) Vector {
+	return Vector{v.CPU + o.CPU, v.Memory + o.Memory, v.Accelerators + o.Accelerators}
+}
+
+// Minus returns v less o.
+func (v Vector) Minus(o Vector) Vector {
+	return Vector{v.CPU - o.CPU, v.Memory - o.Memory, v.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether v is at most o in every resource.
+func (v Vector) Fits(o Vector) bool {
+	return v.CPU <= o.CPU && v.Memory <= o.Memory && v.Accelerators <= o.Accelerators
+}
