--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+GOLANGCI_VERSION := v2.15.0
+TOOLS := $(CURDIR)/.tools
+LINT := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+
+.PHONY: help build test race fuzz bench load fmt lint generate demo clean
+
+help: ## show the targets
+	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | awk -F ':.*## ' '{printf "%-10s %s\n", $$1, $$2}'
+
+build: ## build the binaries into bin/
+	go build -o bin/ ./cmd/...
+
+test: build ## run all tests; passes over just the failures that KNOWN-RED.txt names
+	go run ./tools/knownred -- -count=1 -timeout=20m ./...
+
+race: ## run the tests of the packages without processes under the race detector
+	go test -race -count=1 ./pkg/... ./internal/modules/... ./internal/state/... ./internal/services/... ./internal/web/...
+
+fuzz: ## fuzz the fold of the config stream and the bundle parser for 20 s each
+	go test -fuzz=FuzzParse -fuzztime=20s ./pkg/bundle
+	go test -fuzz=FuzzFold -fuzztime=20s ./internal/state/accept
+
+bench: ## run the Go benchmarks of the decisions
+	go test -run='^$$' -bench=. -benchmem -count=6 ./internal/...
+
+load: build ## measure the request path; see docs/BENCH.md
+	./bin/ibistand load
+
+fmt: $(LINT) ## format the code
+	$(LINT) fmt
+
+lint: $(LINT) ## run the linters and check the format
+	$(LINT) fmt --diff
+	$(LINT) run ./...
+
+generate: ## rebuild the generated code; needs protoc, protoc-gen-go and protoc-gen-twirp
+	cd internal/modules/wire && protoc --go_out=. --go_opt=paths=source_relative \
+		--twirp_out=. --twirp_opt=paths=source_relative wire.proto
+
+demo: build ## run a whole system on loopback; KEEP=1 leaves it running
+	./bin/ibistand demo $(if $(KEEP),--keep)
+
+clean: ## remove what was built
+	rm -rf bin .tools
+
+$(LINT):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(TOOLS)/golangci-lint $(LINT)
--- a/internal/modules/commit/commit.go
+++ b/internal/modules/commit/commit.go
@@ -1,7 +1,7 @@
 // Package commit appends records to the log in groups, so that many writers share the log's few appends.
 //
-// Records that arrive while an append is under way go together into the next one. A record whose append had no answer is
-// reported as unknown; the writers' records are idempotent, so that they may append it again.
+// Records that arrive while an append is under way go together into the next one. A record whose append had no answer
+// is reported as unknown; the writers' records are idempotent, so that they may append it again.
 //
 // # Usage
 //
@@ -14,6 +14,8 @@
 	"context"
 	"time"
 
+	"github.com/ibischute/ibischute/pkg/tick"
+
 	"github.com/ibischute/ibischute/internal/modules/logio"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/ident"
@@ -70,7 +72,7 @@
 			return ctx.Err()
 		case first := <-g.waiting:
 			g.appendGroup(ctx, g.gather(first))
-			pause(ctx, minInterval)
+			tick.Pause(ctx, minInterval)
 		}
 	}
 }
@@ -100,12 +102,3 @@
 		p.done <- err
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/modules/execio/gated_conn.go
+++ b/internal/modules/execio/gated_conn.go
@@ -40,8 +40,8 @@
 	return c.Conn.Write(b)
 }
 
-// NewWork returns the HTTP client for work: its connections are bound to the local IP, carry a gate, and are bounded for
-// each host.
+// NewWork returns the HTTP client for work: its connections are bound to the local IP, carry a gate, and are bounded
+// for each host.
 func NewWork(localIP string, maxConns int) *http.Client {
 	d := httpj.Dialer(localIP)
 	c := httpj.NewClient(d, maxConns)
--- a/internal/modules/execio/http_client.go
+++ b/internal/modules/execio/http_client.go
@@ -53,12 +53,15 @@
 	req.Header = r.Header.Clone()
 	req.Header.Set(HeaderRequestID, string(r.ID))
 	req.ContentLength = r.Length
-	res, err := c.work.Do(req)
+	res, err := c.work.Do(req) //nolint:bodyclose // the caller closes the body with the answer
 	if err != nil {
 		if httpj.IsDialError(err) || errors.Is(err, errGateClosed) {
-			return nil, fault.Wrap(err, fault.CodeNotSent, fault.NotRun, "nothing sent to the executor")
+			return nil, fault.Wrap(err, fault.CodeNotSent, fault.NotRun, "nothing sent")
 		}
-		return nil, fault.Wrap(err, fault.CodeBackend, fault.Unknown, "executor gave no answer")
+		if ctx.Err() != nil {
+			return nil, fault.FromContext(ctx, fault.Unknown)
+		}
+		return nil, fault.Wrap(err, fault.CodeBackend, fault.Unknown, "no answer")
 	}
 	return &Answer{Status: res.StatusCode, Header: res.Header, Body: res.Body}, nil
 }
--- a/internal/modules/hopio/hopio.go
+++ b/internal/modules/hopio/hopio.go
@@ -1,7 +1,7 @@
 // Package hopio is the protocol by which one entry instance hands a request to another.
 //
-// The request keeps its method, path, headers and body; what the receiver needs to know stands in one header as JSON. An
-// answer of the executor and a refusal of the receiver are told apart by a header.
+// The request keeps its method, path, headers and body; what the receiver needs to know stands in one header as JSON.
+// An answer of the executor and a refusal of the receiver are told apart by a header.
 //
 // # Usage
 //
@@ -89,6 +89,9 @@
 	r.Header.Set(HeaderMeta, string(meta))
 	r.Path = PathPrefix + string(kind)
 	answer, err := c.exec.Send(ctx, address, r)
+	if fault.IsErrCode(err, fault.CodeBackend) {
+		return nil, fault.Wrap(err, fault.CodeUnknownOutcome, fault.Unknown, "the owner gave no answer")
+	}
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/scenar/scenario_test.go
@@ -0,0 +1,75 @@
+// Package scenar holds the scenarios: whole systems of separate processes under faults, written in a small language.
+//
+// Each file in testdata is a testscript; commands_test.go lists the commands that the language adds.
+package scenar
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) { os.Exit(runMain(m)) }
+
+func runMain(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "ibischute-bin-")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	build := exec.Command("go", "build", "-o", dir+"/", "../../cmd/...")
+	build.Stdout, build.Stderr = os.Stdout, os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	binaries = dir
+	return m.Run()
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		UpdateScripts:       os.Getenv("UPDATE_GOLDEN") != "",
+		RequireUniqueNames:  true,
+		ContinueOnError:     false,
+		RequireExplicitExec: true,
+		Cmds:                commands(),
+		Setup: func(env *testscript.Env) error {
+			if err := os.WriteFile(filepath.Join(env.WorkDir, "usual.yaml"), []byte(usualBundle), 0o600); err != nil {
+				return err
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			s := &session{ctx: ctx, dir: env.WorkDir, answers: map[string]chan string{}, away: map[string]bool{}}
+			env.Values[sessionKey{}] = s
+			env.Setenv("PATH", binaries+string(filepath.ListSeparator)+env.Getenv("PATH"))
+			env.Defer(func() {
+				cancel()
+				s.close(t)
+			})
+			return nil
+		},
+	})
+}
+
+// usualBundle is what scenarios publish that are not about configuration.
+const usualBundle = `
+schema: 1
+version: 1
+parent: 0
+operators: {threshold: 1, keys: [{name: root, public-key: $ROOT_PUBLIC}]}
+services:
+  - name: invoicing
+    default-class: invoice
+    classes:
+      - {name: invoice, default-deadline: 20s, max-queue: 400}
+      - {name: quote-check, priority: 1, idempotent: true}
+tenants:
+  default: {rate: 100000}
+batch: {worker-lease: 2s}
+`
--- a/internal/services/keyed/keyed.go
+++ b/internal/services/keyed/keyed.go
@@ -1,8 +1,9 @@
 // Package keyed runs requests with an idempotency key at most once.
 //
-// Each key has a home domain and in it one owner. Before the owner dispatches, it records the start of the request and has
-// a majority of its domain's view record it too; a repeat, through whichever instance and at whichever owner, meets that
-// record and gets the first answer, or is told that the outcome is unknown. docs/design/idempotency.md weighs the ways.
+// Each key has a home domain and in it one owner. Before the owner dispatches, it records the start of the request
+// and has a majority of its domain's view record it too; a repeat, through whichever instance and at whichever owner,
+// meets that record and gets the first answer, or is told that the outcome is unknown. docs/design/idempotency.md
+// weighs the ways.
 //
 // # Usage
 //
@@ -125,40 +126,21 @@
 // Stop makes this instance begin no further request as an owner; called before it hands its keys over.
 func (k *Keyed) Stop() { k.stopped.Store(true) }
 
-// Do sees the request through at the owner of its key. While the key moves between owners it tries again for a short time.
+// Do sees the request through at the owner of its key. While the key moves between owners it tries again for a short
+// time.
 func (k *Keyed) Do(ctx context.Context, r Request) (*execio.Answer, error) {
 	key := ident.IdempotencyKey(r.Tenant, r.Key)
 	var last error
 	for range maxForwards {
 		answer, err := k.try(ctx, key, r)
-		if err == nil || !isMoving(err) || ctx.Err() != nil || r.Stream != nil {
+		if err == nil || !route.IsMoving(err) || ctx.Err() != nil || r.Stream != nil {
 			return answer, err
 		}
 		last = err
-		pause(ctx, moveInterval)
-	}
-	return nil, last
-}
-
-// isMoving reports whether the failure shows that the owner of the key is changing.
-func isMoving(err error) bool {
-	if !fault.IsErrNotRun(err) {
-		return false
-	}
-	switch fault.From(err).Code {
-	case fault.CodeNoOwner, fault.CodeNotSent, fault.CodeDraining:
-		return true
-	}
-	return false
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		tick.Pause(ctx, moveInterval)
 	}
+	return nil, fault.Wrap(last, fault.CodeNoOwner, fault.NotRun, "the owner of the key cannot be reached or may not act").
+		WithRetry(retryAfter)
 }
 
 func (k *Keyed) try(ctx context.Context, key ident.Key, r Request) (*execio.Answer, error) {
@@ -273,7 +255,9 @@
 }
 
 // repeat answers a request whose key is known.
-func (k *Keyed) repeat(ctx context.Context, key ident.Key, in *wire.Intent, done chan struct{}) (*execio.Answer, error) {
+func (k *Keyed) repeat(
+	ctx context.Context, key ident.Key, in *wire.Intent, done chan struct{},
+) (*execio.Answer, error) {
 	if done != nil {
 		select {
 		case <-done:
--- a/internal/services/keyed/record.go
+++ b/internal/services/keyed/record.go
@@ -32,8 +32,8 @@
 	err error
 }
 
-// recordAtOthers has a majority of the view, this instance included, record the start. It returns the state that another
-// member already has, if any.
+// recordAtOthers has a majority of the view, this instance included, record the start. It returns the state that
+// another member already has, if any.
 func (k *Keyed) recordAtOthers(ctx context.Context, in *wire.Intent) (*wire.Intent, error) {
 	others := k.others()
 	need := (len(others) + 1) / 2
@@ -109,6 +109,20 @@
 	return k.copies.IsComplete()
 }
 
+// IsReady reports whether requests with a key can be seen through: the own keys are taken over and every other domain
+// has an instance that can be asked.
+func (k *Keyed) IsReady() bool {
+	if !k.isSynced() {
+		return false
+	}
+	for _, d := range k.opts.Domains {
+		if _, ok := k.peerIn(d); !ok && d != k.opts.Domain {
+			return false
+		}
+	}
+	return true
+}
+
 type syncService struct{ k *Keyed }
 
 // Sync returns the service that takes over keys after a join and restores copies after a loss.
--- a/internal/services/member/beat.go
+++ b/internal/services/member/beat.go
@@ -27,9 +27,11 @@
 	t := time.NewTicker(s.m.opts.Beat)
 	defer t.Stop()
 	for {
-		s.m.beat(ctx)
 		select {
 		case <-t.C:
+			s.m.beat(ctx)
+		case <-s.m.viewChanged:
+			s.m.Announce(ctx)
 		case <-ctx.Done():
 			s.m.calls.Wait(ctx)
 			return ctx.Err()
@@ -58,6 +60,7 @@
 		}
 	}
 	m.forget()
+	m.calls.Go(ctx, m.admit)
 	for _, target := range m.suspects(m.opts.Now()) {
 		m.calls.Go(ctx, func(ctx context.Context) { m.fence(ctx, target) })
 	}
@@ -255,8 +258,11 @@
 			m.heardAt[v.Name] = now
 			continue
 		}
-		silent := now.Sub(heard) > suspectBeats*m.opts.Beat
-		if v.Name == m.opts.Self || !silent || now.Before(m.suspected[v.Name]) {
+		limit := suspectBeats * m.opts.Beat
+		if !v.Voting {
+			limit = forgetBeats * m.opts.Beat
+		}
+		if v.Name == m.opts.Self || now.Sub(heard) < limit || now.Before(m.suspected[v.Name]) {
 			continue
 		}
 		m.suspected[v.Name] = now.Add(m.opts.Beat)
--- a/internal/services/member/member.go
+++ b/internal/services/member/member.go
@@ -50,7 +50,7 @@
 	suspectBeats = 4
 	// farBeats is how many heartbeats of the domain go to one to the other domains.
 	farBeats = 4
-	// forgetBeats is how many heartbeats a silent peer is kept.
+	// forgetBeats is how many heartbeats a silent peer, or a joiner that nobody admits, is kept.
 	forgetBeats = 150
 	// maxPeers bounds the instances that are kept.
 	maxPeers = 256
@@ -84,6 +84,8 @@
 	opts    Options
 	calls   *suprv.Group
 	changed chan struct{}
+	// viewChanged asks for heartbeats at once, so that a change of ownership takes effect early.
+	viewChanged chan struct{}
 
 	mu        sync.Mutex
 	reporter  Reporter
@@ -110,8 +112,9 @@
 	now := o.Now()
 	return &Member{
 		opts: o, inc: o.Incarnation, calls: suprv.NewGroup(maxExchanges), changed: make(chan struct{}, 1),
-		table:  owner.NewTable(o.Self, lease.WithDrift(o.Term)),
-		keeper: lease.NewKeeper(o.Self, o.Term), grantor: lease.NewGrantor(now, o.Term),
+		viewChanged: make(chan struct{}, 1),
+		table:       owner.NewTable(o.Self, lease.WithDrift(o.Term)),
+		keeper:      lease.NewKeeper(o.Self, o.Term), grantor: lease.NewGrantor(now, o.Term),
 		peers: map[string]*Peer{}, inFlight: map[string]bool{},
 		suspected: map[ident.Instance]tick.Time{}, heardAt: map[ident.Instance]tick.Time{},
 	}
@@ -127,9 +130,12 @@
 // Changed is sent to whenever ownership may have changed.
 func (m *Member) Changed() <-chan struct{} { return m.changed }
 
-func (m *Member) notify() {
+func (m *Member) notify() { signal(m.changed) }
+
+// signal sends unless a signal is waiting already.
+func signal(c chan struct{}) {
 	select {
-	case m.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/internal/services/member/tail.go
+++ b/internal/services/member/tail.go
@@ -37,24 +37,15 @@
 		now := m.opts.Now()
 		if err != nil {
 			m.opts.Logger.Debug().Err(err).Msg("member-stream-unreadable")
-			pause(ctx, m.opts.Beat)
+			tick.Pause(ctx, m.opts.Beat)
 			continue
 		}
 		m.fold(now, started, batch)
-		m.joinOrAdmit(ctx)
+		m.joinIfMissing(ctx)
 	}
 	return ctx.Err()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (m *Member) read(ctx context.Context, wait time.Duration) (logio.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+m.opts.Term)
 	defer cancel()
@@ -97,10 +88,14 @@
 	}
 	m.table.Advance(now, m.view)
 	m.grantor.Forget(now, m.view)
+	if j := rec.GetJoin().GetMember(); j != nil {
+		m.heardAt[ident.Instance(j.GetName())] = now
+	}
 	m.noteOwnState(now, before)
 	m.opts.Logger.Info().Uint64("epoch", uint64(m.view.Epoch())).Int("members", m.view.Len()).
 		Str("record", fmt.Sprintf("%T", rec.GetKind())).Msg("view-changed")
 	m.notify()
+	signal(m.viewChanged)
 }
 
 // noteOwnState follows what the change of view means for this instance; it needs the lock.
@@ -131,39 +126,50 @@
 	}
 }
 
-// joinOrAdmit appends this instance's join, or its admission of joiners.
-func (m *Member) joinOrAdmit(ctx context.Context) {
+// joinIfMissing appends this instance's join unless this life is a member.
+func (m *Member) joinIfMissing(ctx context.Context) {
 	m.mu.Lock()
-	wantJoin := m.caughtUp && !m.draining && !m.view.Has(m.opts.Self, m.inc)
-	if m.view.Has(m.opts.Self, m.inc) {
-		m.joined = true
-	}
-	admits := m.missingAdmits()
+	isMember := m.view.Has(m.opts.Self, m.inc)
+	m.joined = isMember
+	wantJoin := m.caughtUp && !m.draining && !isMember
 	self := m.wire()
 	m.mu.Unlock()
 	if wantJoin {
 		m.append(ctx, &wire.MemberRecord{Kind: &wire.MemberRecord_Join{Join: &wire.Join{Member: self}}})
-		return
 	}
-	for _, j := range admits {
+}
+
+// admit appends this instance's admission of joiners.
+func (m *Member) admit(ctx context.Context) {
+	m.mu.Lock()
+	joiners := m.missingAdmits(m.opts.Now())
+	self := m.wire()
+	m.mu.Unlock()
+	for _, j := range joiners {
 		m.append(ctx, &wire.MemberRecord{Kind: &wire.MemberRecord_Admit{Admit: &wire.Admit{By: self, Joiner: j}}})
 	}
 }
 
-// missingAdmits returns the joiners that this voting member has not admitted; it needs the lock.
-func (m *Member) missingAdmits() []*wire.Member {
+// missingAdmits returns the joiners that this voting member hears from and has not admitted; it needs the lock.
+func (m *Member) missingAdmits(now tick.Time) []*wire.Member {
 	if !m.caughtUp || !m.voting {
 		return nil
 	}
 	var out []*wire.Member
 	for _, j := range m.view.Members() {
-		if !j.Voting && !m.view.HasAdmitted(m.opts.Self, j.Name) {
+		if !j.Voting && !m.view.HasAdmitted(m.opts.Self, j.Name) && m.hears(now, j) {
 			out = append(out, toWire(j))
 		}
 	}
 	return out
 }
 
+// hears reports whether this life of the member was heard of lately; it needs the lock.
+func (m *Member) hears(now tick.Time, v view.Member) bool {
+	p, ok := m.peers[v.Address]
+	return ok && p.Incarnation == v.Incarnation && now.Sub(p.Heard) < m.silence(m.opts.Domain)
+}
+
 func toWire(v view.Member) *wire.Member {
 	return &wire.Member{Name: string(v.Name), Incarnation: uint64(v.Incarnation), PeerAddress: v.Address}
 }
@@ -179,7 +185,7 @@
 	defer cancel()
 	if err := m.appendData(ctx, "record", data); err != nil {
 		m.opts.Logger.Warn().Err(err).Msg("member-append-failed")
-		pause(ctx, m.opts.Beat)
+		tick.Pause(ctx, m.opts.Beat)
 	}
 }
 
--- a/internal/services/placer/loop.go
+++ b/internal/services/placer/loop.go
@@ -193,15 +193,19 @@
 	board.Listed(now, sent, w, seenOf(list), len(leases) > 0)
 }
 
+var seenStates = map[workio.State]tasks.SeenState{
+	workio.StateRunning:  tasks.SeenRunning,
+	workio.StateFinished: tasks.SeenFinished,
+	workio.StateFailed:   tasks.SeenFailed,
+	workio.StateStopped:  tasks.SeenEnded,
+	workio.StateLapsed:   tasks.SeenEnded,
+}
+
 func seenOf(list []workio.Task) []tasks.Seen {
-	states := map[workio.State]tasks.SeenState{
-		workio.StateRunning: tasks.SeenRunning, workio.StateFinished: tasks.SeenFinished, workio.StateFailed: tasks.SeenFailed,
-		workio.StateStopped: tasks.SeenEnded, workio.StateLapsed: tasks.SeenEnded,
-	}
 	out := make([]tasks.Seen, 0, len(list))
 	for _, t := range list {
 		out = append(out, tasks.Seen{
-			Key: keyOf(t.ID), Number: tasks.Number(t.Attempt), State: states[t.State], Size: t.Size,
+			Key: keyOf(t.ID), Number: tasks.Number(t.Attempt), State: seenStates[t.State], Size: t.Size,
 			Name: fmt.Sprintf("%s#%d", t.ID, t.Attempt),
 		})
 	}
--- a/internal/services/placer/placer.go
+++ b/internal/services/placer/placer.go
@@ -1,7 +1,7 @@
 // Package placer accepts batch jobs and places their tasks on the workers of the failure domain.
 //
-// Every instance of the domain follows the job stream; the owner of the placer key acts. A new placer reads the workers'
-// own lists, or waits out their leases, before it starts anything.
+// Every instance of the domain follows the job stream; the owner of the placer key acts. A new placer reads the
+// workers' own lists, or waits out their leases, before it starts anything.
 //
 // # Usage
 //
@@ -117,21 +117,12 @@
 	for ctx.Err() == nil {
 		if err := s.p.readOnce(ctx); err != nil {
 			s.p.opts.Logger.Debug().Err(err).Msg("job-stream-unreadable")
-			pause(ctx, retryInterval)
+			tick.Pause(ctx, retryInterval)
 		}
 	}
 	return ctx.Err()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (p *Placer) readOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -191,15 +182,15 @@
 	return ""
 }
 
-// Submit accepts a job in its home domain; a job is accepted once its record is in the log. Submitting the same job again
-// returns its status.
+// Submit accepts a job in its home domain; a job is accepted once its record is in the log. Submitting the same job
+// again returns its status.
 func (p *Placer) Submit(ctx context.Context, spec *wire.JobSpec) (*wire.JobStatus, error) {
 	if err := p.check(spec); err != nil {
 		return nil, err
 	}
 	id := ident.Job(spec.GetId())
 	if home := p.homeOf(id); home != p.opts.Domain {
-		return p.callHome(ctx, home, func(peer wire.Peer) (*wire.JobStatus, error) {
+		return p.callHome(home, func(peer wire.Peer) (*wire.JobStatus, error) {
 			return peer.SubmitJob(ctx, &wire.SubmitJobRequest{Spec: spec})
 		})
 	}
@@ -235,7 +226,7 @@
 		if s, err := p.known(spec); s != nil || err != nil {
 			return s, err
 		}
-		pause(ctx, foldInterval)
+		tick.Pause(ctx, foldInterval)
 	}
 	return nil, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "the record has not come back from the log yet").
 		WithRetry(time.Second)
@@ -244,7 +235,7 @@
 // Cancel ends a job.
 func (p *Placer) Cancel(ctx context.Context, id ident.Job) (*wire.JobStatus, error) {
 	if home := p.homeOf(id); home != p.opts.Domain {
-		return p.callHome(ctx, home, func(peer wire.Peer) (*wire.JobStatus, error) {
+		return p.callHome(home, func(peer wire.Peer) (*wire.JobStatus, error) {
 			return peer.CancelJob(ctx, &wire.JobRequest{Id: string(id)})
 		})
 	}
@@ -277,7 +268,7 @@
 // ShowAnywhere returns the status of a job from its home domain.
 func (p *Placer) ShowAnywhere(ctx context.Context, id ident.Job) (*wire.JobStatus, error) {
 	if home := p.homeOf(id); home != p.opts.Domain {
-		return p.callHome(ctx, home, func(peer wire.Peer) (*wire.JobStatus, error) {
+		return p.callHome(home, func(peer wire.Peer) (*wire.JobStatus, error) {
 			return peer.ShowJob(ctx, &wire.JobRequest{Id: string(id)})
 		})
 	}
@@ -328,7 +319,7 @@
 }
 
 func (p *Placer) callHome(
-	ctx context.Context, home ident.Domain, call func(wire.Peer) (*wire.JobStatus, error),
+	home ident.Domain, call func(wire.Peer) (*wire.JobStatus, error),
 ) (*wire.JobStatus, error) {
 	for _, peer := range p.opts.Member.Peers(p.opts.Now()) {
 		if peer.Domain != home || peer.Draining {
--- a/internal/services/rollo/rollo.go
+++ b/internal/services/rollo/rollo.go
@@ -83,21 +83,12 @@
 	for ctx.Err() == nil {
 		if err := s.r.readOnce(ctx); err != nil {
 			s.r.opts.Logger.Debug().Err(err).Msg("config-stream-unreadable")
-			pause(ctx, retryInterval)
+			tick.Pause(ctx, retryInterval)
 		}
 	}
 	return ctx.Err()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (r *Rollout) readOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, tailWait+callTimeout)
 	defer cancel()
--- a/internal/services/route/route.go
+++ b/internal/services/route/route.go
@@ -1,8 +1,8 @@
 // Package route decides at which owner a request runs and tries again where that is safe.
 //
-// Own executors come first, then the peer with the most free slots of two in the domain, then the other domains, and at
-// last a queue. A request is tried again when it is proved not to have run, or when it is idempotent and the retry budget
-// allows it, and never at an owner that was tried before.
+// Own executors come first, then the peer with the most free slots of two in the domain, then the other domains, and
+// at last a queue. A request is tried again when it is proved not to have run, or when it is idempotent and the retry
+// budget allows it, and never at an owner that was tried before.
 //
 // # Usage
 //
@@ -31,6 +31,9 @@
 const (
 	// maxAttempts bounds the owners that one request is tried at.
 	maxAttempts = 4
+	// maxRounds bounds how often owners are looked for, and roundInterval is the pause between.
+	maxRounds     = 8
+	roundInterval = 60 * time.Millisecond
 	// maxBuffered is the largest body that is kept to be sent again; larger ones are streamed once.
 	maxBuffered = 256 << 10
 	// retryAfterNoOwner is the advice when no owner is known.
@@ -112,9 +115,39 @@
 	heard   tick.Time
 }
 
-// Do runs the request at one of the owners. The body of the answer must be closed.
+// Do runs the request at one of the owners. The body of the answer must be closed. While owners are changing it looks
+// for one again for a short time; without any known owner it refuses at once.
 func (r *Router) Do(ctx context.Context, req Request) (*execio.Answer, error) {
 	r.budget.Deposit(req.RetryPercent)
+	var answer *execio.Answer
+	var err error
+	for range maxRounds {
+		answer, err = r.round(ctx, req)
+		if err == nil || !IsMoving(err) || req.Stream != nil || ctx.Err() != nil {
+			return answer, err
+		}
+		if len(r.targets(r.opts.Now(), req.Service, nil)) == 0 {
+			break
+		}
+		tick.Pause(ctx, roundInterval)
+	}
+	return nil, err
+}
+
+// IsMoving reports whether the failure shows that the owner of what a request needs is changing.
+func IsMoving(err error) bool {
+	if !fault.IsErrNotRun(err) {
+		return false
+	}
+	switch fault.From(err).Code {
+	case fault.CodeNoOwner, fault.CodeNotSent, fault.CodeDraining:
+		return true
+	}
+	return false
+}
+
+// round tries the owners that are known now, each at most once.
+func (r *Router) round(ctx context.Context, req Request) (*execio.Answer, error) {
 	tried := map[string]bool{}
 	var last error
 	for range maxAttempts {
@@ -131,7 +164,7 @@
 		if ctx.Err() != nil || !r.mayRetry(req, err) {
 			return nil, err
 		}
-		tried[t.address] = true
+		tried[t.address] = !fault.IsErrCode(err, fault.CodeBackend)
 	}
 	if last != nil {
 		return nil, last
@@ -158,9 +191,9 @@
 
 func (r *Router) try(ctx context.Context, t target, req Request) (*execio.Answer, error) {
 	out := req.Request
-	out.Request.Body = req.Stream
+	out.Body = req.Stream
 	if req.Stream == nil {
-		out.Request.Body = bytes.NewReader(req.Body)
+		out.Body = bytes.NewReader(req.Body)
 		out.Length = int64(len(req.Body))
 	}
 	if t.address == "" {
@@ -244,6 +277,11 @@
 	return out
 }
 
+// HasOwner reports whether an owner of executors of the service is known.
+func (r *Router) HasOwner(now tick.Time, service ident.Service) bool {
+	return len(r.targets(now, service, nil)) > 0
+}
+
 func filter(all []target, keep func(target) bool) []target {
 	var out []target
 	for _, t := range all {
--- a/internal/services/sched/sched.go
+++ b/internal/services/sched/sched.go
@@ -54,10 +54,12 @@
 type Options struct {
 	Domain ident.Domain
 	Own    Ownership
-	Roster func() roster.List
-	Exec   execio.Client
-	Logger zerolog.Logger
-	Now    func() tick.Time
+	// Changed is received from whenever ownership may have changed.
+	Changed <-chan struct{}
+	Roster  func() roster.List
+	Exec    execio.Client
+	Logger  zerolog.Logger
+	Now     func() tick.Time
 }
 
 // Request is a request with what its order depends on.
@@ -152,14 +154,7 @@
 			s.pump(s.opts.Now(), svc)
 		}
 	}
-	return contextFault(ctx, fault.NotRun)
-}
-
-func contextFault(ctx context.Context, ran fault.Ran) *fault.Error {
-	if context.Cause(ctx) == context.DeadlineExceeded {
-		return fault.New(fault.CodeDeadline, ran, "the deadline passed").WithRetry(minRetryAfter)
-	}
-	return fault.New(fault.CodeCancelled, ran, "the caller left")
+	return fault.FromContext(ctx, fault.NotRun)
 }
 
 // admit decides whether the request may wait here; it needs the lock.
@@ -258,7 +253,7 @@
 	}
 	if ctx.Err() != nil {
 		t.drain()
-		return contextFault(ctx, fault.Unknown)
+		return fault.FromContext(ctx, fault.Unknown)
 	}
 	t.report(false)
 	t.drain()
--- a/internal/services/sched/ticket.go
+++ b/internal/services/sched/ticket.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/ident"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -68,11 +70,8 @@
 
 // confirmEnd asks the executor to abort until it confirms, or until the executor is gone.
 func (t *ticket) confirmEnd(ctx context.Context) {
-	for {
-		if t.abort(ctx) || t.isGone() {
-			break
-		}
-		pause(ctx, abortInterval)
+	for !t.abort(ctx) && !t.isGone() {
+		tick.Pause(ctx, abortInterval)
 	}
 	now := t.s.opts.Now()
 	t.s.mu.Lock()
@@ -98,15 +97,6 @@
 	return true
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // slotBody is an answer's body that settles the slot at its end.
 type slotBody struct {
 	body      io.ReadCloser
@@ -117,7 +107,7 @@
 func (b *slotBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
 	switch {
-	case err == io.EOF:
+	case errors.Is(err, io.EOF):
 		b.ticket.release(!b.isFailure)
 	case err != nil:
 		b.ticket.report(false)
--- a/internal/services/sched/watch.go
+++ b/internal/services/sched/watch.go
@@ -45,6 +45,7 @@
 			w.calls.Wait(ctx)
 			return ctx.Err()
 		case <-t.C:
+		case <-w.s.opts.Changed:
 		}
 		now := w.s.opts.Now()
 		w.s.Sync(now)
--- a/internal/stand/execu/execu.go
+++ b/internal/stand/execu/execu.go
@@ -307,6 +307,7 @@
 	if f.TruncateNext > 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(truncatedLength))
 		_, _ = io.WriteString(w, "partial")
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	if x.isFailing(f) {
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -9,8 +9,10 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"crypto/ed25519"
+	"crypto/sha256"
 	"encoding/base64"
 	"fmt"
 	"io"
@@ -95,10 +97,9 @@
 
 // Start starts the system and returns once every instance answers; no bundle is in force yet.
 func Start(ctx context.Context, c Config) (*Fleet, error) {
-	_, key, err := ed25519.GenerateKey(nil)
-	if err != nil {
-		return nil, fault.Wrap(err, fault.CodeInternal, fault.NotRun, "make operator key")
-	}
+	// The key is the same in every run, so that the ids of bundles are as well. It signs for stand-ins only.
+	seed := sha256.Sum256([]byte("ibischute fleet"))
+	key := ed25519.NewKeyFromSeed(seed[:])
 	f := &Fleet{
 		Config: c, block: [2]int{16 + rand.IntN(200), rand.IntN(250)}, client: httpj.NewClient(httpj.Dialer(""), 64),
 		Key: key, processes: map[string]*process{}, peers: map[string]*tcprel.Relay{},
@@ -250,7 +251,7 @@
 	args := []string{
 		"serve", "--name", name, "--domain", domain, "--caller-address", f.CallerAddress(name),
 		"--peer-address", f.PeerAddress(name), "--operator-address", f.OperatorAddress(name),
-		"--root-key", "root=" + base64.StdEncoding.EncodeToString(f.Key.Public().(ed25519.PublicKey)),
+		"--root-key", "root=" + f.PublicKey(),
 		"--insecure-operator", "--log-level", "debug",
 	}
 	for _, d := range f.Domains {
@@ -431,8 +432,15 @@
 	return s, err
 }
 
-// Publish proposes a bundle and signs it off as the root operator.
-func (f *Fleet) Publish(ctx context.Context, via string, data []byte) error {
+// PublicKey returns the root operator's public key as bundles carry it.
+func (f *Fleet) PublicKey() string {
+	public, _ := f.Key.Public().(ed25519.PublicKey)
+	return base64.StdEncoding.EncodeToString(public)
+}
+
+// Publish proposes a bundle and signs it off as the root operator. $ROOT_PUBLIC in it stands for the operator's key.
+func (f *Fleet) Publish(ctx context.Context, via string, text []byte) error {
+	data := bytes.ReplaceAll(text, []byte("$ROOT_PUBLIC"), []byte(f.PublicKey()))
 	base := "http://" + f.OperatorAddress(via) + "/v1/bundles"
 	var out opersv.ProposeResponse
 	if err := httpj.Call(ctx, f.client, http.MethodPost, base, opersv.ProposeRequest{Bundle: data}, &out); err != nil {
--- a/internal/stand/tcprel/tcprel.go
+++ b/internal/stand/tcprel/tcprel.go
@@ -1,5 +1,5 @@
-// Package tcprel relays TCP connections and can cut them by the address of the sender, as a network partition does: a cut
-// connection stays open and passes nothing.
+// Package tcprel relays TCP connections and can cut them by the address of the sender, as a network partition does: a
+// cut connection stays open and passes nothing.
 //
 // # Usage
 //
--- a/internal/state/accept/accept.go
+++ b/internal/state/accept/accept.go
@@ -1,7 +1,7 @@
 // Package accept folds the config stream into the chain of accepted bundles.
 //
-// A proposal is accepted when enough distinct operators of the version in force have signed it off and its parent is the
-// version in force. The first proposal in the log to get there wins; every other child of the same parent is in
+// A proposal is accepted when enough distinct operators of the version in force have signed it off and its parent is
+// the version in force. The first proposal in the log to get there wins; every other child of the same parent is in
 // conflict from then on. The fold is pure and the same on every instance, and versions only rise.
 //
 // # Usage
--- a/internal/state/admit/admit.go
+++ b/internal/state/admit/admit.go
@@ -35,8 +35,8 @@
 	return &Limiter{buckets: buckets}
 }
 
-// Take takes one request out of the tenant's bucket, or returns after how long there will be one. The number of parts is
-// how many entry instances share the tenant's rate.
+// Take takes one request out of the tenant's bucket, or returns after how long there will be one. The number of parts
+// is how many entry instances share the tenant's rate.
 func (l *Limiter) Take(now tick.Time, t bundle.Tenant, parts int) (time.Duration, bool) {
 	parts = max(1, parts)
 	limit := rate.Limit(t.Rate / float64(parts))
--- a/internal/state/copies/copies.go
+++ b/internal/state/copies/copies.go
@@ -1,5 +1,5 @@
-// Package copies tracks which members of a domain an instance must have pulled replicated state from, so that the loss of
-// one member at a time loses nothing, and notices when more were lost than the copies cover.
+// Package copies tracks which members of a domain an instance must have pulled replicated state from, so that the
+// loss of one member at a time loses nothing, and notices when more were lost than the copies cover.
 //
 // State is written to a majority of the members before it counts. After a member is gone without having handed its
 // state over, every other member pulls from all that remain; until that is done a further loss may take the last copy.
@@ -67,8 +67,8 @@
 	return t.pending(v)
 }
 
-// restart begins the take-over by a new life. What it must pull is what the members before its join hold; those that its
-// own join ended, or that ended since, are found among the ended ones.
+// restart begins the take-over by a new life. What it must pull is what the members before its join hold; those that
+// its own join ended, or that ended since, are found among the ended ones.
 func (t *Tracker) restart(v view.View, self view.Member) {
 	t.inc, t.complete = self.Incarnation, false
 	t.seen = self.Joined
--- a/internal/state/intent/intent.go
+++ b/internal/state/intent/intent.go
@@ -1,7 +1,7 @@
 // Package intent keeps what is known about the requests behind idempotency keys.
 //
-// The owner of a key records that the request started before it dispatches it, and the answer after. The states of one key
-// are ordered by their sequence number; the higher one wins wherever two meet.
+// The owner of a key records that the request started before it dispatches it, and the answer after. The states of
+// one key are ordered by their sequence number; the higher one wins wherever two meet.
 //
 // # Usage
 //
@@ -61,7 +61,9 @@
 
 // Begin records that the request behind the key starts and reports true, or returns the state that the key already has.
 // A key whose earlier request is proved not to have run may start again.
-func (s *Store) Begin(now tick.Time, key ident.Key, fingerprint string, keep time.Duration) (*wire.Intent, bool, error) {
+func (s *Store) Begin(
+	now tick.Time, key ident.Key, fingerprint string, keep time.Duration,
+) (*wire.Intent, bool, error) {
 	old, ok := s.Get(now, key)
 	if ok && old.GetFingerprint() != fingerprint {
 		return nil, false, fault.New(fault.CodeConflict, fault.NotRun, "the idempotency key was used for another request")
--- a/internal/state/jobs/jobs.go
+++ b/internal/state/jobs/jobs.go
@@ -1,8 +1,8 @@
 // Package jobs folds a domain's job stream into the jobs and what is durable about their tasks.
 //
-// A job is in one named phase and leaves it only along the edges of the transition table; an illegal transition is a typed
-// error and changes nothing. Explicit machines with guarded edges make recovery a matter of reading one state; see
-// docs/design/batch.md, which cites the paper the idea is from.
+// A job is in one named phase and leaves it only along the edges of the transition table; an illegal transition is a
+// typed error and changes nothing. Explicit machines with guarded edges make recovery a matter of reading one state;
+// see docs/design/batch.md, which cites the paper the idea is from.
 //
 // # Usage
 //
--- a/internal/state/owner/owner.go
+++ b/internal/state/owner/owner.go
@@ -1,8 +1,8 @@
 // Package owner decides which keys an entry instance may act on.
 //
-// The winner of a key in the present View owns it, but acts on it only once no other instance can still be acting on it
-// under an older View: every other member has acknowledged a View in which the key is not its own, and every member that
-// was removed without a release has been out for long enough.
+// The winner of a key in the present View owns it, but acts on it only once no other instance can still be acting on
+// it under an older View: every other member has acknowledged a View in which the key is not its own, and every
+// member that was removed without a release has been out for long enough.
 //
 // # Usage
 //
--- a/internal/state/queue/queue.go
+++ b/internal/state/queue/queue.go
@@ -1,8 +1,8 @@
 // Package queue orders waiting requests by class priority, then fairly between tenants, then by deadline.
 //
-// Between the tenants of one priority it is start-time fair queueing: each tenant has a virtual time that advances by the
-// inverse of its share with every request it takes out, and the tenant with the lowest virtual time goes first. One
-// tenant's wave so delays the others by at most one request at a time.
+// Between the tenants of one priority it is start-time fair queueing: each tenant has a virtual time that advances by
+// the inverse of its share with every request it takes out, and the tenant with the lowest virtual time goes first.
+// One tenant's wave so delays the others by at most one request at a time.
 //
 // # Usage
 //
--- a/internal/state/tasks/reports.go
+++ b/internal/state/tasks/reports.go
@@ -36,8 +36,8 @@
 	quarantineTime       = 30 * time.Second
 )
 
-// Listed takes in a worker's list. The request for it was sent at the time given; what was confirmed later may be missing
-// from the list. Leases were renewed if renewed is true.
+// Listed takes in a worker's list. The request for it was sent at the time given; what was confirmed later may be
+// missing from the list. Leases were renewed if renewed is true.
 func (b *Board) Listed(now, sent tick.Time, name ident.Worker, list []Seen, renewed bool) {
 	w, ok := b.workers[name]
 	if !ok {
@@ -174,8 +174,8 @@
 	}
 }
 
-// Renewals returns the attempts on a worker whose leases are to be extended. None is while the worker is silent, so that
-// they run out in bounded time.
+// Renewals returns the attempts on a worker whose leases are to be extended. None is while the worker is silent, so
+// that they run out in bounded time.
 func (b *Board) Renewals(name ident.Worker) map[Key]Number {
 	w, ok := b.workers[name]
 	if !ok || w.silent {
--- a/internal/state/tasks/tasks.go
+++ b/internal/state/tasks/tasks.go
@@ -1,9 +1,9 @@
 // Package tasks decides which tasks start where, and never lets a task run in two places or a worker carry too much.
 //
-// A Board is a placer's knowledge: the workers, what they said they run, and the attempts that may run without the board
-// having seen them. A task may start again only after its last attempt is proved to have ended: the worker said so, the
-// worker confirmed a stop, or the attempt's lease has run out by the clock. The board is pure; its owner carries out the
-// actions of Plan and reports what came of them.
+// A Board is a placer's knowledge: the workers, what they said they run, and the attempts that may run without the
+// board having seen them. A task may start again only after its last attempt is proved to have ended: the worker said
+// so, the worker confirmed a stop, or the attempt's lease has run out by the clock. The board is pure; its owner
+// carries out the actions of Plan and reports what came of them.
 //
 // # Usage
 //
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -2,9 +2,9 @@
 //
 // The order of the log decides. The fold is pure and the same on every instance. A View is immutable.
 //
-// A joiner owns keys at once but takes part in votes only after a majority of the voting members has recorded that it
-// knows of the joiner. Without that rule a fence could gather its co-signatures from joiners that the promisers of the
-// fenced instance have never heard of.
+// A joiner takes part in votes and owns keys only after a majority of the voting members has admitted it. Without that
+// rule a fence could gather its co-signatures from joiners that the promisers of the fenced instance have never heard
+// of, and an instance that nobody can reach would own keys.
 //
 // # Usage
 //
@@ -29,7 +29,7 @@
 	Address     string
 	// Joined is the epoch that the member's join started.
 	Joined ident.Offset
-	// Voting reports whether the member counts in votes on fences.
+	// Voting reports whether the member counts in votes on fences and owns keys.
 	Voting bool
 }
 
@@ -96,17 +96,14 @@
 	return v.owners.Winner(string(key))
 }
 
-// voters returns the number of voting members.
-func (v View) voters() int {
-	n := 0
-	for _, m := range v.members {
-		if m.Voting {
-			n++
-		}
-	}
-	return n
+// voting returns the names of the voting members in order.
+func (v View) voting() []ident.Instance {
+	return slices.DeleteFunc(v.Names(), func(n ident.Instance) bool { return !v.members[n].Voting })
 }
 
+// voters returns the number of voting members.
+func (v View) voters() int { return len(v.voting()) }
+
 // FenceQuorum returns how many co-signatures a fence of the member needs: a majority of the other voting members.
 func (v View) FenceQuorum(target ident.Instance) int {
 	return majority(v.othersVoting(target, false))
@@ -150,7 +147,7 @@
 	}
 	if changed {
 		n.epoch = n.next
-		n.owners = rendez.New(n.Names())
+		n.owners = rendez.New(n.voting())
 	}
 	return n
 }
--- a/internal/web/entry/entry.go
+++ b/internal/web/entry/entry.go
@@ -46,6 +46,8 @@
 	controlConnections  = 4
 	hopConnections      = 512
 	maxPeerClients      = 512
+	// warmUpTime is the longest wait of a new instance before it takes requests with what it knows.
+	warmUpTime = 10 * time.Second
 )
 
 // Entry is an entry instance.
@@ -63,6 +65,8 @@
 	front    *front.Front
 	peersv   *peersv.Server
 	opersv   *opersv.Server
+	started  tick.Time
+	warm     atomic.Bool
 	draining atomic.Bool
 	drain    chan struct{}
 }
@@ -77,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{settings: s, logger: logger, meter: meter.New(), drain: make(chan struct{}, 1)}
+	e := &Entry{settings: s, logger: logger, meter: meter.New(), drain: make(chan struct{}, 1), started: tick.Now()}
 	dialer := httpj.Dialer(s.LocalIP())
 	platform := httpj.NewClient(dialer, platformConnections)
 	log := logio.NewHTTP(s.Platform, platform)
@@ -94,7 +98,8 @@
 	})
 	control := httpj.NewClient(dialer, controlConnections)
 	e.sched = sched.New(sched.Options{
-		Domain: ident.Domain(s.Domain), Own: e.member, Roster: e.lister.List, Logger: logger, Now: tick.Now,
+		Domain: ident.Domain(s.Domain), Own: e.member, Changed: e.member.Changed(), Roster: e.lister.List,
+		Logger: logger, Now: tick.Now,
 		Exec: execio.NewHTTP(execio.NewWork(s.LocalIP(), s.ExecutorConnections), control),
 	})
 	e.assembleRequests(s, dial)
@@ -132,7 +137,8 @@
 		Now: tick.Now, IsReady: e.IsReady,
 	})
 	e.peersv = peersv.New(peersv.Options{
-		Member: e.member, Sched: e.sched, Keyed: e.keyed, Rollout: e.rollout, Placer: e.placer, Now: tick.Now, Wall: tick.Wall,
+		Member: e.member, Sched: e.sched, Keyed: e.keyed, Rollout: e.rollout, Placer: e.placer, Now: tick.Now,
+		Wall: tick.Wall,
 	})
 	e.opersv = opersv.New(opersv.Options{
 		Name: ident.Instance(s.Name), Domain: ident.Domain(s.Domain), Token: token, Member: e.member, Sched: e.sched,
@@ -152,12 +158,26 @@
 	}
 }
 
-// IsReady reports whether the balancer should send callers here: a version is in force, and a way to an owner is known.
+// IsReady reports whether the balancer should send callers here. A new instance waits until it has taken over its
+// keys and knows an owner for each service, but no longer than warmUpTime; after that one reachable service is
+// enough.
 func (e *Entry) IsReady() bool {
-	if e.draining.Load() || e.rollout.InForce() == nil {
+	b := e.rollout.InForce()
+	if e.draining.Load() || b == nil {
 		return false
 	}
-	return e.member.IsJoined() || len(e.member.Peers(tick.Now())) > 0
+	now := tick.Now()
+	known := 0
+	for name := range b.Services {
+		if e.router.HasOwner(now, name) {
+			known++
+		}
+	}
+	isWarm := known == len(b.Services) && e.keyed.IsReady()
+	if isWarm {
+		e.warm.Store(true)
+	}
+	return e.warm.Load() && known > 0 || known > 0 && now.Sub(e.started) > warmUpTime
 }
 
 func (e *Entry) requestDrain() {
--- a/internal/web/entry/run.go
+++ b/internal/web/entry/run.go
@@ -6,6 +6,10 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"github.com/ibischute/ibischute/pkg/tick"
+
 	"github.com/ibischute/ibischute/pkg/fault"
 )
 
@@ -26,8 +30,8 @@
 	listener net.Listener
 }
 
-func (e *Entry) listen(name, address string, h http.Handler) (*server, error) {
-	l, err := net.Listen("tcp", address)
+func (e *Entry) listen(ctx context.Context, name, address string, h http.Handler) (*server, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.CodeSetting, fault.NotRun, "listen on --"+name+"-address")
 	}
@@ -38,7 +42,7 @@
 
 // Run serves until the context ends or a drain is asked for, and then stops gracefully.
 func (e *Entry) Run(ctx context.Context) error {
-	servers, err := e.listenAll()
+	servers, err := e.listenAll(ctx)
 	if err != nil {
 		return err
 	}
@@ -59,7 +63,9 @@
 	}
 	e.stop(work, servers)
 	stopWork()
-	<-services
+	if err := <-services; err != nil && !errors.Is(err, context.Canceled) {
+		e.logger.Warn().Err(err).Msg("services-ended")
+	}
 	if err := e.meter.Close(); err != nil {
 		e.logger.Debug().Err(err).Msg("metrics-not-closed")
 	}
@@ -67,7 +73,7 @@
 	return nil
 }
 
-func (e *Entry) listenAll() ([]*server, error) {
+func (e *Entry) listenAll(ctx context.Context) ([]*server, error) {
 	var out []*server
 	for _, s := range []struct {
 		name, address string
@@ -77,7 +83,7 @@
 		{"peer", e.settings.PeerBind, e.peersv.Handler()},
 		{"operator", e.settings.Operator, e.opersv.Handler()},
 	} {
-		srv, err := e.listen(s.name, s.address, s.handler)
+		srv, err := e.listen(ctx, s.name, s.address, s.handler)
 		if err != nil {
 			for _, open := range out {
 				_ = open.listener.Close()
@@ -102,14 +108,14 @@
 // stop hands over what the instance owns, takes requests until the others have noticed, and waits for those in flight.
 func (e *Entry) stop(ctx context.Context, servers []*server) {
 	e.logger.Info().Int("in-flight", e.front.InFlight()).Msg("stopping")
-	deadline := time.Now().Add(e.settings.DrainTime)
+	deadline := tick.Now().Add(e.settings.DrainTime)
 	e.draining.Store(true)
 	e.member.SetDraining()
 	e.sched.Stop()
 	e.keyed.Stop()
 	e.handOver(ctx)
 	e.member.Announce(ctx)
-	pause(ctx, min(noticeTime, time.Until(deadline)))
+	tick.Pause(ctx, min(noticeTime, deadline.Sub(tick.Now())))
 	e.awaitQuiet(ctx, deadline)
 	for _, s := range servers {
 		e.shutdown(ctx, s, deadline)
@@ -125,30 +131,21 @@
 	}
 }
 
-func (e *Entry) awaitQuiet(ctx context.Context, deadline time.Time) {
-	for time.Now().Before(deadline) {
+func (e *Entry) awaitQuiet(ctx context.Context, deadline tick.Time) {
+	for tick.Now().Before(deadline) {
 		if e.front.InFlight()+e.peersv.InFlight()+e.sched.InFlight() == 0 {
 			return
 		}
-		pause(ctx, quietInterval)
+		tick.Pause(ctx, quietInterval)
 	}
 	e.logger.Warn().Int("in-flight", e.front.InFlight()).Msg("drain-time-over")
 }
 
-func (e *Entry) shutdown(ctx context.Context, s *server, deadline time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, max(closeTime, time.Until(deadline)))
+func (e *Entry) shutdown(ctx context.Context, s *server, deadline tick.Time) {
+	ctx, cancel := context.WithTimeout(ctx, max(closeTime, deadline.Sub(tick.Now())))
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil {
 		e.logger.Warn().Err(err).Str("server", s.name).Msg("connections-cut")
 		_ = s.http.Close()
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/web/front/front.go
+++ b/internal/web/front/front.go
@@ -48,6 +48,8 @@
 	anonymous      = "anonymous"
 	maxKeyLength   = 256
 	maxNameLength  = 64
+	// usualRetryAfter is the advice in refusals that come with none.
+	usualRetryAfter = 500 * time.Millisecond
 	// maxRequests bounds the requests under way at one instance.
 	maxRequests = 8192
 )
@@ -145,13 +147,26 @@
 }
 
 func (f *Front) refuse(w http.ResponseWriter, c *call, err error) {
-	fe := fault.From(err)
+	fe := withAdvice(fault.From(err))
 	f.opts.Logger.Debug().Str("request", string(c.id)).Str("service", string(c.service)).
 		Str("class", string(c.class.Name)).Str("tenant", string(c.tenant.Name)).Str("code", string(fe.Code)).
 		Str("ran", string(fe.Ran)).Str("detail", fe.Detail).Msg("request-refused")
 	problem.Write(w, c.id, fe)
 }
 
+// withAdvice adds the time to come back to a refusal that is likely to pass.
+func withAdvice(e *fault.Error) *fault.Error {
+	if e.RetryAfter > 0 || e.Ran != fault.NotRun {
+		return e
+	}
+	switch e.Code {
+	case fault.CodeNoOwner, fault.CodeNoCapacity, fault.CodeNotSent, fault.CodeDraining, fault.CodeOverloaded,
+		fault.CodeNotReady, fault.CodeUnavailable:
+		return e.WithRetry(usualRetryAfter)
+	}
+	return e
+}
+
 func (f *Front) done(c *call, outcome string) {
 	took := f.opts.Now().Sub(c.began)
 	service := c.service
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -10,6 +10,7 @@
 package fault
 
 import (
+	"context"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -99,6 +100,17 @@
 	return Wrap(err, CodeInternal, Unknown, "unexpected failure")
 }
 
+// FromContext returns the failure of work whose context has ended.
+func FromContext(ctx context.Context, ran Ran) *Error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return New(CodeDeadline, ran, "the deadline passed").WithRetry(retryAfterDeadline)
+	}
+	return New(CodeCancelled, ran, "the caller left")
+}
+
+// retryAfterDeadline is the advice to a caller whose deadline passed.
+const retryAfterDeadline = 100 * time.Millisecond
+
 // IsErrCode reports whether err carries an Error with the code.
 func IsErrCode(err error, code Code) bool {
 	var fe *Error
--- a/pkg/tick/tick.go
+++ b/pkg/tick/tick.go
@@ -11,6 +11,7 @@
 package tick
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -44,3 +45,13 @@
 
 // After reports whether t is later than u.
 func (t Time) After(u Time) bool { return t > u }
+
+// Pause waits for the duration or until the context ends.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
