Count only the promises of voting members

Cause: in a view of two voting members and a joiner the joiner's promise kept a lease valid, though the other voting member alone makes up the quorum of a fence. Two instances could act on one key.

Ruled out: too short a wait after the fence (the promise stood long after it); a lost promise (it stood in the promiser's table).

Change: Keeper passes over promises of members that are not voting.

--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -38,6 +38,11 @@
 	epoch       ident.Offset
 }
 
+// stands reports whether the promise is from this life of the member, counts in the View and has not run out.
+func (p promise) stands(now tick.Time, m view.Member, v view.View) bool {
+	return p.incarnation == m.Incarnation && p.epoch <= v.Epoch() && now.Before(p.until)
+}
+
 // Keeper holds the evidence for an instance's own lease.
 type Keeper struct {
 	self     ident.Instance
@@ -74,7 +79,8 @@
 func (k *Keeper) IsValid(now tick.Time, v view.View) bool { return now.Before(k.Until(now, v)) }
 
 // Until returns the instant at which the lease lapses if no further evidence arrives. A promise from a member that
-// knows a newer View does not count, because that View may need more promises.
+// knows a newer View does not count, because that View may need more promises; neither does one from a member that is
+// not voting, because it keeps nobody else from making up a quorum.
 func (k *Keeper) Until(now tick.Time, v view.View) tick.Time {
 	var until tick.Time
 	if k.hasRead {
@@ -97,7 +103,7 @@
 	var standing []tick.Time
 	for _, m := range v.Members() {
 		p, ok := k.promises[m.Name]
-		if ok && m.Name != k.self && p.incarnation == m.Incarnation && p.epoch <= v.Epoch() && now.Before(p.until) {
+		if ok && m.Voting && m.Name != k.self && p.stands(now, m, v) {
 			standing = append(standing, p.until)
 		}
 	}
--- /dev/null
+++ b/internal/state/lease/lease_test.go
@@ -0,0 +1,74 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/internal/state/view"
+	"github.com/ibischute/ibischute/pkg/ident"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+const term = 2 * time.Second
+
+func member(name string) *wire.Member {
+	return &wire.Member{Name: name, Incarnation: 1, PeerAddress: name}
+}
+
+func join(name string) *wire.MemberRecord {
+	return &wire.MemberRecord{Kind: &wire.MemberRecord_Join{Join: &wire.Join{Member: member(name)}}}
+}
+
+func admit(by, joiner string) *wire.MemberRecord {
+	return &wire.MemberRecord{Kind: &wire.MemberRecord_Admit{Admit: &wire.Admit{By: member(by), Joiner: member(joiner)}}}
+}
+
+func fold(records ...*wire.MemberRecord) view.View {
+	v := view.View{}
+	for i, r := range records {
+		v = v.Apply(r, ident.Offset(i))
+	}
+	return v
+}
+
+// TestPromiseOfJoinerDoesNotCount is the case that the model found with seed 14372: in a view of two voting members and
+// a joiner, the other voting member alone can fence.
+func TestPromiseOfJoinerDoesNotCount(t *testing.T) {
+	v := fold(join("a"), join("b"), admit("a", "b"), join("c"))
+	k := NewKeeper("a", term)
+	k.Promise("c", 1, 100, v.Epoch())
+	assert.Assert(t, !k.IsValid(50, v), "the promise of a joiner keeps nobody from fencing")
+	k.Promise("b", 1, 100, v.Epoch())
+	assert.Assert(t, k.IsValid(50, v))
+	assert.Assert(t, !k.IsValid(100, v), "a promise that has run out does not count")
+}
+
+func TestPromiseOfNewerViewDoesNotCount(t *testing.T) {
+	v := fold(join("a"), join("b"), admit("a", "b"))
+	k := NewKeeper("a", term)
+	k.Promise("b", 1, 100, v.Epoch()+1)
+	assert.Assert(t, !k.IsValid(50, v))
+}
+
+func TestReadKeepsTheLeaseForOneTerm(t *testing.T) {
+	v := fold(join("a"), join("b"), admit("a", "b"))
+	k := NewKeeper("a", term)
+	k.Read(10)
+	assert.Equal(t, k.Until(10, v), tick.Time(10).Add(term))
+	k.Reset()
+	assert.Assert(t, !k.IsValid(11, v))
+}
+
+func TestGrantorKeepsItsPromise(t *testing.T) {
+	g := NewGrantor(0, term)
+	start := tick.Time(0).Add(WithDrift(term))
+	assert.Assert(t, !g.CoSign(start-1, "a", 1), "an earlier life may have promised")
+	assert.Equal(t, g.Promise(start, "a", 1, term), term)
+	assert.Assert(t, !g.CoSign(start.Add(term), "a", 1), "the promise runs for a term on the slower clock")
+	assert.Assert(t, g.CoSign(start.Add(WithDrift(term)), "a", 1))
+	assert.Equal(t, g.Promise(start.Add(2*term), "a", 1, term), time.Duration(0), "co-signed, so no promise")
+	assert.Equal(t, g.Promise(start.Add(2*term), "a", 2, term), term, "a later life is another matter")
+}
