Do not count promises of members that may have been fenced

Cause: of five members, n0 was cut off from the log with the promises of n2 and n3. n3 had co-signed a fence of n2 before; once that fence was in the log, the quorum for a fence of n0 was smaller and n1 and n4 made it up. Two instances could act on one key.

Ruled out: quorums of all members instead of the others (the overlap of two majorities does not tell n0 either; and a view of two could never fence).

Change: a member tells with its promise whose fences it has co-signed, and a Keeper passes over the promises of those, and of those whose fences its own instance has co-signed. Every quorum for the fence of a promiser that the holder has not signed itself has another promiser in it (docs/design/ownership.md). Test: TestPromiseOfFencedPromiserDoesNotCount, failed before, passes now.

--- a/internal/services/member/beat.go
+++ b/internal/services/member/beat.go
@@ -154,7 +154,15 @@
 	from := res.GetState().GetMember()
 	until := sent.Add(time.Duration(res.GetPromisedMs()) * time.Millisecond)
 	m.keeper.Promise(ident.Instance(from.GetName()), ident.Incarnation(from.GetIncarnation()), until,
-		ident.Offset(res.GetState().GetViewOffset()))
+		ident.Offset(res.GetState().GetViewOffset()), toNames(res.GetSigned()))
+}
+
+func toNames(names []string) []ident.Instance {
+	out := make([]ident.Instance, 0, len(names))
+	for _, n := range names {
+		out = append(out, ident.Instance(n))
+	}
+	return out
 }
 
 // State returns what this instance states in heartbeats.
@@ -323,8 +331,13 @@
 		promised = m.grantor.Promise(now, ident.Instance(from.GetName()), ident.Incarnation(from.GetIncarnation()),
 			time.Duration(req.GetPromiseMs())*time.Millisecond)
 	}
+	res := &wire.ExchangeResponse{PromisedMs: uint32(promised.Milliseconds())}
+	for _, name := range m.grantor.Signed() {
+		res.Signed = append(res.Signed, string(name))
+	}
 	m.mu.Unlock()
-	return &wire.ExchangeResponse{State: m.State(now), PromisedMs: uint32(promised.Milliseconds())}
+	res.State = m.State(now)
+	return res
 }
 
 // HandleCoSign decides on a co-signature.
--- a/internal/services/member/member.go
+++ b/internal/services/member/member.go
@@ -109,12 +109,12 @@
 
 // New returns a Member that has not joined yet.
 func New(o Options) *Member {
-	now := o.Now()
+	grantor := lease.NewGrantor(o.Now(), o.Term)
 	return &Member{
 		opts: o, inc: o.Incarnation, calls: suprv.NewGroup(maxExchanges), changed: make(chan struct{}, 1),
 		viewChanged: make(chan struct{}, 1),
 		table:       owner.NewTable(o.Self, lease.WithDrift(o.Term)),
-		keeper:      lease.NewKeeper(o.Self, o.Term), grantor: lease.NewGrantor(now, o.Term),
+		keeper:      lease.NewKeeper(o.Self, o.Term, grantor), grantor: grantor,
 		peers: map[string]*Peer{}, inFlight: map[string]bool{},
 		suspected: map[ident.Instance]tick.Time{}, heardAt: map[ident.Instance]tick.Time{},
 	}
--- a/internal/stand/execu/execu.go
+++ b/internal/stand/execu/execu.go
@@ -61,17 +61,19 @@
 
 // Report is what the stand-in has seen.
 type Report struct {
-	Name        string   `json:"name"`
-	Ran         int      `json:"ran"`
-	Finished    int      `json:"finished"`
-	Aborted     int      `json:"aborted"`
-	Running     int      `json:"running"`
-	PeakSlots   int      `json:"peak-slots"`
-	Connections int      `json:"connections"`
-	PeakConns   int      `json:"peak-connections"`
-	AfterLeave  int      `json:"after-leave"`
-	BusyMS      int64    `json:"busy-ms"`
-	Violations  []string `json:"violations"`
+	Name        string `json:"name"`
+	Ran         int    `json:"ran"`
+	Finished    int    `json:"finished"`
+	Aborted     int    `json:"aborted"`
+	Running     int    `json:"running"`
+	PeakSlots   int    `json:"peak-slots"`
+	Connections int    `json:"connections"`
+	PeakConns   int    `json:"peak-connections"`
+	AfterLeave  int    `json:"after-leave"`
+	BusyMS      int64  `json:"busy-ms"`
+	// WastedMS is the slot time after the callers had left, as they announced it in advance.
+	WastedMS   int64    `json:"wasted-ms"`
+	Violations []string `json:"violations"`
 }
 
 type run struct {
@@ -90,6 +92,7 @@
 	ranByKey  map[string]int
 	failCount float64
 	busy      time.Duration
+	wasted    time.Duration
 }
 
 // New returns an Executor.
@@ -136,6 +139,7 @@
 	r := x.report
 	r.Running = len(x.running)
 	r.BusyMS = x.busy.Milliseconds()
+	r.WastedMS = x.wasted.Milliseconds()
 	r.Violations = append([]string{}, x.report.Violations...)
 	return r
 }
@@ -221,7 +225,7 @@
 	f := x.begin(id, r, rn)
 	started := time.Now()
 	finished := x.work(ctx, r, f)
-	x.end(id, rn, finished, time.Since(started))
+	x.end(id, rn, finished, time.Since(started), afterLeave(r, started))
 	if finished {
 		x.answer(w, r, f, body)
 	}
@@ -283,7 +287,23 @@
 	}
 }
 
-func (x *Executor) end(id string, rn *run, finished bool, took time.Duration) {
+// HeaderLeave announces the calendar time in microseconds at which the caller is going to leave.
+const HeaderLeave = "Stand-Leave-At-Us"
+
+// afterLeave returns the slot time that was spent after the caller had left.
+func afterLeave(r *http.Request, started time.Time) time.Duration {
+	us, err := strconv.ParseInt(r.Header.Get(HeaderLeave), 10, 64)
+	if err != nil {
+		return 0
+	}
+	from := time.UnixMicro(us)
+	if from.Before(started) {
+		from = started
+	}
+	return max(0, time.Since(from))
+}
+
+func (x *Executor) end(id string, rn *run, finished bool, took, wasted time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.running[id] == rn {
@@ -292,6 +312,7 @@
 		delete(x.running, id+"/again")
 	}
 	x.busy += took
+	x.wasted += wasted
 	if finished {
 		x.report.Finished++
 	} else {
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -10,13 +10,15 @@
 //
 // # Usage
 //
-//	k := lease.NewKeeper("cat-1", term)
+//	k := lease.NewKeeper("cat-1", term, grantor)
 //	k.Read(startOfRead)
-//	k.Promise("cat-2", until, peerEpoch)
+//	k.Promise("cat-2", incarnation, until, peerEpoch, signed)
 //	if k.IsValid(now, view) { send() }
 package lease
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/ibischute/ibischute/internal/state/view"
@@ -36,6 +38,8 @@
 	incarnation ident.Incarnation
 	until       tick.Time
 	epoch       ident.Offset
+	// signed are the members whose fences the promiser has co-signed.
+	signed []ident.Instance
 }
 
 // stands reports whether the promise is from this life of the member, counts in the View and has not run out.
@@ -49,12 +53,13 @@
 	term     time.Duration
 	readAt   tick.Time
 	hasRead  bool
+	grantor  *Grantor
 	promises map[ident.Instance]promise
 }
 
-// NewKeeper returns a Keeper without any evidence.
-func NewKeeper(self ident.Instance, term time.Duration) *Keeper {
-	return &Keeper{self: self, term: term, promises: map[ident.Instance]promise{}}
+// NewKeeper returns a Keeper without any evidence; the Grantor is the same instance's.
+func NewKeeper(self ident.Instance, term time.Duration, g *Grantor) *Keeper {
+	return &Keeper{self: self, term: term, grantor: g, promises: map[ident.Instance]promise{}}
 }
 
 // Read records that a read of the stream up to its end started at the time given.
@@ -64,9 +69,12 @@
 	}
 }
 
-// Promise records that the incarnation of a member, whose View had the epoch, will not co-sign before until.
-func (k *Keeper) Promise(from ident.Instance, inc ident.Incarnation, until tick.Time, epoch ident.Offset) {
-	k.promises[from] = promise{incarnation: inc, until: until, epoch: epoch}
+// Promise records that the incarnation of a member, whose View had the epoch and that has co-signed the fences of the
+// members given, will not co-sign a fence of this instance before until.
+func (k *Keeper) Promise(
+	from ident.Instance, inc ident.Incarnation, until tick.Time, epoch ident.Offset, signed []ident.Instance,
+) {
+	k.promises[from] = promise{incarnation: inc, until: until, epoch: epoch, signed: signed}
 }
 
 // Reset drops all evidence; for a new incarnation.
@@ -100,16 +108,37 @@
 	if need == 0 {
 		return now.Add(k.term)
 	}
+	doubtful := k.doubtful(now, v)
 	var standing []tick.Time
 	for _, m := range v.Members() {
 		p, ok := k.promises[m.Name]
-		if ok && m.Voting && m.Name != k.self && p.stands(now, m, v) {
+		if ok && m.Voting && m.Name != k.self && !doubtful[m.Name] && p.stands(now, m, v) {
 			standing = append(standing, p.until)
 		}
 	}
 	return nthLatest(standing, need)
 }
 
+// doubtful returns the members that may have been fenced without this instance's knowledge, because it or one of its
+// promisers has co-signed their fence. Their promises do not count: without them the quorum for a fence is smaller. A
+// fence that none of the promisers has co-signed cannot have gathered its own quorum.
+func (k *Keeper) doubtful(now tick.Time, v view.View) map[ident.Instance]bool {
+	out := map[ident.Instance]bool{}
+	for _, name := range k.grantor.Signed() {
+		out[name] = true
+	}
+	for _, m := range v.Members() {
+		p, ok := k.promises[m.Name]
+		if !ok || !p.stands(now, m, v) {
+			continue
+		}
+		for _, name := range p.signed {
+			out[name] = true
+		}
+	}
+	return out
+}
+
 // nthLatest returns the n-th latest of the times, or zero if there are fewer.
 func nthLatest(times []tick.Time, n int) tick.Time {
 	if len(times) < n {
@@ -179,6 +208,9 @@
 	return true
 }
 
+// Signed returns the members whose fences were co-signed and that are not forgotten.
+func (g *Grantor) Signed() []ident.Instance { return slices.Sorted(maps.Keys(g.signed)) }
+
 // Forget drops what is kept about instances that are not members any more.
 func (g *Grantor) Forget(now tick.Time, v view.View) {
 	for name, p := range g.granted {
--- a/internal/state/lease/lease_test.go
+++ b/internal/state/lease/lease_test.go
@@ -38,24 +38,24 @@
 // a joiner, the other voting member alone can fence.
 func TestPromiseOfJoinerDoesNotCount(t *testing.T) {
 	v := fold(join("a"), join("b"), admit("a", "b"), join("c"))
-	k := NewKeeper("a", term)
-	k.Promise("c", 1, 100, v.Epoch())
+	k := NewKeeper("a", term, NewGrantor(0, term))
+	k.Promise("c", 1, 100, v.Epoch(), nil)
 	assert.Assert(t, !k.IsValid(50, v), "the promise of a joiner keeps nobody from fencing")
-	k.Promise("b", 1, 100, v.Epoch())
+	k.Promise("b", 1, 100, v.Epoch(), nil)
 	assert.Assert(t, k.IsValid(50, v))
 	assert.Assert(t, !k.IsValid(100, v), "a promise that has run out does not count")
 }
 
 func TestPromiseOfNewerViewDoesNotCount(t *testing.T) {
 	v := fold(join("a"), join("b"), admit("a", "b"))
-	k := NewKeeper("a", term)
-	k.Promise("b", 1, 100, v.Epoch()+1)
+	k := NewKeeper("a", term, NewGrantor(0, term))
+	k.Promise("b", 1, 100, v.Epoch()+1, nil)
 	assert.Assert(t, !k.IsValid(50, v))
 }
 
 func TestReadKeepsTheLeaseForOneTerm(t *testing.T) {
 	v := fold(join("a"), join("b"), admit("a", "b"))
-	k := NewKeeper("a", term)
+	k := NewKeeper("a", term, NewGrantor(0, term))
 	k.Read(10)
 	assert.Equal(t, k.Until(10, v), tick.Time(10).Add(term))
 	k.Reset()
@@ -72,3 +72,18 @@
 	assert.Equal(t, g.Promise(start.Add(2*term), "a", 1, term), time.Duration(0), "co-signed, so no promise")
 	assert.Equal(t, g.Promise(start.Add(2*term), "a", 2, term), term, "a later life is another matter")
 }
+
+// TestPromiseOfFencedPromiserDoesNotCount is the case that the model found with seed 1597589: of five members, one
+// promiser was fenced with the signature of the other, which makes the quorum for a fence of this instance smaller.
+func TestPromiseOfFencedPromiserDoesNotCount(t *testing.T) {
+	v := fold(join("a"), join("b"), admit("a", "b"), join("c"), admit("a", "c"), admit("b", "c"),
+		join("d"), admit("a", "d"), admit("b", "d"), join("e"), admit("a", "e"), admit("b", "e"), admit("c", "e"))
+	k := NewKeeper("a", term, NewGrantor(0, term))
+	k.Promise("b", 1, 100, v.Epoch(), nil)
+	k.Promise("c", 1, 100, v.Epoch(), nil)
+	assert.Assert(t, k.IsValid(50, v))
+	k.Promise("c", 1, 100, v.Epoch(), []ident.Instance{"b"})
+	assert.Assert(t, !k.IsValid(50, v), "b may be fenced")
+	k.Promise("d", 1, 100, v.Epoch(), nil)
+	assert.Assert(t, k.IsValid(50, v), "c and d suffice")
+}
