Drive the placer's board through random schedules

Cause: one place at a time and hard capacity rested on an argument alone. Change: a model of workers that do what the platform promises, with lost calls, slow answers, leases that run out, restarts of workers and changes of placers.

--- /dev/null
+++ b/internal/state/tasks/model_test.go
@@ -0,0 +1,302 @@
+package tasks
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ibischute/ibischute/internal/state/lease"
+	"github.com/ibischute/ibischute/pkg/demand"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "7", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	modelLease = 2 * time.Second
+	modelTasks = 6
+)
+
+var modelCapacity = demand.Vector{CPU: 4, Memory: 4, Accelerators: 1}
+
+type modelAttempt struct {
+	key    Key
+	number Number
+	size   demand.Vector
+	until  tick.Time
+	state  SeenState
+}
+
+type modelWorker struct {
+	name     ident.Worker
+	attempts []*modelAttempt
+}
+
+// model is a set of workers that do what the platform promises, and a placer that may change at any time.
+type model struct {
+	t       *rapid.T
+	now     tick.Time
+	epoch   ident.Offset
+	board   *Board
+	workers []*modelWorker
+	done    map[Key]bool
+	sizes   map[Key]demand.Vector
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{t: t, done: map[Key]bool{}, sizes: map[Key]demand.Vector{}, now: 1}
+	for i := range rapid.IntRange(1, 3).Draw(t, "workers") {
+		m.workers = append(m.workers, &modelWorker{name: ident.Worker(fmt.Sprintf("w%d", i))})
+	}
+	for i := range modelTasks {
+		m.sizes[Key{Job: "j", Index: uint32(i)}] = demand.Vector{
+			CPU: demand.MilliCPU(rapid.IntRange(1, 3).Draw(t, "cpu")), Memory: 1,
+		}
+	}
+	m.changePlacer()
+	return m
+}
+
+// changePlacer starts a new placer, which knows only what is in the log.
+func (m *model) changePlacer() {
+	m.epoch++
+	m.board = NewBoard(Options{Epoch: m.epoch, Lease: lease.WithDrift(modelLease), Since: m.now})
+	for _, w := range m.workers {
+		m.board.PutWorker(Worker{Name: w.name, Capacity: modelCapacity})
+	}
+	for i := range modelTasks {
+		k := Key{Job: "j", Index: uint32(i)}
+		if !m.done[k] {
+			m.board.PutTask(Spec{Key: k, Size: m.sizes[k], Team: "t"})
+		}
+	}
+}
+
+func (m *model) worker(label string) *modelWorker {
+	return m.workers[rapid.IntRange(0, len(m.workers)-1).Draw(m.t, label)]
+}
+
+func (m *model) find(name ident.Worker) *modelWorker {
+	for _, w := range m.workers {
+		if w.name == name {
+			return w
+		}
+	}
+	return nil
+}
+
+func (w *modelWorker) attempt(k Key, n Number) *modelAttempt {
+	for _, a := range w.attempts {
+		if a.key == k && a.number == n {
+			return a
+		}
+	}
+	return nil
+}
+
+var (
+	errLost    = fault.New(fault.CodeUnknownOutcome, fault.Unknown, "lost")
+	errNotSent = fault.New(fault.CodeUnavailable, fault.NotRun, "down")
+)
+
+// act carries out the board's plan; any call may get lost on its way there or back.
+func (m *model) act() {
+	for _, a := range m.board.Plan(m.now) {
+		err := m.carryOut(a)
+		switch a.Kind {
+		case KindStart:
+			m.board.Started(m.now, a.Task.Spec.Key, a.Number, err)
+		case KindStop:
+			m.board.Stopped(a.Task.Spec.Key, a.Number, err)
+		}
+	}
+}
+
+func (m *model) carryOut(a Action) error {
+	way := rapid.SampledFrom([]string{"ok", "ok", "lost-request", "lost-answer", "down"}).Draw(m.t, "call")
+	switch way {
+	case "lost-request":
+		return errLost
+	case "down":
+		return errNotSent
+	}
+	w := m.find(a.Worker)
+	if a.Kind == KindStart {
+		m.start(w, a)
+	} else if at := w.attempt(a.Task.Spec.Key, a.Number); at != nil && at.state == SeenRunning {
+		at.state = SeenEnded
+	}
+	if way == "lost-answer" {
+		return errLost
+	}
+	return nil
+}
+
+// start is idempotent at one worker, as the platform promises.
+func (m *model) start(w *modelWorker, a Action) {
+	if w.attempt(a.Task.Spec.Key, a.Number) != nil {
+		return
+	}
+	if m.done[a.Task.Spec.Key] {
+		m.t.Fatalf("%v starts after it was recorded as done", a.Task.Spec.Key)
+	}
+	w.attempts = append(w.attempts, &modelAttempt{
+		key: a.Task.Spec.Key, number: a.Number, size: a.Task.Spec.Size, until: m.now.Add(modelLease), state: SeenRunning,
+	})
+	m.check()
+}
+
+// sync lists a worker and renews its leases.
+func (m *model) sync(w *modelWorker) {
+	renew := m.board.Renewals(w.name)
+	sent := m.now
+	way := rapid.SampledFrom([]string{"ok", "ok", "ok", "lost-request", "lost-answer"}).Draw(m.t, "sync")
+	var list []Seen
+	if way != "lost-request" {
+		for k, n := range renew {
+			if a := w.attempt(k, n); a != nil && a.state == SeenRunning {
+				a.until = m.now.Add(modelLease)
+			}
+		}
+		for _, a := range w.attempts {
+			list = append(list, Seen{Key: a.key, Number: a.number, State: a.state, Size: a.size, Name: fmt.Sprint(a.key, a.number)})
+		}
+	}
+	if rapid.Bool().Draw(m.t, "slow") {
+		m.act()
+		m.advance(time.Duration(rapid.Int64Range(0, int64(modelLease)).Draw(m.t, "took")))
+	}
+	if way != "ok" {
+		m.board.Unreachable(m.now, w.name, len(renew) > 0)
+		return
+	}
+	m.board.Listed(m.now, sent, w.name, list, len(renew) > 0)
+}
+
+func (m *model) advance(d time.Duration) {
+	m.now = m.now.Add(d)
+	for _, w := range m.workers {
+		for _, a := range w.attempts {
+			if a.state == SeenRunning && m.now.After(a.until) {
+				a.state = SeenEnded
+			}
+		}
+	}
+}
+
+// record writes the finished tasks to the log, as the placer does.
+func (m *model) record() {
+	for _, t := range m.board.Finished() {
+		m.done[t.Spec.Key] = true
+		m.board.DropTask(t.Spec.Key)
+	}
+}
+
+// check is the promise: one place at a time, and no worker over its capacity.
+func (m *model) check() {
+	places := map[Key]int{}
+	for _, w := range m.workers {
+		var used demand.Vector
+		for _, a := range w.attempts {
+			if a.state == SeenRunning {
+				places[a.key]++
+				used = used.Plus(a.size)
+			}
+		}
+		if !used.Fits(modelCapacity) {
+			m.t.Fatalf("%s carries %v of %v", w.name, used, modelCapacity)
+		}
+	}
+	for k, n := range places {
+		if n > 1 {
+			m.t.Fatalf("%v runs in %d places", k, n)
+		}
+	}
+}
+
+func (m *model) step() {
+	switch rapid.SampledFrom([]string{
+		"act", "act", "sync", "sync", "sync", "advance", "end", "worker-restart", "placer", "record", "drop",
+	}).Draw(m.t, "step") {
+	case "act":
+		m.act()
+	case "sync":
+		m.sync(m.worker("synced"))
+	case "advance":
+		m.advance(time.Duration(rapid.Int64Range(0, int64(modelLease)).Draw(m.t, "advance")))
+	case "end":
+		w := m.worker("ends")
+		if len(w.attempts) > 0 {
+			a := w.attempts[rapid.IntRange(0, len(w.attempts)-1).Draw(m.t, "attempt")]
+			if a.state == SeenRunning {
+				a.state = rapid.SampledFrom([]SeenState{SeenFinished, SeenFailed}).Draw(m.t, "end-state")
+			}
+		}
+	case "worker-restart":
+		m.worker("restarts").attempts = nil
+	case "placer":
+		m.changePlacer()
+	case "record":
+		m.record()
+	case "drop":
+		k := Key{Job: "j", Index: uint32(rapid.IntRange(0, modelTasks-1).Draw(m.t, "dropped"))}
+		m.done[k] = true
+		m.board.DropTask(k)
+	}
+	m.check()
+}
+
+// TestOnePlaceAtATime drives the board through random schedules of lost calls, slow answers, leases that run out, workers
+// that restart and placers that change.
+func TestOnePlaceAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			m.step()
+		}
+	})
+}
+
+// TestCalmBoardRunsEverything shows that the model is not empty: without faults every task that fits finishes.
+func TestCalmBoardRunsEverything(t *testing.T) {
+	b := NewBoard(Options{Epoch: 1, Lease: modelLease, Since: 1})
+	b.PutWorker(Worker{Name: "w", Capacity: modelCapacity})
+	now := tick.Time(2)
+	b.Listed(now, now, "w", nil, false)
+	for i := range modelTasks {
+		b.PutTask(Spec{Key: Key{Job: "j", Index: uint32(i)}, Size: demand.Vector{CPU: 2, Memory: 1}})
+	}
+	finished := 0
+	for range modelTasks {
+		var list []Seen
+		for _, a := range b.Plan(now) {
+			b.Started(now, a.Task.Spec.Key, a.Number, nil)
+			list = append(list, Seen{Key: a.Task.Spec.Key, Number: a.Number, State: SeenFinished})
+		}
+		now = now.Add(time.Second)
+		b.Listed(now, now, "w", list, true)
+		for _, t := range b.Finished() {
+			b.DropTask(t.Spec.Key)
+			finished++
+		}
+	}
+	if finished != modelTasks {
+		t.Fatalf("%d of %d tasks finished", finished, modelTasks)
+	}
+}
