--- a/internal/scenar/commands_test.go
+++ b/internal/scenar/commands_test.go
@@ -75,6 +75,7 @@
 		"await-job": cmdAwaitJob, "await-lease": cmdAwaitLease, "submit": cmdSubmit, "load": cmdLoad, "verdict": cmdVerdict,
 		"owner-of": cmdOwnerOf, "ibischute": cmdIbischute, "await-idle": cmdAwaitIdle, "pause": cmdPause,
 		"placer-of": cmdPlacerOf, "await-owners-alive": cmdAwaitOwnersAlive, "await-members-alive": cmdAwaitMembersAlive,
+		"await-job-alive": cmdAwaitJobAlive, "call-until-alive": cmdCallUntilAlive,
 		"ran-mark": cmdRanMark, "ran-since": cmdRanSince, "key-owner": cmdKeyOwner, "call-until": cmdCallUntil,
 	} {
 		out[name] = func(ts *testscript.TestScript, neg bool, args []string) {
@@ -114,7 +115,7 @@
 	return n
 }
 
-// fleet domains=a,b entries=3 executors=2 workers=2 service-ms=5 cuttable=yes retain=N no-abort=yes args=--flag,value
+// fleet domains=a,b entries=3 executors=2 workers=2 service-ms=5 cuttable=yes retain=N no-abort=yes seeds=yes args=--flag,value
 func cmdFleet(ts *testscript.TestScript, s *session, args []string) {
 	o, _ := options(args)
 	c := fleet.Config{
@@ -124,6 +125,9 @@
 		ServiceTime: time.Duration(number(ts, o["service-ms"], 5)) * time.Millisecond,
 		Cuttable:    o["cuttable"] == "yes", NoAbort: o["no-abort"] == "yes", Retain: number(ts, o["retain"], 0),
 	}
+	if o["seeds"] == "yes" {
+		c.SeedAll = true
+	}
 	if o["args"] != "" {
 		c.EntryArgs = strings.Split(o["args"], ",")
 	}
@@ -508,6 +512,16 @@
 	})
 }
 
+// await-job-alive ID PHASE: the same at an instance that runs.
+func cmdAwaitJobAlive(ts *testscript.TestScript, s *session, args []string) {
+	cmdAwaitJob(ts, s, append(s.alive()[:1], args...))
+}
+
+// call-until-alive WORD METHOD PATH ARGS: repeats a call at an instance that runs until its outcome holds the word.
+func cmdCallUntilAlive(ts *testscript.TestScript, s *session, args []string) {
+	cmdCallUntil(ts, s, append([]string{args[0], s.alive()[0]}, args[1:]...))
+}
+
 // verdict: fails if the stand-ins have seen a violation, or if the load got a wrong answer.
 func cmdVerdict(ts *testscript.TestScript, s *session, _ []string) {
 	v, err := s.fleet.Check(s.ctx)
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -53,6 +53,8 @@
 	Cuttable bool
 	ListLag  time.Duration
 	Retain   int
+	// SeedAll names all entry instances as seeds to each other.
+	SeedAll bool
 	// EntryArgs are further flags of the entry instances.
 	EntryArgs []string
 }
@@ -264,6 +266,11 @@
 		}
 		args = append(args, "--peer-listen", fmt.Sprintf("%s:%d", f.EntryIP(name), innerPeerPort))
 	}
+	if f.SeedAll {
+		for _, n := range f.EntryNames() {
+			args = append(args, "--seed", f.PeerAddress(n))
+		}
+	}
 	args = append(args, "--platform", platform)
 	return f.spawn(name, f.Ibischute, append(args, f.EntryArgs...))
 }
