Bring the control traffic of an entry instance below 10 KB/s

Cause: an idle instance of nine spent 14 to 17 KB/s on control (goal 10 KB/s): the whole instance list every second, three tails that polled once or twice a second, heartbeats with the other domains from both sides every 1.6 s.

Ruled out: compression (the messages are small; headers are most of them).

Change: the list is fetched by entity tag; the tails wait for up to 10 s, the member tail for half a lease term; one side begins the heartbeat with another domain, every 3 s; executors are asked for their load at most five times a second by one owner. A new placer reads its stream to the end at once.

--- a/cmd/ibistand/load.go
+++ b/cmd/ibistand/load.go
@@ -17,6 +17,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/ibischute/ibischute/internal/modules/execio"
 	"github.com/ibischute/ibischute/internal/modules/httpj"
 	"github.com/ibischute/ibischute/internal/stand/execu"
 	"github.com/ibischute/ibischute/internal/stand/fleet"
@@ -67,7 +68,7 @@
 	{name: "best", ways: []way{wayIbischute}, load: 0.9},
 	{name: "overload", ways: []way{wayRoundRobin, wayLeastOwn, wayIbischute}, load: 2},
 	{name: "slow", ways: []way{wayRoundRobin, wayLeastOwn, wayIbischute}, load: 0.5, slow: 10},
-	{name: "cancel", ways: []way{wayIbischute}, load: 0.6, cancelled: 0.8},
+	{name: "cancel", ways: []way{wayDirect, wayIbischute}, load: 0.6, cancelled: 0.8},
 }
 
 // figures are the results of one run.
@@ -81,6 +82,8 @@
 	goodput    float64
 	wasted     float64
 	violations int
+	// perCore is the answers for each second of processor time of the entry instances.
+	perCore float64
 }
 
 // Execute implements flags.Commander.
@@ -122,13 +125,37 @@
 	capacity := float64(c.Executors*slotsPerExecutor) / (c.ServiceMS / 1000)
 	rate := x.load * capacity
 	s := newSender(c, f, w, x)
+	before, err := entryCPU(ctx, f)
+	if err != nil {
+		return figures{}, err
+	}
 	began := time.Now()
 	s.sendAll(ctx, rate, c.Duration)
+	took := time.Since(began)
+	after, err := entryCPU(ctx, f)
+	if err != nil {
+		return figures{}, err
+	}
 	verdict, err := f.Check(ctx)
 	if err != nil {
 		return figures{}, err
 	}
-	return s.figures(x, w, rate, time.Since(began), verdict), nil
+	out := s.figures(x, w, rate, took, verdict)
+	out.perCore = float64(s.counts["answered"]) / (after - before).Seconds()
+	return out, nil
+}
+
+// entryCPU returns the processor time that the entry instances have used.
+func entryCPU(ctx context.Context, f *fleet.Fleet) (time.Duration, error) {
+	var sum time.Duration
+	for _, n := range f.EntryNames() {
+		u, err := f.Usage(ctx, n)
+		if err != nil {
+			return 0, err
+		}
+		sum += u.CPU
+	}
+	return sum, nil
 }
 
 func (c *loadCommand) system(ctx context.Context) (*fleet.Fleet, func(), error) {
@@ -156,7 +183,7 @@
 		f.Close()
 		_ = os.RemoveAll(dir)
 	}
-	if err := f.Publish(ctx, "a-1", []byte(loadBundle)); err == nil {
+	if err = f.Publish(ctx, "a-1", []byte(loadBundle)); err == nil {
 		err = f.AwaitReady(ctx, f.EntryNames()...)
 	}
 	if err != nil {
@@ -331,6 +358,9 @@
 		return "failed"
 	}
 	req.Header.Set("Stand-Service-Ms", strconv.FormatFloat(float64(work)/float64(time.Millisecond), 'f', 3, 64))
+	if s.way == wayDirect || s.way == wayRoundRobin || s.way == wayLeastOwn {
+		req.Header.Set(execio.HeaderRequestID, strconv.Itoa(i))
+	}
 	if !leaveAt.IsZero() {
 		req.Header.Set(execu.HeaderLeave, strconv.FormatInt(leaveAt.UnixMicro(), 10))
 	}
@@ -389,13 +419,13 @@
 	return []string{
 		f.experiment, string(f.way), strconv.Itoa(int(f.offered)), n("answered"), n("refused"), n("cancelled"),
 		n("failed"), d(f.p50), d(f.p99), d(f.p999), strconv.Itoa(int(f.goodput)), d(100 * f.wasted),
-		strconv.Itoa(f.violations),
+		strconv.Itoa(f.violations), strconv.Itoa(int(f.perCore)),
 	}
 }
 
 var figureNames = []string{
 	"experiment", "way", "offered/s", "answered", "refused", "cancelled", "failed", "p50-ms", "p99-ms", "p99.9-ms",
-	"goodput/s", "wasted-%", "violations",
+	"goodput/s", "wasted-%", "violations", "answers/core-s",
 }
 
 func printFigures(out io.Writer, all []figures) {
--- a/internal/modules/httpj/httpj.go
+++ b/internal/modules/httpj/httpj.go
@@ -76,6 +76,26 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// Get reads the JSON at the URL into out unless it still has the entity tag, and returns the tag.
+func Get(ctx context.Context, c *http.Client, url, tag string, out any) (string, error) {
+	req, err := newRequest(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return "", err
+	}
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
+	res, err := c.Do(req)
+	if err != nil {
+		return "", fault.Wrap(err, fault.CodeUnavailable, fault.NotRun, "no answer")
+	}
+	defer res.Body.Close()
+	if res.StatusCode == http.StatusNotModified {
+		return tag, nil
+	}
+	return res.Header.Get("Etag"), decode(res, out)
+}
+
 // Call sends in as JSON, unless it is nil, and decodes the answer into out, unless it is nil.
 func Call(ctx context.Context, c *http.Client, method, url string, in, out any) error {
 	req, err := newRequest(ctx, method, url, in)
@@ -90,6 +110,11 @@
 		return fault.Wrap(err, fault.CodeUnknownOutcome, fault.Unknown, method+" got no answer")
 	}
 	defer res.Body.Close()
+	return decode(res, out)
+}
+
+// decode reads an answer into out, unless it is nil.
+func decode(res *http.Response, out any) error {
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseSize))
 	if err != nil {
 		return fault.Wrap(err, fault.CodeUnknownOutcome, fault.Unknown, "answer cut")
--- a/internal/modules/params/params.go
+++ b/internal/modules/params/params.go
@@ -37,7 +37,7 @@
 	Seeds    []string `long:"seed" env:"IBISCHUTE_SEEDS" env-delim:"," description:"ip:port of other instances' peer ports, used when the platform is down"`
 
 	LeaseTerm time.Duration `long:"lease-term" env:"IBISCHUTE_LEASE_TERM" description:"term of the domain lease, the same on every instance" default:"2s"`
-	Heartbeat time.Duration `long:"heartbeat" env:"IBISCHUTE_HEARTBEAT" description:"interval of heartbeats in the domain, at most a quarter of the lease term" default:"400ms"`
+	Heartbeat time.Duration `long:"heartbeat" env:"IBISCHUTE_HEARTBEAT" description:"interval of heartbeats in the domain, at most a quarter of the lease term" default:"500ms"`
 	DrainTime time.Duration `long:"drain-time" env:"IBISCHUTE_DRAIN_TIME" description:"longest wait for requests in flight at a stop" default:"60s"`
 
 	RootKeys      []string `long:"root-key" env:"IBISCHUTE_ROOT_KEYS" env-delim:"," description:"name=base64 public key of an operator who signs off the first version" required:"true"`
--- a/internal/modules/roster/roster.go
+++ b/internal/modules/roster/roster.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	list, err := src.Fetch(ctx)
+//	list, isNew, err := src.Fetch(ctx)
 //	for _, e := range list.Of(roster.KindExecutor, "catania") { ... }
 package roster
 
@@ -60,22 +60,28 @@
 
 // Source is where the list comes from.
 type Source interface {
-	// Fetch returns the list as the platform states it now, which lags behind the instances.
-	Fetch(ctx context.Context) (List, error)
+	// Fetch returns the list as the platform states it now, which lags behind the instances. It reports false if the
+	// list has not changed since the last call.
+	Fetch(ctx context.Context) (List, bool, error)
 }
 
 type httpSource struct {
 	base   string
 	client *http.Client
+	tag    string
 }
 
-// NewHTTP returns the Source at the base address.
+// NewHTTP returns the Source at the base address, for one caller at a time. A list that has not changed is not sent
+// again, by the entity tag of HTTP.
 func NewHTTP(base string, client *http.Client) Source { return &httpSource{base: base, client: client} }
 
-func (s *httpSource) Fetch(ctx context.Context) (List, error) {
+func (s *httpSource) Fetch(ctx context.Context) (List, bool, error) {
 	var l List
-	if err := httpj.Call(ctx, s.client, http.MethodGet, s.base+"/v1/instances", nil, &l); err != nil {
-		return List{}, fault.Wrap(err, fault.CodeUnavailable, fault.NotRun, "fetch instance list")
+	tag, err := httpj.Get(ctx, s.client, s.base+"/v1/instances", s.tag, &l)
+	if err != nil {
+		return List{}, false, fault.Wrap(err, fault.CodeUnavailable, fault.NotRun, "fetch instance list")
 	}
-	return l, nil
+	isNew := tag == "" || tag != s.tag
+	s.tag = tag
+	return l, isNew, nil
 }
--- a/internal/scenar/commands_test.go
+++ b/internal/scenar/commands_test.go
@@ -76,7 +76,8 @@
 		"owner-of": cmdOwnerOf, "ibischute": cmdIbischute, "await-idle": cmdAwaitIdle, "pause": cmdPause,
 		"placer-of": cmdPlacerOf, "await-owners-alive": cmdAwaitOwnersAlive, "await-members-alive": cmdAwaitMembersAlive,
 		"await-job-alive": cmdAwaitJobAlive, "call-until-alive": cmdCallUntilAlive,
-		"ran-mark": cmdRanMark, "ran-since": cmdRanSince, "key-owner": cmdKeyOwner, "call-until": cmdCallUntil,
+		"fill": cmdFill, "ran-mark": cmdRanMark, "ran-since": cmdRanSince, "key-owner": cmdKeyOwner,
+		"call-until": cmdCallUntil,
 	} {
 		out[name] = func(ts *testscript.TestScript, neg bool, args []string) {
 			if neg {
@@ -115,7 +116,8 @@
 	return n
 }
 
-// fleet domains=a,b entries=3 executors=2 workers=2 service-ms=5 cuttable=yes retain=N no-abort=yes seeds=yes args=--flag,value
+// fleet domains=a,b entries=3 executors=2 workers=2 service-ms=5 cuttable=yes retain=N no-abort=yes seeds=yes
+// args=--flag,value
 func cmdFleet(ts *testscript.TestScript, s *session, args []string) {
 	o, _ := options(args)
 	c := fleet.Config{
@@ -584,3 +586,15 @@
 func cmdCallUntil(ts *testscript.TestScript, s *session, args []string) {
 	s.await(ts, "an outcome with "+args[0], func() bool { return strings.Contains(s.call(args[1:]), args[0]) })
 }
+
+// fill INSTANCE N MS: keeps N slots busy for so long and waits until they are.
+func cmdFill(ts *testscript.TestScript, s *session, args []string) {
+	n := number(ts, args[1], 0)
+	for i := range n {
+		cmdCallLater(ts, s, []string{fmt.Sprintf("fill-%d", i), args[0], "GET", "/fill", "work-ms=" + args[2]})
+	}
+	s.await(ts, "slots in use", func() bool {
+		st, ok := s.statuses(args[:1])[args[0]]
+		return ok && st.InFlight >= n
+	})
+}
--- a/internal/services/lister/lister.go
+++ b/internal/services/lister/lister.go
@@ -64,10 +64,9 @@
 func (l *Lister) fetch(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	list, err := l.source.Fetch(ctx)
-	if err != nil {
-		return err
+	list, isNew, err := l.source.Fetch(ctx)
+	if isNew && err == nil {
+		l.list.Store(&list)
 	}
-	l.list.Store(&list)
-	return nil
+	return err
 }
--- a/internal/services/member/beat.go
+++ b/internal/services/member/beat.go
@@ -56,7 +56,9 @@
 	}
 	if far {
 		for _, address := range m.farTargets() {
-			m.exchangeLater(ctx, address)
+			if m.isMyTurn(address) {
+				m.exchangeLater(ctx, address)
+			}
 		}
 	}
 	m.forget()
@@ -106,6 +108,19 @@
 	return out
 }
 
+// isMyTurn reports whether this side begins the heartbeat with an instance of another domain. One heartbeat informs
+// both sides, so the lower address begins, and the higher one only if it hears nothing.
+func (m *Member) isMyTurn(address string) bool {
+	if m.opts.Address < address {
+		return true
+	}
+	now := m.opts.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, ok := m.peers[address]
+	return !ok || now.Sub(p.Heard) > 2*farBeats*m.opts.Beat
+}
+
 // exchangeLater starts a heartbeat to the address unless one is under way.
 func (m *Member) exchangeLater(ctx context.Context, address string) {
 	m.mu.Lock()
--- a/internal/services/member/member.go
+++ b/internal/services/member/member.go
@@ -48,8 +48,10 @@
 const (
 	// suspectBeats is how many heartbeats a member may miss before it is suspected.
 	suspectBeats = 4
-	// farBeats is how many heartbeats of the domain go to one to the other domains.
-	farBeats = 4
+	// farBeats is how many heartbeats of the domain go to one with the other domains.
+	farBeats = 6
+	// farSilence is how many heartbeats another domain's instance may miss before it is not used.
+	farSilence = 3
 	// forgetBeats is how many heartbeats a silent peer, or a joiner that nobody admits, is kept.
 	forgetBeats = 150
 	// maxPeers bounds the instances that are kept.
@@ -249,7 +251,7 @@
 	if d == m.opts.Domain {
 		return suspectBeats * m.opts.Beat
 	}
-	return suspectBeats * farBeats * m.opts.Beat
+	return farSilence * farBeats * m.opts.Beat
 }
 
 // SetDraining states in heartbeats that this instance takes no new work.
--- a/internal/services/member/tail.go
+++ b/internal/services/member/tail.go
@@ -30,7 +30,7 @@
 // Serve implements suprv.Service.
 func (s tailService) Serve(ctx context.Context) error {
 	m := s.m
-	wait := m.opts.Term / 4
+	wait := m.opts.Term / 2
 	for ctx.Err() == nil {
 		started := m.opts.Now()
 		batch, err := m.read(ctx, wait)
--- a/internal/services/placer/loop.go
+++ b/internal/services/placer/loop.go
@@ -69,15 +69,26 @@
 	p.recordFinished(ctx)
 	p.mu.Lock()
 	var actions []tasks.Action
-	if !p.caughtUp.Before(p.since) {
+	isCaughtUp := !p.caughtUp.Before(p.since)
+	if isCaughtUp {
 		actions = p.board.Plan(now)
 	}
 	p.mu.Unlock()
+	if !isCaughtUp {
+		p.calls.Go(ctx, p.catchUp)
+	}
 	for _, a := range actions {
 		p.carryOut(ctx, a)
 	}
 }
 
+// catchUp reads the job stream to its end without waiting, since a new placer acts on nothing older than its start.
+func (p *Placer) catchUp(ctx context.Context) {
+	if err := p.readOnce(ctx, 0); err != nil {
+		p.opts.Logger.Debug().Err(err).Msg("job-stream-unreadable")
+	}
+}
+
 // takeRight reports whether this instance may place, and starts from an empty board when that is new.
 func (p *Placer) takeRight(now tick.Time) bool {
 	mayAct := p.opts.Member.MayAct(now, ident.PlacerKey)
--- a/internal/services/placer/placer.go
+++ b/internal/services/placer/placer.go
@@ -36,8 +36,8 @@
 )
 
 const (
-	tailWait      = time.Second
-	readTimeout   = 4 * time.Second
+	tailWait      = 10 * time.Second
+	readTimeout   = 13 * time.Second
 	retryInterval = 300 * time.Millisecond
 	// foldTimeout bounds the wait for an own record to come back from the log.
 	foldTimeout  = 3 * time.Second
@@ -115,7 +115,7 @@
 // Serve implements suprv.Service.
 func (s tailService) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := s.p.readOnce(ctx); err != nil {
+		if err := s.p.readOnce(ctx, tailWait); err != nil {
 			s.p.opts.Logger.Debug().Err(err).Msg("job-stream-unreadable")
 			tick.Pause(ctx, retryInterval)
 		}
@@ -123,14 +123,15 @@
 	return ctx.Err()
 }
 
-func (p *Placer) readOnce(ctx context.Context) error {
+// readOnce folds what has come since the last read, and waits up to the duration for the first record.
+func (p *Placer) readOnce(ctx context.Context, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	p.mu.Lock()
 	from := p.next
 	p.mu.Unlock()
 	started := p.opts.Now()
-	b, err := p.opts.Log.Read(ctx, ident.JobStream(p.opts.Domain), from, tailWait)
+	b, err := p.opts.Log.Read(ctx, ident.JobStream(p.opts.Domain), from, wait)
 	if err != nil {
 		return err
 	}
@@ -145,8 +146,11 @@
 	return nil
 }
 
-// apply folds one record; it needs the lock.
+// apply folds one record unless it was folded before; it needs the lock.
 func (p *Placer) apply(r logio.Record) {
+	if r.Offset < p.next {
+		return
+	}
 	p.next = r.Offset + 1
 	var rec wire.JobRecord
 	err := proto.Unmarshal(r.Data, &rec)
--- a/internal/services/rollo/rollo.go
+++ b/internal/services/rollo/rollo.go
@@ -31,7 +31,7 @@
 )
 
 const (
-	tailWait      = time.Second
+	tailWait      = 10 * time.Second
 	callTimeout   = 2 * time.Second
 	retryInterval = 300 * time.Millisecond
 )
--- a/internal/services/sched/watch.go
+++ b/internal/services/sched/watch.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// loadInterval is how often a settled executor is asked for its load.
+	// loadInterval is how often a settled executor is asked for its load at the most, and loadSpacing is the least time
+	// between two such calls, which bounds the control traffic of an owner of many executors.
 	loadInterval = time.Second
+	loadSpacing  = 200 * time.Millisecond
 	// syncInterval is how often the list and the ownership are applied, and unsettled executors are asked.
 	syncInterval = 100 * time.Millisecond
 	loadTimeout  = time.Second
@@ -100,9 +102,11 @@
 
 // askLoads asks the executors this instance acts for: at once while the slots of others are not settled.
 func (w *watchService) askLoads(ctx context.Context, now tick.Time) {
-	for _, e := range w.s.Executors() {
+	executors := w.s.Executors()
+	interval := max(loadInterval, loadSpacing*time.Duration(countActing(executors)))
+	for _, e := range executors {
 		settled := e.Counted && e.Foreign == 0
-		if !e.Acting || (settled && now.Sub(w.asked[e.Name]) < loadInterval) {
+		if !e.Acting || (settled && now.Sub(w.asked[e.Name]) < interval) {
 			continue
 		}
 		w.asked[e.Name] = now
@@ -110,6 +114,16 @@
 	}
 }
 
+func countActing(executors []slots.Executor) int {
+	n := 0
+	for _, e := range executors {
+		if e.Acting {
+			n++
+		}
+	}
+	return n
+}
+
 // askLoad asks one executor. While others may use slots, what it runs beyond this instance's own work is theirs.
 func (s *Scheduler) askLoad(ctx context.Context, e slots.Executor) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
--- /dev/null
+++ b/internal/stand/fleet/usage.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ibischute/ibischute/pkg/fault"
+)
+
+// Usage is what a process has used so far.
+type Usage struct {
+	CPU time.Duration
+	// MemoryMB is the resident memory.
+	MemoryMB float64
+	// Control counts the bytes of control traffic by the kind of the other end.
+	Control map[string]float64
+}
+
+const (
+	// clockTick is the unit of processor time in /proc.
+	clockTick  = 10 * time.Millisecond
+	pageSize   = 4096
+	userField  = 11
+	residentMB = 1 << 20
+)
+
+// Usage returns what an entry instance has used so far.
+func (f *Fleet) Usage(ctx context.Context, name string) (Usage, error) {
+	p, err := f.process(name)
+	if err != nil {
+		return Usage{}, err
+	}
+	u := Usage{Control: map[string]float64{}}
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return u, fault.Wrap(err, fault.CodeNotFound, fault.NotRun, "processor time of "+name)
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	user, _ := strconv.ParseInt(fields[userField], 10, 64)
+	system, _ := strconv.ParseInt(fields[userField+1], 10, 64)
+	u.CPU = time.Duration(user+system) * clockTick
+	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	if err != nil {
+		return u, fault.Wrap(err, fault.CodeNotFound, fault.NotRun, "memory of "+name)
+	}
+	pages, _ := strconv.ParseFloat(strings.Fields(string(statm))[1], 64)
+	u.MemoryMB = pages * pageSize / residentMB
+	return u, f.controlBytes(ctx, name, u.Control)
+}
+
+var controlLine = regexp.MustCompile(`(?m)^ibischute_control_bytes\{to="(\w+)"\} (\S+)$`)
+
+func (f *Fleet) controlBytes(ctx context.Context, name string, out map[string]float64) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.OperatorAddress(name)+"/metrics", nil)
+	if err != nil {
+		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "build request")
+	}
+	res, err := f.client.Do(req)
+	if err != nil {
+		return fault.Wrap(err, fault.CodeUnavailable, fault.Unknown, "metrics of "+name)
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return fault.Wrap(err, fault.CodeTruncated, fault.Unknown, "metrics of "+name)
+	}
+	for _, m := range controlLine.FindAllStringSubmatch(string(text), -1) {
+		out[m[1]], _ = strconv.ParseFloat(m[2], 64)
+	}
+	return nil
+}
--- a/internal/stand/plat/list.go
+++ b/internal/stand/plat/list.go
@@ -1,6 +1,7 @@
 package plat
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -20,6 +21,7 @@
 	changes []listChange
 	order   []string
 	entries map[string]roster.Entry
+	version int
 }
 
 func newList(lag time.Duration) *list {
@@ -41,6 +43,7 @@
 }
 
 func (l *list) apply(c listChange) {
+	l.version++
 	if c.gone {
 		delete(l.entries, c.entry.Name)
 		return
@@ -59,10 +62,17 @@
 	Now bool `json:"now"`
 }
 
-func (p *Platform) handleInstances(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) handleInstances(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	httpj.Write(w, http.StatusOK, p.list.visible(time.Now()))
+	list := p.list.visible(time.Now())
+	tag := fmt.Sprintf("%q", fmt.Sprint(p.list.version))
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Etag", tag)
+	httpj.Write(w, http.StatusOK, list)
 }
 
 func (p *Platform) handleRegister(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/state/copies/copies_test.go
@@ -0,0 +1,115 @@
+package copies
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/internal/state/view"
+	"github.com/ibischute/ibischute/pkg/ident"
+)
+
+const retention = time.Minute
+
+type domain struct {
+	v  view.View
+	at ident.Offset
+}
+
+func (d *domain) apply(rec *wire.MemberRecord) {
+	d.v = d.v.Apply(rec, d.at)
+	d.at++
+}
+
+func wireMember(name string, inc uint64) *wire.Member {
+	return &wire.Member{Name: name, Incarnation: inc, PeerAddress: name}
+}
+
+func (d *domain) join(name string, inc uint64) {
+	d.apply(&wire.MemberRecord{Kind: &wire.MemberRecord_Join{Join: &wire.Join{Member: wireMember(name, inc)}}})
+	for _, m := range d.v.Members() {
+		d.apply(&wire.MemberRecord{Kind: &wire.MemberRecord_Admit{Admit: &wire.Admit{
+			By: wireMember(string(m.Name), uint64(m.Incarnation)), Joiner: wireMember(name, inc),
+		}}})
+	}
+}
+
+func (d *domain) leave(name string, inc uint64) {
+	d.apply(&wire.MemberRecord{Kind: &wire.MemberRecord_Leave{Leave: &wire.Leave{Member: wireMember(name, inc)}}})
+}
+
+func pullAll(t *Tracker, v view.View) {
+	for _, m := range t.Follow(1, v, retention) {
+		t.Pulled(1, m, 0)
+	}
+}
+
+func TestJoinerPullsFromAllElders(t *testing.T) {
+	d := &domain{}
+	d.join("a", 1)
+	d.join("b", 1)
+	d.join("c", 1)
+	tr := New("c")
+	missing := tr.Follow(1, d.v, retention)
+	assert.Equal(t, len(missing), 2)
+	tr.Pulled(1, missing[0], 0)
+	assert.Assert(t, !tr.IsComplete(), "the record may be only at the other elder")
+	tr.Pulled(1, missing[1], 0)
+	assert.Assert(t, tr.IsComplete())
+}
+
+func TestOneLossAfterTheOtherLosesNothing(t *testing.T) {
+	d := &domain{}
+	d.join("a", 1)
+	d.join("b", 1)
+	d.join("c", 1)
+	tr := New("c")
+	pullAll(tr, d.v)
+	d.join("a", 2)
+	pullAll(tr, d.v)
+	d.join("b", 2)
+	tr.Follow(1, d.v, retention)
+	assert.Equal(t, tr.LostFor(1), time.Duration(0), "the copies were restored in between")
+}
+
+func TestTwoLossesAtOnceAreNoticed(t *testing.T) {
+	d := &domain{}
+	d.join("a", 1)
+	d.join("b", 1)
+	d.join("c", 1)
+	tr := New("c")
+	pullAll(tr, d.v)
+	d.join("a", 2)
+	d.join("b", 2)
+	tr.Follow(1, d.v, retention)
+	assert.Equal(t, tr.LostFor(1), retention)
+	fresh := New("a")
+	for _, m := range fresh.Follow(1, d.v, retention) {
+		fresh.Pulled(1, m, tr.LostFor(1))
+	}
+	assert.Equal(t, fresh.LostFor(1), retention, "a joiner inherits the doubt")
+}
+
+func TestGracefulLeaveIsNoLoss(t *testing.T) {
+	d := &domain{}
+	d.join("a", 1)
+	d.join("b", 1)
+	d.join("c", 1)
+	tr := New("c")
+	pullAll(tr, d.v)
+	d.leave("a", 1)
+	d.leave("b", 1)
+	tr.Follow(1, d.v, retention)
+	assert.Equal(t, tr.LostFor(1), time.Duration(0))
+}
+
+func TestOnlyHolderRestarted(t *testing.T) {
+	d := &domain{}
+	d.join("a", 1)
+	d.join("a", 2)
+	tr := New("a")
+	tr.Follow(1, d.v, retention)
+	assert.Equal(t, tr.LostFor(1), retention)
+}
--- a/internal/state/tasks/model_test.go
+++ b/internal/state/tasks/model_test.go
@@ -175,7 +175,8 @@
 			}
 		}
 		for _, a := range w.attempts {
-			list = append(list, Seen{Key: a.key, Number: a.number, State: a.state, Size: a.size, Name: fmt.Sprint(a.key, a.number)})
+			name := fmt.Sprint(a.key, a.number)
+			list = append(list, Seen{Key: a.key, Number: a.number, State: a.state, Size: a.size, Name: name})
 		}
 	}
 	if rapid.Bool().Draw(m.t, "slow") {
@@ -262,8 +263,8 @@
 	m.check()
 }
 
-// TestOnePlaceAtATime drives the board through random schedules of lost calls, slow answers, leases that run out, workers
-// that restart and placers that change.
+// TestOnePlaceAtATime drives the board through random schedules of lost calls, slow answers, leases that run out,
+// workers that restart and placers that change.
 func TestOnePlaceAtATime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
--- a/internal/web/entry/entry.go
+++ b/internal/web/entry/entry.go
@@ -55,20 +55,22 @@
 	settings params.Settings
 	logger   zerolog.Logger
 	meter    *meter.Meter
-	lister   *lister.Lister
-	member   *member.Member
-	sched    *sched.Scheduler
-	router   *route.Router
-	keyed    *keyed.Keyed
-	rollout  *rollo.Rollout
-	placer   *placer.Placer
-	front    *front.Front
-	peersv   *peersv.Server
-	opersv   *opersv.Server
-	started  tick.Time
-	warm     atomic.Bool
-	draining atomic.Bool
-	drain    chan struct{}
+	// platformBytes, peerBytes and executorBytes count the traffic of control; handed-over requests are in peerBytes.
+	platformBytes, peerBytes, executorBytes httpj.Traffic
+	lister                                  *lister.Lister
+	member                                  *member.Member
+	sched                                   *sched.Scheduler
+	router                                  *route.Router
+	keyed                                   *keyed.Keyed
+	rollout                                 *rollo.Rollout
+	placer                                  *placer.Placer
+	front                                   *front.Front
+	peersv                                  *peersv.Server
+	opersv                                  *opersv.Server
+	started                                 tick.Time
+	warm                                    atomic.Bool
+	draining                                atomic.Bool
+	drain                                   chan struct{}
 }
 
 // New assembles an instance from checked settings.
@@ -83,9 +85,9 @@
 	}
 	e := &Entry{settings: s, logger: logger, meter: meter.New(), drain: make(chan struct{}, 1), started: tick.Now()}
 	dialer := httpj.Dialer(s.LocalIP())
-	platform := httpj.NewClient(dialer, platformConnections)
+	platform := e.platformBytes.Client(httpj.NewClient(dialer, platformConnections))
 	log := logio.NewHTTP(s.Platform, platform)
-	dial := peerDialer(httpj.NewClient(dialer, peerConnections))
+	dial := peerDialer(e.peerBytes.Client(httpj.NewClient(dialer, peerConnections)))
 	e.lister = lister.New(roster.NewHTTP(s.Platform, platform), logger)
 	life := newIncarnation()
 	e.member = member.New(member.Options{
@@ -96,7 +98,7 @@
 	e.rollout = rollo.New(rollo.Options{
 		Root: root, Log: log, Peers: e.member.Peers, Dial: dial, Logger: logger, Now: tick.Now,
 	})
-	control := httpj.NewClient(dialer, controlConnections)
+	control := e.executorBytes.Client(httpj.NewClient(dialer, controlConnections))
 	e.sched = sched.New(sched.Options{
 		Domain: ident.Domain(s.Domain), Own: e.member, Changed: e.member.Changed(), Roster: e.lister.List,
 		Logger: logger, Now: tick.Now,
@@ -254,6 +256,11 @@
 	set("config_version", float64(e.rollout.Version()))
 	set("requests_in_flight", float64(e.front.InFlight()))
 	set("slots_in_use", float64(e.sched.InFlight()))
+	for to, traffic := range map[string]*httpj.Traffic{
+		"platform": &e.platformBytes, "peers": &e.peerBytes, "executors": &e.executorBytes,
+	} {
+		e.meter.Gauge("control_bytes", map[string]string{"to": to}, float64(traffic.Bytes()))
+	}
 	for _, l := range e.sched.Loads(now) {
 		labels := map[string]string{"service": l.GetService()}
 		e.meter.Gauge("slots_free", labels, float64(l.GetFree()))
--- a/internal/web/entry/run.go
+++ b/internal/web/entry/run.go
@@ -90,6 +90,9 @@
 			}
 			return nil, err
 		}
+		if s.name == "peer" {
+			srv.listener = e.peerBytes.Listener(srv.listener)
+		}
 		out = append(out, srv)
 	}
 	return out, nil
--- a/pkg/bundle/parse.go
+++ b/pkg/bundle/parse.go
@@ -189,6 +189,8 @@
 
 var yamlLine = regexp.MustCompile(`^(?:yaml: )?line (\d+): (.*)$`)
 
+var unknownKey = regexp.MustCompile(`^field (\S+) not found in type`)
+
 // decodeError turns the errors of the YAML library, one for each line, into problems.
 func (c *checker) decodeError(err error) {
 	var te *yaml.TypeError
@@ -208,6 +210,10 @@
 		return
 	}
 	line, _ := strconv.Atoi(m[1])
+	if u := unknownKey.FindStringSubmatch(m[2]); u != nil {
+		c.add(line, u[1], "unknown key")
+		return
+	}
 	c.add(line, "yaml", "%s", m[2])
 }
 
