Fail the owner of a key at each step, and keep the board's waiting tasks apart

Cause: that a keyed request runs at most once was shown by load and kills at a few moments, not at each step between receipt and answer. And a plan of the board looked at every task for those whose lease may have run out.

Change: a table of 6 steps and 3 failures over three services in one process with a controlled view, network and executor. Tasks that start, stop or are uncertain are kept in a set of their own. The group commit waits 50 ms between appends, so that seven domains need at most 140 a second.

--- a/internal/modules/commit/commit.go
+++ b/internal/modules/commit/commit.go
@@ -24,7 +24,7 @@
 const (
 	maxWaiting    = 4096
 	maxGroup      = 512
-	minInterval   = 20 * time.Millisecond
+	minInterval   = 50 * time.Millisecond
 	appendTimeout = 3 * time.Second
 )
 
--- a/internal/scenar/commands_test.go
+++ b/internal/scenar/commands_test.go
@@ -76,7 +76,8 @@
 		"owner-of": cmdOwnerOf, "ibischute": cmdIbischute, "await-idle": cmdAwaitIdle, "pause": cmdPause,
 		"placer-of": cmdPlacerOf, "await-owners-alive": cmdAwaitOwnersAlive, "await-members-alive": cmdAwaitMembersAlive,
 		"await-job-alive": cmdAwaitJobAlive, "call-until-alive": cmdCallUntilAlive,
-		"worker": cmdWorker, "await-running": cmdAwaitRunning, "fill": cmdFill, "ran-mark": cmdRanMark, "ran-since": cmdRanSince,
+		"worker": cmdWorker, "await-running": cmdAwaitRunning, "fill": cmdFill, "ran-mark": cmdRanMark,
+		"ran-since":  cmdRanSince,
 		"key-owner":  cmdKeyOwner,
 		"call-until": cmdCallUntil,
 	} {
--- /dev/null
+++ b/internal/services/keyed/matrix_test.go
@@ -0,0 +1,317 @@
+package keyed
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/execio"
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/internal/services/member"
+	"github.com/ibischute/ibischute/internal/services/route"
+	"github.com/ibischute/ibischute/internal/services/sched"
+	"github.com/ibischute/ibischute/internal/state/view"
+	"github.com/ibischute/ibischute/pkg/bundle"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// step is a moment between the receipt of a keyed request and its answer.
+type step string
+
+const (
+	beforeRecord   step = "before the record leaves"
+	afterOneRecord step = "after one of two others recorded"
+	beforeDispatch step = "before the dispatch"
+	whileRunning   step = "while it runs"
+	beforeOutcome  step = "before the others learn the outcome"
+	afterOutcome   step = "after the others learned the outcome"
+)
+
+// failure is what happens to the owner at the step.
+type failure string
+
+const (
+	killed failure = "killed"
+	frozen failure = "frozen"
+	cutOff failure = "cut off"
+)
+
+// domain is three Keyed services in one process, with a view, a network and executors that the test controls.
+type domain struct {
+	now    tick.Time
+	view   atomic.Pointer[view.View]
+	offset ident.Offset
+	nodes  map[ident.Instance]*node
+	runs   atomic.Int32
+	// mu lets one message pass at a time.
+	mu     sync.Mutex
+	atStep atomic.Pointer[func(step)]
+}
+
+func (d *domain) reach(s step) { (*d.atStep.Load())(s) }
+
+func (d *domain) onStep(f func(step)) { d.atStep.Store(&f) }
+
+type node struct {
+	d     *domain
+	name  ident.Instance
+	keyed *Keyed
+	// down is a node that nobody reaches and that reaches nobody.
+	down atomic.Bool
+	// killed is a node whose process has ended.
+	killed atomic.Bool
+	// fenced is a node whose lease has lapsed.
+	fenced atomic.Bool
+}
+
+func (n *node) MayAct(_ tick.Time, key ident.Key) bool {
+	owner, _ := n.d.view.Load().Winner(key)
+	return !n.fenced.Load() && owner == n.name
+}
+
+func (n *node) LeaseUntil(now tick.Time) tick.Time { return now.Add(time.Second) }
+
+func (n *node) Owner(key ident.Key) (view.Member, bool) {
+	name, _ := n.d.view.Load().Winner(key)
+	return n.d.view.Load().Member(name)
+}
+
+func (n *node) View() view.View { return *n.d.view.Load() }
+
+func (n *node) Wire() *wire.Member {
+	return &wire.Member{Name: string(n.name), Incarnation: 1, PeerAddress: string(n.name)}
+}
+
+func (n *node) IsJoined() bool { return n.d.view.Load().Has(n.name, 1) }
+
+func (n *node) Peers(tick.Time) []member.Peer { return nil }
+
+// Do is the executor behind the node.
+func (n *node) Do(_ context.Context, r sched.Request) (*execio.Answer, error) {
+	n.d.reach(beforeDispatch)
+	if n.killed.Load() {
+		return nil, fault.New(fault.CodeBackend, fault.Unknown, "the process has ended")
+	}
+	if r.Right != nil && !r.Right() {
+		return nil, fault.New(fault.CodeNotSent, fault.NotRun, "the right lapsed")
+	}
+	run := n.d.runs.Add(1)
+	n.d.reach(whileRunning)
+	if n.down.Load() && !n.fenced.Load() {
+		return nil, fault.New(fault.CodeBackend, fault.Unknown, "the executor's answer did not arrive")
+	}
+	body := fmt.Sprintf("answer %d", run)
+	return &execio.Answer{
+		Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(bytes.NewReader([]byte(body))),
+	}, nil
+}
+
+func (n *node) Load(tick.Time, ident.Service) (free, queued int, acting bool) { return 1, 0, true }
+
+type peer struct {
+	wire.Peer
+	from, to *node
+	recorded *int
+}
+
+func (p *peer) StoreIntent(_ context.Context, req *wire.StoreIntentRequest) (*wire.StoreIntentResponse, error) {
+	p.from.d.mu.Lock()
+	defer p.from.d.mu.Unlock()
+	isStart := req.GetIntents()[0].GetPhase() == wire.IntentPhase_INTENT_PHASE_STARTED
+	if isStart && *p.recorded == 0 {
+		p.from.d.reach(beforeRecord)
+	}
+	if !isStart {
+		p.from.d.reach(beforeOutcome)
+	}
+	if p.from.down.Load() || p.to.down.Load() {
+		return nil, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "lost")
+	}
+	res := p.to.keyed.HandleStore(req)
+	if isStart {
+		*p.recorded++
+		if *p.recorded == 1 {
+			p.from.d.reach(afterOneRecord)
+		}
+	}
+	return res, nil
+}
+
+func (p *peer) FetchIntents(context.Context, *wire.FetchIntentsRequest) (*wire.FetchIntentsResponse, error) {
+	if p.from.down.Load() || p.to.down.Load() {
+		return nil, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "lost")
+	}
+	return p.to.keyed.HandleFetch(), nil
+}
+
+func newDomain() *domain {
+	d := &domain{now: 1, nodes: map[ident.Instance]*node{}}
+	d.view.Store(&view.View{})
+	d.onStep(func(step) {})
+	for _, name := range []ident.Instance{"a", "b", "c"} {
+		d.nodes[name] = d.boot(name)
+		d.join(name)
+		d.settle()
+	}
+	return d
+}
+
+func (d *domain) boot(name ident.Instance) *node {
+	n := &node{d: d, name: name}
+	recorded := new(int)
+	now := func() tick.Time { return d.now }
+	router := route.New(route.Options{
+		Domain: "home", Local: n, Peers: n.Peers, Now: now, Wall: func() time.Time { return time.Unix(0, 0) },
+	})
+	n.keyed = New(Options{
+		Self: name, Domain: "home", Domains: []ident.Domain{"home"}, Member: n, Router: router,
+		Logger: zerolog.Nop(), Now: now,
+		Config: func() *bundle.Bundle { return &bundle.Bundle{KeyRetention: time.Minute} },
+		Dial: func(address string) wire.Peer {
+			return &peer{from: n, to: d.nodes[ident.Instance(address)], recorded: recorded}
+		},
+	})
+	return n
+}
+
+func (d *domain) apply(rec *wire.MemberRecord) {
+	next := d.view.Load().Apply(rec, d.offset)
+	d.view.Store(&next)
+	d.offset++
+}
+
+func (d *domain) join(name ident.Instance) {
+	joiner := &wire.Member{Name: string(name), Incarnation: 1, PeerAddress: string(name)}
+	d.apply(&wire.MemberRecord{Kind: &wire.MemberRecord_Join{Join: &wire.Join{Member: joiner}}})
+	for _, m := range d.view.Load().Members() {
+		by := &wire.Member{Name: string(m.Name), Incarnation: 1}
+		d.apply(&wire.MemberRecord{Kind: &wire.MemberRecord_Admit{Admit: &wire.Admit{By: by, Joiner: joiner}}})
+	}
+}
+
+func (d *domain) settle() {
+	for _, name := range []ident.Instance{"a", "b", "c"} {
+		if n := d.nodes[name]; n != nil && !n.down.Load() {
+			n.keyed.syncOnce(context.Background())
+		}
+	}
+}
+
+// fence removes a member that the others have lost.
+func (d *domain) fence(name ident.Instance) {
+	target := &wire.Member{Name: string(name), Incarnation: 1}
+	d.apply(&wire.MemberRecord{Kind: &wire.MemberRecord_Remove{Remove: &wire.Remove{Target: target}}})
+	d.settle()
+}
+
+func (d *domain) request() Request {
+	return Request{
+		Request: route.Request{
+			Request: sched.Request{
+				Request: execio.Request{ID: "r", Method: http.MethodPost, Path: "/", Header: http.Header{}},
+				Service: "s", Tenant: "t", Deadline: d.now.Add(time.Hour),
+			},
+		},
+		Key: "k", Fingerprint: "f",
+	}
+}
+
+// ask sends the request to a node and returns the body, or what is said about execution.
+func (d *domain) ask(name ident.Instance) string {
+	answer, err := d.nodes[name].keyed.own(context.Background(), ident.IdempotencyKey("t", "k"), d.request())
+	if err != nil {
+		return "ran: " + string(fault.From(err).Ran)
+	}
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return "cut"
+	}
+	return string(body)
+}
+
+func (d *domain) owner() ident.Instance {
+	name, _ := d.view.Load().Winner(ident.IdempotencyKey("t", "k"))
+	return name
+}
+
+// strike lets the failure happen to the owner at the step.
+func (d *domain) strike(owner ident.Instance, at step, f failure) {
+	var struck atomic.Bool
+	d.onStep(func(s step) {
+		if s != at || struck.Swap(true) {
+			return
+		}
+		n := d.nodes[owner]
+		n.down.Store(true)
+		n.killed.Store(f == killed)
+		if f == frozen {
+			// The process sleeps here until the others have fenced it, and wakes without a lease.
+			n.fenced.Store(true)
+			d.fence(owner)
+		}
+	})
+}
+
+// TestOwnerFailsAtEachStep lets the owner of a key fail at each step in each way, has the others take over, and repeats
+// the request at the new owner: the request runs at most once, and nobody is told that it did not run if it did.
+func TestOwnerFailsAtEachStep(t *testing.T) {
+	for _, at := range []step{beforeRecord, afterOneRecord, beforeDispatch, whileRunning, beforeOutcome, afterOutcome} {
+		for _, f := range []failure{killed, frozen, cutOff} {
+			t.Run(fmt.Sprintf("%s %s", f, at), func(t *testing.T) {
+				d := newDomain()
+				owner := d.owner()
+				d.strike(owner, at, f)
+				first := d.ask(owner)
+				d.nodes[owner].keyed.calls.Wait(context.Background())
+				d.nodes[owner].down.Store(true)
+				if d.view.Load().Has(owner, 1) {
+					d.fence(owner)
+				}
+				d.onStep(func(step) {})
+				assertTold(t, d, first)
+				ranBefore := d.runs.Load()
+				again := d.ask(d.owner())
+				assert.Assert(t, d.runs.Load() <= 1, "ran %d times; first %q, again %q", d.runs.Load(), first, again)
+				if ranBefore == 1 {
+					assert.Assert(t, again == "answer 1" || again == "ran: unknown", "the repeat got %q", again)
+				}
+			})
+		}
+	}
+}
+
+func assertTold(t *testing.T, d *domain, told string) {
+	t.Helper()
+	if told == "ran: no" {
+		assert.Equal(t, d.runs.Load(), int32(0), "told that it did not run")
+	}
+}
+
+// TestRepeatsMeetTheFirst sends repeats while the first request runs and after it.
+func TestRepeatsMeetTheFirst(t *testing.T) {
+	d := newDomain()
+	owner := d.owner()
+	repeated := make(chan string, 1)
+	d.onStep(func(s step) {
+		if s == whileRunning {
+			d.onStep(func(step) {})
+			go func() { repeated <- d.ask(owner) }()
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	assert.Equal(t, d.ask(owner), "answer 1")
+	assert.Equal(t, <-repeated, "answer 1")
+	assert.Equal(t, d.ask(owner), "answer 1")
+	assert.Equal(t, d.runs.Load(), int32(1))
+}
--- a/internal/state/intent/intent_test.go
+++ b/internal/state/intent/intent_test.go
@@ -1,6 +1,7 @@
 package intent
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/wire"
 	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
@@ -61,3 +63,14 @@
 	_, ok = s.Get(tick.Time(1).Add(keep), "k")
 	assert.Assert(t, !ok, "kept for the retention only")
 }
+
+// BenchmarkBegin measures the memory of one kept key with an answer of 200 bytes.
+func BenchmarkBegin(b *testing.B) {
+	s := New(b.N + 1)
+	b.ReportAllocs()
+	for i := range b.N {
+		key := ident.IdempotencyKey("tenant-17", "invoice-"+strconv.Itoa(i))
+		_, _, _ = s.Begin(1, key, "0123456789abcdef0123456789abcdef", keep)
+		s.Advance(1, key, wire.IntentPhase_INTENT_PHASE_ANSWERED, &wire.Answer{Status: 200, Body: make([]byte, 200)}, keep)
+	}
+}
--- a/internal/state/tasks/plan.go
+++ b/internal/state/tasks/plan.go
@@ -80,9 +80,8 @@
 
 // expire ends the attempts whose lease has run out without word from their worker.
 func (b *Board) expire(now tick.Time) {
-	for _, t := range b.tasks {
-		isWaiting := t.Phase == PhaseUncertain || t.Phase == PhaseStarting || t.Phase == PhaseStopping
-		if isWaiting && !now.Before(t.Attempt.Until) {
+	for _, t := range b.waiting {
+		if !now.Before(t.Attempt.Until) {
 			b.end(t)
 		}
 	}
@@ -98,7 +97,7 @@
 		if !t.Stop && !t.saved {
 			kind = KindCheckpoint
 		} else if t.Phase == PhaseRunning {
-			t.Phase = PhaseStopping
+			b.setPhase(t, PhaseStopping)
 		}
 		out = append(out, Action{Kind: kind, Task: *t, Worker: t.Attempt.Worker, Number: t.Attempt.Number})
 	}
@@ -107,7 +106,7 @@
 
 // planRetries sends starts without an answer again: the same attempt at the same worker, which is idempotent.
 func (b *Board) planRetries(now tick.Time, out []Action) []Action {
-	for _, t := range b.tasks {
+	for _, t := range b.waiting {
 		if t.Phase != PhaseStarting || t.Stop || t.Attempt.Tries >= maxTries || now.Sub(t.Attempt.tried) < 4*retryInterval {
 			continue
 		}
--- a/internal/state/tasks/plan_test.go
+++ b/internal/state/tasks/plan_test.go
@@ -64,3 +64,12 @@
 		board.DropTask(k)
 	}
 }
+
+// BenchmarkBoard measures the memory of one running task.
+func BenchmarkBoard(b *testing.B) {
+	b.ReportAllocs()
+	board, _ := crowdedBoard(max(1, b.N/28), b.N)
+	if len(board.tasks) != b.N {
+		b.Fatal("tasks are missing")
+	}
+}
--- a/internal/state/tasks/reports.go
+++ b/internal/state/tasks/reports.go
@@ -94,7 +94,7 @@
 // confirm notes that the worker runs the attempt.
 func (b *Board) confirm(now tick.Time, t *Task, renewed bool) {
 	if t.Phase == PhaseStarting || t.Phase == PhaseUncertain {
-		t.Phase = PhaseRunning
+		b.setPhase(t, PhaseRunning)
 	}
 	if t.Attempt.Confirmed == 0 {
 		t.Attempt.Confirmed = now
@@ -111,7 +111,7 @@
 
 func (b *Board) finish(t *Task) {
 	b.release(t)
-	t.Phase = PhaseFinished
+	b.setPhase(t, PhaseFinished)
 	delete(b.pending, t.Spec.Key)
 	delete(b.stopping, t.Spec.Key)
 	b.finished[t.Spec.Key] = t
@@ -178,7 +178,7 @@
 	for k := range w.tasks {
 		t := b.tasks[k]
 		if t.Phase == PhaseRunning {
-			t.Phase = PhaseUncertain
+			b.setPhase(t, PhaseUncertain)
 			if renewing {
 				t.Attempt.Until = now.Add(b.opts.Lease)
 			}
--- a/internal/state/tasks/tasks.go
+++ b/internal/state/tasks/tasks.go
@@ -154,8 +154,10 @@
 	// stopping are the tasks whose attempts are to end, for good or by eviction.
 	stopping map[Key]*Task
 	hopeless map[Key]*Task
-	fair     *shares
-	evicted  evictions
+	// waiting are the tasks whose attempt ends when its lease has run out: starting, uncertain and stopping ones.
+	waiting map[Key]*Task
+	fair    *shares
+	evicted evictions
 }
 
 // NewBoard returns a Board without workers and tasks.
@@ -163,7 +165,8 @@
 	return &Board{
 		opts: o, workers: map[ident.Worker]*workerState{}, tasks: map[Key]*Task{}, pending: map[Key]*Task{},
 		finished: map[Key]*Task{}, stopping: map[Key]*Task{}, hopeless: map[Key]*Task{},
-		fair: newShares(o.Policy.Share), evicted: evictions{perHour: o.Policy.EvictionsPerHour},
+		waiting: map[Key]*Task{},
+		fair:    newShares(o.Policy.Share), evicted: evictions{perHour: o.Policy.EvictionsPerHour},
 	}
 }
 
@@ -228,6 +231,17 @@
 	delete(b.finished, t.Spec.Key)
 	delete(b.stopping, t.Spec.Key)
 	delete(b.hopeless, t.Spec.Key)
+	delete(b.waiting, t.Spec.Key)
+}
+
+// setPhase moves a task to a phase.
+func (b *Board) setPhase(t *Task, p Phase) {
+	t.Phase = p
+	if p == PhaseStarting || p == PhaseUncertain || p == PhaseStopping {
+		b.waiting[t.Spec.Key] = t
+		return
+	}
+	delete(b.waiting, t.Spec.Key)
 }
 
 // Get returns a copy of a task.
@@ -264,7 +278,8 @@
 		w.used = w.used.Plus(t.Spec.Size)
 		b.fair.add(t.Spec.Team, t.Spec.Size)
 	}
-	t.Attempt, t.Phase = a, p
+	t.Attempt = a
+	b.setPhase(t, p)
 	delete(b.pending, t.Spec.Key)
 }
 
@@ -286,7 +301,8 @@
 		return
 	}
 	b.release(t)
-	t.Phase, t.Attempt = PhasePending, Attempt{}
+	b.setPhase(t, PhasePending)
+	t.Attempt = Attempt{}
 	t.Evict, t.saved = false, false
 	delete(b.stopping, t.Spec.Key)
 	b.pending[t.Spec.Key] = t
