Speak mutual TLS between instances

Cause: anybody who reached a peer port could promise, fence, hand over requests and pose as an owner.

Ruled out: a shared token in headers, which a listener on the way would read.

The gate before the first byte works through TLS as well.

Test: scenario peer_tls: an instance with a certificate of another authority is not admitted and owns nothing while the others answer 100 of 100 requests. Left: the operator port is plain HTTP with a token; renewal is not tested.

--- a/cmd/ibistand/main.go
+++ b/cmd/ibistand/main.go
@@ -46,6 +46,7 @@
 	add("executor", "run an executor stand-in", &executorCommand{})
 	add("control", "measure what an idle system spends on control", &controlCommand{})
 	add("spread", "measure how fast configuration comes into force", &spreadCommand{})
+	add("takeover", "measure how long executors are without an owner after theirs ended", &takeoverCommand{})
 	add("load", "measure the request path against baselines", &loadCommand{})
 	add("demo", "run a whole system on loopback and show what it does", &demoCommand{})
 	_, err := parser.Parse()
--- a/internal/modules/execio/gated_conn.go
+++ b/internal/modules/execio/gated_conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -42,10 +43,13 @@
 
 // NewWork returns the HTTP client for work: its connections are bound to the local IP, carry a gate, and are bounded
 // for each host.
-func NewWork(localIP string, maxConns int) *http.Client {
+//
+// A nil configuration is for connections without TLS.
+func NewWork(localIP string, maxConns int, config *tls.Config) *http.Client {
 	d := httpj.Dialer(localIP)
 	c := httpj.NewClient(d, maxConns)
 	t, _ := c.Transport.(*http.Transport)
+	t.TLSClientConfig = config
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := d.DialContext(ctx, network, address)
 		if err != nil {
@@ -63,7 +67,11 @@
 	}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			if c, ok := info.Conn.(*gatedConn); ok {
+			conn := info.Conn
+			if t, ok := conn.(*tls.Conn); ok {
+				conn = t.NetConn()
+			}
+			if c, ok := conn.(*gatedConn); ok {
 				c.arm(gate)
 			}
 		},
--- a/internal/modules/execio/http_client.go
+++ b/internal/modules/execio/http_client.go
@@ -21,14 +21,15 @@
 )
 
 type httpClient struct {
+	scheme  string
 	work    *http.Client
 	control *http.Client
 }
 
-// NewHTTP returns a Client by HTTP. Work and control calls use separate connections, so that an abort is never
-// queued behind work.
-func NewHTTP(work, control *http.Client) Client {
-	return &httpClient{work: work, control: control}
+// NewHTTP returns a Client by HTTP; the scheme is http or https. Work and control calls use separate connections, so
+// that an abort is never queued behind work.
+func NewHTTP(scheme string, work, control *http.Client) Client {
+	return &httpClient{scheme: scheme, work: work, control: control}
 }
 
 // opaqueBody hides the type of a body. net/http sends a request again by itself when a reused connection breaks, if it
@@ -46,7 +47,8 @@
 	if body == nil {
 		body = emptyReader{}
 	}
-	req, err := http.NewRequestWithContext(withGate(ctx, r.Gate), r.Method, "http://"+address+r.Path, opaqueBody{body})
+	target := c.scheme + "://" + address + r.Path
+	req, err := http.NewRequestWithContext(withGate(ctx, r.Gate), r.Method, target, opaqueBody{body})
 	if err != nil {
 		return nil, fault.Wrap(err, fault.CodeBadRequest, fault.NotRun, "build request")
 	}
@@ -67,12 +69,12 @@
 }
 
 func (c *httpClient) Abort(ctx context.Context, address string, id ident.Request) error {
-	target := "http://" + address + PathRequests + url.PathEscape(string(id))
+	target := c.scheme + "://" + address + PathRequests + url.PathEscape(string(id))
 	return httpj.Call(ctx, c.control, http.MethodDelete, target, nil, nil)
 }
 
 func (c *httpClient) Load(ctx context.Context, address string) (Load, error) {
 	var l Load
-	err := httpj.Call(ctx, c.control, http.MethodGet, "http://"+address+PathLoad, nil, &l)
+	err := httpj.Call(ctx, c.control, http.MethodGet, c.scheme+"://"+address+PathLoad, nil, &l)
 	return l, err
 }
--- a/internal/modules/params/params.go
+++ b/internal/modules/params/params.go
@@ -19,6 +19,7 @@
 	"strings"
 	"time"
 
+	"github.com/ibischute/ibischute/internal/modules/mtls"
 	"github.com/ibischute/ibischute/pkg/bundle"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/ident"
@@ -32,6 +33,10 @@
 	Caller   string   `long:"caller-address" env:"IBISCHUTE_CALLER_ADDRESS" description:"ip:port for callers" required:"true"`
 	Peer     string   `long:"peer-address" env:"IBISCHUTE_PEER_ADDRESS" description:"ip:port for other instances" required:"true"`
 	PeerBind string   `long:"peer-listen" env:"IBISCHUTE_PEER_LISTEN" description:"ip:port to listen on for other instances, if it is not the peer address"`
+	PeerCert string   `long:"peer-cert" env:"IBISCHUTE_PEER_CERT" description:"file with this instance's certificate for its peer address"`
+	PeerKey  string   `long:"peer-key" env:"IBISCHUTE_PEER_KEY" description:"file with the key of --peer-cert, readable by its owner only"`
+	PeerCA   string   `long:"peer-ca" env:"IBISCHUTE_PEER_CA" description:"file with the certificates of the authority of all instances"`
+	OpenPeer bool     `long:"insecure-peers" env:"IBISCHUTE_INSECURE_PEERS" description:"speak to other instances without TLS; for loopback only"`
 	Operator string   `long:"operator-address" env:"IBISCHUTE_OPERATOR_ADDRESS" description:"ip:port for operators, health and metrics" required:"true"`
 	Platform string   `long:"platform" env:"IBISCHUTE_PLATFORM" description:"base URL of the platform" required:"true"`
 	Seeds    []string `long:"seed" env:"IBISCHUTE_SEEDS" env-delim:"," description:"ip:port of other instances' peer ports, used when the platform is down"`
@@ -147,6 +152,9 @@
 	if _, err := s.Root(); err != nil {
 		return err
 	}
+	if _, err := s.PeerKeys(); err != nil {
+		return err
+	}
 	if s.InsecureOperator {
 		if ap, _ := netip.ParseAddrPort(s.Operator); !ap.Addr().IsLoopback() {
 			return bad("insecure-operator", "needs a loopback --operator-address")
@@ -177,6 +185,20 @@
 	return t, nil
 }
 
+// PeerKeys returns the keys for connections to other instances, or nil if they are open.
+func (s *Settings) PeerKeys() (*mtls.Keys, error) {
+	if s.OpenPeer {
+		if ap, _ := netip.ParseAddrPort(s.Peer); !ap.Addr().IsLoopback() {
+			return nil, bad("insecure-peers", "needs a loopback --peer-address")
+		}
+		return nil, nil
+	}
+	if s.PeerCert == "" || s.PeerKey == "" || s.PeerCA == "" {
+		return nil, bad("peer-cert", "--peer-cert, --peer-key and --peer-ca are needed, or --insecure-peers")
+	}
+	return mtls.Load(mtls.Files{Cert: s.PeerCert, Key: s.PeerKey, Authority: s.PeerCA})
+}
+
 // Token reads the operators' token; empty if none is needed.
 func (s *Settings) Token() (string, error) {
 	if s.InsecureOperator {
--- a/internal/scenar/commands_test.go
+++ b/internal/scenar/commands_test.go
@@ -119,7 +119,7 @@
 }
 
 // fleet domains=a,b entries=3 executors=2 workers=2 service-ms=5 cuttable=yes retain=N no-abort=yes seeds=yes
-// args=--flag,value
+// tls=yes strangers=A,B args=--flag,value
 func cmdFleet(ts *testscript.TestScript, s *session, args []string) {
 	o, _ := options(args)
 	c := fleet.Config{
@@ -129,6 +129,10 @@
 		ServiceTime: time.Duration(number(ts, o["service-ms"], 5)) * time.Millisecond,
 		Cuttable:    o["cuttable"] == "yes", NoAbort: o["no-abort"] == "yes", Retain: number(ts, o["retain"], 0),
 	}
+	c.TLS = o["tls"] == "yes"
+	if o["strangers"] != "" {
+		c.Strangers = strings.Split(o["strangers"], ",")
+	}
 	if o["seeds"] == "yes" {
 		c.SeedAll = true
 	}
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -53,6 +53,10 @@
 	Cuttable bool
 	ListLag  time.Duration
 	Retain   int
+	// TLS gives the instances certificates of one authority; those named in Strangers get theirs from another one and
+	// are not started with the rest.
+	TLS       bool
+	Strangers []string
 	// SeedAll names all entry instances as seeds to each other.
 	SeedAll bool
 	// EntryArgs are further flags of the entry instances.
@@ -90,6 +94,8 @@
 	client *http.Client
 	Key    ed25519.PrivateKey
 
+	authority, stranger *authority
+
 	mu        sync.Mutex
 	processes map[string]*process
 	peers     map[string]*tcprel.Relay
@@ -115,6 +121,15 @@
 }
 
 func (f *Fleet) start(ctx context.Context) error {
+	if f.TLS {
+		var err error
+		if f.authority, err = newAuthority(f.Dir, "authority"); err != nil {
+			return err
+		}
+		if f.stranger, err = newAuthority(f.Dir, "stranger"); err != nil {
+			return err
+		}
+	}
 	args := []string{"platform", "--listen", f.platformAddress(), "--list-lag", f.ListLag.String()}
 	if f.Retain > 0 {
 		args = append(args, "--retain-records", fmt.Sprint(f.Retain))
@@ -131,6 +146,9 @@
 		}
 	}
 	for _, name := range f.EntryNames() {
+		if slices.Contains(f.Strangers, name) {
+			continue
+		}
 		if err := f.await(ctx, "http://"+f.OperatorAddress(name)+"/healthz"); err != nil {
 			return err
 		}
@@ -160,6 +178,9 @@
 		}); err != nil {
 			return err
 		}
+		if slices.Contains(f.Strangers, name) {
+			continue
+		}
 		if err := f.StartEntry(name); err != nil {
 			return err
 		}
@@ -259,11 +280,15 @@
 		"--root-key", "root=" + f.PublicKey(),
 		"--insecure-operator", "--log-level", "debug",
 	}
+	peers, err := f.peerArgs(name)
+	if err != nil {
+		return err
+	}
+	args = append(args, peers...)
 	for _, d := range f.Domains {
 		args = append(args, "--domains", d)
 	}
 	if f.Cuttable {
-		var err error
 		if platform, err = f.relays(name); err != nil {
 			return err
 		}
@@ -278,6 +303,19 @@
 	return f.spawn(name, f.Ibischute, append(args, f.EntryArgs...))
 }
 
+// peerArgs returns the flags for connections to other instances.
+func (f *Fleet) peerArgs(name string) ([]string, error) {
+	if !f.TLS {
+		return []string{"--insecure-peers"}, nil
+	}
+	signer := f.authority
+	if slices.Contains(f.Strangers, name) {
+		signer = f.stranger
+	}
+	cert, key, err := signer.issue(f.Dir, name, f.EntryIP(name))
+	return []string{"--peer-cert", cert, "--peer-key", key, "--peer-ca", f.authority.path}, err
+}
+
 // relays puts relays in front of the instance's peer port and its way to the platform.
 func (f *Fleet) relays(name string) (string, error) {
 	address := fmt.Sprintf("%s:%d", f.EntryIP(name), platformPort)
@@ -356,7 +394,15 @@
 	if err := f.Signal(name, syscall.SIGTERM); err != nil {
 		return err
 	}
-	p, _ := f.process(name)
+	return f.AwaitEnd(name)
+}
+
+// AwaitEnd waits until a process has ended.
+func (f *Fleet) AwaitEnd(name string) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
 	select {
 	case <-p.ended:
 		return nil
--- a/internal/web/entry/entry.go
+++ b/internal/web/entry/entry.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -57,20 +59,23 @@
 	meter    *meter.Meter
 	// platformBytes, peerBytes and executorBytes count the traffic of control; handed-over requests are in peerBytes.
 	platformBytes, peerBytes, executorBytes httpj.Traffic
-	lister                                  *lister.Lister
-	member                                  *member.Member
-	sched                                   *sched.Scheduler
-	router                                  *route.Router
-	keyed                                   *keyed.Keyed
-	rollout                                 *rollo.Rollout
-	placer                                  *placer.Placer
-	front                                   *front.Front
-	peersv                                  *peersv.Server
-	opersv                                  *opersv.Server
-	started                                 tick.Time
-	warm                                    atomic.Bool
-	draining                                atomic.Bool
-	drain                                   chan struct{}
+	// peerScheme, peerClient and peerServer are how instances speak to each other; the latter two are nil without TLS.
+	peerScheme             string
+	peerClient, peerServer *tls.Config
+	lister                 *lister.Lister
+	member                 *member.Member
+	sched                  *sched.Scheduler
+	router                 *route.Router
+	keyed                  *keyed.Keyed
+	rollout                *rollo.Rollout
+	placer                 *placer.Placer
+	front                  *front.Front
+	peersv                 *peersv.Server
+	opersv                 *opersv.Server
+	started                tick.Time
+	warm                   atomic.Bool
+	draining               atomic.Bool
+	drain                  chan struct{}
 }
 
 // New assembles an instance from checked settings.
@@ -87,7 +92,10 @@
 	dialer := httpj.Dialer(s.LocalIP())
 	platform := e.platformBytes.Client(httpj.NewClient(dialer, platformConnections))
 	log := logio.NewHTTP(s.Platform, platform)
-	dial := peerDialer(e.peerBytes.Client(httpj.NewClient(dialer, peerConnections)))
+	if err := e.securePeers(s); err != nil {
+		return nil, err
+	}
+	dial := e.peerDialer(dialer)
 	e.lister = lister.New(roster.NewHTTP(s.Platform, platform), logger)
 	life := newIncarnation()
 	e.member = member.New(member.Options{
@@ -104,7 +112,7 @@
 	e.sched = sched.New(sched.Options{
 		Domain: ident.Domain(s.Domain), Own: e.member, Changed: e.member.Changed(), Roster: e.lister.List,
 		Logger: logger, Now: tick.Now,
-		Exec: execio.NewHTTP(execio.NewWork(s.LocalIP(), s.ExecutorConnections), control),
+		Exec: execio.NewHTTP("http", execio.NewWork(s.LocalIP(), s.ExecutorConnections, nil), control),
 	})
 	e.assembleRequests(s, dial)
 	e.placer = placer.New(placer.Options{
@@ -121,7 +129,7 @@
 
 // assembleRequests builds the path of requests.
 func (e *Entry) assembleRequests(s params.Settings, dial func(string) wire.Peer) {
-	hop := hopio.NewHTTP(execio.NewHTTP(execio.NewWork(s.LocalIP(), hopConnections), nil))
+	hop := hopio.NewHTTP(execio.NewHTTP(e.peerScheme, execio.NewWork(s.LocalIP(), hopConnections, e.peerClient), nil))
 	e.router = route.New(route.Options{
 		Domain: ident.Domain(s.Domain), Local: e.sched, Peers: e.member.Peers, Hop: hop, Now: tick.Now, Wall: tick.Wall,
 		OnRetry: func(service ident.Service) {
@@ -150,13 +158,32 @@
 	})
 }
 
-func peerDialer(client *http.Client) func(address string) wire.Peer {
+// securePeers sets how this instance speaks to others.
+func (e *Entry) securePeers(s params.Settings) error {
+	keys, err := s.PeerKeys()
+	if err != nil {
+		return err
+	}
+	e.peerScheme = "http"
+	if keys != nil {
+		e.peerScheme, e.peerClient, e.peerServer = "https", keys.Client(), keys.Server()
+	}
+	return nil
+}
+
+// peerDialer returns the twirp clients of other instances by their address.
+func (e *Entry) peerDialer(d *net.Dialer) func(address string) wire.Peer {
+	client := httpj.NewClient(d, peerConnections)
+	if t, ok := client.Transport.(*http.Transport); ok {
+		t.TLSClientConfig = e.peerClient
+	}
+	client = e.peerBytes.Client(client)
 	cache, _ := lru.New[string, wire.Peer](maxPeerClients)
 	return func(address string) wire.Peer {
 		if p, ok := cache.Get(address); ok {
 			return p
 		}
-		p := wire.NewPeerProtobufClient("http://"+address, client)
+		p := wire.NewPeerProtobufClient(e.peerScheme+"://"+address, client)
 		cache.Add(address, p)
 		return p
 	}
--- a/internal/web/entry/run.go
+++ b/internal/web/entry/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -92,6 +93,9 @@
 		}
 		if s.name == "peer" {
 			srv.listener = e.peerBytes.Listener(srv.listener)
+			if e.peerServer != nil {
+				srv.listener = tls.NewListener(srv.listener, e.peerServer)
+			}
 		}
 		out = append(out, srv)
 	}
