--- /dev/null
+++ b/internal/modules/logio/snapshot.go
@@ -0,0 +1,34 @@
+package logio
+
+import (
+	"context"
+
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+)
+
+// FindSnapshot returns the first snapshot of a stream whose following records the log still keeps. Parse tells
+// whether a record is a snapshot, and the offset that its following records begin at.
+func FindSnapshot[T any](
+	ctx context.Context, log Log, s ident.Stream, earliest ident.Offset,
+	parse func(data []byte) (snapshot T, next ident.Offset, ok bool),
+) (T, error) {
+	var none T
+	from := earliest
+	for ctx.Err() == nil {
+		b, err := log.Read(ctx, s, from, 0)
+		if err != nil {
+			return none, err
+		}
+		for _, r := range b.Records {
+			from = r.Offset + 1
+			if snapshot, next, ok := parse(r.Data); ok && next >= earliest {
+				return snapshot, nil
+			}
+		}
+		if from >= b.Next {
+			break
+		}
+	}
+	return none, fault.New(fault.CodeTrimmed, fault.NotRun, "no snapshot of "+string(s)+" is kept")
+}
--- a/internal/modules/params/params.go
+++ b/internal/modules/params/params.go
@@ -27,19 +27,19 @@
 
 // Settings are the settings of `ibischute serve`.
 type Settings struct {
-	Name     string   `long:"name" env:"IBISCHUTE_NAME" description:"name of this instance, unique in its failure domain" required:"true"`
-	Domain   string   `long:"domain" env:"IBISCHUTE_DOMAIN" description:"failure domain of this instance" required:"true"`
-	Domains  []string `long:"domains" env:"IBISCHUTE_DOMAINS" env-delim:"," description:"all failure domains, the same list everywhere" required:"true"`
-	Caller   string   `long:"caller-address" env:"IBISCHUTE_CALLER_ADDRESS" description:"ip:port for callers" required:"true"`
-	Peer     string   `long:"peer-address" env:"IBISCHUTE_PEER_ADDRESS" description:"ip:port for other instances" required:"true"`
-	PeerBind string   `long:"peer-listen" env:"IBISCHUTE_PEER_LISTEN" description:"ip:port to listen on for other instances, if it is not the peer address"`
-	PeerCert string   `long:"peer-cert" env:"IBISCHUTE_PEER_CERT" description:"file with this instance's certificate for its peer address"`
-	PeerKey  string   `long:"peer-key" env:"IBISCHUTE_PEER_KEY" description:"file with the key of --peer-cert, readable by its owner only"`
-	PeerCA   string   `long:"peer-ca" env:"IBISCHUTE_PEER_CA" description:"file with the certificates of the authority of all instances"`
-	OpenPeer bool     `long:"insecure-peers" env:"IBISCHUTE_INSECURE_PEERS" description:"speak to other instances without TLS; for loopback only"`
-	Operator string   `long:"operator-address" env:"IBISCHUTE_OPERATOR_ADDRESS" description:"ip:port for operators, health and metrics" required:"true"`
-	Platform string   `long:"platform" env:"IBISCHUTE_PLATFORM" description:"base URL of the platform" required:"true"`
-	Seeds    []string `long:"seed" env:"IBISCHUTE_SEEDS" env-delim:"," description:"ip:port of other instances' peer ports, used when the platform is down"`
+	Name          string   `long:"name" env:"IBISCHUTE_NAME" description:"name of this instance, unique in its failure domain" required:"true"`
+	Domain        string   `long:"domain" env:"IBISCHUTE_DOMAIN" description:"failure domain of this instance" required:"true"`
+	Domains       []string `long:"domains" env:"IBISCHUTE_DOMAINS" env-delim:"," description:"all failure domains, the same list everywhere" required:"true"`
+	Caller        string   `long:"caller-address" env:"IBISCHUTE_CALLER_ADDRESS" description:"ip:port for callers" required:"true"`
+	Peer          string   `long:"peer-address" env:"IBISCHUTE_PEER_ADDRESS" description:"ip:port for other instances" required:"true"`
+	PeerBind      string   `long:"peer-listen" env:"IBISCHUTE_PEER_LISTEN" description:"ip:port to listen on for other instances, if it is not the peer address"`
+	PeerCert      string   `long:"peer-cert" env:"IBISCHUTE_PEER_CERT" description:"file with this instance's certificate for its peer address"`
+	PeerKey       string   `long:"peer-key" env:"IBISCHUTE_PEER_KEY" description:"file with the key of --peer-cert, readable by its owner only"`
+	PeerCA        string   `long:"peer-ca" env:"IBISCHUTE_PEER_CA" description:"file with the certificates of the authority of all instances"`
+	InsecurePeers bool     `long:"insecure-peers" env:"IBISCHUTE_INSECURE_PEERS" description:"speak to other instances without TLS; for loopback only"`
+	Operator      string   `long:"operator-address" env:"IBISCHUTE_OPERATOR_ADDRESS" description:"ip:port for operators, health and metrics" required:"true"`
+	Platform      string   `long:"platform" env:"IBISCHUTE_PLATFORM" description:"base URL of the platform" required:"true"`
+	Seeds         []string `long:"seed" env:"IBISCHUTE_SEEDS" env-delim:"," description:"ip:port of other instances' peer ports, used when the platform is down"`
 
 	LeaseTerm time.Duration `long:"lease-term" env:"IBISCHUTE_LEASE_TERM" description:"term of the domain lease, the same on every instance" default:"2s"`
 	Heartbeat time.Duration `long:"heartbeat" env:"IBISCHUTE_HEARTBEAT" description:"interval of heartbeats in the domain, at most a quarter of the lease term" default:"500ms"`
@@ -187,7 +187,7 @@
 
 // PeerKeys returns the keys for connections to other instances, or nil if they are open.
 func (s *Settings) PeerKeys() (*mtls.Keys, error) {
-	if s.OpenPeer {
+	if s.InsecurePeers {
 		if ap, _ := netip.ParseAddrPort(s.Peer); !ap.Addr().IsLoopback() {
 			return nil, bad("insecure-peers", "needs a loopback --peer-address")
 		}
--- a/internal/modules/suprv/suprv.go
+++ b/internal/modules/suprv/suprv.go
@@ -13,6 +13,8 @@
 
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
+
+	"github.com/ibischute/ibischute/pkg/tick"
 )
 
 const (
@@ -86,3 +88,55 @@
 		}
 	}
 }
+
+// Every returns a service that calls f in each interval.
+func Every(name string, interval time.Duration, f func(ctx context.Context)) Service {
+	return &everyService{name: name, interval: interval, f: f}
+}
+
+type everyService struct {
+	name     string
+	interval time.Duration
+	f        func(ctx context.Context)
+}
+
+// String names the service in logs.
+func (s *everyService) String() string { return s.name }
+
+// Serve implements Service.
+func (s *everyService) Serve(ctx context.Context) error {
+	t := time.NewTicker(s.interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			s.f(ctx)
+		}
+	}
+}
+
+// Repeat returns a service that calls f again and again, and pauses after a failure.
+func Repeat(name string, pause time.Duration, f func(ctx context.Context) error) Service {
+	return &repeatService{name: name, pause: pause, f: f}
+}
+
+type repeatService struct {
+	name  string
+	pause time.Duration
+	f     func(ctx context.Context) error
+}
+
+// String names the service in logs.
+func (s *repeatService) String() string { return s.name }
+
+// Serve implements Service.
+func (s *repeatService) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := s.f(ctx); err != nil {
+			tick.Pause(ctx, s.pause)
+		}
+	}
+	return ctx.Err()
+}
--- a/internal/services/keyed/record.go
+++ b/internal/services/keyed/record.go
@@ -123,27 +123,8 @@
 	return true
 }
 
-type syncService struct{ k *Keyed }
-
 // Sync returns the service that takes over keys after a join and restores copies after a loss.
-func (k *Keyed) Sync() suprv.Service { return syncService{k} }
-
-// String names the service in logs.
-func (syncService) String() string { return "keyed-sync" }
-
-// Serve implements suprv.Service.
-func (s syncService) Serve(ctx context.Context) error {
-	t := time.NewTicker(syncInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-			s.k.syncOnce(ctx)
-		}
-	}
-}
+func (k *Keyed) Sync() suprv.Service { return suprv.Every("keyed-sync", syncInterval, k.syncOnce) }
 
 // syncOnce follows the view and pulls the keys of the members that the tracker asks for.
 func (k *Keyed) syncOnce(ctx context.Context) {
--- /dev/null
+++ b/internal/services/member/handle.go
@@ -0,0 +1,70 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// catchUp fetches member records from a peer of the domain that knows a newer view.
+func (m *Member) catchUp(ctx context.Context, address string, s *wire.PeerState) {
+	m.mu.Lock()
+	from := m.view.Next()
+	behind := ident.Domain(s.GetDomain()) == m.opts.Domain && ident.Offset(s.GetViewOffset()) > from
+	m.mu.Unlock()
+	if !behind {
+		return
+	}
+	res, err := m.opts.Dial(address).FetchMembers(ctx, &wire.FetchMembersRequest{From: uint64(from)})
+	if err != nil {
+		return
+	}
+	now := m.opts.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, data := range res.GetRecords() {
+		m.apply(now, ident.Offset(res.GetFirst())+ident.Offset(i), data)
+	}
+}
+
+// HandleExchange answers a heartbeat.
+func (m *Member) HandleExchange(now tick.Time, req *wire.ExchangeRequest) *wire.ExchangeResponse {
+	from := req.GetState().GetMember()
+	m.note(now, from.GetPeerAddress(), req.GetState())
+	var promised time.Duration
+	m.mu.Lock()
+	near := ident.Domain(req.GetState().GetDomain()) == m.opts.Domain
+	if near && req.GetPromiseMs() > 0 && !m.draining {
+		promised = m.grantor.Promise(now, ident.Instance(from.GetName()), ident.Incarnation(from.GetIncarnation()),
+			time.Duration(req.GetPromiseMs())*time.Millisecond)
+	}
+	res := &wire.ExchangeResponse{PromisedMs: uint32(promised.Milliseconds())}
+	for _, name := range m.grantor.Signed() {
+		res.Signed = append(res.Signed, string(name))
+	}
+	caller := ident.Instance(from.GetName())
+	isJoiner := m.view.Has(caller, ident.Incarnation(from.GetIncarnation())) && !m.view.IsVoting(caller)
+	res.Admitted = near && isJoiner && m.voting && !m.draining
+	m.mu.Unlock()
+	res.State = m.State(now)
+	return res
+}
+
+// HandleFetchMembers returns kept records of the member stream.
+func (m *Member) HandleFetchMembers(req *wire.FetchMembersRequest) (*wire.FetchMembersResponse, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	from := ident.Offset(req.GetFrom())
+	if from < m.firstRec || from > m.view.Next() {
+		return nil, fault.New(fault.CodeTrimmed, fault.NotRun, "member records not kept that far back")
+	}
+	res := &wire.FetchMembersResponse{First: uint64(from)}
+	for i := int(from - m.firstRec); i < len(m.records); i++ {
+		res.Records = append(res.Records, m.records[i])
+	}
+	return res, nil
+}
--- a/internal/services/member/member.go
+++ b/internal/services/member/member.go
@@ -22,6 +22,7 @@
 	"github.com/ibischute/ibischute/internal/modules/wire"
 	"github.com/ibischute/ibischute/internal/state/lease"
 	"github.com/ibischute/ibischute/internal/state/owner"
+	"github.com/ibischute/ibischute/internal/state/snaps"
 	"github.com/ibischute/ibischute/internal/state/view"
 	"github.com/ibischute/ibischute/pkg/ident"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -110,9 +111,7 @@
 	voting    bool
 	draining  bool
 	caughtUp  bool
-	// sinceSnapshot counts the records after the newest snapshot, which was seen or asked for at snapshotAt.
-	sinceSnapshot int
-	snapshotAt    tick.Time
+	cadence   *snaps.Cadence
 }
 
 // New returns a Member that has not joined yet.
@@ -124,8 +123,8 @@
 		table:       owner.NewTable(o.Self, lease.WithDrift(o.Term)),
 		keeper:      lease.NewKeeper(o.Self, o.Term, grantor), grantor: grantor,
 		peers: map[string]*Peer{}, inFlight: map[string]bool{},
-		snapshotAt: o.Now(),
-		suspected:  map[ident.Instance]tick.Time{}, heardAt: map[ident.Instance]tick.Time{},
+		cadence:   snaps.New(o.SnapshotRecords, o.SnapshotInterval, o.Now()),
+		suspected: map[ident.Instance]tick.Time{}, heardAt: map[ident.Instance]tick.Time{},
 	}
 }
 
--- a/internal/services/member/snapshot.go
+++ b/internal/services/member/snapshot.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/ibischute/ibischute/internal/modules/logio"
 	"github.com/ibischute/ibischute/internal/modules/wire"
 	"github.com/ibischute/ibischute/internal/state/view"
 	"github.com/ibischute/ibischute/pkg/fault"
@@ -18,44 +19,37 @@
 func (m *Member) snapshotIfDue(ctx context.Context) {
 	now := m.opts.Now()
 	m.mu.Lock()
-	isDue := m.sinceSnapshot >= m.opts.SnapshotRecords ||
-		(m.sinceSnapshot > 0 && now.Sub(m.snapshotAt) >= m.opts.SnapshotInterval)
 	isMine := m.caughtUp && m.hasLease(now) && m.table.IsOwner(snapshotKey)
+	isDue := isMine && m.cadence.IsDue(now)
 	v := m.view
-	if isDue && isMine {
-		m.sinceSnapshot, m.snapshotAt = 0, now
+	if isDue {
+		m.cadence.Seen(now)
 	}
 	m.mu.Unlock()
-	if isDue && isMine {
+	if isDue {
 		m.append(ctx, &wire.MemberRecord{Kind: &wire.MemberRecord_Snapshot{Snapshot: v.Snapshot()}})
 	}
 }
 
 // adoptSnapshot starts from the first snapshot whose following records the log still keeps.
 func (m *Member) adoptSnapshot(ctx context.Context, earliest ident.Offset) error {
-	from := earliest
-	for ctx.Err() == nil {
-		b, err := m.opts.Log.Read(ctx, ident.MemberStream(m.opts.Domain), from, 0)
-		if err != nil {
-			return err
-		}
-		for _, r := range b.Records {
-			from = r.Offset + 1
-			var rec wire.MemberRecord
-			if proto.Unmarshal(r.Data, &rec) != nil || rec.GetSnapshot() == nil {
-				continue
-			}
-			if s := rec.GetSnapshot(); ident.Offset(s.GetNext()) >= earliest {
-				m.startFrom(view.FromSnapshot(s))
-				return nil
-			}
-		}
-		if from >= b.Next {
-			break
-		}
+	s, err := logio.FindSnapshot(ctx, m.opts.Log, ident.MemberStream(m.opts.Domain), earliest, parseSnapshot)
+	if fault.IsErrCode(err, fault.CodeTrimmed) {
+		m.opts.Logger.Error().Uint64("earliest", uint64(earliest)).Msg("member-stream-lost-without-snapshot")
 	}
-	m.opts.Logger.Error().Uint64("earliest", uint64(earliest)).Msg("member-stream-lost-without-snapshot")
-	return fault.New(fault.CodeTrimmed, fault.NotRun, "no snapshot of the member stream is kept")
+	if err != nil {
+		return err
+	}
+	m.startFrom(view.FromSnapshot(s))
+	return nil
+}
+
+func parseSnapshot(data []byte) (*wire.MemberSnapshot, ident.Offset, bool) {
+	var rec wire.MemberRecord
+	if proto.Unmarshal(data, &rec) != nil || rec.GetSnapshot() == nil {
+		return nil, 0, false
+	}
+	return rec.GetSnapshot(), ident.Offset(rec.GetSnapshot().GetNext()), true
 }
 
 func (m *Member) startFrom(v view.View) {
--- a/internal/services/member/tail.go
+++ b/internal/services/member/tail.go
@@ -86,9 +86,9 @@
 	}
 	before := m.view
 	m.view = before.Apply(&rec, at)
-	m.sinceSnapshot++
+	m.cadence.Count()
 	if rec.GetSnapshot() != nil {
-		m.sinceSnapshot, m.snapshotAt = 0, now
+		m.cadence.Seen(now)
 	}
 	m.keep(at, data)
 	if m.view.Epoch() == before.Epoch() {
--- /dev/null
+++ b/internal/services/placer/calls.go
@@ -0,0 +1,84 @@
+package placer
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/ibischute/ibischute/internal/modules/wire"
+	"github.com/ibischute/ibischute/internal/modules/workio"
+	"github.com/ibischute/ibischute/internal/state/tasks"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/ident"
+)
+
+// carryOut starts or stops an attempt.
+func (p *Placer) carryOut(ctx context.Context, a tasks.Action) {
+	p.mu.Lock()
+	board := p.board
+	task := p.taskOf(a)
+	p.mu.Unlock()
+	p.calls.Go(ctx, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		reference, err := p.call(ctx, a, task)
+		now := p.opts.Now()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.board != board || board == nil {
+			return
+		}
+		switch a.Kind {
+		case tasks.KindStart:
+			board.Started(now, a.Task.Spec.Key, a.Number, err)
+		case tasks.KindStop:
+			board.Stopped(a.Task.Spec.Key, a.Number, err)
+		case tasks.KindCheckpoint:
+			if err == nil {
+				board.Saved(a.Task.Spec.Key, a.Number, reference)
+			}
+		}
+	})
+}
+
+// taskOf needs the lock.
+func (p *Placer) taskOf(a tasks.Action) workio.Task {
+	t := workio.Task{
+		ID: taskID(a.Task.Spec.Key), Attempt: uint64(a.Number), LeaseMS: p.lease().Milliseconds(), Size: a.Task.Spec.Size,
+		Checkpoint: a.Task.Spec.Checkpoint,
+	}
+	if j, ok := p.fold.Get(a.Task.Spec.Key.Job); ok {
+		t.RunMS = int64(j.Spec.GetRunMs())
+		t.Command = j.Spec.GetCommand()
+	}
+	return t
+}
+
+// call checks the right to place right before it sends.
+func (p *Placer) call(ctx context.Context, a tasks.Action, t workio.Task) (string, error) {
+	if !p.opts.Member.MayAct(p.opts.Now(), ident.PlacerKey) {
+		return "", fault.New(fault.CodeNotSent, fault.NotRun, "the right to place lapsed")
+	}
+	p.opts.Logger.Debug().Str("task", string(t.ID)).Uint64("attempt", t.Attempt).Str("worker", string(a.Worker)).
+		Str("action", string(a.Kind)).Msg("task-action")
+	switch a.Kind {
+	case tasks.KindStart:
+		return "", p.opts.Workers.Start(ctx, a.Worker, t)
+	case tasks.KindCheckpoint:
+		return p.checkpoint(ctx, a, t)
+	default:
+		return "", p.opts.Workers.Stop(ctx, a.Worker, t)
+	}
+}
+
+// checkpoint saves the progress of an attempt and records the reference before anybody may rely on it.
+func (p *Placer) checkpoint(ctx context.Context, a tasks.Action, t workio.Task) (string, error) {
+	reference, err := p.opts.Workers.Checkpoint(ctx, a.Worker, t)
+	if err != nil {
+		return "", err
+	}
+	k := a.Task.Spec.Key
+	rec := &wire.JobRecord{Kind: &wire.JobRecord_Checkpoint{Checkpoint: &wire.TaskCheckpoint{
+		Job: string(k.Job), Task: k.Index, Attempt: uint64(a.Number), Reference: reference,
+	}}}
+	return reference, p.append(ctx, fmt.Sprintf("checkpoint-%s-%d", t.ID, t.Attempt), rec)
+}
--- a/internal/services/placer/placer.go
+++ b/internal/services/placer/placer.go
@@ -27,6 +27,7 @@
 	"github.com/ibischute/ibischute/internal/modules/workio"
 	"github.com/ibischute/ibischute/internal/services/member"
 	"github.com/ibischute/ibischute/internal/state/jobs"
+	"github.com/ibischute/ibischute/internal/state/snaps"
 	"github.com/ibischute/ibischute/internal/state/tasks"
 	"github.com/ibischute/ibischute/internal/state/view"
 	"github.com/ibischute/ibischute/pkg/bundle"
@@ -90,10 +91,8 @@
 	order    map[ident.Job]uint64
 	recorded map[tasks.Key]bool
 	// dirty are the jobs that changed since they were brought onto the board.
-	dirty map[ident.Job]bool
-	// sinceSnapshot counts the records after the newest snapshot, which was seen or asked for at snapshotAt.
-	sinceSnapshot int
-	snapshotAt    tick.Time
+	dirty   map[ident.Job]bool
+	cadence *snaps.Cadence
 }
 
 // New returns a Placer that follows nothing yet.
@@ -102,30 +101,16 @@
 		opts: o, home: rendez.New(o.Domains), committer: commit.New(o.Log, ident.JobStream(o.Domain)),
 		calls: suprv.NewGroup(maxCalls), fold: jobs.New(), asked: map[ident.Worker]tick.Time{},
 		busy: map[ident.Worker]bool{}, order: map[ident.Job]uint64{}, recorded: map[tasks.Key]bool{},
-		dirty: map[ident.Job]bool{}, snapshotAt: o.Now(),
+		dirty: map[ident.Job]bool{}, cadence: snaps.New(o.SnapshotRecords, o.SnapshotInterval, o.Now()),
 	}
 }
 
 // Committer returns the service that writes the job stream.
 func (p *Placer) Committer() suprv.Service { return p.committer }
 
-type tailService struct{ p *Placer }
-
 // Tail returns the service that follows the job stream.
-func (p *Placer) Tail() suprv.Service { return tailService{p} }
-
-// String names the service in logs.
-func (tailService) String() string { return "job-tail" }
-
-// Serve implements suprv.Service.
-func (s tailService) Serve(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if err := s.p.readOnce(ctx, tailWait); err != nil {
-			s.p.opts.Logger.Debug().Err(err).Msg("job-stream-unreadable")
-			tick.Pause(ctx, retryInterval)
-		}
-	}
-	return ctx.Err()
+func (p *Placer) Tail() suprv.Service {
+	return suprv.Repeat("job-tail", retryInterval, func(ctx context.Context) error { return p.readOnce(ctx, tailWait) })
 }
 
 // readOnce folds what has come since the last read, and waits up to the duration for the first record.
@@ -161,7 +146,7 @@
 		return
 	}
 	p.next = r.Offset + 1
-	p.sinceSnapshot++
+	p.cadence.Count()
 	var rec wire.JobRecord
 	err := proto.Unmarshal(r.Data, &rec)
 	if err == nil {
@@ -172,7 +157,7 @@
 		return
 	}
 	if rec.GetSnapshot() != nil {
-		p.sinceSnapshot, p.snapshotAt = 0, p.opts.Now()
+		p.cadence.Seen(p.opts.Now())
 		return
 	}
 	p.dirty[jobOf(&rec)] = true
--- a/internal/services/placer/snapshot.go
+++ b/internal/services/placer/snapshot.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/ibischute/ibischute/internal/modules/logio"
 	"github.com/ibischute/ibischute/internal/modules/wire"
 	"github.com/ibischute/ibischute/internal/state/jobs"
 	"github.com/ibischute/ibischute/pkg/fault"
@@ -15,12 +16,10 @@
 // snapshotIfDue appends a snapshot well before the log drops the records that it replaces; it needs the lock.
 func (p *Placer) snapshotIfDue(ctx context.Context) {
 	now := p.opts.Now()
-	isDue := p.sinceSnapshot >= p.opts.SnapshotRecords ||
-		(p.sinceSnapshot > 0 && now.Sub(p.snapshotAt) >= p.opts.SnapshotInterval)
-	if !isDue || !p.opts.Member.MayAct(now, ident.PlacerKey) {
+	if !p.cadence.IsDue(now) || !p.opts.Member.MayAct(now, ident.PlacerKey) {
 		return
 	}
-	p.sinceSnapshot, p.snapshotAt = 0, now
+	p.cadence.Seen(now)
 	rec := &wire.JobRecord{Kind: &wire.JobRecord_Snapshot{Snapshot: p.fold.Snapshot(p.next)}}
 	p.calls.Go(context.WithoutCancel(ctx), func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
@@ -34,29 +33,23 @@
 // adoptSnapshot starts from the first snapshot whose following records the log still keeps. If there is none, nothing
 // older than the retention was left to keep.
 func (p *Placer) adoptSnapshot(ctx context.Context, earliest ident.Offset) error {
-	from := earliest
-	for ctx.Err() == nil {
-		b, err := p.opts.Log.Read(ctx, ident.JobStream(p.opts.Domain), from, 0)
-		if err != nil {
-			return err
-		}
-		for _, r := range b.Records {
-			from = r.Offset + 1
-			var rec wire.JobRecord
-			if proto.Unmarshal(r.Data, &rec) != nil || rec.GetSnapshot() == nil {
-				continue
-			}
-			if s := rec.GetSnapshot(); ident.Offset(s.GetNext()) >= earliest {
-				p.startFrom(s)
-				return nil
-			}
-		}
-		if from >= b.Next {
-			break
-		}
+	s, err := logio.FindSnapshot(ctx, p.opts.Log, ident.JobStream(p.opts.Domain), earliest, parseSnapshot)
+	if fault.IsErrCode(err, fault.CodeTrimmed) {
+		p.opts.Logger.Error().Uint64("earliest", uint64(earliest)).Msg("job-stream-lost-without-snapshot")
+	}
+	if err != nil {
+		return err
+	}
+	p.startFrom(s)
+	return nil
+}
+
+func parseSnapshot(data []byte) (*wire.JobSnapshot, ident.Offset, bool) {
+	var rec wire.JobRecord
+	if proto.Unmarshal(data, &rec) != nil || rec.GetSnapshot() == nil {
+		return nil, 0, false
 	}
-	p.opts.Logger.Error().Uint64("earliest", uint64(earliest)).Msg("job-stream-lost-without-snapshot")
-	return fault.New(fault.CodeTrimmed, fault.NotRun, "no snapshot of the job stream is kept")
+	return rec.GetSnapshot(), ident.Offset(rec.GetSnapshot().GetNext()), true
 }
 
 func (p *Placer) startFrom(s *wire.JobSnapshot) {
--- a/internal/services/rollo/rollo.go
+++ b/internal/services/rollo/rollo.go
@@ -25,6 +25,7 @@
 	"github.com/ibischute/ibischute/internal/modules/wire"
 	"github.com/ibischute/ibischute/internal/services/member"
 	"github.com/ibischute/ibischute/internal/state/accept"
+	"github.com/ibischute/ibischute/internal/state/snaps"
 	"github.com/ibischute/ibischute/pkg/bundle"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/ident"
@@ -57,17 +58,15 @@
 	opts    Options
 	inForce atomic.Pointer[bundle.Bundle]
 
-	mu   sync.Mutex
-	fold *accept.Fold
-	next ident.Offset
-	// sinceSnapshot counts the records after the newest snapshot, which was seen at snapshotAt.
-	sinceSnapshot int
-	snapshotAt    tick.Time
+	mu      sync.Mutex
+	fold    *accept.Fold
+	next    ident.Offset
+	cadence *snaps.Cadence
 }
 
 // New returns a Rollout without a version in force.
 func New(o Options) *Rollout {
-	return &Rollout{opts: o, fold: accept.New(o.Root), snapshotAt: o.Now()}
+	return &Rollout{opts: o, fold: accept.New(o.Root), cadence: snaps.New(o.SnapshotRecords, o.SnapshotInterval, o.Now())}
 }
 
 // InForce returns the bundle in force, or nil before the first one.
@@ -81,24 +80,8 @@
 	return 0
 }
 
-type tailService struct{ r *Rollout }
-
 // Tail returns the service that follows the config stream.
-func (r *Rollout) Tail() suprv.Service { return tailService{r} }
-
-// String names the service in logs.
-func (tailService) String() string { return "config-tail" }
-
-// Serve implements suprv.Service.
-func (s tailService) Serve(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if err := s.r.readOnce(ctx); err != nil {
-			s.r.opts.Logger.Debug().Err(err).Msg("config-stream-unreadable")
-			tick.Pause(ctx, retryInterval)
-		}
-	}
-	return ctx.Err()
-}
+func (r *Rollout) Tail() suprv.Service { return suprv.Repeat("config-tail", retryInterval, r.readOnce) }
 
 func (r *Rollout) readOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, tailWait+callTimeout)
@@ -118,10 +101,12 @@
 		return err
 	}
 	for _, rec := range b.Records {
+		r.mu.Lock()
+		r.cadence.Count()
+		r.mu.Unlock()
 		r.apply(rec.Data, rec.Offset)
 		r.mu.Lock()
 		r.next = rec.Offset + 1
-		r.sinceSnapshot++
 		r.mu.Unlock()
 	}
 	return r.snapshotIfDue(ctx)
@@ -131,13 +116,11 @@
 func (r *Rollout) snapshotIfDue(ctx context.Context) error {
 	now := r.opts.Now()
 	r.mu.Lock()
-	isDue := r.sinceSnapshot >= r.opts.SnapshotRecords ||
-		(r.sinceSnapshot > 0 && now.Sub(r.snapshotAt) >= r.opts.SnapshotInterval)
-	if !isDue || !r.opts.IsOwner(snapshotKey) {
+	if !r.cadence.IsDue(now) || !r.opts.IsOwner(snapshotKey) {
 		r.mu.Unlock()
 		return nil
 	}
-	r.sinceSnapshot, r.snapshotAt = 0, now
+	r.cadence.Seen(now)
 	s := r.fold.Snapshot()
 	r.mu.Unlock()
 	id := fmt.Sprintf("snapshot-%d", now)
@@ -160,7 +143,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if rec.GetSnapshot() != nil {
-		r.sinceSnapshot, r.snapshotAt = -1, r.opts.Now()
+		r.cadence.Seen(r.opts.Now())
 	}
 	if !r.fold.Apply(rec, at) {
 		return
@@ -170,26 +153,9 @@
 	r.opts.Logger.Info().Uint64("version", uint64(b.Version)).Msg("version-in-force")
 }
 
-type spreadService struct{ r *Rollout }
-
 // Spread returns the service that fetches newer versions from peers.
-func (r *Rollout) Spread() suprv.Service { return spreadService{r} }
-
-// String names the service in logs.
-func (spreadService) String() string { return "config-spread" }
-
-// Serve implements suprv.Service.
-func (s spreadService) Serve(ctx context.Context) error {
-	t := time.NewTicker(retryInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-			s.r.fetchFromPeers(ctx)
-		}
-	}
+func (r *Rollout) Spread() suprv.Service {
+	return suprv.Every("config-spread", retryInterval, r.fetchFromPeers)
 }
 
 func (r *Rollout) fetchFromPeers(ctx context.Context) {
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -18,9 +18,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -79,14 +76,6 @@
 	logMode       = 0o600
 )
 
-type process struct {
-	name  string
-	args  []string
-	path  string
-	cmd   *exec.Cmd
-	ended chan struct{}
-}
-
 // Fleet is the running system.
 type Fleet struct {
 	Config
@@ -214,53 +203,6 @@
 	})
 }
 
-func (f *Fleet) ip(third, fourth int) string {
-	return fmt.Sprintf("127.%d.%d.%d", f.block[0], (f.block[1]+third)%250, fourth)
-}
-
-func (f *Fleet) platformAddress() string { return fmt.Sprintf("%s:%d", f.ip(0, 1), platformPort) }
-
-// EntryIP returns the address that an entry instance listens on and calls from.
-func (f *Fleet) EntryIP(name string) string {
-	i := strings.LastIndexByte(name, '-')
-	d := slices.Index(f.Domains, name[:i])
-	var n int
-	_, _ = fmt.Sscan(name[i+1:], &n)
-	return f.ip(d+1, n)
-}
-
-// CallerAddress returns the callers' port of an entry instance.
-func (f *Fleet) CallerAddress(name string) string {
-	return fmt.Sprintf("%s:%d", f.EntryIP(name), callerPort)
-}
-
-// PeerAddress returns the peer port of an entry instance.
-func (f *Fleet) PeerAddress(name string) string {
-	return fmt.Sprintf("%s:%d", f.EntryIP(name), peerPort)
-}
-
-// OperatorAddress returns the operators' port of an entry instance.
-func (f *Fleet) OperatorAddress(name string) string {
-	return fmt.Sprintf("%s:%d", f.EntryIP(name), operatorPort)
-}
-
-// PlatformURL returns the base URL of the platform.
-func (f *Fleet) PlatformURL() string { return "http://" + f.platformAddress() }
-
-// ExecutorAddress returns the address of an executor.
-func (f *Fleet) ExecutorAddress(name string) string { return f.executors[name] }
-
-// EntryNames returns the names of the entry instances.
-func (f *Fleet) EntryNames() []string {
-	var out []string
-	for _, d := range f.Domains {
-		for i := range f.Entries {
-			out = append(out, fmt.Sprintf("%s-%d", d, i+1))
-		}
-	}
-	return out
-}
-
 func (f *Fleet) register(ctx context.Context, e roster.Entry) error {
 	return f.Register(ctx, plat.RegisterRequest{Entry: e, Now: true})
 }
@@ -337,86 +279,6 @@
 	return "http://" + address, nil
 }
 
-func (f *Fleet) spawn(name, path string, args []string) error {
-	log, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, logMode)
-	if err != nil {
-		return err
-	}
-	defer log.Close()
-	cmd := exec.Command(path, args...)
-	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	p := &process{name: name, path: path, args: args, cmd: cmd, ended: make(chan struct{})}
-	go func() {
-		_ = cmd.Wait()
-		close(p.ended)
-	}()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.processes[name] = p
-	return nil
-}
-
-func (f *Fleet) process(name string) (*process, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	p, ok := f.processes[name]
-	if !ok {
-		return nil, fault.New(fault.CodeNotFound, fault.NotRun, "no process "+name)
-	}
-	return p, nil
-}
-
-// Signal sends a signal to a process.
-func (f *Fleet) Signal(name string, s syscall.Signal) error {
-	p, err := f.process(name)
-	if err != nil {
-		return err
-	}
-	return p.cmd.Process.Signal(s)
-}
-
-// Kill ends a process at once.
-func (f *Fleet) Kill(name string) error {
-	if err := f.Signal(name, syscall.SIGKILL); err != nil {
-		return err
-	}
-	p, _ := f.process(name)
-	<-p.ended
-	return nil
-}
-
-// Stop asks a process to stop and waits until it has.
-func (f *Fleet) Stop(name string) error {
-	if err := f.Signal(name, syscall.SIGTERM); err != nil {
-		return err
-	}
-	return f.AwaitEnd(name)
-}
-
-// AwaitEnd waits until a process has ended.
-func (f *Fleet) AwaitEnd(name string) error {
-	p, err := f.process(name)
-	if err != nil {
-		return err
-	}
-	select {
-	case <-p.ended:
-		return nil
-	case <-time.After(stopTimeout):
-		return fault.New(fault.CodeDeadline, fault.Unknown, name+" did not stop")
-	}
-}
-
-// Freeze suspends a process, Thaw lets it go on.
-func (f *Fleet) Freeze(name string) error { return f.Signal(name, syscall.SIGSTOP) }
-
-// Thaw lets a frozen process go on.
-func (f *Fleet) Thaw(name string) error { return f.Signal(name, syscall.SIGCONT) }
-
 // CutPeers cuts or heals the connections between two entry instances, both ways.
 func (f *Fleet) CutPeers(a, b string, cut bool) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/stand/fleet/process.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/ibischute/ibischute/pkg/fault"
+)
+
+type process struct {
+	name  string
+	args  []string
+	path  string
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+func (f *Fleet) spawn(name, path string, args []string) error {
+	log, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, logMode)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(path, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p := &process{name: name, path: path, args: args, cmd: cmd, ended: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(p.ended)
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.processes[name] = p
+	return nil
+}
+
+func (f *Fleet) process(name string) (*process, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p, ok := f.processes[name]
+	if !ok {
+		return nil, fault.New(fault.CodeNotFound, fault.NotRun, "no process "+name)
+	}
+	return p, nil
+}
+
+// Signal sends a signal to a process.
+func (f *Fleet) Signal(name string, s syscall.Signal) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	return p.cmd.Process.Signal(s)
+}
+
+// Kill ends a process at once.
+func (f *Fleet) Kill(name string) error {
+	if err := f.Signal(name, syscall.SIGKILL); err != nil {
+		return err
+	}
+	p, _ := f.process(name)
+	<-p.ended
+	return nil
+}
+
+// Stop asks a process to stop and waits until it has.
+func (f *Fleet) Stop(name string) error {
+	if err := f.Signal(name, syscall.SIGTERM); err != nil {
+		return err
+	}
+	return f.AwaitEnd(name)
+}
+
+// AwaitEnd waits until a process has ended.
+func (f *Fleet) AwaitEnd(name string) error {
+	p, err := f.process(name)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-p.ended:
+		return nil
+	case <-time.After(stopTimeout):
+		return fault.New(fault.CodeDeadline, fault.Unknown, name+" did not stop")
+	}
+}
+
+// Freeze suspends a process, Thaw lets it go on.
+func (f *Fleet) Freeze(name string) error { return f.Signal(name, syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (f *Fleet) Thaw(name string) error { return f.Signal(name, syscall.SIGCONT) }
--- a/internal/state/queue/queue.go
+++ b/internal/state/queue/queue.go
@@ -127,7 +127,7 @@
 
 // Remove takes out an element; it reports false if the element is not queued any more.
 func (q *Queue[T]) Remove(it *Item[T]) bool {
-	if it.index < 0 {
+	if it.index == removed {
 		return false
 	}
 	t := it.tenant
@@ -162,7 +162,7 @@
 
 type level[T any] struct {
 	tenants map[ident.Tenant]*tenantQueue[T]
-	active  tenantHeap[T]
+	active  indexedHeap[*tenantQueue[T]]
 	virtual float64
 	size    int
 }
@@ -185,66 +185,60 @@
 	share   float64
 	virtual float64
 	index   int
-	items   itemHeap[T]
+	items   indexedHeap[*Item[T]]
 }
 
-type itemHeap[T any] []*Item[T]
+// element is what an indexedHeap orders; it is told its place, so that it can be taken out from the middle.
+type element[E any] interface {
+	less(other E) bool
+	moved(index int)
+}
 
-func (h itemHeap[T]) Len() int { return len(h) }
+// indexedHeap implements heap.Interface.
+type indexedHeap[E element[E]] []E
 
-func (h itemHeap[T]) Less(i, j int) bool {
-	if h[i].spec.Deadline != h[j].spec.Deadline {
-		return h[i].spec.Deadline.Before(h[j].spec.Deadline)
-	}
-	return h[i].seq < h[j].seq
-}
+func (h indexedHeap[E]) Len() int           { return len(h) }
+func (h indexedHeap[E]) Less(i, j int) bool { return h[i].less(h[j]) }
 
-func (h itemHeap[T]) Swap(i, j int) {
+func (h indexedHeap[E]) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
+	h[i].moved(i)
+	h[j].moved(j)
 }
 
-func (h *itemHeap[T]) Push(x any) {
-	it, _ := x.(*Item[T])
-	it.index = len(*h)
-	*h = append(*h, it)
+func (h *indexedHeap[E]) Push(x any) {
+	e, _ := x.(E)
+	e.moved(len(*h))
+	*h = append(*h, e)
 }
 
-func (h *itemHeap[T]) Pop() any {
+func (h *indexedHeap[E]) Pop() any {
 	old := *h
-	it := old[len(old)-1]
-	old[len(old)-1] = nil
+	e := old[len(old)-1]
+	var none E
+	old[len(old)-1] = none
 	*h = old[:len(old)-1]
-	it.index = -1
-	return it
+	e.moved(removed)
+	return e
 }
 
-type tenantHeap[T any] []*tenantQueue[T]
-
-func (h tenantHeap[T]) Len() int { return len(h) }
+// removed is the place of an element that is in no heap.
+const removed = -1
 
-func (h tenantHeap[T]) Less(i, j int) bool {
-	if h[i].virtual != h[j].virtual {
-		return h[i].virtual < h[j].virtual
+func (i *Item[T]) less(o *Item[T]) bool {
+	if i.spec.Deadline != o.spec.Deadline {
+		return i.spec.Deadline.Before(o.spec.Deadline)
 	}
-	return h[i].name < h[j].name
+	return i.seq < o.seq
 }
 
-func (h tenantHeap[T]) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
+func (i *Item[T]) moved(index int) { i.index = index }
 
-func (h *tenantHeap[T]) Push(x any) {
-	t, _ := x.(*tenantQueue[T])
-	t.index = len(*h)
-	*h = append(*h, t)
+func (t *tenantQueue[T]) less(o *tenantQueue[T]) bool {
+	if t.virtual != o.virtual {
+		return t.virtual < o.virtual
+	}
+	return t.name < o.name
 }
 
-func (h *tenantHeap[T]) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return t
-}
+func (t *tenantQueue[T]) moved(index int) { t.index = index }
--- a/internal/web/entry/entry.go
+++ b/internal/web/entry/entry.go
@@ -250,33 +250,13 @@
 	work.Add(e.placer.Tail())
 	work.Add(e.placer.Committer())
 	work.Add(e.placer.Loop())
-	work.Add(gaugeService{e})
+	work.Add(suprv.Every("gauges", gaugeInterval, func(context.Context) { e.updateGauges(tick.Now()) }))
 	root.Add(work)
 	return root
 }
 
 const gaugeInterval = 2 * time.Second
 
-// gaugeService shows state as metrics.
-type gaugeService struct{ e *Entry }
-
-// String names the service in logs.
-func (gaugeService) String() string { return "gauges" }
-
-// Serve implements suprv.Service.
-func (g gaugeService) Serve(ctx context.Context) error {
-	t := time.NewTicker(gaugeInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-			g.e.updateGauges(tick.Now())
-		}
-	}
-}
-
 func (e *Entry) updateGauges(now tick.Time) {
 	set := func(name string, v float64) { e.meter.Gauge(name, nil, v) }
 	set("members", float64(e.member.View().Len()))
