Doubt unknown keys after a tenant's home has moved

Cause: found by reading: a version that moves a tenant's home makes another domain the arbiter of its keys, which knows nothing of those that ran; a repeat ran again.

Ruled out: refusing such versions (the fold cannot know whether a tenant was used); asking the former home (it may be cut off, and switches at another moment).

Change: the new home answers keys that it does not know with ran: unknown for the retention after it saw the version. Test: TestMovedTenantIsDoubted, failed before (answer 1), passes now.

--- a/internal/services/keyed/keyed.go
+++ b/internal/services/keyed/keyed.go
@@ -102,6 +102,9 @@
 	store   *intent.Store
 	running map[ident.Key]chan struct{}
 	copies  *copies.Tracker
+	// inForce is the version last seen, and replaced are the ones before it, for tenants whose home has moved.
+	inForce  *bundle.Bundle
+	replaced []replaced
 }
 
 // New returns a Keyed without any key.
@@ -112,17 +115,6 @@
 	}
 }
 
-// homeOf returns the domain that keeps the tenant's keys.
-func (k *Keyed) homeOf(t ident.Tenant) ident.Domain {
-	if b := k.opts.Config(); b != nil {
-		if home := b.Tenant(t).Home; home != "" {
-			return home
-		}
-	}
-	home, _ := k.home.Winner(string(t))
-	return home
-}
-
 // Stop makes this instance begin no further request as an owner; called before it hands its keys over.
 func (k *Keyed) Stop() { k.stopped.Store(true) }
 
@@ -237,6 +229,10 @@
 		return nil, nil, false, fault.New(fault.CodeUnknownOutcome, fault.Unknown,
 			"the domain lost records of earlier requests; whether this key ran is not known").WithRetry(k.copies.LostFor(now))
 	}
+	if _, known := k.store.Get(now, key); !known && k.hasMoved(now, r.Tenant) {
+		return nil, nil, false, fault.New(fault.CodeUnknownOutcome, fault.Unknown,
+			"the tenant's home has moved; whether this key ran at the former one is not known").WithRetry(k.retention())
+	}
 	in, isNew, err := k.store.Begin(now, key, r.Fingerprint, k.retention())
 	if err != nil {
 		return nil, nil, false, err
--- a/internal/services/keyed/matrix_test.go
+++ b/internal/services/keyed/matrix_test.go
@@ -52,6 +52,7 @@
 	now    tick.Time
 	view   atomic.Pointer[view.View]
 	offset ident.Offset
+	bundle *bundle.Bundle
 	nodes  map[ident.Instance]*node
 	runs   atomic.Int32
 	// mu lets one message pass at a time.
@@ -156,7 +157,7 @@
 }
 
 func newDomain() *domain {
-	d := &domain{now: 1, nodes: map[ident.Instance]*node{}}
+	d := &domain{now: 1, bundle: &bundle.Bundle{KeyRetention: time.Minute}, nodes: map[ident.Instance]*node{}}
 	d.view.Store(&view.View{})
 	d.onStep(func(step) {})
 	for _, name := range []ident.Instance{"a", "b", "c"} {
@@ -177,7 +178,7 @@
 	n.keyed = New(Options{
 		Self: name, Domain: "home", Domains: []ident.Domain{"home"}, Member: n, Router: router,
 		Logger: zerolog.Nop(), Now: now,
-		Config: func() *bundle.Bundle { return &bundle.Bundle{KeyRetention: time.Minute} },
+		Config: func() *bundle.Bundle { return d.bundle },
 		Dial: func(address string) wire.Peer {
 			return &peer{from: n, to: d.nodes[ident.Instance(address)], recorded: recorded}
 		},
@@ -315,3 +316,19 @@
 	assert.Equal(t, d.ask(owner), "answer 1")
 	assert.Equal(t, d.runs.Load(), int32(1))
 }
+
+// TestMovedTenantIsDoubted moves a tenant's home here: a key that this domain does not know may have run at the former
+// home, and is doubted for the retention.
+func TestMovedTenantIsDoubted(t *testing.T) {
+	d := newDomain()
+	d.bundle = &bundle.Bundle{
+		KeyRetention: time.Minute, Tenants: map[ident.Tenant]bundle.Tenant{"t": {Name: "t", Home: "elsewhere"}},
+	}
+	d.settle()
+	d.bundle = &bundle.Bundle{KeyRetention: time.Minute}
+	d.settle()
+	assert.Equal(t, d.ask(d.owner()), "ran: unknown")
+	assert.Equal(t, d.runs.Load(), int32(0))
+	d.now = d.now.Add(time.Minute)
+	assert.Equal(t, d.ask(d.owner()), "answer 1")
+}
--- a/internal/services/keyed/record.go
+++ b/internal/services/keyed/record.go
@@ -128,6 +128,9 @@
 
 // syncOnce follows the view and pulls the keys of the members that the tracker asks for.
 func (k *Keyed) syncOnce(ctx context.Context) {
+	k.mu.Lock()
+	k.noteVersion(k.opts.Now())
+	k.mu.Unlock()
 	if !k.opts.Member.IsJoined() {
 		return
 	}
