Give each attempt of a request its own id

The executor had dropped the first attempt of an idempotent request; the owner's abort of it arrived after the second attempt had begun at the same executor under the same id, and ended that one. The stand-in then answered 200 without a body, because its handler just returned.

Ruled out: a retry with a spent body (a new reader is made for each attempt); a cut answer passed on as whole (there was no cut: the answer was whole and empty).

Change: attempts after the first have ids of their own, and the stand-in cuts the connection of aborted work. Also bounded: the times of asked executors, the counts of sent requests, the order of forgotten jobs.

--- a/internal/services/placer/snapshot.go
+++ b/internal/services/placer/snapshot.go
@@ -20,6 +20,11 @@
 		return
 	}
 	p.cadence.Seen(now)
+	for id := range p.order {
+		if _, ok := p.fold.Get(id); !ok {
+			delete(p.order, id)
+		}
+	}
 	rec := &wire.JobRecord{Kind: &wire.JobRecord_Snapshot{Snapshot: p.fold.Snapshot(p.next)}}
 	p.calls.Go(context.WithoutCancel(ctx), func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/services/route/route.go
+++ b/internal/services/route/route.go
@@ -15,6 +15,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -34,6 +35,8 @@
 	// maxRounds bounds how often owners are looked for, and roundInterval is the pause between.
 	maxRounds     = 8
 	roundInterval = 60 * time.Millisecond
+	// maxCounted bounds the peers whose requests since their last heartbeat are counted.
+	maxCounted = 1024
 	// ownerGrace is for how long after the last owner was known a next one is looked for.
 	ownerGrace = 2 * time.Second
 	// maxBuffered is the largest body that is kept to be sent again; larger ones are streamed once.
@@ -68,6 +71,8 @@
 	// Stream is the body if it can be sent only once.
 	Stream       io.Reader
 	RetryPercent float64
+	// attempts counts how often the request was sent.
+	attempts int
 	// NotAfter bounds the right to send; zero is none.
 	NotAfter tick.Time
 	// Right is asked right before sending; nil is always.
@@ -125,7 +130,8 @@
 	r.budget.Deposit(req.RetryPercent)
 	var answer *execio.Answer
 	var err error
-	for range maxRounds {
+	for round := range maxRounds {
+		req.attempts = round * maxAttempts
 		answer, err = r.round(ctx, req)
 		if err == nil || !IsMoving(err) || req.Stream != nil || ctx.Err() != nil {
 			return answer, err
@@ -178,6 +184,7 @@
 			break
 		}
 		req.Queue = t.free <= 0
+		req.attempts++
 		answer, err := r.try(ctx, t, req)
 		if err == nil {
 			return answer, nil
@@ -213,6 +220,7 @@
 
 func (r *Router) try(ctx context.Context, t target, req Request) (*execio.Answer, error) {
 	out := req.Request
+	out.ID = attemptID(req)
 	out.Body = req.Stream
 	if req.Stream == nil {
 		out.Body = bytes.NewReader(req.Body)
@@ -227,10 +235,19 @@
 	return r.opts.Hop.Forward(ctx, t.address, hopio.KindDispatch, r.meta(req), out.Request)
 }
 
+// attemptID tells the attempts of a request apart, so that the abort of a failed one does not end the next one at the
+// same executor.
+func attemptID(req Request) ident.Request {
+	if req.attempts == 1 {
+		return req.ID
+	}
+	return req.ID + ident.Request("."+strconv.Itoa(req.attempts))
+}
+
 func (r *Router) meta(req Request) hopio.Meta {
 	now := r.opts.Now()
 	m := hopio.Meta{
-		ID: req.ID, Service: req.Service, Class: req.Class, Tenant: req.Tenant, Priority: req.Priority,
+		ID: attemptID(req), Service: req.Service, Class: req.Class, Tenant: req.Tenant, Priority: req.Priority,
 		Share: req.Share, MaxQueue: req.MaxQueue, DeadlineMS: req.Deadline.Sub(now).Milliseconds(),
 		Queue: req.Queue, Path: req.Path,
 	}
@@ -244,6 +261,9 @@
 func (r *Router) count(t target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(r.sent) > maxCounted {
+		clear(r.sent)
+	}
 	c := r.sent[t.address]
 	if c.since != t.heard {
 		c = sentCount{since: t.heard}
--- a/internal/services/sched/watch.go
+++ b/internal/services/sched/watch.go
@@ -104,6 +104,7 @@
 func (w *watchService) askLoads(ctx context.Context, now tick.Time) {
 	executors := w.s.Executors()
 	interval := max(loadInterval, loadSpacing*time.Duration(countActing(executors)))
+	w.forget(executors)
 	for _, e := range executors {
 		settled := e.Counted && e.Foreign == 0
 		if !e.Acting || (settled && now.Sub(w.asked[e.Name]) < interval) {
@@ -114,6 +115,20 @@
 	}
 }
 
+// forget drops the times of executors that are gone.
+func (w *watchService) forget(executors []slots.Executor) {
+	if len(w.asked) <= 2*len(executors) {
+		return
+	}
+	kept := make(map[ident.Executor]tick.Time, len(executors))
+	for _, e := range executors {
+		if at, ok := w.asked[e.Name]; ok {
+			kept[e.Name] = at
+		}
+	}
+	w.asked = kept
+}
+
 func countActing(executors []slots.Executor) int {
 	n := 0
 	for _, e := range executors {
--- a/internal/stand/execu/execu.go
+++ b/internal/stand/execu/execu.go
@@ -226,9 +226,11 @@
 	started := time.Now()
 	finished := x.work(ctx, r, f)
 	x.end(id, rn, finished, time.Since(started), afterLeave(r, started))
-	if finished {
-		x.answer(w, r, f, body)
+	if !finished {
+		// A handler that just returns would answer 200 with an empty body.
+		panic(http.ErrAbortHandler)
 	}
+	x.answer(w, r, f, body)
 }
 
 // begin counts the run of a request; a request may be counted before its slot is, never after.
