Tell callers one code when no owner takes a request

Ruled out: loosening the golden file; a caller should not have to know how the last owner was lost.

Change: the router reports no-owner once it gives up. Test: TestOneCodeWhenNoOwnerTakesIt.

--- a/internal/services/route/route.go
+++ b/internal/services/route/route.go
@@ -141,7 +141,8 @@
 		}
 		tick.Pause(ctx, roundInterval)
 	}
-	return nil, err
+	return nil, fault.Wrap(err, fault.CodeNoOwner, fault.NotRun, "no owner could take the request").
+		WithRetry(retryAfterNoOwner)
 }
 
 // hadOwner reports whether an owner of the service was known lately, so that the next one is about to act.
--- a/internal/services/route/route_test.go
+++ b/internal/services/route/route_test.go
@@ -74,6 +74,18 @@
 	assert.NilError(t, err)
 }
 
+// TestOneCodeWhenNoOwnerTakesIt keeps the code that callers see from hanging on how the last owner was lost.
+func TestOneCodeWhenNoOwnerTakesIt(t *testing.T) {
+	l := &local{}
+	for range 1000 {
+		l.outcomes = append(l.outcomes, errNotRun)
+	}
+	_, err := router(l).Do(context.Background(), request(false))
+	assert.Assert(t, fault.IsErrCode(err, fault.CodeNoOwner))
+	assert.Assert(t, fault.IsErrNotRun(err))
+	assert.Assert(t, fault.From(err).RetryAfter > 0)
+}
+
 func TestRetriesAreBounded(t *testing.T) {
 	l := &local{}
 	for range 1000 {
