Free a cancelled slot only when the executor ends the exchange, and follow the bundle

An abort on its own connection overtook the request, the executor, which knew nothing of it, confirmed, the slot was given out again, and then the request started. batch_never: a job that fails everywhere was never given up.

Ruled out: waiting a fixed time after an unknown abort (a guess, and it holds slots).

Change: the exchange of a request whose caller left goes on until the executor ends it, and the abort is repeated until then.

--- a/internal/services/placer/loop.go
+++ b/internal/services/placer/loop.go
@@ -28,7 +28,6 @@
 	// unheardInterval is how often a worker is asked that was not heard yet.
 	unheardInterval = 300 * time.Millisecond
 	callTimeout     = 2 * time.Second
-	defaultLease    = 5 * time.Second
 )
 
 type loopService struct{ p *Placer }
@@ -58,7 +57,7 @@
 	if b := p.opts.Config(); b != nil {
 		return b.Batch.WorkerLease
 	}
-	return defaultLease
+	return bundle.DefaultWorkerLease
 }
 
 // cycle takes the right to place, feeds the board and carries out its plan.
@@ -112,7 +111,7 @@
 			p.dirty[j.ID()] = true
 		}
 		p.board = tasks.NewBoard(tasks.Options{
-			Epoch: p.opts.Member.View().Epoch(), Lease: lease.WithDrift(p.lease()), Since: now, Policy: p.policy(),
+			Epoch: p.opts.Member.View().Epoch(), Lease: lease.WithDrift(p.opts.LongestLease()), Since: now, Policy: p.policy(),
 		})
 		p.opts.Logger.Info().Msg("placer-starts")
 	}
@@ -131,6 +130,7 @@
 			Name: ident.Worker(e.Name), Rack: e.Rack, Capacity: e.Capacity.Minus(e.Reserved), Leaving: e.Leaving,
 		})
 	}
+	p.board.Follow(p.policy(), lease.WithDrift(p.lease()))
 	p.board.DropWorkers(func(w ident.Worker) bool { return listed[w] })
 	for id := range p.dirty {
 		if j, ok := p.fold.Get(id); ok {
--- a/internal/services/placer/placer.go
+++ b/internal/services/placer/placer.go
@@ -65,9 +65,11 @@
 	Workers workio.Client
 	Roster  func() roster.List
 	Config  func() *bundle.Bundle
-	Dial    func(address string) wire.Peer
-	Logger  zerolog.Logger
-	Now     func() tick.Time
+	// LongestLease returns the longest worker lease of any version that is known.
+	LongestLease func() time.Duration
+	Dial         func(address string) wire.Peer
+	Logger       zerolog.Logger
+	Now          func() tick.Time
 	// SnapshotRecords and SnapshotInterval bound how much of the stream follows its newest snapshot.
 	SnapshotRecords  int
 	SnapshotInterval time.Duration
--- a/internal/services/rollo/rollo.go
+++ b/internal/services/rollo/rollo.go
@@ -230,6 +230,20 @@
 	return r.fold.Status(id)
 }
 
+// LongestWorkerLease returns the longest worker lease of the versions that are known, under which tasks of an earlier
+// placer may run.
+func (r *Rollout) LongestWorkerLease() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	longest := bundle.DefaultWorkerLease
+	for _, p := range r.fold.All() {
+		if p.State == accept.StateAccepted {
+			longest = max(longest, p.Bundle.Batch.WorkerLease)
+		}
+	}
+	return longest
+}
+
 // All returns all proposals that are remembered.
 func (r *Rollout) All() []accept.Proposal {
 	r.mu.Lock()
--- a/internal/services/sched/sched.go
+++ b/internal/services/sched/sched.go
@@ -226,40 +226,59 @@
 	}
 }
 
-// send sends the request to the executor whose slot it holds.
+// outcome is what came of a send.
+type outcome struct {
+	answer *execio.Answer
+	err    error
+}
+
+// send sends the request to the executor whose slot it holds. If the caller leaves first, the exchange with the
+// executor goes on until the executor ends it, since only that shows that a request on its way does not start any
+// more.
 func (s *Scheduler) send(ctx context.Context, r Request, name ident.Executor) (*execio.Answer, error) {
 	address, svc := s.addressOf(r.Service, name)
 	key := ident.ExecutorKey(name)
 	r.Gate = func() bool {
 		return s.opts.Own.MayAct(s.opts.Now(), key) && (r.Right == nil || r.Right())
 	}
-	started := s.opts.Now()
-	answer, err := s.opts.Exec.Send(ctx, address, r.Request)
-	t := &ticket{s: s, svc: svc, executor: name, address: address, class: r.Class, id: r.ID, started: started}
-	if err != nil {
-		return nil, s.failed(ctx, t, err)
+	t := &ticket{
+		s: s, svc: svc, executor: name, address: address, class: r.Class, id: r.ID, started: s.opts.Now(),
+	}
+	exchange, endExchange := context.WithCancel(context.WithoutCancel(ctx))
+	ended := make(chan outcome, 1)
+	go func() {
+		answer, err := s.opts.Exec.Send(exchange, address, r.Request)
+		ended <- outcome{answer, err}
+	}()
+	select {
+	case o := <-ended:
+		return s.settle(t, o, endExchange)
+	case <-ctx.Done():
+		t.abandon(ended, endExchange)
+		return nil, fault.FromContext(ctx, fault.Unknown)
 	}
-	answer.Body = &slotBody{body: answer.Body, ticket: t, isFailure: answer.Status >= serverErrors}
-	return answer, nil
 }
 
-const serverErrors = 500
-
-// failed settles the slot of a request that got no answer.
-func (s *Scheduler) failed(ctx context.Context, t *ticket, err error) error {
-	if fault.IsErrNotRun(err) {
-		t.release(false)
-		return err
+// settle passes an answer on, or frees the slot of a request whose exchange the executor ended without one.
+func (s *Scheduler) settle(t *ticket, o outcome, endExchange context.CancelFunc) (*execio.Answer, error) {
+	if o.err == nil {
+		o.answer.Body = &slotBody{
+			body: o.answer.Body, ticket: t, isFailure: o.answer.Status >= serverErrors, endExchange: endExchange,
+		}
+		return o.answer, nil
 	}
-	if ctx.Err() != nil {
-		t.drain()
-		return fault.FromContext(ctx, fault.Unknown)
+	endExchange()
+	if fault.IsErrNotRun(o.err) {
+		t.release(false)
+		return nil, o.err
 	}
 	t.report(false)
 	t.drain()
-	return err
+	return nil, o.err
 }
 
+const serverErrors = 500
+
 func (s *Scheduler) addressOf(id ident.Service, name ident.Executor) (string, *service) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/services/sched/ticket.go
+++ b/internal/services/sched/ticket.go
@@ -16,6 +16,8 @@
 const (
 	abortTimeout  = 2 * time.Second
 	abortInterval = 250 * time.Millisecond
+	// firstAbortInterval is the pause after the first abort; it doubles up to abortInterval.
+	firstAbortInterval = 5 * time.Millisecond
 )
 
 // ticket is the hold of one request on a slot. It is settled once.
@@ -56,6 +58,53 @@
 	}
 }
 
+// abandon keeps the slot of a request whose caller left before the answer until the executor has ended the exchange.
+// The executor is asked to abort again and again, since the first time it may not have seen the request yet.
+func (t *ticket) abandon(ended <-chan outcome, endExchange context.CancelFunc) {
+	t.once.Do(func() {
+		t.s.mu.Lock()
+		t.svc.pool.Drain(t.executor)
+		t.s.mu.Unlock()
+		wait := func(ctx context.Context) { t.awaitEnd(ctx, ended, endExchange) }
+		if !t.s.drains.Go(context.Background(), wait) {
+			wait(context.Background())
+		}
+	})
+}
+
+func (t *ticket) awaitEnd(ctx context.Context, ended <-chan outcome, endExchange context.CancelFunc) {
+	defer endExchange()
+	pause := firstAbortInterval
+	for {
+		t.abort(ctx)
+		timer := time.NewTimer(pause)
+		select {
+		case o := <-ended:
+			timer.Stop()
+			if o.err == nil {
+				_ = o.answer.Body.Close()
+			}
+			t.confirmEnd(ctx)
+			return
+		case <-timer.C:
+		}
+		if t.isGone() {
+			endExchange()
+		}
+		pause = min(2*pause, abortInterval)
+	}
+}
+
+// drained frees a draining slot.
+func (t *ticket) drained() {
+	now := t.s.opts.Now()
+	t.s.mu.Lock()
+	t.svc.pool.Drained(t.executor)
+	t.s.pump(now, t.svc)
+	t.s.mu.Unlock()
+	t.s.inFlight.Add(-1)
+}
+
 // drain keeps the slot until the executor confirms that the work has ended.
 func (t *ticket) drain() {
 	t.once.Do(func() {
@@ -73,12 +122,7 @@
 	for !t.abort(ctx) && !t.isGone() {
 		tick.Pause(ctx, abortInterval)
 	}
-	now := t.s.opts.Now()
-	t.s.mu.Lock()
-	t.svc.pool.Drained(t.executor)
-	t.s.pump(now, t.svc)
-	t.s.mu.Unlock()
-	t.s.inFlight.Add(-1)
+	t.drained()
 }
 
 func (t *ticket) abort(ctx context.Context) bool {
@@ -102,6 +146,8 @@
 	body      io.ReadCloser
 	ticket    *ticket
 	isFailure bool
+	// endExchange frees what the exchange with the executor holds.
+	endExchange context.CancelFunc
 }
 
 func (b *slotBody) Read(p []byte) (int, error) {
@@ -120,6 +166,7 @@
 // Close implements io.Closer. A body that is closed before its end was cancelled.
 func (b *slotBody) Close() error {
 	err := b.body.Close()
+	b.endExchange()
 	b.ticket.drain()
 	return err
 }
--- a/internal/state/tasks/shares.go
+++ b/internal/state/tasks/shares.go
@@ -12,10 +12,17 @@
 }
 
 func newShares(weight func(ident.Team) float64) *shares {
+	s := &shares{used: map[ident.Team]demand.MilliCPU{}}
+	s.follow(weight)
+	return s
+}
+
+// follow sets the weights of the teams; nil weighs all the same.
+func (s *shares) follow(weight func(ident.Team) float64) {
 	if weight == nil {
 		weight = func(ident.Team) float64 { return 1 }
 	}
-	return &shares{used: map[ident.Team]demand.MilliCPU{}, weight: weight}
+	s.weight = weight
 }
 
 func (s *shares) add(t ident.Team, v demand.Vector) { s.used[t] += v.CPU }
--- a/internal/state/tasks/tasks.go
+++ b/internal/state/tasks/tasks.go
@@ -170,6 +170,15 @@
 	}
 }
 
+// Follow takes over the rules in force, and a longer lease. A shorter lease takes effect with the next placer, since
+// attempts may run under the longer one.
+func (b *Board) Follow(p Policy, lease time.Duration) {
+	b.opts.Policy = p
+	b.opts.Lease = max(b.opts.Lease, lease)
+	b.fair.follow(p.Share)
+	b.evicted.perHour = p.EvictionsPerHour
+}
+
 // PutWorker adds or updates a worker.
 func (b *Board) PutWorker(w Worker) {
 	s, ok := b.workers[w.Name]
--- a/internal/web/entry/entry.go
+++ b/internal/web/entry/entry.go
@@ -118,7 +118,8 @@
 	e.placer = placer.New(placer.Options{
 		Domain: ident.Domain(s.Domain), Domains: s.DomainIDs(), Member: e.member, Log: log,
 		Workers: workio.NewHTTP(s.Platform, platform), Roster: e.lister.List, Config: e.rollout.InForce, Dial: dial,
-		Logger: logger, Now: tick.Now, SnapshotRecords: s.SnapshotRecords, SnapshotInterval: s.SnapshotInterval,
+		LongestLease: e.rollout.LongestWorkerLease, Logger: logger, Now: tick.Now,
+		SnapshotRecords: s.SnapshotRecords, SnapshotInterval: s.SnapshotInterval,
 	})
 	e.assembleServers(s, life, token)
 	e.member.SetReporter(reporter{e})
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -20,6 +20,9 @@
 	"github.com/ibischute/ibischute/pkg/ident"
 )
 
+// DefaultWorkerLease is the worker lease of a bundle that states none, and before the first bundle.
+const DefaultWorkerLease = 5 * time.Second
+
 // SchemaVersion is the only schema that this release reads.
 const SchemaVersion = 1
 
--- a/pkg/bundle/parse.go
+++ b/pkg/bundle/parse.go
@@ -130,7 +130,6 @@
 	defaultRetryPercent = 10
 	defaultKeyRetention = 5 * time.Minute
 	maxKeyRetention     = time.Hour
-	defaultWorkerLease  = 5 * time.Second
 	maxWorkerLease      = 5 * time.Minute
 	defaultMaxFailures  = 3
 	defaultEvictions    = 120
@@ -346,7 +345,7 @@
 func (c *checker) batch(raw *rawBatch, b *Bundle) {
 	b.Batch = Batch{
 		WorkerLease: ranged(c, raw.WorkerLease, "batch.worker-lease",
-			defaultWorkerLease, time.Second, maxWorkerLease),
+			DefaultWorkerLease, time.Second, maxWorkerLease),
 		MaxFailures:      ranged(c, raw.MaxFailures, "batch.max-failures", defaultMaxFailures, 1, 100),
 		EvictionsPerHour: ranged(c, raw.EvictionsPerHour, "batch.evictions-per-hour", defaultEvictions, 0, 100_000),
 		MaxSlowdown:      ranged(c, raw.MaxSlowdown, "batch.max-slowdown", defaultMaxSlowdown, 1, 10),
