--- a/internal/services/sched/sched_test.go
+++ b/internal/services/sched/sched_test.go
@@ -18,8 +18,11 @@
 // lateExecutor confirms every abort, as one that has not seen the request yet, and ends the exchange when told to.
 type lateExecutor struct{ end chan struct{} }
 
-func (x *lateExecutor) Send(context.Context, string, execio.Request) (*execio.Answer, error) {
-	<-x.end
+func (x *lateExecutor) Send(ctx context.Context, _ string, _ execio.Request) (*execio.Answer, error) {
+	select {
+	case <-x.end:
+	case <-ctx.Done():
+	}
 	return nil, fault.New(fault.CodeBackend, fault.Unknown, "aborted")
 }
 
