Use the executors' connections for their slots and for aborts

Ruled out: closing the work's connection at once (uses a slot twice). Change: 12 connections for work, 8 for control; three instances keep to 60 of 64.

--- a/internal/modules/params/params.go
+++ b/internal/modules/params/params.go
@@ -54,7 +54,7 @@
 	TokenFile        string `long:"operator-token-file" env:"IBISCHUTE_OPERATOR_TOKEN_FILE" description:"file with the token that operators' calls carry"`
 	InsecureOperator bool   `long:"insecure-operator" env:"IBISCHUTE_INSECURE_OPERATOR" description:"let operators' calls through without a token; for loopback only"`
 
-	ExecutorConnections int    `long:"executor-connections" env:"IBISCHUTE_EXECUTOR_CONNECTIONS" description:"most connections for work to one executor" default:"16"`
+	ExecutorConnections int    `long:"executor-connections" env:"IBISCHUTE_EXECUTOR_CONNECTIONS" description:"most connections for work to one executor; its slots need one each" default:"12"`
 	LogLevel            string `long:"log-level" env:"IBISCHUTE_LOG_LEVEL" description:"debug, info, warn or error" default:"info"`
 }
 
--- a/internal/web/entry/entry.go
+++ b/internal/web/entry/entry.go
@@ -45,7 +45,7 @@
 const (
 	platformConnections = 64
 	peerConnections     = 16
-	controlConnections  = 4
+	controlConnections  = 8
 	hopConnections      = 512
 	maxPeerClients      = 512
 	// warmUpTime is the longest wait of a new instance before it takes requests with what it knows.
