--- a/internal/scenar/faults_test.go
+++ b/internal/scenar/faults_test.go
@@ -13,39 +13,30 @@
 	"github.com/ibischute/ibischute/pkg/ident"
 )
 
-func each(ts *testscript.TestScript, args []string, f func(string) error) {
-	for _, a := range args {
-		ts.Check(f(a))
-	}
-}
-
 func cmdKill(ts *testscript.TestScript, s *session, args []string) {
-	each(ts, args, s.fleet.Kill)
-	s.setAway(args, true)
+	s.change(ts, args, s.fleet.Kill, true)
 }
 
 func cmdStop(ts *testscript.TestScript, s *session, args []string) {
-	each(ts, args, s.fleet.Stop)
-	s.setAway(args, true)
+	s.change(ts, args, s.fleet.Stop, true)
 }
 
 func cmdFreeze(ts *testscript.TestScript, s *session, args []string) {
-	each(ts, args, s.fleet.Freeze)
-	s.setAway(args, true)
+	s.change(ts, args, s.fleet.Freeze, true)
 }
 
 func cmdThaw(ts *testscript.TestScript, s *session, args []string) {
-	each(ts, args, s.fleet.Thaw)
-	s.setAway(args, false)
+	s.change(ts, args, s.fleet.Thaw, false)
 }
 
 func cmdStart(ts *testscript.TestScript, s *session, args []string) {
-	each(ts, args, s.fleet.StartEntry)
-	s.setAway(args, false)
+	s.change(ts, args, s.fleet.StartEntry, false)
 }
 
-func (s *session) setAway(names []string, away bool) {
+// change does something to each instance, which is away after it or is not.
+func (s *session) change(ts *testscript.TestScript, names []string, f func(string) error, away bool) {
 	for _, n := range names {
+		ts.Check(f(n))
 		s.away[n] = away
 	}
 }
--- a/internal/services/placer/loop.go
+++ b/internal/services/placer/loop.go
@@ -239,24 +239,22 @@
 	return tasks.Key{Job: ident.Job(job), Index: uint32(n)}
 }
 
-// policy returns the rules of the bundle in force, which the board asks each time it decides.
+// policy returns the rules of the bundle in force.
 func (p *Placer) policy() tasks.Policy {
-	rules := func() bundle.Batch {
-		if b := p.opts.Config(); b != nil {
-			return b.Batch
-		}
-		return bundle.Batch{DefaultTeamShare: 1}
+	rules := bundle.Batch{DefaultTeamShare: 1}
+	if b := p.opts.Config(); b != nil {
+		rules = b.Batch
 	}
 	return tasks.Policy{
-		MaxFailures: rules().MaxFailures, EvictionsPerHour: rules().EvictionsPerHour,
+		MaxFailures: rules.MaxFailures, EvictionsPerHour: rules.EvictionsPerHour,
 		Share: func(t ident.Team) float64 {
-			if team, ok := rules().Teams[t]; ok {
+			if team, ok := rules.Teams[t]; ok {
 				return team.Share
 			}
-			return rules().DefaultTeamShare
+			return rules.DefaultTeamShare
 		},
 		MaxCPU: func(t ident.Team) demand.MilliCPU {
-			return demand.MilliCPU(rules().Teams[t].MaxCPU * 1000 / float64(max(1, len(p.opts.Domains))))
+			return demand.MilliCPU(rules.Teams[t].MaxCPU * 1000 / float64(max(1, len(p.opts.Domains))))
 		},
 	}
 }
--- a/internal/services/placer/records.go
+++ b/internal/services/placer/records.go
@@ -14,9 +14,6 @@
 	defer p.mu.Unlock()
 	for _, t := range p.board.Finished() {
 		k := t.Spec.Key
-		if p.recorded[k] {
-			continue
-		}
 		rec := &wire.JobRecord{Kind: &wire.JobRecord_Done{Done: &wire.TaskDone{
 			Job: string(k.Job), Task: k.Index, Attempt: uint64(t.Attempt.Number),
 		}}}
@@ -30,9 +27,6 @@
 	defer p.mu.Unlock()
 	for _, t := range p.board.Hopeless() {
 		k := t.Spec.Key
-		if p.recorded[k] {
-			continue
-		}
 		rec := &wire.JobRecord{Kind: &wire.JobRecord_GiveUp{GiveUp: &wire.JobGiveUp{
 			Job: string(k.Job), Reason: fmt.Sprintf("task %d failed on %d workers", k.Index, len(t.FailedOn)),
 		}}}
@@ -40,8 +34,11 @@
 	}
 }
 
-// recordLater appends a record once; after a failure it is appended again. It needs the lock.
+// recordLater appends the record of a task's end once; after a failure it is appended again. It needs the lock.
 func (p *Placer) recordLater(ctx context.Context, k tasks.Key, id string, rec *wire.JobRecord) {
+	if p.recorded[k] {
+		return
+	}
 	p.recorded[k] = p.calls.Go(ctx, func(ctx context.Context) {
 		if err := p.append(ctx, id, rec); err != nil {
 			p.mu.Lock()
--- a/internal/services/route/route.go
+++ b/internal/services/route/route.go
@@ -2,7 +2,8 @@
 //
 // Own executors come first, then the peer with the most free slots of two in the domain, then the other domains, and
 // at last a queue. A request is tried again when it is proved not to have run, or when it is idempotent and the retry
-// budget allows it, and never at an owner that was tried before.
+// budget allows it. In one round an owner that refused or was lost is not tried again; one whose executor failed may
+// try another executor.
 //
 // # Usage
 //
@@ -147,7 +148,7 @@
 
 // hadOwner reports whether an owner of the service was known lately, so that the next one is about to act.
 func (r *Router) hadOwner(now tick.Time, service ident.Service) bool {
-	if len(r.targets(now, service, nil)) > 0 {
+	if r.HasOwner(now, service) {
 		return true
 	}
 	r.mu.Lock()
--- a/pkg/ident/ident.go
+++ b/pkg/ident/ident.go
@@ -57,9 +57,6 @@
 // ExecutorKey returns the ownership key of an executor.
 func ExecutorKey(e Executor) Key { return Key("executor/" + string(e)) }
 
-// WorkerKey returns the ownership key of a worker.
-func WorkerKey(w Worker) Key { return Key("worker/" + string(w)) }
-
 // IdempotencyKey returns the ownership key of a tenant's idempotency key.
 func IdempotencyKey(t Tenant, key string) Key { return Key("idempotency/" + string(t) + "/" + key) }
 
