Add the thin path on the users' platform: log, election, cell and adapter

Change: platform/ decodes settings, store, discovery, executors and callers; a lead is elected by conditional records in the log, any instance accepts a job by an idempotent append, and one cell decides on starts and stops.

--- a/cmd/ibischute/main.go
+++ b/cmd/ibischute/main.go
@@ -55,6 +55,7 @@
 func commands() []command {
 	return []command{
 		{"serve", "run an entry instance", "Runs an entry instance until SIGTERM or SIGINT, then stops gracefully.", &serveCommand{}},
+		{"node", "run an entry instance on the platform", "Runs an entry instance with the settings of the platform until SIGTERM.", &nodeCommand{}},
 		{"bundle", "check, sign off and roll out configuration", "Works on configuration bundles.", &bundleCommand{}},
 		{"job", "submit and watch batch jobs", "Works on batch jobs.", &jobCommand{}},
 		{"status", "show an instance's state", "Shows members, peers, executors and versions.", &statusCommand{}},
--- /dev/null
+++ b/internal/services/confs/confs.go
@@ -0,0 +1,142 @@
+// Package confs follows the operator's configuration and the executors' entries in the platform's log.
+//
+// # Usage
+//
+//	f := confs.New(log, decoders, logger)
+//	go f.Serve(ctx)
+//	c, ok := f.Current()
+package confs
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/pkg/queue"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+const (
+	waitForChange = time.Second
+	callTimeout   = 900 * time.Millisecond
+	retryPause    = 100 * time.Millisecond
+)
+
+// Decode reads a configuration from a record of the operator, or returns nil for another record.
+type Decode func(key string, value []byte) (*queue.Configuration, error)
+
+// Follower follows the configuration.
+type Follower struct {
+	log    logs.Log
+	decode Decode
+	logger zerolog.Logger
+	next   logs.Offset
+	isRead bool
+
+	mu      sync.Mutex
+	current *queue.Configuration
+	// readAt is when a read last succeeded.
+	readAt  tick.Time
+	changed chan struct{}
+}
+
+// New returns a Follower without a configuration.
+func New(log logs.Log, decode Decode, logger zerolog.Logger) *Follower {
+	return &Follower{log: log, decode: decode, logger: logger, changed: make(chan struct{})}
+}
+
+// String names the service in logs.
+func (f *Follower) String() string { return "configuration" }
+
+// Current returns the newest configuration, or false if none has been read.
+func (f *Follower) Current() (*queue.Configuration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current, f.current != nil
+}
+
+// ReadAt returns when the store was last read.
+func (f *Follower) ReadAt() tick.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readAt
+}
+
+// Changed returns a channel that is closed at the next change.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Serve reads until the context ends.
+func (f *Follower) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := f.read(ctx); err != nil && ctx.Err() == nil {
+			f.logger.Warn().Err(err).Msg("configuration-unread")
+			tick.Pause(ctx, retryPause)
+		}
+	}
+	return ctx.Err()
+}
+
+func (f *Follower) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, waitForChange+callTimeout)
+	defer cancel()
+	if !f.isRead {
+		return f.readNewest(ctx)
+	}
+	page, err := f.log.Read(ctx, logs.Operator, 0, f.next, waitForChange)
+	var trimmed *logs.TrimmedError
+	if errors.As(err, &trimmed) {
+		return f.readNewest(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	f.next = page.Next(f.next)
+	f.apply(page.Records)
+	return nil
+}
+
+func (f *Follower) readNewest(ctx context.Context) error {
+	records, next, err := f.log.Newest(ctx, logs.Operator, 0)
+	if err != nil {
+		return err
+	}
+	f.next, f.isRead = next, true
+	f.apply(records)
+	return nil
+}
+
+func (f *Follower) apply(records []logs.Record) {
+	for _, r := range records {
+		c, err := f.decode(r.Key, r.Value)
+		if err != nil {
+			f.logger.Error().Err(err).Str("key", r.Key).Msg("operator-record-unreadable")
+			continue
+		}
+		if c != nil {
+			f.set(c)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readAt = tick.Now()
+}
+
+func (f *Follower) set(c *queue.Configuration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.current != nil && c.Version <= f.current.Version {
+		return
+	}
+	f.current = c
+	close(f.changed)
+	f.changed = make(chan struct{})
+	f.logger.Info().Uint64("version", uint64(c.Version)).Int("queues", len(c.Queues)).Msg("configuration-in-force")
+}
--- /dev/null
+++ b/internal/services/intake/intake.go
@@ -0,0 +1,219 @@
+// Package intake takes jobs, cancels and questions from callers on any instance.
+//
+// A job is accepted by a record in the log that any instance appends; a repeat is harmless. An instance that the store
+// turns away lets the lead append for it. Questions go to the lead; without it, the replica answers what it knows.
+//
+// # Usage
+//
+//	i := intake.New(options)
+//	err := i.Accept(ctx, job)
+//	state, known, err := i.State(ctx, id)
+package intake
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/services/elect"
+	"github.com/ibischute/ibischute/internal/services/lead"
+	"github.com/ibischute/ibischute/internal/services/replic"
+	"github.com/ibischute/ibischute/internal/state/book"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/queue"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+const (
+	// maxAttempts bounds the appends of one record.
+	maxAttempts   = 3
+	appendTimeout = 900 * time.Millisecond
+	peerTimeout   = 600 * time.Millisecond
+	// retryAfter is when a caller may come back whose request the store did not take.
+	retryAfter = time.Second
+	// freshMargin is kept of the time after which an accepted job must be known everywhere.
+	freshMargin = 500 * time.Millisecond
+)
+
+// Options configure an Intake.
+type Options struct {
+	Log     logs.Log
+	Part    logs.Part
+	Self    string
+	Elector *elect.Elector
+	Lead    *lead.Lead
+	Replica *replic.Replica
+	Client  *http.Client
+	// Visible is how soon an accepted job must be known everywhere.
+	Visible time.Duration
+	Logger  zerolog.Logger
+}
+
+// Intake serves callers on one instance.
+type Intake struct {
+	opts Options
+}
+
+// New returns an Intake.
+func New(o Options) *Intake { return &Intake{opts: o} }
+
+// Accept records a job. A failure that says that it has not run means that the job never will.
+func (i *Intake) Accept(ctx context.Context, j *jobpb.Job) error {
+	v, err := proto.Marshal(&jobpb.Intake{Job: j})
+	if err != nil {
+		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode job")
+	}
+	return i.record(ctx, logs.Record{Key: book.JobKey(j.Id), Value: v})
+}
+
+// Cancel records that a job is to be stopped, whether or not the job is known here.
+func (i *Intake) Cancel(ctx context.Context, id string) error {
+	v, err := proto.Marshal(&jobpb.Intake{Cancel: true})
+	if err != nil {
+		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode cancel")
+	}
+	return i.record(ctx, logs.Record{Key: book.CancelKey(id), Value: v})
+}
+
+// record appends a record until it is stored, surely refused, or out of time.
+func (i *Intake) record(ctx context.Context, rec logs.Record) error {
+	ran := fault.NotRun
+	var last error
+	for range maxAttempts {
+		last = i.append(ctx, rec)
+		if last == nil {
+			i.opts.Replica.Add(rec)
+			return nil
+		}
+		i.opts.Logger.Warn().Err(last).Str("key", rec.Key).Msg("intake-unstored")
+		if !fault.IsErrNotRun(last) {
+			ran = fault.Unknown
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		err := i.forward(ctx, rec)
+		if err == nil {
+			i.opts.Replica.Add(rec)
+			return nil
+		}
+		if !fault.IsErrNotRun(err) {
+			ran = fault.Unknown
+		}
+		if ran == fault.NotRun {
+			break
+		}
+	}
+	code := fault.CodeUnavailable
+	if ran != fault.NotRun {
+		code = fault.CodeUnknownOutcome
+	}
+	return fault.Wrap(last, code, ran, "the record was not stored").WithRetry(retryAfter)
+}
+
+func (i *Intake) append(ctx context.Context, rec logs.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := i.opts.Log.Append(ctx, logs.Intake, i.opts.Part, []logs.Record{rec}, logs.Condition{})
+	return err
+}
+
+// forward lets the lead append a record.
+func (i *Intake) forward(ctx context.Context, rec logs.Record) error {
+	peer, ok := i.peer()
+	if !ok {
+		return fault.New(fault.CodeNoOwner, fault.NotRun, "no other instance to append")
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := peer.Record(ctx, &jobpb.RecordRequest{Cell: uint32(i.opts.Part), Key: rec.Key, Intake: rec.Value})
+	if err != nil {
+		return peerFailure(err)
+	}
+	i.opts.Logger.Info().Str("key", rec.Key).Msg("intake-forwarded")
+	return nil
+}
+
+// peer returns a client of the lead, if that is another instance.
+func (i *Intake) peer() (jobpb.Jobs, bool) {
+	address, ok := i.opts.Elector.Lead()
+	if !ok || address == i.opts.Self {
+		return nil, false
+	}
+	return jobpb.NewJobsProtobufClient("http://"+address, i.opts.Client), true
+}
+
+// State returns the state of a job and whether it is known.
+func (i *Intake) State(ctx context.Context, id string) (jobpb.State, bool, error) {
+	now := tick.Now()
+	recorded, isRecorded := i.opts.Replica.Job(id)
+	if isRecorded && book.IsFinal(recorded) {
+		return recorded, true, nil
+	}
+	state, known, err := i.ask(ctx, now, id)
+	switch {
+	case err == nil && known:
+		return state, true, nil
+	case isRecorded:
+		return recorded, true, nil
+	case err == nil || i.IsFresh(now):
+		return jobpb.State_STATE_UNKNOWN, false, nil
+	}
+	return jobpb.State_STATE_UNKNOWN, false, err
+}
+
+// ask asks the lead.
+func (i *Intake) ask(ctx context.Context, now tick.Time, id string) (jobpb.State, bool, error) {
+	state, known, err := i.Show(now, id)
+	if err == nil {
+		return state, known, nil
+	}
+	peer, ok := i.peer()
+	if !ok {
+		return jobpb.State_STATE_UNKNOWN, false, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	res, err := peer.Show(ctx, &jobpb.ShowRequest{Job: id})
+	if err != nil {
+		return jobpb.State_STATE_UNKNOWN, false, peerFailure(err).WithRetry(retryAfter)
+	}
+	return res.State, res.Known, nil
+}
+
+// Show answers as the lead. It fails on any other instance, and where it may not know of every accepted job.
+func (i *Intake) Show(now tick.Time, id string) (jobpb.State, bool, error) {
+	state, known, err := i.opts.Lead.Show(now, id)
+	if err == nil && !known && !i.IsFresh(now) {
+		err = fault.New(fault.CodeUnavailable, fault.NotRun, "the intake has not been read for long").WithRetry(retryAfter)
+	}
+	return state, known, err
+}
+
+// IsFresh reports whether the replica has every job that must be visible.
+func (i *Intake) IsFresh(now tick.Time) bool {
+	return now.Sub(i.opts.Replica.FreshAt()) < i.opts.Visible-freshMargin
+}
+
+// Waiting counts the jobs of a queue that have not begun.
+func (i *Intake) Waiting(ctx context.Context, q queue.Name) (int, error) {
+	n, err := i.opts.Lead.Waiting(tick.Now(), q)
+	if err == nil {
+		return n, nil
+	}
+	if peer, ok := i.peer(); ok {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		res, err := peer.CountWaiting(ctx, &jobpb.CountWaitingRequest{Queue: string(q)})
+		if err == nil {
+			return int(res.Waiting), nil
+		}
+		i.opts.Logger.Warn().Err(err).Str("queue", string(q)).Msg("lead-unreachable")
+	}
+	return i.opts.Replica.Waiting(string(q)), nil
+}
--- /dev/null
+++ b/internal/services/intake/peer.go
@@ -0,0 +1,69 @@
+package intake
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/ibischute/ibischute/internal/modules/httpj"
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/queue"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// Peer serves the other instances.
+type Peer struct {
+	intake *Intake
+}
+
+// NewPeer returns the service for the other instances.
+func NewPeer(i *Intake) *Peer { return &Peer{intake: i} }
+
+// Show implements jobpb.Jobs.
+func (p *Peer) Show(_ context.Context, r *jobpb.ShowRequest) (*jobpb.ShowResponse, error) {
+	state, known, err := p.intake.Show(tick.Now(), r.Job)
+	if err != nil {
+		return nil, twirp.WrapError(twirp.NewError(twirp.Unavailable, err.Error()), err)
+	}
+	return &jobpb.ShowResponse{Known: known, State: state}, nil
+}
+
+// CountWaiting implements jobpb.Jobs.
+func (p *Peer) CountWaiting(
+	_ context.Context, r *jobpb.CountWaitingRequest,
+) (*jobpb.CountWaitingResponse, error) {
+	n, err := p.intake.opts.Lead.Waiting(tick.Now(), queue.Name(r.Queue))
+	if err != nil {
+		return nil, twirp.WrapError(twirp.NewError(twirp.Unavailable, err.Error()), err)
+	}
+	return &jobpb.CountWaitingResponse{Waiting: uint32(n)}, nil
+}
+
+// Record implements jobpb.Jobs. Unavailable says that the record was surely not stored.
+func (p *Peer) Record(ctx context.Context, r *jobpb.RecordRequest) (*jobpb.RecordResponse, error) {
+	rec := logs.Record{Key: r.Key, Value: r.Intake}
+	if err := p.intake.append(ctx, rec); err != nil {
+		code := twirp.Unknown
+		if fault.IsErrNotRun(err) {
+			code = twirp.Unavailable
+		}
+		return nil, twirp.WrapError(twirp.NewError(code, err.Error()), err)
+	}
+	p.intake.opts.Replica.Add(rec)
+	return &jobpb.RecordResponse{}, nil
+}
+
+// peerFailure translates the failure of a call to another instance.
+func peerFailure(err error) *fault.Error {
+	var te twirp.Error
+	if errors.As(err, &te) && te.Code() == twirp.Unavailable && te.Meta("http_error_from_intermediary") == "" {
+		return fault.Wrap(err, fault.CodeUnavailable, fault.NotRun, "the lead could not")
+	}
+	if httpj.IsDialError(err) {
+		return fault.Wrap(err, fault.CodeUnavailable, fault.NotRun, "the lead was not reached")
+	}
+	return fault.Wrap(err, fault.CodeUnknownOutcome, fault.Unknown, "the lead did not answer")
+}
--- /dev/null
+++ b/internal/state/book/book.go
@@ -0,0 +1,186 @@
+// Package book folds the records of one cell in the platform's log into what every instance knows of its jobs.
+//
+// The fold is the same on every instance and does not depend on how the two topics interleave.
+//
+// # Usage
+//
+//	b := book.New()
+//	b.Intake(record)
+//	b.Progress(record)
+//	e, ok := b.Job("5c0e7a21d94b36f8")
+package book
+
+import (
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/pkg/fault"
+)
+
+// The prefixes of the keys: jobs and cancels in the intake topic, states and executors in the progress topic.
+const (
+	prefixJob      = "j/"
+	prefixCancel   = "c/"
+	prefixProgress = "p/"
+	prefixRoster   = "x/"
+)
+
+// JobKey returns the key of a job's intake record.
+func JobKey(id string) string { return prefixJob + id }
+
+// CancelKey returns the key of the cancel of a job.
+func CancelKey(id string) string { return prefixCancel + id }
+
+// ProgressKey returns the key of a job's progress.
+func ProgressKey(id string) string { return prefixProgress + id }
+
+// RosterKey returns the key of an executor that may have orders.
+func RosterKey(executor string) string { return prefixRoster + executor }
+
+// Entry is what is recorded of one job.
+type Entry struct {
+	Job       *jobpb.Job
+	Cancelled bool
+	Progress  *jobpb.Progress
+}
+
+// State returns the state that the records show.
+func (e *Entry) State() jobpb.State {
+	switch {
+	case e.Progress != nil && IsFinal(e.Progress.State):
+		return e.Progress.State
+	case e.Cancelled:
+		return jobpb.State_STATE_CANCELLED
+	case e.Progress != nil:
+		return e.Progress.State
+	}
+	return jobpb.State_STATE_QUEUED
+}
+
+// IsFinal reports whether a job in the state has ended.
+func IsFinal(s jobpb.State) bool {
+	return s == jobpb.State_STATE_COMPLETED || s == jobpb.State_STATE_FAILED || s == jobpb.State_STATE_CANCELLED
+}
+
+// Book is the fold.
+type Book struct {
+	entries map[string]*Entry
+	roster  map[string]*jobpb.Roster
+}
+
+// New returns an empty Book.
+func New() *Book { return &Book{entries: map[string]*Entry{}, roster: map[string]*jobpb.Roster{}} }
+
+// Intake folds a record of the intake topic and returns the id of the job that it concerns.
+func (b *Book) Intake(r logs.Record) (string, error) {
+	if id, ok := strings.CutPrefix(r.Key, prefixCancel); ok {
+		if len(r.Value) == 0 {
+			b.forget(id)
+			return id, nil
+		}
+		b.entry(id).Cancelled = true
+		return id, nil
+	}
+	id, ok := strings.CutPrefix(r.Key, prefixJob)
+	if !ok {
+		return "", fault.New(fault.CodeBadRequest, fault.NotRun, "unknown key "+r.Key)
+	}
+	if len(r.Value) == 0 {
+		b.forget(id)
+		return id, nil
+	}
+	e := b.entry(id)
+	if e.Job != nil {
+		return id, nil
+	}
+	in := &jobpb.Intake{}
+	if err := proto.Unmarshal(r.Value, in); err != nil || in.Job == nil {
+		return id, fault.Wrap(err, fault.CodeBadRequest, fault.NotRun, "intake record of job "+id)
+	}
+	e.Job = in.Job
+	return id, nil
+}
+
+// Progress folds a record of the progress topic.
+func (b *Book) Progress(r logs.Record) error {
+	if id, ok := strings.CutPrefix(r.Key, prefixRoster); ok {
+		return b.foldRoster(id, r.Value)
+	}
+	id, ok := strings.CutPrefix(r.Key, prefixProgress)
+	if !ok {
+		return fault.New(fault.CodeBadRequest, fault.NotRun, "unknown key "+r.Key)
+	}
+	if len(r.Value) == 0 {
+		b.forget(id)
+		return nil
+	}
+	p := &jobpb.Progress{}
+	if err := proto.Unmarshal(r.Value, p); err != nil {
+		return fault.Wrap(err, fault.CodeBadRequest, fault.NotRun, "progress of job "+id)
+	}
+	b.entry(id).Progress = p
+	return nil
+}
+
+func (b *Book) foldRoster(id string, value []byte) error {
+	if len(value) == 0 {
+		delete(b.roster, id)
+		return nil
+	}
+	x := &jobpb.Roster{}
+	if err := proto.Unmarshal(value, x); err != nil {
+		return fault.Wrap(err, fault.CodeBadRequest, fault.NotRun, "roster record of executor "+id)
+	}
+	b.roster[id] = x
+	return nil
+}
+
+func (b *Book) entry(id string) *Entry {
+	e, ok := b.entries[id]
+	if !ok {
+		e = &Entry{}
+		b.entries[id] = e
+	}
+	return e
+}
+
+func (b *Book) forget(id string) { delete(b.entries, id) }
+
+// Job returns what is recorded of a job. It reports false unless the job was accepted.
+func (b *Book) Job(id string) (*Entry, bool) {
+	e, ok := b.entries[id]
+	if !ok || e.Job == nil {
+		return nil, false
+	}
+	return e, true
+}
+
+// Jobs calls f for each accepted job.
+func (b *Book) Jobs(f func(e *Entry)) {
+	for _, e := range b.entries {
+		if e.Job != nil {
+			f(e)
+		}
+	}
+}
+
+// Roster calls f for each executor that may have orders.
+func (b *Book) Roster(f func(x *jobpb.Roster)) {
+	for _, x := range b.roster {
+		f(x)
+	}
+}
+
+// Waiting counts the accepted jobs of a queue of which no progress is recorded. It may count jobs that have begun.
+func (b *Book) Waiting(queue string) int {
+	n := 0
+	for _, e := range b.entries {
+		if e.Job != nil && e.Job.Queue == queue && e.Progress == nil && !e.Cancelled {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/state/cell/place.go
@@ -0,0 +1,156 @@
+package cell
+
+import (
+	"math"
+	"slices"
+
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// placement finds executors for waiting tasks in one pass.
+type placement struct {
+	cell *Cell
+	// pools has the usable executors of each service.
+	pools map[string][]*executor
+	// refused has, for each service, requests that fit nowhere. A request that is no smaller does not fit either.
+	refused map[string][]refusal
+}
+
+type refusal struct {
+	room  room
+	fills bool
+	label string
+}
+
+// maxRefusals bounds the requests that are remembered in one pass.
+const maxRefusals = 8
+
+func (c *Cell) newPlacement(now tick.Time) *placement {
+	p := &placement{cell: c, pools: map[string][]*executor{}, refused: map[string][]refusal{}}
+	for _, x := range c.execs {
+		if x.isUsable(now) {
+			p.pools[x.entry.Service] = append(p.pools[x.entry.Service], x)
+		}
+	}
+	for _, pool := range p.pools {
+		slices.SortFunc(pool, func(a, b *executor) int {
+			if a.entry.ID < b.entry.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+	return p
+}
+
+// find returns the best executor for a task, or nil.
+func (p *placement) find(s *step, t *task) *executor {
+	service := s.job.queue.Service
+	need := roomOf(s.pb)
+	if p.isRefused(service, need, s) {
+		return nil
+	}
+	var best *executor
+	lowest := math.Inf(1)
+	for _, x := range p.pools[service] {
+		if !x.allows(s, t, need) {
+			continue
+		}
+		if cost := x.cost(s, need); cost < lowest {
+			best, lowest = x, cost
+		}
+	}
+	if best == nil && len(t.shunned) == 0 && s.pb.MaxPerExecutor == 0 && len(p.refused[service]) < maxRefusals {
+		p.refused[service] = append(p.refused[service], refusal{need, s.pb.Fills, s.pb.RequiresLabel})
+	}
+	return best
+}
+
+func (p *placement) isRefused(service string, need room, s *step) bool {
+	for _, r := range p.refused[service] {
+		if r.label == s.pb.RequiresLabel && r.fills == s.pb.Fills && need.holds(r.room) {
+			return true
+		}
+	}
+	return false
+}
+
+// allows reports whether the task may be started on the executor.
+func (x *executor) allows(s *step, t *task, need room) bool {
+	if !x.free().holds(need) {
+		return false
+	}
+	if s.pb.RequiresLabel != "" && !x.hasLabel(s.pb.RequiresLabel) {
+		return false
+	}
+	if slices.Contains(t.shunned, x.entry.ID) && len(t.shunned) < maxShunned {
+		return false
+	}
+	if s.pb.MaxPerExecutor > 0 && x.countOf(s) >= int(s.pb.MaxPerExecutor) {
+		return false
+	}
+	if !s.pb.Fills {
+		return true
+	}
+	serving, _ := x.mix()
+	return serving == 0 && x.unallocated() >= int64(s.pb.MilliCpu)
+}
+
+// maxShunned is how many executors a task may avoid for its failures; beyond it the task itself is to blame.
+const maxShunned = 8
+
+// countOf returns how many tasks of the step the executor has.
+func (x *executor) countOf(s *step) int {
+	n := 0
+	for _, r := range x.runs {
+		if r.task.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// unallocated returns the processor share that neither tasks nor tasks that fill have asked for.
+func (x *executor) unallocated() int64 {
+	left := x.free().milliCPU
+	for _, r := range x.runs {
+		if r.task.step.pb.Fills {
+			left -= int64(r.task.step.pb.MilliCpu)
+		}
+	}
+	return left
+}
+
+const (
+	// costFarFromData outweighs every other cost: the task would take several times as long.
+	costFarFromData = 1000
+	// costBesideFilling is the cost of a place where a serving task would end the tasks that fill there.
+	costBesideFilling = 100
+	// costUnsharedServing is the cost of a serving task on an executor that serves nothing yet.
+	costUnsharedServing = 10
+	// costFailing is the cost of an executor whose last run failed.
+	costFailing = 50
+)
+
+// cost rates an executor for a task; the lowest is taken.
+func (x *executor) cost(s *step, need room) float64 {
+	cost := 0.0
+	if s.pb.DataRack != "" && !x.hasLabel(s.pb.DataRack) {
+		cost += costFarFromData
+	}
+	cost += costFailing * float64(x.failures)
+	serving, filling := x.mix()
+	total := float64(max(1, x.total.milliCPU))
+	if s.pb.Fills {
+		return cost - float64(x.unallocated())/total
+	}
+	if s.pb.TargetMs > 0 {
+		cost += costBesideFilling * float64(min(filling, 1))
+		if serving == 0 {
+			cost += costUnsharedServing
+		}
+	} else {
+		cost += float64(filling)
+	}
+	return cost + float64(x.free().milliCPU-need.milliCPU)/total
+}
