--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -1,7 +1,9 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
@@ -68,9 +70,30 @@
 
 // Accept takes a job that was just recorded in the intake. A job that is known already is passed over.
 func (c *Cell) Accept(now tick.Time, pb *jobpb.Job) {
-	if _, ok := c.jobs[pb.Id]; !ok {
-		c.add(now, pb)
+	if _, ok := c.jobs[pb.Id]; ok {
+		return
+	}
+	c.add(now, pb)
+	c.note(Event{Name: "job-queued", Task: orders.Task{Job: pb.Id}, Detail: describe(pb)})
+}
+
+// describe tells a job's steps for the log.
+func describe(pb *jobpb.Job) string {
+	b := strings.Builder{}
+	b.WriteString(pb.Queue)
+	for _, s := range pb.Steps {
+		fmt.Fprintf(&b, " %dx%dm/%dMB/%dms", s.Count, s.MilliCpu, s.MemoryMb, s.EstimateMs)
+		if s.Fills {
+			b.WriteString("/fills")
+		}
+		if s.MaxPerExecutor > 0 {
+			fmt.Fprintf(&b, "/max%d", s.MaxPerExecutor)
+		}
+		if s.TargetMs > 0 {
+			fmt.Fprintf(&b, "/target%d", s.TargetMs)
+		}
 	}
+	return b.String()
 }
 
 // Load takes a job with its recorded progress, as a new lead finds it.
