Learn which image presses on which, and steer filling tasks by it

Change: weights are fitted to differences between looks (non-negative least squares with a prior); places are taken where the press is small, paces are cut by the tails.

--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -58,6 +58,7 @@
 	rosters  map[string]*executor
 	events   []Event
 	pace     *speeds
+	press    *presses
 	isFenced bool
 }
 
@@ -67,7 +68,7 @@
 	return &Cell{
 		params: p, epoch: epoch, safeAt: safeAt, inherits: true,
 		jobs: map[string]*job{}, execs: map[string]*executor{},
-		dirty: map[string]*job{}, rosters: map[string]*executor{}, pace: newSpeeds(),
+		dirty: map[string]*job{}, rosters: map[string]*executor{}, pace: newSpeeds(), press: newPresses(),
 	}
 }
 
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -79,6 +79,8 @@
 	// failures counts the runs that have failed there since one was done.
 	failures int
 	failedBy string
+	// judgedAt is the list by which interference was last judged; noFillUntil keeps filling tasks from starting.
+	judgedAt, noFillUntil tick.Time
 	// drainBy is when it may leave.
 	drainBy tick.Time
 }
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -10,6 +10,8 @@
 const (
 	// holdWait is how long an executor may keep a hold that waits for an end.
 	holdWait = time.Second
+	// watchWait is that time while the tails of serving tasks are watched.
+	watchWait = 400 * time.Millisecond
 	// stalledAckPause is how long the next hold waits for the record of the ends that the last one listed.
 	stalledAckPause = 250 * time.Millisecond
 	// silentRetry is the pause before the next hold after one without an answer.
@@ -39,6 +41,9 @@
 	h.DeadlineMS = c.extend(now, x)
 	if hasRuns && x.seen <= x.acked {
 		h.Wait = holdWait
+		if serving, filling := x.mix(); serving > 0 && filling > 0 {
+			h.Wait = watchWait
+		}
 	}
 	return h, x.target(), 0
 }
@@ -71,6 +76,7 @@
 		c.running(now, x, r, isFirst)
 	}
 	c.missing(sent, x, listed)
+	c.learn(now, x)
 }
 
 // heard applies what any reply tells of the executor and reports whether it was carried out.
--- a/internal/state/cell/place.go
+++ b/internal/state/cell/place.go
@@ -10,6 +10,7 @@
 // placement finds executors for waiting tasks in one pass.
 type placement struct {
 	cell *Cell
+	now  tick.Time
 	// pools has the usable executors of each service.
 	pools map[string][]*executor
 	// refused has, for each service, requests that fit nowhere. A request that is no smaller does not fit either.
@@ -26,7 +27,7 @@
 const maxRefusals = 8
 
 func (c *Cell) newPlacement(now tick.Time) *placement {
-	p := &placement{cell: c, pools: map[string][]*executor{}, refused: map[string][]refusal{}}
+	p := &placement{cell: c, now: now, pools: map[string][]*executor{}, refused: map[string][]refusal{}}
 	for _, x := range c.execs {
 		if x.isUsable(now) {
 			p.pools[x.entry.Service] = append(p.pools[x.entry.Service], x)
@@ -56,7 +57,15 @@
 		if !x.allows(s, t, need) {
 			continue
 		}
-		if cost := x.cost(s, need); cost < lowest {
+		cost := x.cost(s, need)
+		if s.pb.Fills {
+			press, ok := p.cell.bears(p.now, x, s)
+			if !ok || x.unused() < int64(s.pb.MilliCpu) {
+				continue
+			}
+			cost += costPress * press
+		}
+		if cost < lowest {
 			best, lowest = x, cost
 		}
 	}
@@ -89,11 +98,7 @@
 	if s.pb.MaxPerExecutor > 0 && x.countOf(s) >= int(s.pb.MaxPerExecutor) {
 		return false
 	}
-	if !s.pb.Fills {
-		return true
-	}
-	serving, _ := x.mix()
-	return serving == 0 && x.unallocated() >= int64(s.pb.MilliCpu)
+	return true
 }
 
 // maxShunned is how many executors a task may avoid for its failures; beyond it the task itself is to blame.
@@ -110,13 +115,18 @@
 	return n
 }
 
-// unallocated returns the processor share that neither tasks nor tasks that fill have asked for.
-func (x *executor) unallocated() int64 {
-	left := x.free().milliCPU
+// servingLoad is the share of their processors that serving tasks use in the mean.
+const servingLoad = 0.6
+
+// unused returns the processor share that tasks that fill may still get.
+func (x *executor) unused() int64 {
+	left := x.total.milliCPU
 	for _, r := range x.runs {
-		if r.task.step.pb.Fills {
-			left -= int64(r.task.step.pb.MilliCpu)
+		share := int64(r.task.step.pb.MilliCpu)
+		if r.task.step.pb.TargetMs > 0 {
+			share = int64(servingLoad * float64(share))
 		}
+		left -= share
 	}
 	return left
 }
@@ -124,10 +134,15 @@
 const (
 	// costFarFromData outweighs every other cost: the task would take several times as long.
 	costFarFromData = 1000
-	// costBesideFilling is the cost of a place where a serving task would end the tasks that fill there.
-	costBesideFilling = 100
+	// costBesideFilling is the cost of each task that fills for a serving task.
+	costBesideFilling = 0.1
 	// costUnsharedServing is the cost of a serving task on an executor that serves nothing yet.
-	costUnsharedServing = 10
+	costUnsharedServing = 1
+	// costPress times the load that a filling task adds to serving ones.
+	costPress = 5
+	// costOtherImage is the cost of each other image that serves there: fewer images leave more kinds of filling
+	// tasks that press on none.
+	costOtherImage = 0.5
 	// costFailing is the cost of an executor whose last run failed.
 	costFailing = 50
 )
@@ -139,18 +154,28 @@
 		cost += costFarFromData
 	}
 	cost += costFailing * float64(x.failures)
-	serving, filling := x.mix()
 	total := float64(max(1, x.total.milliCPU))
 	if s.pb.Fills {
-		return cost - float64(x.unallocated())/total
+		return cost - float64(x.unused())/total
 	}
+	serving, filling := x.mix()
 	if s.pb.TargetMs > 0 {
-		cost += costBesideFilling * float64(min(filling, 1))
+		cost += costBesideFilling * float64(filling)
 		if serving == 0 {
 			cost += costUnsharedServing
 		}
-	} else {
-		cost += float64(filling)
+		cost += costOtherImage * float64(x.otherImages(s.pb.Image))
 	}
 	return cost + float64(x.free().milliCPU-need.milliCPU)/total
 }
+
+// otherImages counts the serving runs of other images.
+func (x *executor) otherImages(image string) int {
+	n := 0
+	for _, r := range x.runs {
+		if pb := r.task.step.pb; pb.TargetMs > 0 && pb.Image != image {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -21,8 +21,8 @@
 	}
 	c.clearDraining(now)
 	c.clearStalled(now)
-	out := c.starts(now)
-	c.separate()
+	out := c.steer(now, nil)
+	out = append(out, c.starts(now)...)
 	return c.stops(now, out)
 }
 
@@ -168,6 +168,9 @@
 // start begins a run and returns the order for it.
 func (c *Cell) start(now tick.Time, t *task, x *executor, number uint64) Order {
 	r := c.begin(now, t, x, number)
+	if t.step.pb.Fills {
+		x.noFillUntil = max(x.noFillUntil, now.Add(fillPause))
+	}
 	c.note(Event{Name: "start", Task: t.id, Run: number, Executor: x.entry.ID})
 	return Order{Target: x.target(), Start: &orders.Start{
 		Run: r.id, Spec: t.step.job.pb.Spec, Checkpoint: t.checkpoint, DeadlineMS: c.extend(now, x), Epoch: c.epoch,
@@ -301,7 +304,7 @@
 
 func (c *Cell) isStalled(now tick.Time, r *run) bool {
 	s := r.task.step.pb
-	if r.isUnwanted || r.firstAt == 0 || s.LongRunning || s.Gang {
+	if r.isUnwanted || r.firstAt == 0 || r.pace < fullPace || s.LongRunning || s.Gang {
 		return false
 	}
 	patience := max(stallPatience, time.Duration(stallShare*float64(s.EstimateMs))*time.Millisecond)
@@ -309,20 +312,6 @@
 	return r.exec.heardAt.Sub(r.percentAt) > patience
 }
 
-// separate stops the tasks that fill beside tasks that serve, since they press on them.
-func (c *Cell) separate() {
-	for _, x := range c.execs {
-		if serving, filling := x.mix(); serving == 0 || filling == 0 {
-			continue
-		}
-		for _, r := range x.runs {
-			if r.task.step.pb.Fills {
-				r.isUnwanted = true
-			}
-		}
-	}
-}
-
 // mix counts the runs that serve under a target and those that fill.
 func (x *executor) mix() (serving, filling int) {
 	for _, r := range x.runs {
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -36,8 +36,10 @@
 	percentAt tick.Time
 	firstAt   tick.Time
 	usage     int64
-	overAt    tick.Time
 	pace      int
+	slowAt    tick.Time
+	// look is the last look at a serving run's tail.
+	look look
 }
 
 // begin makes a run of the task on the executor.
