Keep adopted runs until their former lease has lapsed

Also: a job that came after the claim could be started by the old and the new lead while the old one's right lasted; executors that had crashed for good kept every takeover waiting. Change: the first answer gives the lease its longest end; new jobs wait for the end of the former right unless all executors have answered; executors that are gone leave the roster; a restarted process claims its own former lead at once.

--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -53,6 +53,8 @@
 // Term is the time in which this instance leads.
 type Term struct {
 	Epoch uint64
+	// FormerUntil is when no former lead may act any more.
+	FormerUntil tick.Time
 	// SafeAt is when no order of a former lead can still be in force.
 	SafeAt tick.Time
 }
@@ -205,6 +207,10 @@
 	if e.last == nil || e.last.Resigned {
 		return max(e.lastAt, e.steadySince).Add(stagger)
 	}
+	if e.last.Instance == e.opts.Instance {
+		// The lead was an earlier process of this instance.
+		return e.steadySince
+	}
 	return max(e.lastAt, e.steadySince).Add(silence + stagger)
 }
 
@@ -219,7 +225,8 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	t := Term{Epoch: epoch, SafeAt: e.safeAt(sent)}
+	until := e.formerUntil(sent)
+	t := Term{Epoch: epoch, FormerUntil: until, SafeAt: until.Add(e.opts.MaxLease)}
 	e.leads = true
 	e.rightUntil = sent.Add(Right)
 	e.last = &jobpb.Lead{Instance: e.opts.Instance, Address: e.opts.Address, Epoch: epoch}
@@ -228,15 +235,17 @@
 	return t, true
 }
 
-// safeAt returns when no order of a former lead can still be in force. The mutex is held.
-func (e *Elector) safeAt(now tick.Time) tick.Time {
+// formerUntil returns when the right of the former lead has ended. The mutex is held.
+func (e *Elector) formerUntil(now tick.Time) tick.Time {
 	switch {
 	case e.next == 0:
 		return now
 	case e.last == nil:
-		return now.Add(Right + e.opts.MaxLease)
+		return now.Add(Right)
+	case e.last.Resigned:
+		return e.lastAt
 	}
-	return e.lastAt.Add(Right + e.opts.MaxLease)
+	return e.lastAt.Add(Right)
 }
 
 // append adds a record where this instance believes the partition to end.
--- a/internal/services/lead/lead.go
+++ b/internal/services/lead/lead.go
@@ -125,7 +125,7 @@
 		return err
 	}
 	now := tick.Now()
-	c := cell.New(t.opts.Params, et.Epoch, et.SafeAt)
+	c := cell.New(t.opts.Params, et.Epoch, et.FormerUntil, et.SafeAt)
 	if cfg, ok := t.opts.Config.Current(); ok {
 		c.Configure(cfg)
 	}
@@ -257,6 +257,7 @@
 		if err == nil {
 			t.cell.Discover(tick.Now(), list)
 		}
+		t.opts.Logger.Info().Str("u", t.cell.DumpUse()).Msg("use")
 		ids := t.cell.Executors()
 		t.mu.Unlock()
 		t.hold(ctx, ids)
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -113,7 +113,7 @@
 			c.bury(x, "address taken over by "+other)
 		}
 		if !x.isListed && len(x.runs) == 0 && (x.isDead || now.After(x.lapseBy)) && !c.isAwaited(now, x) {
-			delete(c.execs, id)
+			c.retire(id, x)
 		}
 	}
 }
@@ -132,11 +132,20 @@
 	x.entry = e
 	x.isListed = true
 	x.total = room{e.MilliCPU, e.MemoryMB, e.GPUs}
-	if !x.isRostered {
+	if !x.isRostered && !c.retired[e.ID] {
 		c.rosters[e.ID] = x
 	}
 }
 
+// retire drops an executor that is gone and on which nothing can run.
+func (c *Cell) retire(id string, x *executor) {
+	delete(c.execs, id)
+	delete(c.rosters, id)
+	if x.isRostered {
+		c.retired[id] = true
+	}
+}
+
 func newExecutor(e queue.Executor) *executor {
 	return &executor{
 		entry: e, total: room{e.MilliCPU, e.MemoryMB, e.GPUs},
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -60,6 +60,10 @@
 	x.bornMS = l.BornMS
 	isFirst := !x.isHeard
 	x.isHeard = true
+	if isFirst {
+		// A former lead may have extended the lease until just now.
+		x.lapseBy = max(x.lapseBy, now.Add(c.params.LongestLease()))
+	}
 	x.heardAt = now
 	x.ackSent = max(x.ackSent, h.AckCursor)
 	listed := make(map[orders.Run]bool, len(l.Ended)+len(l.Running))
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -106,7 +106,7 @@
 	}
 	var entries []entry
 	for _, j := range c.active {
-		if j.inherited && c.inherits {
+		if c.mayRunElsewhere(now, j) {
 			continue
 		}
 		var steps []*step
--- a/internal/state/cell/press.go
+++ b/internal/state/cell/press.go
@@ -375,3 +375,43 @@
 	}
 	return out
 }
+
+// DumpUse is a trial.
+func (c *Cell) DumpUse() string {
+	var tot, used, last, mem, memu, fill int64
+	big := 0
+	for _, x := range c.execs {
+		tot += x.total.milliCPU / 1000
+		used += x.used.milliCPU / 1000
+		mem += x.total.memoryMB / 1000
+		memu += x.used.memoryMB / 1000
+		if x.free().milliCPU >= 7000 {
+			big++
+		}
+		for _, r := range x.runs {
+			if r.task.step.pb.LongRunning {
+				last += int64(r.task.step.pb.MilliCpu) / 1000
+			}
+			if r.task.step.pb.Fills {
+				fill += int64(r.task.step.pb.MilliCpu) / 1000
+			}
+		}
+	}
+	wait := map[string]int{}
+	for _, j := range c.active {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.isOpen() {
+					k := "short"
+					if s.pb.LongRunning {
+						k = "lasting"
+					} else if s.pb.Fills {
+						k = "fill"
+					}
+					wait[k] += s.idle
+				}
+			}
+		}
+	}
+	return fmt.Sprint("cpu ", tot, " used ", used, " lasting ", last, " fill ", fill, " mem ", mem, " used ", memu, " with7 ", big, " wait ", wait)
+}
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -16,10 +16,13 @@
 	states  map[*job]jobpb.State
 	rosters []*executor
 	cursors map[*executor]uint64
+	retired []string
 }
 
 // HasChanges reports whether there is something to store.
-func (c *Cell) HasChanges() bool { return len(c.dirty) > 0 || len(c.rosters) > 0 || c.hasEnds() }
+func (c *Cell) HasChanges() bool {
+	return len(c.dirty) > 0 || len(c.rosters) > 0 || len(c.retired) > 0 || c.hasEnds()
+}
 
 // hasEnds reports whether ends were listed that changed no record and only wait to be acknowledged.
 func (c *Cell) hasEnds() bool {
@@ -47,6 +50,10 @@
 		}
 		b.rosters = append(b.rosters, x)
 	}
+	for id := range c.retired {
+		b.Records = append(b.Records, logs.Record{Key: book.RosterKey(id)})
+		b.retired = append(b.retired, id)
+	}
 	for _, x := range c.execs {
 		if x.seen > x.cut {
 			x.cut = x.seen
@@ -78,6 +85,9 @@
 	for _, x := range b.rosters {
 		x.isRostered = true
 	}
+	for _, id := range b.retired {
+		delete(c.retired, id)
+	}
 	for x, n := range b.cursors {
 		// After a rebirth the numbers begin anew.
 		if n <= x.cut {
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -23,6 +23,11 @@
 	return x.isFormer && !x.isHeard && !x.isDead && now.Before(c.safeAt)
 }
 
+// mayRunElsewhere reports whether a former lead may have started tasks of the job that this one does not see.
+func (c *Cell) mayRunElsewhere(now tick.Time, j *job) bool {
+	return c.inherits && (j.inherited || now.Before(c.formerUntil))
+}
+
 // settle ends the takeover when no executor is awaited any more.
 func (c *Cell) settle(now tick.Time) {
 	if !c.inherits {
