--- a/internal/services/lead/lead.go
+++ b/internal/services/lead/lead.go
@@ -257,12 +257,20 @@
 		if err == nil {
 			t.cell.Discover(tick.Now(), list)
 		}
-		t.opts.Logger.Info().Str("u", t.cell.DumpUse()).Msg("use")
+		usage := t.cell.Usage()
 		ids := t.cell.Executors()
 		t.mu.Unlock()
 		t.hold(ctx, ids)
+		t.logUsage(usage)
 		t.wakePlan()
 		t.wakeCommit()
 		tick.Pause(ctx, discoveryInterval)
 	}
 }
+
+func (t *term) logUsage(u cell.Usage) {
+	t.opts.Logger.Info().Uint64("epoch", t.epoch).Int("jobs", u.Jobs).Int64("cores", u.Cores).
+		Int64("used-cores", u.UsedCores).Int64("lasting-cores", u.LastingCores).Int64("filling-cores", u.FillingCores).
+		Int("waiting-short", u.WaitingShort).Int("waiting-lasting", u.WaitingLasting).
+		Int("waiting-filling", u.WaitingFilling).Msg("cell-usage")
+}
--- a/internal/services/lead/loops.go
+++ b/internal/services/lead/loops.go
@@ -46,9 +46,6 @@
 	t.mu.Lock()
 	list := t.cell.Plan(tick.Now(), tick.Wall().UnixMilli())
 	events := t.cell.Events()
-	if tick.Now()%50 == 0 {
-		t.opts.Logger.Info().Str("w", t.cell.DumpWeights()).Msg("weights")
-	}
 	isFenced := t.cell.IsFenced()
 	hasChanges := t.cell.HasChanges()
 	t.mu.Unlock()
--- a/internal/state/cell/press.go
+++ b/internal/state/cell/press.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -52,7 +52,7 @@
 	// saturatedShare is the share of its target beyond which a tail tells little of its cause.
 	saturatedShare = 6
 	// coreThousandths is the number of units of processor share in a core.
-	coreThousandths = 1000.0
+	coreThousandths = 1000
 )
 
 func newPresses() *presses { return &presses{base: map[string]float64{}, fits: map[string]*fit{}} }
@@ -188,6 +188,8 @@
 	// tightCut and targetCut are the shares of the press that are cut beyond tightShare and beyond the target.
 	tightCut  = 0.15
 	targetCut = 0.6
+	// overPatience is how long a serving task may be over its target before all that fills beside it is halted.
+	overPatience = 1200 * time.Millisecond
 	// fillPause is the shortest time between two starts of filling tasks beside serving ones.
 	fillPause = 300 * time.Millisecond
 	// paceStep is the granularity of paces, and paceRise the most by which one rises at once, in percent.
@@ -244,6 +246,10 @@
 
 func (c *Cell) steerExecutor(now tick.Time, x *executor, serving, filling []*run, out []Order) []Order {
 	worst, share := mostLoaded(serving)
+	if longest := markOver(x.heardAt, serving); longest > overPatience {
+		// Whatever the model says, what fills must not work on beside a target missed for long.
+		share = math.Inf(1)
+	}
 	slices.SortFunc(filling, func(a, b *run) int {
 		return cmp.Or(
 			cmp.Compare(c.weightOn(worst, b), c.weightOn(worst, a)), cmp.Compare(b.startedAt, a.startedAt),
@@ -266,6 +272,22 @@
 	return out
 }
 
+// markOver notes since when the serving runs are over their targets, and returns the longest such time.
+func markOver(now tick.Time, serving []*run) time.Duration {
+	longest := time.Duration(0)
+	for _, s := range serving {
+		if s.usage <= int64(s.task.step.pb.TargetMs) {
+			s.overSince = 0
+			continue
+		}
+		if s.overSince == 0 {
+			s.overSince = now
+		}
+		longest = max(longest, now.Sub(s.overSince))
+	}
+	return longest
+}
+
 // mostLoaded returns the serving run that is nearest to its target or farthest beyond it, and its share of the target.
 func mostLoaded(serving []*run) (*run, float64) {
 	var worst *run
@@ -364,54 +386,3 @@
 
 // lightPress is the load that a filling task may add to any serving one.
 const lightPress = 0.02
-
-// DumpWeights is a trial.
-func (c *Cell) DumpWeights() string {
-	out := ""
-	for k, f := range c.press.fits {
-		for i, w := range f.weight {
-			out += fmt.Sprintf("%s/%s=%.3f ", k, f.images[i], w)
-		}
-	}
-	return out
-}
-
-// DumpUse is a trial.
-func (c *Cell) DumpUse() string {
-	var tot, used, last, mem, memu, fill int64
-	big := 0
-	for _, x := range c.execs {
-		tot += x.total.milliCPU / 1000
-		used += x.used.milliCPU / 1000
-		mem += x.total.memoryMB / 1000
-		memu += x.used.memoryMB / 1000
-		if x.free().milliCPU >= 7000 {
-			big++
-		}
-		for _, r := range x.runs {
-			if r.task.step.pb.LongRunning {
-				last += int64(r.task.step.pb.MilliCpu) / 1000
-			}
-			if r.task.step.pb.Fills {
-				fill += int64(r.task.step.pb.MilliCpu) / 1000
-			}
-		}
-	}
-	wait := map[string]int{}
-	for _, j := range c.active {
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if s.isOpen() {
-					k := "short"
-					if s.pb.LongRunning {
-						k = "lasting"
-					} else if s.pb.Fills {
-						k = "fill"
-					}
-					wait[k] += s.idle
-				}
-			}
-		}
-	}
-	return fmt.Sprint("cpu ", tot, " used ", used, " lasting ", last, " fill ", fill, " mem ", mem, " used ", memu, " with7 ", big, " wait ", wait)
-}
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -36,6 +36,8 @@
 	percentAt tick.Time
 	firstAt   tick.Time
 	usage     int64
+	// overSince is since when a serving run is over its target.
+	overSince tick.Time
 	pace      int
 	slowAt    tick.Time
 	// look is the last look at a serving run's tail.
