--- a/internal/state/book/book.go
+++ b/internal/state/book/book.go
@@ -11,6 +11,8 @@
 package book
 
 import (
+	"maps"
+	"slices"
 	"strings"
 
 	"google.golang.org/protobuf/proto"
@@ -158,10 +160,10 @@
 	return e, true
 }
 
-// Jobs calls f for each accepted job.
+// Jobs calls f for each accepted job, in the order of their ids.
 func (b *Book) Jobs(f func(e *Entry)) {
-	for _, e := range b.entries {
-		if e.Job != nil {
+	for _, id := range slices.Sorted(maps.Keys(b.entries)) {
+		if e := b.entries[id]; e.Job != nil {
 			f(e)
 		}
 	}
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -129,6 +129,10 @@
 		x.drainBy = now.Add(time.Duration(e.RemainingMS) * time.Millisecond)
 		c.note(Event{Name: "executor-draining", Executor: e.ID})
 	}
+	if e.BornMS != 0 && x.bornMS != 0 && e.BornMS != x.bornMS {
+		// Nothing is started there before its lists show what it has.
+		x.isHeard = false
+	}
 	x.entry = e
 	x.isListed = true
 	x.total = room{e.MilliCPU, e.MemoryMB, e.GPUs}
@@ -196,8 +200,8 @@
 	return time.Duration(float64(p.MaxHold)/(1-clockDrift)) + lapseMargin
 }
 
-// isUsable reports whether tasks may be started on the executor.
+// isUsable reports whether tasks may be started on the executor. Surplus runs take room that is not accounted.
 func (x *executor) isUsable(now tick.Time) bool {
-	return x.isListed && x.isRostered && x.isHeard && !x.isDead && x.hasClock && !x.entry.Draining &&
+	return x.isListed && x.isRostered && x.isHeard && !x.isDead && x.hasClock && !x.entry.Draining && len(x.surplus) == 0 &&
 		!now.Before(x.avoidUntil)
 }
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -16,8 +16,11 @@
 	stalledAckPause = 250 * time.Millisecond
 	// silentRetry is the pause before the next hold after one without an answer.
 	silentRetry = 100 * time.Millisecond
-	// idlePause is how often it is looked whether an idle executor needs a hold. An order makes it needed at once.
-	idlePause = 5 * time.Second
+	// ackValidity is how long after an answer the numbers of ends surely belong to the same process. A process that has
+	// restarted since must not forget ends of the same numbers.
+	ackValidity = 1500 * time.Millisecond
+	// idleInterval is how often an idle executor is asked, since late orders and restarts may have changed what it has.
+	idleInterval = 2 * time.Second
 )
 
 // Hold returns the next hold of the executor, or the pause until the next question if there is none to send. An
@@ -27,7 +30,10 @@
 	if !ok || x.isDead {
 		return orders.Hold{}, orders.Target{}, 0
 	}
-	h := orders.Hold{Epoch: c.epoch, AckCursor: x.acked}
+	h := orders.Hold{Epoch: c.epoch}
+	if now.Sub(x.heardAt) < ackValidity {
+		h.AckCursor = x.acked
+	}
 	if !x.isHeard || !x.hasClock {
 		return h, x.target(), 0
 	}
@@ -36,7 +42,7 @@
 		return h, x.target(), stalledAckPause
 	}
 	if !hasRuns && x.acked <= x.ackSent {
-		return h, x.target(), idlePause
+		return h, x.target(), max(0, idleInterval-now.Sub(x.heardAt))
 	}
 	h.DeadlineMS = c.extend(now, x)
 	if hasRuns && x.seen <= x.acked {
@@ -56,6 +62,7 @@
 	}
 	if x.bornMS != 0 && l.BornMS != 0 && l.BornMS != x.bornMS {
 		c.reborn(x)
+		h.AckCursor = 0
 	}
 	x.bornMS = l.BornMS
 	isFirst := !x.isHeard
@@ -99,7 +106,8 @@
 	return reply.Outcome == orders.Done
 }
 
-// reborn notes that the executor has restarted under its id: what it had is gone.
+// reborn notes that the executor has restarted under its id. What it had is gone, but some of its runs may have been
+// started since; the list tells.
 func (c *Cell) reborn(x *executor) {
 	c.note(Event{Name: "executor-reborn", Executor: x.entry.ID})
 	x.seen, x.cut, x.acked, x.ackSent = 0, 0, 0, 0
@@ -109,9 +117,7 @@
 		if r.confirmedAt == 0 {
 			// An order without an answer may still arrive: the run is stopped in advance.
 			r.isUnwanted, r.stopSentAt, r.stoppedAt = true, 0, 0
-			continue
 		}
-		c.release(r, orders.EndedLapsed)
 	}
 }
 
