--- a/internal/state/cell/press.go
+++ b/internal/state/cell/press.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -190,6 +189,8 @@
 	targetCut = 0.6
 	// overPatience is how long a serving task may be over its target before all that fills beside it is halted.
 	overPatience = 1200 * time.Millisecond
+	// haltPause is how long nothing that fills is started after that.
+	haltPause = time.Second
 	// fillPause is the shortest time between two starts of filling tasks beside serving ones.
 	fillPause = 300 * time.Millisecond
 	// paceStep is the granularity of paces, and paceRise the most by which one rises at once, in percent.
@@ -246,9 +247,9 @@
 
 func (c *Cell) steerExecutor(now tick.Time, x *executor, serving, filling []*run, out []Order) []Order {
 	worst, share := mostLoaded(serving)
-	if longest := markOver(x.heardAt, serving); longest > overPatience {
+	if markOver(x.heardAt, serving) > overPatience {
 		// Whatever the model says, what fills must not work on beside a target missed for long.
-		share = math.Inf(1)
+		return c.halt(now, x, filling, out)
 	}
 	slices.SortFunc(filling, func(a, b *run) int {
 		return cmp.Or(
@@ -267,6 +268,22 @@
 		out = c.raise(now, x, filling, out)
 	}
 	for _, f := range filling {
+		if f.isPaceUnsure {
+			out = append(out, c.setPace(now, x, f, f.pace))
+		}
+		c.moveSlowed(now, x, f)
+	}
+	return out
+}
+
+// halt stops the work of all filling runs of an executor.
+func (c *Cell) halt(now tick.Time, x *executor, filling []*run, out []Order) []Order {
+	x.noFillUntil = max(x.noFillUntil, now.Add(haltPause))
+	for _, f := range filling {
+		if f.pace > 0 || f.isPaceUnsure {
+			c.note(Event{Name: "halted", Task: f.id.Task, Run: f.id.Number, Executor: x.entry.ID})
+			out = append(out, c.setPace(now, x, f, 0))
+		}
 		c.moveSlowed(now, x, f)
 	}
 	return out
@@ -358,6 +375,7 @@
 		r.slowAt = now
 	}
 	r.pace = percent
+	r.isPaceUnsure = false
 	return Order{Target: x.target(), Pace: &orders.Pace{Run: r.id, Percent: percent, Epoch: c.epoch}}
 }
 
@@ -372,10 +390,13 @@
 	for _, r := range serving {
 		adds := c.press.weightOf(pair{r.task.step.pb.Image, s.pb.Image}) * cores
 		most = max(most, adds)
+		pb := r.task.step.pb
+		if float64(r.usage) > tightShare*float64(pb.TargetMs) {
+			return 0, false
+		}
 		if adds < lightPress {
 			continue
 		}
-		pb := r.task.step.pb
 		room := 1 - c.press.base[pb.Image]/(calmShare*float64(pb.TargetMs)) - c.press.load(r)
 		if r.usage <= 0 || adds > room || now.Before(x.noFillUntil) {
 			return 0, false
--- /dev/null
+++ b/internal/state/cell/press_test.go
@@ -0,0 +1,163 @@
+package cell
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/pkg/queue"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// bench is a cell with executors that answer every order at once.
+type bench struct {
+	t    *testing.T
+	cell *Cell
+	now  tick.Time
+	ends map[string]uint64
+}
+
+const benchWallMS = int64(1_700_000_000_000)
+
+func newBench(t *testing.T, executors ...queue.Executor) *bench {
+	t.Helper()
+	b := &bench{t: t, now: tick.Time(time.Hour), ends: map[string]uint64{}}
+	b.cell = New(Params{
+		MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, Retention: time.Minute, RemoteFactor: 3,
+	}, 1, b.now, b.now)
+	b.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{
+		{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000},
+		{Name: "low", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000, Priority: 2},
+	}})
+	b.cell.Discover(b.now, executors)
+	b.commit()
+	for _, e := range executors {
+		b.held(e.ID)
+	}
+	return b
+}
+
+func machine(id string) queue.Executor {
+	return queue.Executor{ID: id, Address: id, Service: "svc", MilliCPU: 64000, MemoryMB: 256000}
+}
+
+func (b *bench) commit() {
+	b.t.Helper()
+	batch, err := b.cell.Cut()
+	assert.NilError(b.t, err)
+	b.cell.Commit(b.now, batch)
+}
+
+// held tells the cell the lists of an executor.
+func (b *bench) held(id string, rows ...orders.Running) {
+	b.cell.Held(b.now, b.now, id, orders.Hold{}, orders.Lists{BornMS: 1, Running: rows}, orders.Reply{Outcome: orders.Done, ClockMS: 1000})
+}
+
+// plan returns the orders of a plan, and answers that all were carried out.
+func (b *bench) plan() []Order {
+	list := b.cell.Plan(b.now, benchWallMS)
+	for _, o := range list {
+		b.cell.Replied(b.now, o, orders.Reply{Outcome: orders.Done, ClockMS: 1000})
+	}
+	return list
+}
+
+func (b *bench) pass(d time.Duration) { b.now = b.now.Add(d) }
+
+func (b *bench) accept(id, q string, steps ...*jobpb.Step) {
+	b.cell.Accept(b.now, &jobpb.Job{Id: id, Queue: q, Service: "svc", Steps: steps})
+}
+
+func serving(image string) *jobpb.Step {
+	return &jobpb.Step{Count: 1, MilliCpu: 8000, MemoryMb: 1000, LongRunning: true, TargetMs: 50, Image: image}
+}
+
+func filling(image string) *jobpb.Step {
+	return &jobpb.Step{
+		Count: 1, MilliCpu: 8000, MemoryMb: 1000, EstimateMs: 5000, Fills: true, Image: image, Checkpointing: true,
+	}
+}
+
+func row(o Order, usage int64, percent int) orders.Running {
+	return orders.Running{Run: o.Start.Run, Usage: usage, Percent: percent}
+}
+
+func TestHaltsAllBesideALongMissedTarget(t *testing.T) {
+	b := newBench(t, machine("x"))
+	b.accept("s", "q", serving("web"))
+	s := b.plan()[0]
+	b.pass(time.Second)
+	b.held("x", row(s, 12, 100))
+	b.accept("f", "low", filling("sum"))
+	f := b.plan()[0]
+	// The model holds that the image adds nothing, and it is wrong.
+	b.cell.press.fits["web"] = &fit{images: []string{"sum"}, weight: []float64{0}, products: [][]float64{{1e9}}, targets: []float64{0}}
+	paced := -1
+	for range 8 {
+		b.pass(400 * time.Millisecond)
+		b.held("x", row(s, 300, 100), row(f, 8000, 10))
+		for _, o := range b.plan() {
+			if o.Pace != nil {
+				paced = o.Pace.Percent
+			}
+		}
+	}
+	assert.Equal(t, paced, 0)
+}
+
+func TestRepeatsAPaceWithoutAnswer(t *testing.T) {
+	b := newBench(t, machine("x"))
+	b.accept("s", "q", serving("web"))
+	s := b.plan()[0]
+	b.pass(time.Second)
+	b.held("x", row(s, 12, 100))
+	b.accept("f", "low", filling("sum"))
+	f := b.plan()[0]
+	sent := 0
+	for range 4 {
+		b.pass(400 * time.Millisecond)
+		b.held("x", row(s, 400, 100), row(f, 8000, 10))
+		for _, o := range b.cell.Plan(b.now, benchWallMS) {
+			if o.Pace != nil {
+				sent++
+				b.cell.Replied(b.now, o, orders.Reply{Outcome: orders.Unanswered})
+			}
+		}
+	}
+	assert.Assert(t, sent >= 3, "sent %d times", sent)
+}
+
+func TestAdmitsNothingBesideATargetThatIsNear(t *testing.T) {
+	b := newBench(t, machine("x"))
+	b.accept("s", "q", serving("web"))
+	s := b.plan()[0]
+	b.pass(time.Second)
+	b.held("x", row(s, 49, 100))
+	b.accept("f", "low", filling("sum"))
+	assert.Equal(t, len(b.plan()), 0)
+	b.pass(time.Second)
+	b.held("x", row(s, 12, 100))
+	assert.Equal(t, len(b.plan()), 1)
+}
+
+func TestLearnsWhichImagePresses(t *testing.T) {
+	p := newPresses()
+	s := &run{percent: 100, task: &task{step: &step{pb: serving("web")}}}
+	now := tick.Time(time.Hour)
+	p.base["web"] = 10
+	for i := range 200 {
+		now = now.Add(500 * time.Millisecond)
+		heavy, light := float64(i*7%5), float64(i*3%4)
+		own := 0.4 + 0.2*math.Sin(float64(i)/5)
+		load := own + 0.02*heavy
+		s.usage = int64(10 / (1 - load))
+		p.observe(now, s, map[string]float64{"heavy": heavy, "light": light})
+	}
+	heavy, light := p.weightOf(pair{"web", "heavy"}), p.weightOf(pair{"web", "light"})
+	assert.Assert(t, heavy > 0.015 && heavy < 0.025, "heavy %.4f", heavy)
+	assert.Assert(t, light < 0.004, "light %.4f", light)
+}
--- a/internal/state/cell/replies.go
+++ b/internal/state/cell/replies.go
@@ -30,6 +30,10 @@
 		c.started(now, x, o.Start.Run, reply)
 	case o.Stop != nil:
 		c.stopped(now, x, o.Stop.Run, reply)
+	case o.Pace != nil:
+		if r, ok := x.runs[o.Pace.Run.Task]; ok && r.id == o.Pace.Run {
+			r.isPaceUnsure = reply.Outcome != orders.Done
+		}
 	}
 }
 
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -38,8 +38,10 @@
 	usage     int64
 	// overSince is since when a serving run is over its target.
 	overSince tick.Time
-	pace      int
-	slowAt    tick.Time
+	// pace is the share of its speed, in percent, that was ordered last; the order may not have arrived.
+	pace         int
+	isPaceUnsure bool
+	slowAt       tick.Time
 	// look is the last look at a serving run's tail.
 	look look
 }
