--- a/internal/state/cell/place.go
+++ b/internal/state/cell/place.go
@@ -142,7 +142,7 @@
 	costPress = 5
 	// costOtherImage is the cost of each other image that serves there: fewer images leave more kinds of filling
 	// tasks that press on none.
-	costOtherImage = 0.5
+	costOtherImage = 2
 	// costFailing is the cost of an executor whose last run failed.
 	costFailing = 50
 )
