Record what a lead has learnt for the next one

Change: the fits and the ratios of estimates are one record in the progress topic, every 3 s; a new lead begins with them, with bounded evidence.

--- a/Makefile
+++ b/Makefile
@@ -34,8 +34,8 @@
 	$(LINT) run ./...
 
 generate: ## rebuild the generated code; needs protoc, protoc-gen-go and protoc-gen-twirp
-	cd internal/modules/wire && protoc --go_out=. --go_opt=paths=source_relative \
-		--twirp_out=. --twirp_opt=paths=source_relative wire.proto
+	for d in wire jobpb; do (cd internal/modules/$$d && protoc --go_out=. --go_opt=paths=source_relative \
+		--twirp_out=. --twirp_opt=paths=source_relative *.proto) || exit 1; done
 
 demo: build ## run a whole system on loopback; KEEP=1 leaves it running
 	./bin/ibistand demo $(if $(KEEP),--keep)
--- a/internal/services/lead/lead.go
+++ b/internal/services/lead/lead.go
@@ -33,8 +33,10 @@
 	planPause    = 4 * time.Millisecond
 	// discoveryInterval is how often the entries of the executors are read.
 	discoveryInterval = 500 * time.Millisecond
-	callTimeout       = 1200 * time.Millisecond
-	retryPause        = 100 * time.Millisecond
+	// modelRounds is after how many readings of the discovery what was learnt is recorded.
+	modelRounds = 6
+	callTimeout = 1200 * time.Millisecond
+	retryPause  = 100 * time.Millisecond
 	// maxOrders bounds the orders under way.
 	maxOrders = 1024
 )
@@ -133,6 +135,7 @@
 	jobs := 0
 	t.opts.Replica.Visit(func(b *book.Book) {
 		b.Roster(c.LoadRoster)
+		c.LoadModel(b.Model())
 		b.Jobs(func(e *book.Entry) {
 			jobs++
 			c.Load(now, tick.Wall().UnixMilli(), e)
@@ -248,7 +251,7 @@
 // discoverLoop keeps the cell's executors, and a holder for each, up to date.
 func (t *term) discoverLoop(ctx context.Context) {
 	roster := confs.NewRoster(t.opts.Log, t.opts.Decode, t.opts.Logger)
-	for ctx.Err() == nil {
+	for round := 1; ctx.Err() == nil; round++ {
 		list, err := roster.Read(ctx, callTimeout)
 		if err != nil && ctx.Err() == nil {
 			t.opts.Logger.Warn().Err(err).Msg("discovery-unread")
@@ -258,6 +261,9 @@
 			t.cell.Discover(tick.Now(), list)
 		}
 		usage := t.cell.Usage()
+		if round%modelRounds == 0 {
+			t.cell.SaveModel()
+		}
 		ids := t.cell.Executors()
 		t.mu.Unlock()
 		t.hold(ctx, ids)
--- a/internal/state/book/book.go
+++ b/internal/state/book/book.go
@@ -28,6 +28,7 @@
 	prefixCancel   = "c/"
 	prefixProgress = "p/"
 	prefixRoster   = "x/"
+	keyModel       = "model"
 )
 
 // JobKey returns the key of a job's intake record.
@@ -42,6 +43,9 @@
 // RosterKey returns the key of an executor that may have orders.
 func RosterKey(executor string) string { return prefixRoster + executor }
 
+// ModelKey returns the key of what leads have learnt.
+func ModelKey() string { return keyModel }
+
 // Entry is what is recorded of one job.
 type Entry struct {
 	Job       *jobpb.Job
@@ -71,6 +75,7 @@
 type Book struct {
 	entries map[string]*Entry
 	roster  map[string]*jobpb.Roster
+	model   *jobpb.Model
 }
 
 // New returns an empty Book.
@@ -111,6 +116,9 @@
 	if id, ok := strings.CutPrefix(r.Key, prefixRoster); ok {
 		return b.foldRoster(id, r.Value)
 	}
+	if r.Key == keyModel {
+		return b.foldModel(r.Value)
+	}
 	id, ok := strings.CutPrefix(r.Key, prefixProgress)
 	if !ok {
 		return fault.New(fault.CodeBadRequest, fault.NotRun, "unknown key "+r.Key)
@@ -140,6 +148,18 @@
 	return nil
 }
 
+func (b *Book) foldModel(value []byte) error {
+	m := &jobpb.Model{}
+	if err := proto.Unmarshal(value, m); err != nil {
+		return fault.Wrap(err, fault.CodeBadRequest, fault.NotRun, "record of the model")
+	}
+	b.model = m
+	return nil
+}
+
+// Model returns what leads have learnt, or nil.
+func (b *Book) Model() *jobpb.Model { return b.model }
+
 func (b *Book) entry(id string) *Entry {
 	e, ok := b.entries[id]
 	if !ok {
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -64,6 +64,8 @@
 	pace     *speeds
 	press    *presses
 	isFenced bool
+	// isModelDue means that what was learnt is to be recorded with the next batch.
+	isModelDue bool
 }
 
 // New returns the Cell of a lead with the epoch. Until formerUntil, a former lead may still start tasks on executors that
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -21,7 +21,7 @@
 
 // HasChanges reports whether there is something to store.
 func (c *Cell) HasChanges() bool {
-	return len(c.dirty) > 0 || len(c.rosters) > 0 || len(c.retired) > 0 || c.hasEnds()
+	return len(c.dirty) > 0 || len(c.rosters) > 0 || len(c.retired) > 0 || c.isModelDue || c.hasEnds()
 }
 
 // hasEnds reports whether ends were listed that changed no record and only wait to be acknowledged.
@@ -50,6 +50,12 @@
 		}
 		b.rosters = append(b.rosters, x)
 	}
+	if c.isModelDue {
+		if err := b.add(book.ModelKey(), c.model()); err != nil {
+			return nil, err
+		}
+		c.isModelDue = false
+	}
 	for id := range c.retired {
 		b.Records = append(b.Records, logs.Record{Key: book.RosterKey(id)})
 		b.retired = append(b.retired, id)
