--- a/cmd/ibischute/node.go
+++ b/cmd/ibischute/node.go
@@ -6,30 +6,37 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/go-faster/errors"
+
 	"github.com/ibischute/ibischute/internal/modules/logkv"
+	"github.com/ibischute/ibischute/internal/modules/meter"
 	"github.com/ibischute/ibischute/pkg/ident"
 	"github.com/ibischute/ibischute/platform/boot"
 	"github.com/ibischute/ibischute/platform/unit"
 )
 
 type nodeCommand struct {
-	Settings string `long:"settings" env:"IBISCHUTE_BOOT" required:"true" description:"the settings file that the platform writes"`
-	LogLevel string `long:"log-level" env:"IBISCHUTE_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+	Settings    string `long:"settings" env:"IBISCHUTE_BOOT" required:"true" description:"the settings file that the platform writes"`
+	MetricsPort int    `long:"metrics-port" env:"IBISCHUTE_METRICS_PORT" default:"9464" description:"the port for metrics, 0 for none"`
+	LogLevel    string `long:"log-level" env:"IBISCHUTE_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
 }
 
 // Execute implements flags.Commander.
-func (c *nodeCommand) Execute([]string) error {
+func (c *nodeCommand) Execute([]string) (err error) {
 	s, err := boot.Load(c.Settings)
 	if err != nil {
 		return err
 	}
-	logger, err := logkv.New(os.Stdout, c.LogLevel, ident.Instance(s.Instance))
+	m := meter.New()
+	dropped := func(n int) { m.Count("log_lines_dropped", nil, int64(n)) }
+	logger, buffer, err := logkv.NewBounded(os.Stdout, c.LogLevel, ident.Instance(s.Instance), dropped)
 	if err != nil {
 		return err
 	}
+	defer func() { err = errors.Join(err, buffer.Close(), m.Close()) }()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	// The settings that may change while a process runs concern nothing that it holds; the next start reads them.
 	signal.Ignore(syscall.SIGHUP)
-	return unit.New(s, logger).Run(ctx)
+	return unit.New(s, c.MetricsPort, m, logger).Run(ctx)
 }
--- a/internal/modules/meter/meter.go
+++ b/internal/modules/meter/meter.go
@@ -119,3 +119,8 @@
 func (m *Meter) Count(name string, labels map[string]string, n int64) {
 	m.scope.Tagged(labels).Counter(name).Inc(n)
 }
+
+// Observe adds a duration to a histogram; the labels must have few values.
+func (m *Meter) Observe(name string, labels map[string]string, d time.Duration) {
+	m.scope.Tagged(labels).Histogram(name, latencyBuckets).RecordDuration(d)
+}
--- a/internal/services/lead/lead.go
+++ b/internal/services/lead/lead.go
@@ -16,6 +16,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/modules/meter"
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/internal/services/confs"
 	"github.com/ibischute/ibischute/internal/services/elect"
@@ -52,6 +53,7 @@
 	Params    cell.Params
 	// MayAct reports whether the right to act holds.
 	MayAct func(now tick.Time) bool
+	Meter  *meter.Meter
 	Logger zerolog.Logger
 }
 
@@ -275,6 +277,13 @@
 }
 
 func (t *term) logUsage(u cell.Usage) {
+	for name, v := range map[string]int64{
+		"jobs": int64(u.Jobs), "cores": u.Cores, "cores_used": u.UsedCores, "cores_lasting": u.LastingCores,
+		"cores_filling": u.FillingCores, "waiting_short": int64(u.WaitingShort),
+		"waiting_lasting": int64(u.WaitingLasting), "waiting_filling": int64(u.WaitingFilling),
+	} {
+		t.opts.Meter.Gauge("cell_"+name, nil, float64(v))
+	}
 	t.opts.Logger.Info().Uint64("epoch", t.epoch).Int("jobs", u.Jobs).Int64("cores", u.Cores).
 		Int64("used-cores", u.UsedCores).Int64("lasting-cores", u.LastingCores).Int64("filling-cores", u.FillingCores).
 		Int("waiting-short", u.WaitingShort).Int("waiting-lasting", u.WaitingLasting).
--- a/internal/services/lead/loops.go
+++ b/internal/services/lead/loops.go
@@ -63,6 +63,7 @@
 
 func (t *term) logEvents(events []cell.Event) {
 	for _, e := range events {
+		t.opts.Meter.Count("decisions", map[string]string{"event": e.Name}, 1)
 		l := t.opts.Logger.Info().Uint64("epoch", t.epoch)
 		if e.Task.Job != "" {
 			l = l.Str("job", e.Task.Job).Uint32("occurrence", e.Task.Occurrence).Uint32("step", e.Task.Step).
