Play whole systems in virtual time on in-process stand-ins

Nine scenarios: any instance, lead killed, resigned, without the store; store down for all, for some, losing answers, forgetting its history; cancel.

--- a/internal/modules/meter/meter.go
+++ b/internal/modules/meter/meter.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -62,7 +63,8 @@
 
 // New returns a Meter without any metric.
 func New() *Meter {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "ibischute", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
--- /dev/null
+++ b/internal/services/lead/system_test.go
@@ -0,0 +1,384 @@
+package lead_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/modules/meter"
+	"github.com/ibischute/ibischute/internal/services/confs"
+	"github.com/ibischute/ibischute/internal/services/elect"
+	"github.com/ibischute/ibischute/internal/services/intake"
+	"github.com/ibischute/ibischute/internal/services/lead"
+	"github.com/ibischute/ibischute/internal/services/replic"
+	"github.com/ibischute/ibischute/internal/stand/memex"
+	"github.com/ibischute/ibischute/internal/stand/memlog"
+	"github.com/ibischute/ibischute/internal/state/cell"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/queue"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// system is a whole system in one process and in virtual time.
+type system struct {
+	t         *testing.T
+	log       *memlog.Log
+	fleet     *memex.Fleet
+	instances []*instance
+	peers     map[string]http.Handler
+	meter     *meter.Meter
+}
+
+type instance struct {
+	name    string
+	view    *memlog.View
+	elector *elect.Elector
+	lead    *lead.Lead
+	intake  *intake.Intake
+	kill    context.CancelFunc
+	ended   chan struct{}
+}
+
+var params = cell.Params{
+	MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, Retention: time.Minute, RemoteFactor: 3,
+}
+
+const executors = 4
+
+func newSystem(t *testing.T, instances int) *system {
+	t.Helper()
+	restore := tick.SetSource(func() tick.Time { return tick.Time(time.Now().UnixNano()) })
+	s := &system{
+		t: t, log: memlog.New(rand.New(rand.NewPCG(1, 2))), fleet: memex.New(), peers: map[string]http.Handler{},
+		meter: meter.New(),
+	}
+	operator := s.log.View()
+	ctx := t.Context()
+	_, err := operator.Append(ctx, logs.Operator, 0, []logs.Record{{Key: "config", Value: []byte("1")}}, logs.Condition{})
+	assert.NilError(t, err)
+	for i := range executors {
+		id := fmt.Sprintf("x%d", i)
+		s.fleet.Add(id)
+		_, err := operator.Append(ctx, logs.Backends, 0, []logs.Record{{Key: id, Value: []byte(id)}}, logs.Condition{})
+		assert.NilError(t, err)
+	}
+	for i := range instances {
+		s.instances = append(s.instances, s.start(fmt.Sprintf("n%d", i)))
+	}
+	t.Cleanup(func() {
+		for _, n := range s.instances {
+			n.kill()
+			<-n.ended
+		}
+		assert.NilError(t, s.meter.Close())
+		restore()
+	})
+	return s
+}
+
+// RoundTrip carries calls between instances.
+func (s *system) RoundTrip(r *http.Request) (*http.Response, error) {
+	h, ok := s.peers[r.URL.Host]
+	if !ok {
+		return nil, fault.New(fault.CodeNotSent, fault.NotRun, "no such instance")
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+func decodeConfig(string, []byte) (*queue.Configuration, error) {
+	return &queue.Configuration{Version: 1, Queues: []queue.Queue{
+		{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000},
+	}}, nil
+}
+
+func decodeExecutor(id string, _ []byte) (queue.Executor, error) {
+	return queue.Executor{ID: id, Address: id, Service: "svc", MilliCPU: 16000, MemoryMB: 64000}, nil
+}
+
+func (s *system) start(name string) *instance {
+	n := &instance{name: name, view: s.log.View(), ended: make(chan struct{})}
+	logger := zerolog.Nop()
+	config := confs.New(n.view, decodeConfig, logger)
+	replica := replic.New(n.view, 0, logger)
+	n.lead = lead.New(lead.Options{
+		Log: n.view, Executors: s.fleet, Replica: replica, Config: config, Decode: decodeExecutor, Params: params,
+		MayAct: func(now tick.Time) bool { return n.elector.Leads(now) }, Meter: s.meter, Logger: logger,
+	})
+	n.elector = elect.New(elect.Options{
+		Log: n.view, Instance: name, Address: name, MaxLease: params.LongestLease(), Lead: n.lead.Run, Logger: logger,
+	})
+	n.intake = intake.New(intake.Options{
+		Log: n.view, Self: name, Elector: n.elector, Lead: n.lead, Replica: replica,
+		Client: &http.Client{Transport: s}, Visible: 3 * time.Second, Logger: logger,
+	})
+	s.peers[name] = jobpb.NewJobsServer(intake.NewPeer(n.intake))
+	ctx, cancel := context.WithCancel(context.Background())
+	n.kill = func() {
+		delete(s.peers, name)
+		cancel()
+	}
+	done := make(chan struct{}, 3)
+	for _, serve := range []func(context.Context) error{config.Serve, replica.Serve, n.elector.Serve} {
+		go func() {
+			_ = serve(ctx)
+			done <- struct{}{}
+		}()
+	}
+	go func() {
+		for range cap(done) {
+			<-done
+		}
+		close(n.ended)
+	}()
+	return n
+}
+
+// leader returns the instance that leads, or nil.
+func (s *system) leader() *instance {
+	for _, n := range s.instances {
+		if n.elector.Leads(tick.Now()) {
+			return n
+		}
+	}
+	return nil
+}
+
+func (s *system) job(id int) *jobpb.Job {
+	return &jobpb.Job{
+		Id: fmt.Sprintf("%016x", id), Queue: "q", Service: "svc", Spec: "s", AcceptedMs: time.Now().UnixMilli(),
+		Steps: []*jobpb.Step{
+			{Count: 3, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 400},
+			{Count: 2, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 400, DependsOn: []uint32{0}},
+		},
+	}
+}
+
+func (s *system) state(n *instance, id int) (jobpb.State, bool) {
+	ctx, cancel := context.WithTimeout(s.t.Context(), 3*time.Second)
+	defer cancel()
+	st, known, err := n.intake.State(ctx, fmt.Sprintf("%016x", id))
+	assert.NilError(s.t, err)
+	return st, known
+}
+
+func (s *system) accept(n *instance, id int) {
+	ctx, cancel := context.WithTimeout(s.t.Context(), 3*time.Second)
+	defer cancel()
+	assert.NilError(s.t, n.intake.Accept(ctx, s.job(id)))
+}
+
+func (s *system) checkCompleted(n *instance, ids int) {
+	s.t.Helper()
+	for id := range ids {
+		st, known := s.state(n, id)
+		assert.Assert(s.t, known, "job %d is not known", id)
+		assert.Equal(s.t, st, jobpb.State_STATE_COMPLETED)
+	}
+	assert.Equal(s.t, len(s.fleet.Violations()), 0, "%v", s.fleet.Violations())
+	assert.Equal(s.t, s.fleet.Running(), 0)
+}
+
+func TestServesThroughAnyInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3)
+		time.Sleep(2 * time.Second)
+		for id := range 6 {
+			s.accept(s.instances[id%3], id)
+		}
+		time.Sleep(3 * time.Second)
+		for _, n := range s.instances {
+			s.checkCompleted(n, 6)
+		}
+	})
+}
+
+func TestLeadIsKilledMidway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3)
+		time.Sleep(2 * time.Second)
+		first := s.leader()
+		for id := range 10 {
+			s.accept(s.instances[id%3], id)
+			time.Sleep(50 * time.Millisecond)
+		}
+		first.kill()
+		killed := time.Now()
+		for s.leader() == nil || s.leader() == first {
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Assert(t, time.Since(killed) < 2500*time.Millisecond, "took %v", time.Since(killed))
+		time.Sleep(4 * time.Second)
+		s.checkCompleted(s.leader(), 10)
+	})
+}
+
+func TestResigningLeadHandsOverAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3)
+		time.Sleep(2 * time.Second)
+		first := s.leader()
+		for id := range 5 {
+			s.accept(first, id)
+		}
+		first.elector.Resign()
+		begun := time.Now()
+		for s.leader() == nil || s.leader() == first {
+			time.Sleep(5 * time.Millisecond)
+		}
+		assert.Assert(t, time.Since(begun) < 500*time.Millisecond, "took %v", time.Since(begun))
+		time.Sleep(3 * time.Second)
+		s.checkCompleted(s.leader(), 5)
+	})
+}
+
+func TestStoreOutageKeepsTheLeadAndItsWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3)
+		time.Sleep(2 * time.Second)
+		first := s.leader()
+		for id := range 5 {
+			s.accept(first, id)
+		}
+		for _, n := range s.instances {
+			n.view.Set(memlog.Faults{Down: true})
+		}
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, s.leader() == first)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		begun := time.Now()
+		err := first.intake.Accept(ctx, s.job(99))
+		assert.Assert(t, fault.IsErrNotRun(err), "%v", err)
+		assert.Assert(t, fault.From(err).RetryAfter > 0)
+		assert.Assert(t, time.Since(begun) < 100*time.Millisecond, "a refusal took %v", time.Since(begun))
+		for _, n := range s.instances {
+			n.view.Set(memlog.Faults{})
+		}
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, s.leader() == first)
+		s.checkCompleted(first, 5)
+		_, known := s.state(first, 99)
+		assert.Assert(t, !known, "a rejected job is known")
+	})
+}
+
+func TestLeadWithoutTheStoreIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3)
+		time.Sleep(2 * time.Second)
+		first := s.leader()
+		first.view.Set(memlog.Faults{Silent: true})
+		for id := range 5 {
+			time.Sleep(300 * time.Millisecond)
+			for _, n := range s.instances {
+				if n != first {
+					s.accept(n, id)
+					break
+				}
+			}
+		}
+		time.Sleep(8 * time.Second)
+		assert.Assert(t, s.leader() != nil && s.leader() != first)
+		s.checkCompleted(s.leader(), 5)
+		first.view.Set(memlog.Faults{})
+		time.Sleep(3 * time.Second)
+		s.checkCompleted(first, 5)
+	})
+}
+
+func TestInstanceThatTheStoreTurnsAwayAcceptsThroughTheLead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3)
+		time.Sleep(2 * time.Second)
+		for _, n := range s.instances {
+			if n == s.leader() {
+				continue
+			}
+			n.view.Set(memlog.Faults{Down: true})
+			s.accept(n, 0)
+			break
+		}
+		time.Sleep(2 * time.Second)
+		s.checkCompleted(s.leader(), 1)
+	})
+}
+
+func TestLostAnswersOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3)
+		time.Sleep(2 * time.Second)
+		for _, n := range s.instances {
+			n.view.Set(memlog.Faults{LoseAnswers: 0.35})
+		}
+		accepted := 0
+		for id := range 12 {
+			ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
+			err := s.instances[id%3].intake.Accept(ctx, s.job(id))
+			cancel()
+			if err == nil {
+				accepted++
+				continue
+			}
+			assert.Assert(t, !fault.IsErrNotRun(err), "a job that may be stored is said not to run: %v", err)
+		}
+		for _, n := range s.instances {
+			n.view.Set(memlog.Faults{})
+		}
+		time.Sleep(8 * time.Second)
+		assert.Assert(t, accepted >= 10, "accepted %d of 12", accepted)
+		s.checkCompleted(s.leader(), 12)
+	})
+}
+
+func TestHistoryIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3)
+		time.Sleep(2 * time.Second)
+		first := s.leader()
+		for id := range 5 {
+			s.accept(first, id)
+		}
+		time.Sleep(100 * time.Millisecond)
+		for _, topic := range []logs.Topic{logs.Intake, logs.Progress, logs.Election, logs.Operator, logs.Backends} {
+			s.log.Trim(topic, 0)
+		}
+		s.instances = append(s.instances, s.start("n9"))
+		time.Sleep(2 * time.Second)
+		first.kill()
+		time.Sleep(6 * time.Second)
+		s.checkCompleted(s.leader(), 5)
+	})
+}
+
+func TestCancelStopsTheWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3)
+		time.Sleep(2 * time.Second)
+		n := s.instances[1]
+		s.accept(n, 0)
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, s.fleet.Running() > 0)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		assert.NilError(t, n.intake.Cancel(ctx, fmt.Sprintf("%016x", 0)))
+		time.Sleep(200 * time.Millisecond)
+		assert.Equal(t, s.fleet.Running(), 0)
+		for _, i := range s.instances {
+			st, known := s.state(i, 0)
+			assert.Assert(t, known)
+			assert.Equal(t, st, jobpb.State_STATE_CANCELLED)
+		}
+	})
+}
--- a/pkg/tick/tick.go
+++ b/pkg/tick/tick.go
@@ -21,7 +21,18 @@
 type Time int64
 
 // Now reads the clock. Only the outermost layers call it; deciding functions take the result.
-func Now() Time {
+func Now() Time { return source() }
+
+// source is where Now reads the time.
+var source = bootTime
+
+// SetSource replaces the clock for tests in virtual time, and returns a function that sets it back.
+func SetSource(f func() Time) (restore func()) {
+	source = f
+	return func() { source = bootTime }
+}
+
+func bootTime() Time {
 	var ts unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
 		return Time(time.Since(processStart))
