--- a/internal/services/lead/lead.go
+++ b/internal/services/lead/lead.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -61,9 +60,8 @@
 type Lead struct {
 	opts Options
 
-	mu    sync.Mutex
-	term  *term
-	ready atomic.Bool
+	mu   sync.Mutex
+	term *term
 }
 
 // New returns a Lead without a term.
@@ -146,13 +144,18 @@
 		t.cell = c
 		t.mu.Unlock()
 	})
-	t.Lead.mu.Lock()
-	t.Lead.term = t
-	t.Lead.mu.Unlock()
+	t.adopt(t)
 	t.opts.Logger.Info().Uint64("epoch", t.epoch).Int("jobs", jobs).Dur("took", tick.Now().Sub(now)).Msg("cell-loaded")
 	return nil
 }
 
+// adopt makes the term the one that questions are answered from.
+func (l *Lead) adopt(t *term) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.term = t
+}
+
 // fence makes the log refuse the records of former leads.
 func (t *term) fence(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/stand/memlog/memlog.go
+++ b/internal/stand/memlog/memlog.go
@@ -1,4 +1,5 @@
-// Package memlog is a stand-in for the platform's log that runs in the process, with the faults that the platform names.
+// Package memlog is a stand-in for the platform's log that runs in the process, with the faults that the platform
+// names.
 //
 // Each instance has its own View, so that the log may be gone for some instances and serve the others.
 //
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -4,9 +4,10 @@
 // configuration, the discovery, answers of executors) and carries out what the cell asks for: orders, holds, records.
 //
 // Promises, and where they are kept:
-//   - A task has at most one run. A run counts until its end is listed, a later list lacks it, its executor is known to
-//     have restarted, or the executor's lease has surely lapsed (runs.go, lists.go).
-//   - An end is acknowledged to its executor, and a job shown as ended, only after the record of it is stored (record.go).
+//   - A task has at most one run. A run counts until its end is listed, a later list lacks it, its executor is known
+//     to have restarted, or the executor's lease has surely lapsed (runs.go, lists.go).
+//   - An end is acknowledged to its executor, and a job shown as ended, only after the record of it is stored
+//     (record.go).
 //   - What a former lead may have started is started again only when every executor that it used has answered, or when
 //     its leases have surely lapsed (takeover.go).
 //
@@ -68,13 +69,14 @@
 	isModelDue bool
 }
 
-// New returns the Cell of a lead with the epoch. Until formerUntil, a former lead may still start tasks on executors that
-// have not answered this one; until safeAt, those may run what it started.
+// New returns the Cell of a lead with the epoch. Until formerUntil, a former lead may still start tasks on executors
+// that have not answered this one; until safeAt, those may run what it started.
 func New(p Params, epoch uint64, formerUntil, safeAt tick.Time) *Cell {
 	return &Cell{
 		params: p, epoch: epoch, safeAt: safeAt, formerUntil: formerUntil, inherits: true,
 		jobs: map[string]*job{}, execs: map[string]*executor{},
-		dirty: map[string]*job{}, rosters: map[string]*executor{}, retired: map[string]bool{}, pace: newSpeeds(), press: newPresses(),
+		dirty: map[string]*job{}, rosters: map[string]*executor{}, retired: map[string]bool{},
+		pace: newSpeeds(), press: newPresses(),
 	}
 }
 
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -189,7 +189,7 @@
 
 func millis(t tick.Time) float64 { return float64(t) / float64(time.Millisecond) }
 
-// extend returns the deadline of a lease that begins now, on the executor's clock, and notes when it has lapsed.
+// extend returns the deadline of a lease that begins now, on the executor's clock, and notes when that has lapsed.
 func (c *Cell) extend(now tick.Time, x *executor) int64 {
 	x.lapseBy = max(x.lapseBy, now.Add(c.params.LongestLease()))
 	return int64(millis(now)+x.offset(now)) + c.params.MaxHold.Milliseconds()
@@ -202,6 +202,7 @@
 
 // isUsable reports whether tasks may be started on the executor. Surplus runs take room that is not accounted.
 func (x *executor) isUsable(now tick.Time) bool {
-	return x.isListed && x.isRostered && x.isHeard && !x.isDead && x.hasClock && !x.entry.Draining && len(x.surplus) == 0 &&
-		!now.Before(x.avoidUntil)
+	isKnown := x.isListed && x.isRostered && x.isHeard && x.hasClock
+	isServing := !x.isDead && !x.entry.Draining && len(x.surplus) == 0
+	return isKnown && isServing && !now.Before(x.avoidUntil)
 }
--- a/internal/state/cell/lead_test.go
+++ b/internal/state/cell/lead_test.go
@@ -74,7 +74,7 @@
 	}
 	for _, e := range l.cell.Events() {
 		if debug != "" && (e.Task.Job == debug || e.Task.Job == "") {
-			fmt.Printf("%8.3f epoch %d %s %v run %d on %s %s\n", float64(l.w.now)/1e9, l.epoch, e.Name, e.Task, e.Run, e.Executor, e.Detail)
+			fmt.Printf("%8.3f epoch %d %+v\n", float64(l.w.now)/1e9, l.epoch, e)
 		}
 	}
 	for _, x := range l.w.execs {
--- a/internal/state/cell/model_test.go
+++ b/internal/state/cell/model_test.go
@@ -102,8 +102,8 @@
 		}
 		if len(x.ended) > 0 && !x.isDown {
 			y := l.cell.execs[x.id]
-			w.fail("%s has %d ends that nobody took note of: %v; seen %d cut %d acked %d told %d", x.id, len(x.ended), x.ended[0],
-				y.seen, y.cut, y.acked, y.ackSent)
+			w.fail("%s has %d ends that nobody took note of: %v; seen %d cut %d acked %d told %d",
+				x.id, len(x.ended), x.ended[0], y.seen, y.cut, y.acked, y.ackSent)
 		}
 	}
 }
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -293,7 +293,7 @@
 func (c *Cell) clearStalled(now tick.Time) {
 	for _, x := range c.execs {
 		for _, r := range x.runs {
-			if c.isStalled(now, r) {
+			if isStalled(r) {
 				r.isUnwanted = true
 				x.avoid(now, avoidAfterStall)
 				c.note(Event{Name: "run-stalled", Task: r.id.Task, Run: r.id.Number, Executor: x.entry.ID})
@@ -302,7 +302,7 @@
 	}
 }
 
-func (c *Cell) isStalled(now tick.Time, r *run) bool {
+func isStalled(r *run) bool {
 	s := r.task.step.pb
 	if r.isUnwanted || r.firstAt == 0 || r.pace < fullPace || s.LongRunning || s.Gang {
 		return false
--- a/internal/state/cell/press_test.go
+++ b/internal/state/cell/press_test.go
@@ -54,7 +54,8 @@
 
 // held tells the cell the lists of an executor.
 func (b *bench) held(id string, rows ...orders.Running) {
-	b.cell.Held(b.now, b.now, id, orders.Hold{}, orders.Lists{BornMS: 1, Running: rows}, orders.Reply{Outcome: orders.Done, ClockMS: 1000})
+	lists := orders.Lists{BornMS: 1, Running: rows}
+	b.cell.Held(b.now, b.now, id, orders.Hold{}, lists, orders.Reply{Outcome: orders.Done, ClockMS: 1000})
 }
 
 // plan returns the orders of a plan, and answers that all were carried out.
@@ -95,7 +96,9 @@
 	b.accept("f", "low", filling("sum"))
 	f := b.plan()[0]
 	// The model holds that the image adds nothing, and it is wrong.
-	b.cell.press.fits["web"] = &fit{images: []string{"sum"}, weight: []float64{0}, products: [][]float64{{1e9}}, targets: []float64{0}}
+	b.cell.press.fits["web"] = &fit{
+		images: []string{"sum"}, weight: []float64{0}, products: [][]float64{{1e9}}, targets: []float64{0},
+	}
 	paced := -1
 	for range 8 {
 		b.pass(400 * time.Millisecond)
--- a/internal/state/cell/world_test.go
+++ b/internal/state/cell/world_test.go
@@ -53,9 +53,7 @@
 // faults are the chances and switches of one schedule.
 type faults struct {
 	loseRequest, loseAnswer, late float64
-	takeovers, crashes, cuts      int
 	failShare                     float64
-	storeOutages                  int
 }
 
 type world struct {
@@ -134,13 +132,12 @@
 }
 
 type modelRun struct {
-	id       orders.Run
-	step     *jobpb.Step
-	left     time.Duration
-	total    time.Duration
-	from     tick.Time
-	checkpt  string
-	stopping bool
+	id      orders.Run
+	step    *jobpb.Step
+	left    time.Duration
+	total   time.Duration
+	from    tick.Time
+	checkpt string
 }
 
 func (x *modelExec) clock() int64 {
@@ -355,7 +352,7 @@
 }
 
 func (w *world) reaches(l *modelLead, x *modelExec) bool {
-	return !x.isDown && (!x.isCut || l.isInside) && !(l.isInside && !x.isCut)
+	return !x.isDown && x.isCut == l.isInside
 }
 
 func (w *world) stepOf(t orders.Task) *jobpb.Step { return w.jobs[t.Job].Steps[t.Step] }
