--- a/internal/services/lead/loops.go
+++ b/internal/services/lead/loops.go
@@ -16,7 +16,7 @@
 const (
 	orderTimeout = 800 * time.Millisecond
 	// holdSlack is how much longer than it may wait an executor may take to answer a hold.
-	holdSlack = 800 * time.Millisecond
+	holdSlack = 600 * time.Millisecond
 	// commitPause is the shortest time between two records, so that many changes share one.
 	commitPause = 20 * time.Millisecond
 	// producer names the leads of a cell to the log, which fences them by their epochs.
@@ -273,6 +273,7 @@
 	t.mu.Lock()
 	t.cell.Held(tick.Now(), sent, h.id, o, lists, reply)
 	hasChanges := t.cell.HasChanges()
+	pause := t.cell.SilentPause(h.id)
 	t.mu.Unlock()
 	if hasChanges {
 		t.wakeCommit()
@@ -281,7 +282,7 @@
 		t.wakePlan()
 		return 0
 	}
-	return cell.SilentPause()
+	return pause
 }
 
 func waitKick(ctx context.Context, kick chan struct{}, d time.Duration) {
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -69,6 +69,8 @@
 	// lapseBy is when its lease has surely lapsed unless it is extended.
 	lapseBy tick.Time
 	heardAt tick.Time
+	// isSilent means that the last hold got no answer.
+	isSilent bool
 
 	// seen is the last end taken from its lists, cut the last one in a record being written, acked the last one stored.
 	// ackSent is the last one that the executor was told of.
@@ -112,8 +114,8 @@
 		if other, ok := addresses[x.entry.Address]; ok && other != id {
 			c.bury(x, "address taken over by "+other)
 		}
-		if !x.isListed && len(x.runs) == 0 && (x.isDead || now.After(x.lapseBy)) && !c.isAwaited(now, x) {
-			c.retire(id, x)
+		if x.entry.Draining || !x.isListed {
+			c.retire(now, id, x)
 		}
 	}
 }
@@ -136,18 +138,25 @@
 	x.entry = e
 	x.isListed = true
 	x.total = room{e.MilliCPU, e.MemoryMB, e.GPUs}
-	if !x.isRostered && !c.retired[e.ID] {
+	if !x.isRostered && !x.entry.Draining && !c.retired[e.ID] {
 		c.rosters[e.ID] = x
 	}
 }
 
-// retire drops an executor that is gone and on which nothing can run.
-func (c *Cell) retire(id string, x *executor) {
-	delete(c.execs, id)
+// retire takes an executor that leaves or is gone off the roster once nothing can run on it, so that no later lead
+// waits for it.
+func (c *Cell) retire(now tick.Time, id string, x *executor) {
+	if len(x.runs) > 0 || len(x.surplus) > 0 || c.isAwaited(now, x) {
+		return
+	}
 	delete(c.rosters, id)
 	if x.isRostered {
+		x.isRostered = false
 		c.retired[id] = true
 	}
+	if !x.isListed && (x.isDead || now.After(x.lapseBy)) {
+		delete(c.execs, id)
+	}
 }
 
 func newExecutor(e queue.Executor) *executor {
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -14,8 +14,10 @@
 	watchWait = 400 * time.Millisecond
 	// stalledAckPause is how long the next hold waits for the record of the ends that the last one listed.
 	stalledAckPause = 250 * time.Millisecond
-	// silentRetry is the pause before the next hold after one without an answer.
-	silentRetry = 100 * time.Millisecond
+	// silentRetry is the pause before the next hold after one without an answer, and idleRetry that for an executor on
+	// which nothing runs.
+	silentRetry = 50 * time.Millisecond
+	idleRetry   = 400 * time.Millisecond
 	// ackValidity is how long after an answer the numbers of ends surely belong to the same process. A process that has
 	// restarted since must not forget ends of the same numbers.
 	ackValidity = 1500 * time.Millisecond
@@ -44,6 +46,10 @@
 	if !hasRuns && x.acked <= x.ackSent {
 		return h, x.target(), max(0, idleInterval-now.Sub(x.heardAt))
 	}
+	if x.isSilent {
+		// A hold without an answer may have extended the lease. Further ones only ask, so that it ends some time.
+		return h, x.target(), 0
+	}
 	h.DeadlineMS = c.extend(now, x)
 	if hasRuns && x.seen <= x.acked {
 		h.Wait = holdWait
@@ -57,7 +63,11 @@
 // Held applies the answer to a hold that was sent at sent.
 func (c *Cell) Held(now, sent tick.Time, id string, h orders.Hold, l orders.Lists, reply orders.Reply) {
 	x, ok := c.execs[id]
-	if !ok || !c.heard(now, x, reply) {
+	if !ok {
+		return
+	}
+	x.isSilent = reply.Outcome == orders.Unanswered || reply.Outcome == orders.NotSent
+	if !c.heard(now, x, reply) {
 		return
 	}
 	if x.bornMS != 0 && l.BornMS != 0 && l.BornMS != x.bornMS {
@@ -203,8 +213,13 @@
 	}
 }
 
-// SilentPause is the pause after a hold without an answer.
-func SilentPause() time.Duration { return silentRetry }
+// SilentPause is the pause after a hold that the executor did not carry out.
+func (c *Cell) SilentPause(id string) time.Duration {
+	if x, ok := c.execs[id]; ok && len(x.runs) > 0 {
+		return silentRetry
+	}
+	return idleRetry
+}
 
 // IsAckDue reports whether the executor waits to be told of stored ends.
 func (c *Cell) IsAckDue(id string) bool {
