--- a/internal/state/cell/place.go
+++ b/internal/state/cell/place.go
@@ -116,7 +116,7 @@
 }
 
 // servingLoad is the share of their processors that serving tasks use in the mean.
-const servingLoad = 0.6
+const servingLoad = 0.5
 
 // unused returns the processor share that tasks that fill may still get.
 func (x *executor) unused() int64 {
@@ -139,7 +139,7 @@
 	// costUnsharedServing is the cost of a serving task on an executor that serves nothing yet.
 	costUnsharedServing = 1
 	// costPress times the load that a filling task adds to serving ones.
-	costPress = 5
+	costPress = 50
 	// costOtherImage is the cost of each other image that serves there: fewer images leave more kinds of filling
 	// tasks that press on none.
 	costOtherImage = 2
--- a/internal/state/cell/press.go
+++ b/internal/state/cell/press.go
@@ -179,14 +179,14 @@
 
 const (
 	// calmShare is the share of its target below which a serving task bears more beside it.
-	calmShare = 0.75
+	calmShare = 0.7
 	// tightShare is the share of its target beyond which the press on a serving task is cut a little.
-	tightShare = 0.9
+	tightShare = 0.85
 	// overShare is the share beyond which the press is cut to nothing.
 	overShare = 3
 	// tightCut and targetCut are the shares of the press that are cut beyond tightShare and beyond the target.
-	tightCut  = 0.15
-	targetCut = 0.6
+	tightCut  = 0.25
+	targetCut = 0.8
 	// overPatience is how long a serving task may be over its target before all that fills beside it is halted.
 	overPatience = 1200 * time.Millisecond
 	// haltPause is how long nothing that fills is started after that.
--- a/internal/state/cell/usage.go
+++ b/internal/state/cell/usage.go
@@ -9,6 +9,10 @@
 	FillingCores int64
 	// WaitingShort, WaitingLasting and WaitingFilling are the tasks whose turn has come and that have no run.
 	WaitingShort, WaitingLasting, WaitingFilling int
+	// Serving and OverTarget are the tasks that serve under a target, and those of them that are over it.
+	Serving, OverTarget int
+	// Filling and Slowed are the runs that fill, and those of them below their full pace.
+	Filling, Slowed int
 	// Jobs is the number of jobs that have not ended.
 	Jobs int
 }
@@ -23,13 +27,7 @@
 		u.Cores += x.total.milliCPU / coreThousandths
 		u.UsedCores += x.used.milliCPU / coreThousandths
 		for _, r := range x.runs {
-			cores := int64(r.task.step.pb.MilliCpu) / coreThousandths
-			switch pb := r.task.step.pb; {
-			case pb.Fills:
-				u.FillingCores += cores
-			case pb.LongRunning:
-				u.LastingCores += cores
-			}
+			u.countRun(r)
 		}
 	}
 	for _, j := range c.active {
@@ -42,6 +40,28 @@
 	return u
 }
 
+func (u *Usage) countRun(r *run) {
+	pb := r.task.step.pb
+	cores := int64(pb.MilliCpu) / coreThousandths
+	switch {
+	case pb.Fills:
+		u.FillingCores += cores
+		u.Filling++
+		if r.pace < fullPace {
+			u.Slowed++
+		}
+		return
+	case pb.LongRunning:
+		u.LastingCores += cores
+	}
+	if pb.TargetMs > 0 {
+		u.Serving++
+		if r.usage > int64(pb.TargetMs) {
+			u.OverTarget++
+		}
+	}
+}
+
 func (u *Usage) count(s *step) {
 	switch {
 	case !s.isOpen():
