Start short tasks before lasting ones, and move slowed runs only where there is a place

Load pattern: executors 97% taken, lasting tasks grow, short wide jobs wait 10 s; stragglers of a job stay at pace 0 beside a busy serving task.

--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -21,8 +21,9 @@
 	}
 	c.clearDraining(now)
 	c.clearStalled(now)
-	out := c.steer(now, nil)
-	out = append(out, c.starts(now)...)
+	p := c.newPlacement(now)
+	out := c.steer(now, p, nil)
+	out = append(out, c.starts(now, p)...)
 	return c.stops(now, out)
 }
 
@@ -33,10 +34,12 @@
 	slack    time.Duration
 }
 
-// The classes of lateness.
+// The classes of lateness. Tasks that run until they are cancelled come after those that soon give their room back, but
+// before jobs that are worth nothing any more.
 const (
 	onTime = iota
 	late
+	lasting
 	tooLate
 )
 
@@ -51,7 +54,9 @@
 	slack := j.accepted.Add(objective).Sub(now) - left
 	u := urgency{priority: j.queue.Priority, slack: slack}
 	switch {
-	case j.pb.RepeatCount > 0 || j.isLasting():
+	case j.isLasting():
+		u.lateness = lasting
+	case j.pb.RepeatCount > 0:
 	case slack < -objective*(tooLateFactor-1):
 		u.lateness = tooLate
 	case slack < 0:
@@ -130,12 +135,8 @@
 }
 
 // starts places waiting tasks.
-func (c *Cell) starts(now tick.Time) []Order {
+func (c *Cell) starts(now tick.Time, p *placement) []Order {
 	steps := c.waitingSteps(now)
-	if len(steps) == 0 {
-		return nil
-	}
-	p := c.newPlacement(now)
 	var out []Order
 	for _, s := range steps {
 		if s.pb.Gang {
--- a/internal/state/cell/press.go
+++ b/internal/state/cell/press.go
@@ -197,8 +197,10 @@
 	paceStep = 10
 	paceRise = 40
 	// slowPace is the pace below which a run is moved when that lasts, and moveAfter how long it may last.
-	slowPace  = 30
-	moveAfter = 1500 * time.Millisecond
+	slowPace  = 60
+	moveAfter = 500 * time.Millisecond
+	// restartPercent is the progress up to which a run without checkpoints is moved too.
+	restartPercent = 25
 )
 
 // split returns the runs of an executor that serve under a target and those that fill.
@@ -230,7 +232,7 @@
 }
 
 // steer sets the paces of filling runs so that the serving runs beside them stay below their targets.
-func (c *Cell) steer(now tick.Time, out []Order) []Order {
+func (c *Cell) steer(now tick.Time, p *placement, out []Order) []Order {
 	for _, x := range c.execs {
 		if x.isDead || x.heardAt == x.judgedAt {
 			continue
@@ -241,6 +243,9 @@
 			continue
 		}
 		out = c.steerExecutor(now, x, serving, filling, out)
+		for _, f := range filling {
+			c.moveSlowed(now, p, f)
+		}
 	}
 	return out
 }
@@ -271,7 +276,6 @@
 		if f.isPaceUnsure {
 			out = append(out, c.setPace(now, x, f, f.pace))
 		}
-		c.moveSlowed(now, x, f)
 	}
 	return out
 }
@@ -284,7 +288,6 @@
 			c.note(Event{Name: "halted", Task: f.id.Task, Run: f.id.Number, Executor: x.entry.ID})
 			out = append(out, c.setPace(now, x, f, 0))
 		}
-		c.moveSlowed(now, x, f)
 	}
 	return out
 }
@@ -361,13 +364,20 @@
 	return c.press.weightOf(pair{s.task.step.pb.Image, f.task.step.pb.Image})
 }
 
-// moveSlowed stops a run that has been slowed for long, if it resumes elsewhere from its checkpoint.
-func (c *Cell) moveSlowed(now tick.Time, x *executor, f *run) {
-	if f.pace >= slowPace || now.Sub(f.slowAt) < moveAfter || f.task.step.pb.Gang || !f.task.step.pb.Checkpointing {
+// moveSlowed stops a run that has been slowed for a while if another executor can take it at its full pace.
+func (c *Cell) moveSlowed(now tick.Time, p *placement, f *run) {
+	pb := f.task.step.pb
+	if f.isUnwanted || f.pace >= slowPace || now.Sub(f.slowAt) < moveAfter || pb.Gang {
+		return
+	}
+	if !pb.Checkpointing && f.percent > restartPercent {
+		return
+	}
+	if x := p.find(f.task.step, f.task); x == nil || x == f.exec {
 		return
 	}
 	f.isUnwanted = true
-	c.note(Event{Name: "interference", Task: f.id.Task, Run: f.id.Number, Executor: x.entry.ID})
+	c.note(Event{Name: "moved", Task: f.id.Task, Run: f.id.Number, Executor: f.exec.entry.ID, Detail: "slowed"})
 }
 
 func (c *Cell) setPace(now tick.Time, x *executor, r *run, percent int) Order {
