Begin a job only after a mark of it is stored

Ruled out: a shorter right to lead, which stops starts in store outages; silent marks of executors, which do not help when the lead itself was cut off. Change: the first start of a job waits for one record (about 20 ms); only marked jobs wait at a takeover. The log takes marks from the newest lead alone.

--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -53,8 +53,6 @@
 // Term is the time in which this instance leads.
 type Term struct {
 	Epoch uint64
-	// FormerUntil is when no former lead may act any more.
-	FormerUntil tick.Time
 	// SafeAt is when no order of a former lead can still be in force.
 	SafeAt tick.Time
 }
@@ -225,8 +223,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	until := e.formerUntil(sent)
-	t := Term{Epoch: epoch, FormerUntil: until, SafeAt: until.Add(e.opts.MaxLease)}
+	t := Term{Epoch: epoch, SafeAt: e.formerUntil(sent).Add(e.opts.MaxLease)}
 	e.leads = true
 	e.rightUntil = sent.Add(Right)
 	e.last = &jobpb.Lead{Instance: e.opts.Instance, Address: e.opts.Address, Epoch: epoch}
--- a/internal/services/lead/lead.go
+++ b/internal/services/lead/lead.go
@@ -127,7 +127,7 @@
 		return err
 	}
 	now := tick.Now()
-	c := cell.New(t.opts.Params, et.Epoch, et.FormerUntil, et.SafeAt)
+	c := cell.New(t.opts.Params, et.Epoch, et.SafeAt)
 	if cfg, ok := t.opts.Config.Current(); ok {
 		c.Configure(cfg)
 	}
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -8,12 +8,13 @@
 //     to have restarted, or the executor's lease has surely lapsed (runs.go, lists.go).
 //   - An end is acknowledged to its executor, and a job shown as ended, only after the record of it is stored
 //     (record.go).
-//   - What a former lead may have started is started again only when every executor that it used has answered, or when
-//     its leases have surely lapsed (takeover.go).
+//   - A job is begun only after a record of that is stored, which the log takes from the newest lead alone. So a new
+//     lead starts unmarked jobs at once, and tasks of marked ones only when every executor that may have orders has
+//     answered, or when their leases have surely lapsed (takeover.go).
 //
 // # Usage
 //
-//	c := cell.New(params, epoch, formerUntil, safeAt)
+//	c := cell.New(params, epoch, safeAt)
 //	c.Load(now, wallMS, entry)
 //	for _, o := range c.Plan(now, wallMS) { send(o) }
 package cell
@@ -49,16 +50,14 @@
 	params Params
 	epoch  uint64
 	// safeAt is when no run of a former lead can still hold a lease.
-	safeAt tick.Time
-	// formerUntil is when no former lead may act any more, so that it starts no task of a job that came since.
-	formerUntil tick.Time
-	inherits    bool
-	config      *queue.Configuration
-	jobs        map[string]*job
-	active      []*job
-	execs       map[string]*executor
-	dirty       map[string]*job
-	rosters     map[string]*executor
+	safeAt   tick.Time
+	inherits bool
+	config   *queue.Configuration
+	jobs     map[string]*job
+	active   []*job
+	execs    map[string]*executor
+	dirty    map[string]*job
+	rosters  map[string]*executor
 	// retired are executors that no later lead needs to wait for.
 	retired  map[string]bool
 	events   []Event
@@ -69,11 +68,11 @@
 	isModelDue bool
 }
 
-// New returns the Cell of a lead with the epoch. Until formerUntil, a former lead may still start tasks on executors
-// that have not answered this one; until safeAt, those may run what it started.
-func New(p Params, epoch uint64, formerUntil, safeAt tick.Time) *Cell {
+// New returns the Cell of a lead with the epoch. Until safeAt, executors that have not answered this lead may run tasks
+// that a former lead started.
+func New(p Params, epoch uint64, safeAt tick.Time) *Cell {
 	return &Cell{
-		params: p, epoch: epoch, safeAt: safeAt, formerUntil: formerUntil, inherits: true,
+		params: p, epoch: epoch, safeAt: safeAt, inherits: true,
 		jobs: map[string]*job{}, execs: map[string]*executor{},
 		dirty: map[string]*job{}, rosters: map[string]*executor{}, retired: map[string]bool{},
 		pace: newSpeeds(), press: newPresses(),
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -29,10 +29,22 @@
 	// chain is the estimated time of the longest chain of work.
 	chain   time.Duration
 	endedAt tick.Time
-	// inherited means that a former lead may have started tasks of the job.
-	inherited bool
+	// mark tells whether the store knows that the job may have begun.
+	mark mark
+	// isInherited means that a former lead may have started tasks of the job.
+	isInherited bool
 }
 
+// mark is the state of the record that a job may have begun.
+type mark int
+
+// The states of the mark.
+const (
+	unmarked mark = iota
+	markWanted
+	marked
+)
+
 // occurrence is one repetition of a job's steps.
 type occurrence struct {
 	index uint32
@@ -103,7 +115,9 @@
 	}
 	age := time.Duration(max(0, wallMS-e.Job.AcceptedMs)) * time.Millisecond
 	j := c.add(now.Add(-age), e.Job)
-	j.inherited = true
+	if e.Progress != nil {
+		j.mark, j.isInherited = marked, true
+	}
 	if s := e.State(); book.IsFinal(s) {
 		c.end(now, j, s)
 		j.recorded = s
--- a/internal/state/cell/lead_test.go
+++ b/internal/state/cell/lead_test.go
@@ -36,12 +36,12 @@
 
 func (w *world) current() *modelLead { return w.leads[len(w.leads)-1] }
 
-func (w *world) newLead(formerUntil, safeAt tick.Time) *modelLead {
+func (w *world) newLead(safeAt tick.Time) *modelLead {
 	l := &modelLead{
 		w: w, epoch: uint64(len(w.leads)*3 + 1), rightUntil: w.now.Add(worldRight),
 		holding: map[string]bool{}, nextHold: map[string]tick.Time{},
 	}
-	l.cell = New(w.params, l.epoch, formerUntil, safeAt)
+	l.cell = New(w.params, l.epoch, safeAt)
 	l.cell.Configure(w.config)
 	w.fence = l.epoch
 	w.book.Roster(l.cell.LoadRoster)
@@ -206,7 +206,7 @@
 	}
 	w.after(worldSilence, func() {
 		until := lastBeat.Add(worldRight)
-		w.newLead(until, until.Add(w.params.LongestLease()))
+		w.newLead(until.Add(w.params.LongestLease()))
 	})
 }
 
@@ -221,7 +221,7 @@
 		lastBeat := w.now
 		w.after(worldSilence, func() {
 			until := lastBeat.Add(worldRight)
-			w.newLead(until, until.Add(w.params.LongestLease()))
+			w.newLead(until.Add(w.params.LongestLease()))
 		})
 	}
 	w.after(w.between(time.Second, 9*time.Second), func() {
@@ -293,7 +293,7 @@
 		x.restart()
 		w.execs = append(w.execs, x)
 	}
-	w.newLead(w.now, w.now)
+	w.newLead(w.now)
 	return w
 }
 
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -111,7 +111,7 @@
 	}
 	var entries []entry
 	for _, j := range c.active {
-		if c.mayRunElsewhere(now, j) {
+		if c.inherits && j.isInherited {
 			continue
 		}
 		var steps []*step
@@ -161,6 +161,9 @@
 			}
 			break
 		}
+		if !c.mayBegin(s.job) {
+			break
+		}
 		out = append(out, c.start(now, t, x, c.nextNumber(t)))
 	}
 	return out
@@ -199,7 +202,7 @@
 	for _, t := range s.tasks[:len(placed)] {
 		c.withdraw(t.run)
 	}
-	if len(placed) < len(s.tasks) {
+	if len(placed) < len(s.tasks) || !c.mayBegin(s.job) {
 		return nil
 	}
 	number := uint64(0)
--- a/internal/state/cell/press_test.go
+++ b/internal/state/cell/press_test.go
@@ -28,7 +28,7 @@
 	b := &bench{t: t, now: tick.Time(time.Hour), ends: map[string]uint64{}}
 	b.cell = New(Params{
 		MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, Retention: time.Minute, RemoteFactor: 3,
-	}, 1, b.now, b.now)
+	}, 1, b.now)
 	b.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000},
 		{Name: "low", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000, Priority: 2},
@@ -58,9 +58,16 @@
 	b.cell.Held(b.now, b.now, id, orders.Hold{}, lists, orders.Reply{Outcome: orders.Done, ClockMS: 1000})
 }
 
-// plan returns the orders of a plan, and answers that all were carried out.
+// plan returns the orders of a plan, and answers that all were carried out. Jobs that would begin are marked first.
 func (b *bench) plan() []Order {
-	list := b.cell.Plan(b.now, benchWallMS)
+	b.t.Helper()
+	list := b.answer(b.cell.Plan(b.now, benchWallMS))
+	b.commit()
+	list = append(list, b.answer(b.cell.Plan(b.now, benchWallMS))...)
+	return list
+}
+
+func (b *bench) answer(list []Order) []Order {
 	for _, o := range list {
 		b.cell.Replied(b.now, o, orders.Reply{Outcome: orders.Done, ClockMS: 1000})
 	}
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -83,6 +83,7 @@
 // Commit notes that the batch is stored.
 func (c *Cell) Commit(now tick.Time, b *Batch) {
 	for j, s := range b.states {
+		j.mark = marked
 		if book.IsFinal(s) {
 			j.recorded = s
 			j.endedAt = now
@@ -108,7 +109,7 @@
 	if book.IsFinal(j.state) {
 		return p
 	}
-	if j.begun {
+	if j.begun || j.mark != unmarked {
 		p.State = jobpb.State_STATE_RUNNING
 	}
 	for _, o := range j.occurrences {
--- a/internal/state/cell/record_test.go
+++ b/internal/state/cell/record_test.go
@@ -11,7 +11,7 @@
 )
 
 func TestModelOutlivesItsLead(t *testing.T) {
-	old := New(Params{}, 1, 0, 0)
+	old := New(Params{}, 1, 0)
 	f := &fit{}
 	f.add(0.2, map[string]float64{"heavy": 10})
 	for range 50 {
@@ -25,7 +25,7 @@
 	assert.NilError(t, err)
 	m := &jobpb.Model{}
 	assert.NilError(t, proto.Unmarshal(b, m))
-	next := New(Params{}, 2, 0, 0)
+	next := New(Params{}, 2, 0)
 	next.LoadModel(m)
 	for _, image := range []string{"heavy", "light"} {
 		k := pair{"web", image}
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -23,9 +23,13 @@
 	return x.isFormer && !x.isHeard && !x.isDead && now.Before(c.safeAt)
 }
 
-// mayRunElsewhere reports whether a former lead may have started tasks of the job that this one does not see.
-func (c *Cell) mayRunElsewhere(now tick.Time, j *job) bool {
-	return c.inherits && (j.inherited || now.Before(c.formerUntil))
+// mayBegin reports whether the store knows that the job may have begun, and has that recorded otherwise.
+func (c *Cell) mayBegin(j *job) bool {
+	if j.mark == unmarked {
+		j.mark = markWanted
+		c.dirty[j.id] = j
+	}
+	return j.mark == marked
 }
 
 // settle ends the takeover when no executor is awaited any more.
@@ -41,7 +45,7 @@
 	c.inherits = false
 	c.note(Event{Name: "takeover-settled"})
 	for _, j := range c.active {
-		j.inherited = false
+		j.isInherited = false
 	}
 }
 
--- /dev/null
+++ b/internal/state/cell/takeover_test.go
@@ -0,0 +1,93 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/book"
+	"github.com/ibischute/ibischute/pkg/queue"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// successor returns the bench of a new lead that finds two executors on the roster, of which only x answers.
+func successor(t *testing.T, entries ...*book.Entry) *bench {
+	t.Helper()
+	b := &bench{t: t, now: tick.Time(time.Hour)}
+	b.cell = New(Params{MaxHold: 6 * time.Second, Retention: time.Minute}, 7, b.now.Add(10*time.Second))
+	b.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{{Name: "q", Service: "svc", MaxAttempts: 3}}})
+	for _, id := range []string{"x", "y"} {
+		b.cell.LoadRoster(&jobpb.Roster{Executor: id, Address: id})
+	}
+	for _, e := range entries {
+		b.cell.Load(b.now, benchWallMS, e)
+	}
+	b.cell.Discover(b.now, []queue.Executor{machine("x"), machine("y")})
+	return b
+}
+
+func entryOf(id string, p *jobpb.Progress) *book.Entry {
+	step := &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000}
+	return &book.Entry{
+		Job:      &jobpb.Job{Id: id, Queue: "q", Service: "svc", Steps: []*jobpb.Step{step}, AcceptedMs: benchWallMS},
+		Progress: p,
+	}
+}
+
+func started(list []Order) []string {
+	var ids []string
+	for _, o := range list {
+		if o.Start != nil {
+			ids = append(ids, o.Start.Run.Task.Job)
+		}
+	}
+	return ids
+}
+
+func TestTakeoverWaitsOnlyForWhatMayHaveBegun(t *testing.T) {
+	b := successor(t, entryOf("begun", &jobpb.Progress{Job: "begun", State: jobpb.State_STATE_RUNNING}), entryOf("fresh", nil))
+	b.held("x")
+	list := b.plan()
+	assert.DeepEqual(t, started(list), []string{"fresh"})
+	for i := range 9 {
+		b.pass(time.Second)
+		b.held("x", row(list[0], 0, 10+i))
+		assert.Equal(t, len(started(b.plan())), 0)
+	}
+	b.pass(2 * time.Second)
+	b.held("x", row(list[0], 0, 30))
+	assert.DeepEqual(t, started(b.plan()), []string{"begun"})
+}
+
+func TestTakeoverSettlesWhenAllHaveAnswered(t *testing.T) {
+	b := successor(t, entryOf("begun", &jobpb.Progress{Job: "begun", State: jobpb.State_STATE_RUNNING}))
+	b.held("x")
+	assert.Equal(t, len(started(b.plan())), 0)
+	b.held("y")
+	assert.DeepEqual(t, started(b.plan()), []string{"begun"})
+}
+
+func TestTakeoverAdoptsWhatRuns(t *testing.T) {
+	b := successor(t, entryOf("begun", &jobpb.Progress{Job: "begun", State: jobpb.State_STATE_RUNNING}))
+	run := orders.Run{Task: orders.Task{Job: "begun"}, Number: 3}
+	b.held("y", orders.Running{Run: run, Percent: 10})
+	b.held("x")
+	for range 5 {
+		b.pass(500 * time.Millisecond)
+		assert.Equal(t, len(b.plan()), 0)
+	}
+}
+
+func TestJobBeginsOnlyAfterItsMarkIsStored(t *testing.T) {
+	b := newBench(t, machine("x"))
+	b.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
+	assert.Equal(t, len(b.cell.Plan(b.now, benchWallMS)), 0)
+	batch, err := b.cell.Cut()
+	assert.NilError(t, err)
+	assert.Equal(t, len(b.cell.Plan(b.now, benchWallMS)), 0)
+	b.cell.Commit(b.now, batch)
+	assert.Equal(t, len(b.cell.Plan(b.now, benchWallMS)), 1)
+}
