--- a/internal/services/lead/lead.go
+++ b/internal/services/lead/lead.go
@@ -280,17 +280,22 @@
 }
 
 func (t *term) logUsage(u cell.Usage) {
+	t.gaugeUsage(u)
+	t.opts.Logger.Info().Uint64("epoch", t.epoch).Int("jobs", u.Jobs).Int64("cores", u.Cores).
+		Int64("used-cores", u.UsedCores).Int64("lasting-cores", u.LastingCores).Int64("filling-cores", u.FillingCores).
+		Int("waiting-short", u.WaitingShort).Int("waiting-lasting", u.WaitingLasting).
+		Int("waiting-filling", u.WaitingFilling).Int("serving", u.Serving).Int("over-target", u.OverTarget).
+		Int("filling", u.Filling).Int("slowed", u.Slowed).Msg("cell-usage")
+}
+
+func (t *term) gaugeUsage(u cell.Usage) {
 	for name, v := range map[string]int64{
 		"jobs": int64(u.Jobs), "cores": u.Cores, "cores_used": u.UsedCores, "cores_lasting": u.LastingCores,
 		"cores_filling": u.FillingCores, "waiting_short": int64(u.WaitingShort),
-		"waiting_lasting": int64(u.WaitingLasting), "waiting_filling": int64(u.WaitingFilling), "serving": int64(u.Serving), "over_target": int64(u.OverTarget),
+		"waiting_lasting": int64(u.WaitingLasting), "waiting_filling": int64(u.WaitingFilling),
+		"serving": int64(u.Serving), "over_target": int64(u.OverTarget),
 		"filling": int64(u.Filling), "slowed": int64(u.Slowed),
 	} {
 		t.opts.Meter.Gauge("cell_"+name, nil, float64(v))
 	}
-	t.opts.Logger.Info().Uint64("epoch", t.epoch).Int("jobs", u.Jobs).Int64("cores", u.Cores).
-		Int64("used-cores", u.UsedCores).Int64("lasting-cores", u.LastingCores).Int64("filling-cores", u.FillingCores).
-		Int("waiting-short", u.WaitingShort).Int("waiting-lasting", u.WaitingLasting).
-		Int("waiting-filling", u.WaitingFilling).Int("serving", u.Serving).Int("over-target", u.OverTarget).
-		Int("filling", u.Filling).Int("slowed", u.Slowed).Msg("cell-usage")
 }
--- a/internal/state/cell/press_test.go
+++ b/internal/state/cell/press_test.go
@@ -55,7 +55,8 @@
 // held tells the cell the lists of an executor.
 func (b *bench) held(id string, rows ...orders.Running) {
 	lists := orders.Lists{BornMS: 1, Running: rows}
-	b.cell.Held(b.now, b.now, id, orders.Hold{}, lists, orders.Reply{Outcome: orders.Done, ClockMS: 1000})
+	h, _, _ := b.cell.Hold(b.now, id)
+	b.cell.Held(b.now, b.now, id, h, lists, orders.Reply{Outcome: orders.Done, ClockMS: 1000})
 }
 
 // plan returns the orders of a plan, and answers that all were carried out. Jobs that would begin are marked first.
--- a/internal/state/cell/takeover_test.go
+++ b/internal/state/cell/takeover_test.go
@@ -48,7 +48,8 @@
 }
 
 func TestTakeoverWaitsOnlyForWhatMayHaveBegun(t *testing.T) {
-	b := successor(t, entryOf("begun", &jobpb.Progress{Job: "begun", State: jobpb.State_STATE_RUNNING}), entryOf("fresh", nil))
+	begun := &jobpb.Progress{Job: "begun", State: jobpb.State_STATE_RUNNING}
+	b := successor(t, entryOf("begun", begun), entryOf("fresh", nil))
 	b.held("x")
 	list := b.plan()
 	assert.DeepEqual(t, started(list), []string{"fresh"})
