--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -63,6 +63,8 @@
 	Part     logs.Part
 	Instance string
 	Address  string
+	// Handicap is how much later than the strongest instances this one claims.
+	Handicap time.Duration
 	// MaxLease is the longest time for which an executor goes on without a lead.
 	MaxLease time.Duration
 	// Lead runs while this instance leads; its context ends with the term.
@@ -201,7 +203,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	rank := xxhash.Sum64String(e.opts.Instance) % claimRanks
-	stagger := time.Duration(rank) * claimStagger
+	stagger := time.Duration(rank)*claimStagger + e.opts.Handicap
 	if e.last == nil || e.last.Resigned {
 		return max(e.lastAt, e.steadySince).Add(stagger)
 	}
--- a/internal/services/lead/loops.go
+++ b/internal/services/lead/loops.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// planShare is how many times as long as a plan takes the next one waits.
+	planShare    = 4
 	orderTimeout = 800 * time.Millisecond
 	// holdSlack is how much longer than it may wait an executor may take to answer a hold.
 	holdSlack = 600 * time.Millisecond
@@ -34,10 +36,12 @@
 		case <-t.planned:
 		case <-timer.C:
 		}
-		if t.opts.MayAct(tick.Now()) {
+		begun := tick.Now()
+		if t.opts.MayAct(begun) {
 			t.plan(ctx)
 		}
-		tick.Pause(ctx, planPause)
+		// A slow plan leaves the processor to the answers that it needs.
+		tick.Pause(ctx, max(planPause, planShare*tick.Now().Sub(begun)))
 		timer.Reset(planInterval)
 	}
 }
--- a/internal/state/book/book.go
+++ b/internal/state/book/book.go
@@ -196,11 +196,11 @@
 	}
 }
 
-// Waiting counts the accepted jobs of a queue of which no progress is recorded. It may count jobs that have begun.
+// Waiting counts the accepted jobs of a queue that are not known to have begun. It may count jobs that have.
 func (b *Book) Waiting(queue string) int {
 	n := 0
 	for _, e := range b.entries {
-		if e.Job != nil && e.Job.Queue == queue && e.Progress == nil && !e.Cancelled {
+		if e.Job != nil && e.Job.Queue == queue && e.State() == jobpb.State_STATE_QUEUED {
 			n++
 		}
 	}
--- /dev/null
+++ b/internal/state/cell/bench_test.go
@@ -0,0 +1,105 @@
+package cell
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/pkg/queue"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// loadedCell returns a cell whose executors are full, with more work waiting.
+func loadedCell(b *testing.B, executors int) (*Cell, tick.Time) {
+	b.Helper()
+	rnd := rand.New(rand.NewPCG(1, 1))
+	now := tick.Time(time.Hour)
+	c := New(Params{MaxHold: 6 * time.Second, Retention: time.Minute}, 1, now)
+	c.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{
+		{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000},
+	}})
+	var list []queue.Executor
+	for i := range executors {
+		list = append(list, machine(fmt.Sprintf("x%04d", i)))
+	}
+	c.Discover(now, list)
+	commitAll(b, c, now)
+	for _, e := range list {
+		c.Held(now, now, e.ID, orders.Hold{}, orders.Lists{BornMS: 1}, orders.Reply{Outcome: orders.Done, ClockMS: 1})
+	}
+	for i := range executors {
+		serve := serving(fmt.Sprintf("web%d", i%10))
+		serve.Count = 5
+		c.Accept(now, &jobpb.Job{Id: fmt.Sprintf("s%05d", i), Queue: "q", Service: "svc", Steps: []*jobpb.Step{serve}})
+	}
+	settleAll(b, c, now, rnd)
+	for i := range executors {
+		fill := filling(fmt.Sprintf("sum%d", i%18))
+		fill.Count = 8
+		c.Accept(now, &jobpb.Job{Id: fmt.Sprintf("f%05d", i), Queue: "q", Service: "svc", Steps: []*jobpb.Step{fill}})
+	}
+	settleAll(b, c, now, rnd)
+	return c, now
+}
+
+func commitAll(b *testing.B, c *Cell, now tick.Time) {
+	b.Helper()
+	batch, err := c.Cut()
+	if err != nil {
+		b.Fatal(err)
+	}
+	c.Commit(now, batch)
+}
+
+// settleAll starts what fits and lets each executor list its runs.
+func settleAll(b *testing.B, c *Cell, now tick.Time, rnd *rand.Rand) {
+	b.Helper()
+	for range 3 {
+		for _, o := range c.Plan(now, benchWallMS) {
+			c.Replied(now, o, orders.Reply{Outcome: orders.Done, ClockMS: 1})
+		}
+		commitAll(b, c, now)
+	}
+	for id, x := range c.execs {
+		c.Held(now, now, id, orders.Hold{}, listOf(x, rnd), orders.Reply{Outcome: orders.Done, ClockMS: 1})
+	}
+}
+
+func listOf(x *executor, rnd *rand.Rand) orders.Lists {
+	l := orders.Lists{BornMS: 1}
+	for _, r := range x.runs {
+		usage := int64(14 + rnd.IntN(20))
+		if r.task.step.pb.Fills {
+			usage = int64(r.task.step.pb.MilliCpu)
+		}
+		l.Running = append(l.Running, orders.Running{Run: r.id, Percent: 100, Usage: usage})
+	}
+	return l
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{66, 490} {
+		b.Run(fmt.Sprintf("executors-%d", n), func(b *testing.B) {
+			c, now := loadedCell(b, n)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				c.Plan(now, benchWallMS)
+			}
+		})
+	}
+}
+
+func BenchmarkHeld(b *testing.B) {
+	c, now := loadedCell(b, 66)
+	x := c.execs["x0001"]
+	l := listOf(x, rand.New(rand.NewPCG(1, 1)))
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		c.Held(now, now, "x0001", orders.Hold{}, l, orders.Reply{Outcome: orders.Done, ClockMS: 1})
+	}
+}
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -59,7 +59,9 @@
 	dirty    map[string]*job
 	rosters  map[string]*executor
 	// retired are executors that no later lead needs to wait for.
-	retired  map[string]bool
+	retired map[string]bool
+	// stopping are the runs that are to be stopped or may have to be.
+	stopping map[*run]bool
 	events   []Event
 	pace     *speeds
 	press    *presses
@@ -74,7 +76,7 @@
 	return &Cell{
 		params: p, epoch: epoch, safeAt: safeAt, inherits: true,
 		jobs: map[string]*job{}, execs: map[string]*executor{},
-		dirty: map[string]*job{}, rosters: map[string]*executor{}, retired: map[string]bool{},
+		dirty: map[string]*job{}, rosters: map[string]*executor{}, retired: map[string]bool{}, stopping: map[*run]bool{},
 		pace: newSpeeds(), press: newPresses(),
 	}
 }
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -59,6 +59,10 @@
 
 	total, used room
 	runs        map[orders.Task]*run
+	// serving are the runs that serve under a target, filling those that fill.
+	serving, filling []*run
+	// servingCPU and fillingCPU are the processor shares that they ask for.
+	servingCPU, fillingCPU int64
 	// surplus are runs that belong to no task and must end, and whether the order to stop them was sent.
 	surplus map[orders.Run]bool
 
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -304,7 +304,7 @@
 		for _, st := range o.steps {
 			for _, t := range st.tasks {
 				if t.run != nil {
-					t.run.isUnwanted = true
+					c.unwant(t.run)
 				}
 			}
 		}
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -53,7 +53,7 @@
 	h.DeadlineMS = c.extend(now, x)
 	if hasRuns && x.seen <= x.acked {
 		h.Wait = holdWait
-		if serving, filling := x.mix(); serving > 0 && filling > 0 {
+		if len(x.serving) > 0 && len(x.filling) > 0 {
 			h.Wait = watchWait
 		}
 	}
@@ -98,6 +98,7 @@
 	}
 	c.missing(sent, x, listed)
 	c.learn(now, x)
+	c.clearStalled(now, x)
 }
 
 // heard applies what any reply tells of the executor and reports whether it was carried out.
@@ -126,7 +127,8 @@
 	for _, r := range x.runs {
 		if r.confirmedAt == 0 {
 			// An order without an answer may still arrive: the run is stopped in advance.
-			r.isUnwanted, r.stopSentAt, r.stoppedAt = true, 0, 0
+			c.unwant(r)
+			r.stopSentAt, r.stoppedAt = 0, 0
 		}
 	}
 }
--- a/internal/state/cell/place.go
+++ b/internal/state/cell/place.go
@@ -120,15 +120,8 @@
 
 // unused returns the processor share that tasks that fill may still get.
 func (x *executor) unused() int64 {
-	left := x.total.milliCPU
-	for _, r := range x.runs {
-		share := int64(r.task.step.pb.MilliCpu)
-		if r.task.step.pb.TargetMs > 0 {
-			share = int64(servingLoad * float64(share))
-		}
-		left -= share
-	}
-	return left
+	idle := int64((1 - servingLoad) * float64(x.servingCPU))
+	return x.free().milliCPU + idle - x.fillingCPU
 }
 
 const (
@@ -158,10 +151,9 @@
 	if s.pb.Fills {
 		return cost - float64(x.unused())/total
 	}
-	serving, filling := x.mix()
 	if s.pb.TargetMs > 0 {
-		cost += costBesideFilling * float64(filling)
-		if serving == 0 {
+		cost += costBesideFilling * float64(len(x.filling))
+		if len(x.serving) == 0 {
 			cost += costUnsharedServing
 		}
 		cost += costOtherImage * float64(x.otherImages(s.pb.Image))
@@ -172,8 +164,8 @@
 // otherImages counts the serving runs of other images.
 func (x *executor) otherImages(image string) int {
 	n := 0
-	for _, r := range x.runs {
-		if pb := r.task.step.pb; pb.TargetMs > 0 && pb.Image != image {
+	for _, r := range x.serving {
+		if r.task.step.pb.Image != image {
 			n++
 		}
 	}
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -20,7 +20,6 @@
 		return nil
 	}
 	c.clearDraining(now)
-	c.clearStalled(now)
 	p := c.newPlacement(now)
 	out := c.steer(now, p, nil)
 	out = append(out, c.starts(now, p)...)
@@ -218,8 +217,7 @@
 
 // withdraw takes back a run of which no order was sent.
 func (c *Cell) withdraw(r *run) {
-	delete(r.exec.runs, r.id.Task)
-	r.exec.used = r.exec.used.minus(r.room)
+	r.exec.remove(r)
 	r.task.run = nil
 	r.task.step.idle++
 }
@@ -233,20 +231,21 @@
 
 // stops appends the orders to stop what must end.
 func (c *Cell) stops(now tick.Time, out []Order) []Order {
-	for _, x := range c.execs {
-		if x.isDead || !x.isHeard {
+	for r := range c.stopping {
+		if !r.isUnwanted && !r.isDoubtful {
+			delete(c.stopping, r)
 			continue
 		}
-		for _, r := range x.runs {
-			isDoubted := r.isDoubtful && now.Sub(r.startedAt) > doubtPatience
-			if !isDoubted && !r.isUnwanted || r.stopSentAt != 0 && now.Sub(r.stopSentAt) < stopRetry {
-				continue
-			}
+		isDue := r.isUnwanted || now.Sub(r.startedAt) > doubtPatience
+		isSent := r.stopSentAt != 0 && now.Sub(r.stopSentAt) < stopRetry
+		if isDue && !isSent && r.exec.isHeard {
 			r.stopSentAt = now
-			out = append(out, c.stop(x, r.id))
+			out = append(out, c.stop(r.exec, r.id))
 		}
+	}
+	for _, x := range c.execs {
 		for id, isSent := range x.surplus {
-			if !isSent {
+			if !isSent && !x.isDead {
 				x.surplus[id] = true
 				out = append(out, c.stop(x, id))
 			}
@@ -272,7 +271,7 @@
 		left := x.drainBy.Sub(now) - drainReserve - c.params.StopTimeout
 		for _, r := range x.runs {
 			if r.task.step.pb.LongRunning || c.remaining(r) > left {
-				r.isUnwanted = true
+				c.unwant(r)
 			}
 		}
 	}
@@ -293,15 +292,13 @@
 	stallShare = 0.25
 )
 
-// clearStalled stops runs that make no progress, so that they resume elsewhere.
-func (c *Cell) clearStalled(now tick.Time) {
-	for _, x := range c.execs {
-		for _, r := range x.runs {
-			if isStalled(r) {
-				r.isUnwanted = true
-				x.avoid(now, avoidAfterStall)
-				c.note(Event{Name: "run-stalled", Task: r.id.Task, Run: r.id.Number, Executor: x.entry.ID})
-			}
+// clearStalled stops the runs of a fresh list that make no progress, so that they resume elsewhere.
+func (c *Cell) clearStalled(now tick.Time, x *executor) {
+	for _, r := range x.runs {
+		if isStalled(r) {
+			c.unwant(r)
+			x.avoid(now, avoidAfterStall)
+			c.note(Event{Name: "run-stalled", Task: r.id.Task, Run: r.id.Number, Executor: x.entry.ID})
 		}
 	}
 }
@@ -315,16 +312,3 @@
 	// Only lists show progress, so silence of the executor is no standstill.
 	return r.exec.heardAt.Sub(r.percentAt) > patience
 }
-
-// mix counts the runs that serve under a target and those that fill.
-func (x *executor) mix() (serving, filling int) {
-	for _, r := range x.runs {
-		switch pb := r.task.step.pb; {
-		case pb.Fills:
-			filling++
-		case pb.TargetMs > 0:
-			serving++
-		}
-	}
-	return serving, filling
-}
--- a/internal/state/cell/press.go
+++ b/internal/state/cell/press.go
@@ -203,30 +203,16 @@
 	restartPercent = 25
 )
 
-// split returns the runs of an executor that serve under a target and those that fill.
-func (x *executor) split() (serving, filling []*run) {
-	for _, r := range x.runs {
-		switch pb := r.task.step.pb; {
-		case pb.Fills:
-			filling = append(filling, r)
-		case pb.TargetMs > 0:
-			serving = append(serving, r)
-		}
-	}
-	return serving, filling
-}
-
 // learn takes the tails of a fresh list.
 func (c *Cell) learn(now tick.Time, x *executor) {
-	serving, filling := x.split()
-	if len(serving) == 0 {
+	if len(x.serving) == 0 {
 		return
 	}
 	cores := map[string]float64{}
-	for _, f := range filling {
+	for _, f := range x.filling {
 		cores[f.task.step.pb.Image] += f.used()
 	}
-	for _, s := range serving {
+	for _, s := range x.serving {
 		c.press.observe(now, s, cores)
 	}
 }
@@ -238,12 +224,11 @@
 			continue
 		}
 		x.judgedAt = x.heardAt
-		serving, filling := x.split()
-		if len(filling) == 0 {
+		if len(x.filling) == 0 {
 			continue
 		}
-		out = c.steerExecutor(now, x, serving, filling, out)
-		for _, f := range filling {
+		out = c.steerExecutor(now, x, x.serving, slices.Clone(x.filling), out)
+		for _, f := range x.filling {
 			c.moveSlowed(now, p, f)
 		}
 	}
@@ -376,7 +361,7 @@
 	if x := p.find(f.task.step, f.task); x == nil || x == f.exec {
 		return
 	}
-	f.isUnwanted = true
+	c.unwant(f)
 	c.note(Event{Name: "moved", Task: f.id.Task, Run: f.id.Number, Executor: f.exec.entry.ID, Detail: "slowed"})
 }
 
@@ -391,13 +376,12 @@
 
 // bears reports whether the serving runs of an executor bear one more filling task, and the load that it would add.
 func (c *Cell) bears(now tick.Time, x *executor, s *step) (float64, bool) {
-	serving, _ := x.split()
-	if len(serving) == 0 {
+	if len(x.serving) == 0 {
 		return 0, true
 	}
 	cores := float64(s.pb.MilliCpu) / coreThousandths
 	most := 0.0
-	for _, r := range serving {
+	for _, r := range x.serving {
 		adds := c.press.weightOf(pair{r.task.step.pb.Image, s.pb.Image}) * cores
 		most = max(most, adds)
 		pb := r.task.step.pb
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -109,7 +109,7 @@
 	if book.IsFinal(j.state) {
 		return p
 	}
-	if j.begun || j.mark != unmarked {
+	if j.begun {
 		p.State = jobpb.State_STATE_RUNNING
 	}
 	for _, o := range j.occurrences {
--- a/internal/state/cell/replies.go
+++ b/internal/state/cell/replies.go
@@ -52,6 +52,7 @@
 		return
 	case orders.Unanswered:
 		r.isDoubtful = true
+		c.stopping[r] = true
 		x.avoid(now, avoidAfterSilence)
 		c.note(Event{Name: "start-unanswered", Task: id.Task, Run: id.Number, Executor: x.entry.ID, Detail: reply.Detail})
 		return
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -62,8 +62,42 @@
 func (c *Cell) attach(r *run) {
 	r.task.run = r
 	r.task.step.idle--
-	r.exec.runs[r.id.Task] = r
-	r.exec.used = r.exec.used.plus(r.room)
+	r.exec.add(r)
+}
+
+// add accounts for a run.
+func (x *executor) add(r *run) {
+	x.runs[r.id.Task] = r
+	x.used = x.used.plus(r.room)
+	switch pb := r.task.step.pb; {
+	case pb.Fills:
+		x.filling = append(x.filling, r)
+		x.fillingCPU += int64(pb.MilliCpu)
+	case pb.TargetMs > 0:
+		x.serving = append(x.serving, r)
+		x.servingCPU += int64(pb.MilliCpu)
+	}
+}
+
+// remove takes a run out of the account.
+func (x *executor) remove(r *run) {
+	delete(x.runs, r.id.Task)
+	x.used = x.used.minus(r.room)
+	is := func(o *run) bool { return o == r }
+	switch pb := r.task.step.pb; {
+	case pb.Fills:
+		x.filling = slices.DeleteFunc(x.filling, is)
+		x.fillingCPU -= int64(pb.MilliCpu)
+	case pb.TargetMs > 0:
+		x.serving = slices.DeleteFunc(x.serving, is)
+		x.servingCPU -= int64(pb.MilliCpu)
+	}
+}
+
+// unwant has a run stopped.
+func (c *Cell) unwant(r *run) {
+	r.isUnwanted = true
+	c.stopping[r] = true
 }
 
 // nextNumber returns the number of a task's next run. It is above those that former leads gave.
@@ -78,8 +112,8 @@
 	if x.runs[r.id.Task] != r {
 		return
 	}
-	delete(x.runs, r.id.Task)
-	x.used = x.used.minus(r.room)
+	x.remove(r)
+	delete(c.stopping, r)
 	t := r.task
 	t.run = nil
 	if !t.done {
--- a/internal/state/cell/takeover_test.go
+++ b/internal/state/cell/takeover_test.go
@@ -82,6 +82,30 @@
 	}
 }
 
+func TestMarkedJobsThatHaveNotBegunStillWait(t *testing.T) {
+	old := newBench(t, machine("x"))
+	old.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
+	assert.Equal(t, len(old.cell.Plan(old.now, benchWallMS)), 0)
+	batch, err := old.cell.Cut()
+	assert.NilError(t, err)
+	log := book.New()
+	for _, r := range batch.Records {
+		assert.NilError(t, log.Progress(r))
+	}
+	job := entryOf("j", nil).Job
+	rec, err := intakeRecord(book.JobKey("j"), &jobpb.Intake{Job: job})
+	assert.NilError(t, err)
+	_, err = log.Intake(rec)
+	assert.NilError(t, err)
+	assert.Equal(t, log.Waiting("q"), 1)
+	log.Jobs(func(e *book.Entry) {
+		next := successor(t, e)
+		assert.Equal(t, next.cell.Waiting("q"), 1)
+		next.held("x")
+		assert.Equal(t, len(started(next.plan())), 0)
+	})
+}
+
 func TestJobBeginsOnlyAfterItsMarkIsStored(t *testing.T) {
 	b := newBench(t, machine("x"))
 	b.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
