--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -104,10 +104,13 @@
 // Discover applies the whole list of the discovery.
 func (c *Cell) Discover(now tick.Time, list []queue.Executor) {
 	listed := make(map[string]bool, len(list))
-	addresses := make(map[string]string, len(list))
+	// latest has the entry of the youngest process at each address. Entries may outlive their processes.
+	latest := make(map[string]queue.Executor, len(list))
 	for _, e := range list {
 		listed[e.ID] = true
-		addresses[e.Address] = e.ID
+		if e.BornMS > latest[e.Address].BornMS {
+			latest[e.Address] = e
+		}
 		c.discover(now, e)
 	}
 	for id, x := range c.execs {
@@ -115,8 +118,8 @@
 			x.isListed = false
 			c.note(Event{Name: "executor-unlisted", Executor: id})
 		}
-		if other, ok := addresses[x.entry.Address]; ok && other != id {
-			c.bury(x, "address taken over by "+other)
+		if next := latest[x.entry.Address]; next.ID != id && x.entry.BornMS != 0 && next.BornMS > x.entry.BornMS {
+			c.bury(x, "address taken over by "+next.ID)
 		}
 		if x.entry.Draining || !x.isListed {
 			c.retire(now, id, x)
