Commit the intake in groups, and refuse at once while the store is silent

Change: one group under way for each instance; repeats follow the store's own pace; the store counts as silent only if it answers no call at all, and then what no call was made for is refused at once with when to come back.

--- /dev/null
+++ b/internal/services/gather/gather_test.go
@@ -0,0 +1,121 @@
+package gather_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/services/gather"
+	"github.com/ibischute/ibischute/internal/stand/memlog"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+type setup struct {
+	log    *memlog.Log
+	view   *memlog.View
+	gather *gather.Gather
+}
+
+// run calls f in virtual time beside a Gather that serves.
+func run(t *testing.T, f func(t *testing.T, s setup)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		defer tick.SetSource(func() tick.Time { return tick.Time(time.Now().UnixNano()) })()
+		s := setup{log: memlog.New(rand.New(rand.NewPCG(3, 4)))}
+		s.view = s.log.View()
+		s.gather = gather.New(gather.Options{Log: s.view, Topic: logs.Intake, AnsweredAt: s.view.AnsweredAt})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			_ = s.gather.Serve(ctx)
+			close(ended)
+		}()
+		// Other calls of the instance go on beside the appends.
+		reads := make(chan struct{})
+		go func() {
+			for ctx.Err() == nil {
+				_, _ = s.view.Read(ctx, logs.Operator, 0, 0, 100*time.Millisecond)
+			}
+			close(reads)
+		}()
+		f(t, s)
+		cancel()
+		<-ended
+		<-reads
+	})
+}
+
+// submit appends a record as a caller with a deadline does.
+func (s setup) submit(t *testing.T, i int) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
+	defer cancel()
+	return s.gather.Append(ctx, logs.Record{Key: fmt.Sprintf("j/%d", i), Value: []byte("x")})
+}
+
+// TestSlowStoreGetsFewAppends replays the load that collapsed: 11 jobs a second from each of many callers while an
+// append takes 80 ms and the partition makes one at a time.
+func TestSlowStoreGetsFewAppends(t *testing.T) {
+	run(t, func(t *testing.T, s setup) {
+		s.view.Set(memlog.Faults{Slow: 80, AppendTime: 82 * time.Millisecond})
+		const jobs = 120
+		results := make(chan error, jobs)
+		for i := range jobs {
+			go func() { results <- s.submit(t, i) }()
+			time.Sleep(25 * time.Millisecond)
+		}
+		failed := 0
+		for range jobs {
+			if err := <-results; err != nil {
+				failed++
+			}
+		}
+		assert.Equal(t, failed, 0)
+		assert.Assert(t, s.log.Appends() < 20, "%d appends", s.log.Appends())
+	})
+}
+
+func TestLostAnswerIsRepeatedSoon(t *testing.T) {
+	run(t, func(t *testing.T, s setup) {
+		s.view.Set(memlog.Faults{LoseAnswers: 0.4})
+		failed := 0
+		for i := range 30 {
+			begun := time.Now()
+			if err := s.submit(t, i); err != nil {
+				assert.Assert(t, !fault.IsErrNotRun(err), "what may be stored is said not to run: %v", err)
+				failed++
+			}
+			assert.Assert(t, time.Since(begun) < 2700*time.Millisecond)
+		}
+		assert.Assert(t, failed <= 4, "%d of 30 failed", failed)
+	})
+}
+
+func TestSilentStoreIsGivenUpSoon(t *testing.T) {
+	run(t, func(t *testing.T, s setup) {
+		s.view.Set(memlog.Faults{Silent: true})
+		time.Sleep(500 * time.Millisecond)
+		begun := time.Now()
+		err := s.submit(t, 0)
+		assert.Assert(t, err != nil && !fault.IsErrNotRun(err), "%v", err)
+		assert.Assert(t, time.Since(begun) < time.Second, "took %v", time.Since(begun))
+	})
+}
+
+func TestRefusalHasNotRun(t *testing.T) {
+	run(t, func(t *testing.T, s setup) {
+		s.view.Set(memlog.Faults{Down: true})
+		begun := time.Now()
+		err := s.submit(t, 0)
+		assert.Assert(t, fault.IsErrNotRun(err), "%v", err)
+		assert.Assert(t, fault.From(err).RetryAfter > 0)
+		assert.Assert(t, time.Since(begun) < 50*time.Millisecond)
+	})
+}
--- a/internal/services/intake/intake.go
+++ b/internal/services/intake/intake.go
@@ -21,19 +21,22 @@
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/logs"
 	"github.com/ibischute/ibischute/internal/services/elect"
+	"github.com/ibischute/ibischute/internal/services/gather"
 	"github.com/ibischute/ibischute/internal/services/lead"
 	"github.com/ibischute/ibischute/internal/services/replic"
 	"github.com/ibischute/ibischute/internal/state/book"
+	"github.com/ibischute/ibischute/internal/state/circ"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
 const (
-	// maxAttempts bounds the appends of one record.
-	maxAttempts   = 3
-	appendTimeout = 900 * time.Millisecond
-	peerTimeout   = 600 * time.Millisecond
+	// forwardTimeout leaves the lead time for its own attempt.
+	forwardTimeout = 900 * time.Millisecond
+	peerTimeout    = 500 * time.Millisecond
+	// probeInterval is how often a dependency that gave no answer is tried again.
+	probeInterval = 250 * time.Millisecond
 	// retryAfter is when a caller may come back whose request the store did not take.
 	retryAfter = time.Second
 	// freshMargin is kept of the time after which an accepted job must be known everywhere.
@@ -42,13 +45,15 @@
 
 // Options configure an Intake.
 type Options struct {
-	Log     logs.Log
+	Gather  *gather.Gather
 	Part    logs.Part
 	Self    string
 	Elector *elect.Elector
 	Lead    *lead.Lead
 	Replica *replic.Replica
-	Client  *http.Client
+	// StoreAnsweredAt returns when the store last answered any call of this instance.
+	StoreAnsweredAt func() tick.Time
+	Client          *http.Client
 	// Visible is how soon an accepted job must be known everywhere.
 	Visible time.Duration
 	Logger  zerolog.Logger
@@ -57,10 +62,14 @@
 // Intake serves callers on one instance.
 type Intake struct {
 	opts Options
+	// store and lead are the circuits of the dependencies.
+	store, lead *circ.Circuit
 }
 
 // New returns an Intake.
-func New(o Options) *Intake { return &Intake{opts: o} }
+func New(o Options) *Intake {
+	return &Intake{opts: o, store: circ.New(probeInterval), lead: circ.New(probeInterval)}
+}
 
 // Accept records a job. A failure that says that it has not run means that the job never will.
 func (i *Intake) Accept(ctx context.Context, j *jobpb.Job) error {
@@ -80,46 +89,54 @@
 	return i.record(ctx, logs.Record{Key: book.CancelKey(id), Value: v})
 }
 
-// record appends a record until it is stored, surely refused, or out of time.
+// record has a record stored, by this instance or by the lead. What no call was made for has not run and is refused at
+// once.
 func (i *Intake) record(ctx context.Context, rec logs.Record) error {
-	ran := fault.NotRun
-	var last error
-	for range maxAttempts {
-		last = i.append(ctx, rec)
-		if last == nil {
-			i.opts.Replica.Add(rec)
-			return nil
-		}
-		i.opts.Logger.Warn().Err(last).Str("key", rec.Key).Msg("intake-unstored")
-		if !fault.IsErrNotRun(last) {
-			ran = fault.Unknown
-		}
-		if ctx.Err() != nil {
-			break
-		}
-		err := i.forward(ctx, rec)
-		if err == nil {
-			i.opts.Replica.Add(rec)
-			return nil
-		}
-		if !fault.IsErrNotRun(err) {
-			ran = fault.Unknown
-		}
-		if ran == fault.NotRun {
-			break
+	err := i.append(ctx, rec)
+	if err != nil && ctx.Err() == nil {
+		ran := ranOf(err)
+		if err = i.forward(ctx, rec); err != nil {
+			ran = worse(ran, err)
+			i.opts.Logger.Warn().Err(err).Str("key", rec.Key).Str("ran", string(ran)).Msg("intake-unstored")
+			return refusal(err, ran)
 		}
 	}
+	if err != nil {
+		return refusal(err, ranOf(err))
+	}
+	i.opts.Replica.Add(rec)
+	return nil
+}
+
+func refusal(err error, ran fault.Ran) error {
 	code := fault.CodeUnavailable
 	if ran != fault.NotRun {
 		code = fault.CodeUnknownOutcome
 	}
-	return fault.Wrap(last, code, ran, "the record was not stored").WithRetry(retryAfter)
+	return fault.Wrap(err, code, ran, "the record was not stored").WithRetry(retryAfter)
+}
+
+func ranOf(err error) fault.Ran { return worse(fault.NotRun, err) }
+
+// worse returns what is known of a record after a further failure.
+func worse(ran fault.Ran, err error) fault.Ran {
+	if fault.IsErrNotRun(err) {
+		return ran
+	}
+	return fault.Unknown
 }
 
+// append has this instance append, unless the store has just left another append and every other call unanswered.
 func (i *Intake) append(ctx context.Context, rec logs.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	_, err := i.opts.Log.Append(ctx, logs.Intake, i.opts.Part, []logs.Record{rec}, logs.Condition{})
+	begun := tick.Now()
+	i.store.Answered(i.opts.StoreAnsweredAt())
+	if !i.store.Allows(begun) {
+		return fault.New(fault.CodeUnavailable, fault.NotRun, "the store does not answer")
+	}
+	err := i.opts.Gather.Append(ctx, rec)
+	if err != nil && !fault.IsErrNotRun(err) && i.opts.StoreAnsweredAt().Before(begun) {
+		i.store.Failed(tick.Now())
+	}
 	return err
 }
 
@@ -129,25 +146,40 @@
 	if !ok {
 		return fault.New(fault.CodeNoOwner, fault.NotRun, "no other instance to append")
 	}
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	_, err := peer.Record(ctx, &jobpb.RecordRequest{Cell: uint32(i.opts.Part), Key: rec.Key, Intake: rec.Value})
-	if err != nil {
-		return peerFailure(err)
+	if err = i.asked(err); err != nil {
+		return err
 	}
 	i.opts.Logger.Info().Str("key", rec.Key).Msg("intake-forwarded")
 	return nil
 }
 
-// peer returns a client of the lead, if that is another instance.
+// peer returns a client of the lead, if that is another instance and answers.
 func (i *Intake) peer() (jobpb.Jobs, bool) {
 	address, ok := i.opts.Elector.Lead()
-	if !ok || address == i.opts.Self {
+	if !ok || address == i.opts.Self || !i.lead.Allows(tick.Now()) {
 		return nil, false
 	}
 	return jobpb.NewJobsProtobufClient("http://"+address, i.opts.Client), true
 }
 
+// asked notes whether the lead answered, and translates its failure.
+func (i *Intake) asked(err error) error {
+	if err == nil {
+		i.lead.Answered(tick.Now())
+		return nil
+	}
+	fe := peerFailure(err)
+	if fe.Code == fault.CodeNoOwner || fe.Code == fault.CodeUnavailable {
+		i.lead.Answered(tick.Now())
+	} else {
+		i.lead.Failed(tick.Now())
+	}
+	return fe.WithRetry(retryAfter)
+}
+
 // State returns the state of a job and whether it is known.
 func (i *Intake) State(ctx context.Context, id string) (jobpb.State, bool, error) {
 	now := tick.Now()
@@ -180,8 +212,8 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	res, err := peer.Show(ctx, &jobpb.ShowRequest{Job: id})
-	if err != nil {
-		return jobpb.State_STATE_UNKNOWN, false, peerFailure(err).WithRetry(retryAfter)
+	if err = i.asked(err); err != nil {
+		return jobpb.State_STATE_UNKNOWN, false, err
 	}
 	return res.State, res.Known, nil
 }
@@ -210,7 +242,7 @@
 		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
 		res, err := peer.CountWaiting(ctx, &jobpb.CountWaitingRequest{Queue: string(q)})
-		if err == nil {
+		if err = i.asked(err); err == nil {
 			return int(res.Waiting), nil
 		}
 		i.opts.Logger.Warn().Err(err).Str("queue", string(q)).Msg("lead-unreachable")
--- a/internal/services/intake/peer.go
+++ b/internal/services/intake/peer.go
@@ -63,7 +63,7 @@
 		return fault.Wrap(err, fault.CodeUnavailable, fault.NotRun, "the lead could not")
 	}
 	if httpj.IsDialError(err) {
-		return fault.Wrap(err, fault.CodeUnavailable, fault.NotRun, "the lead was not reached")
+		return fault.Wrap(err, fault.CodeNotSent, fault.NotRun, "the lead was not reached")
 	}
 	return fault.Wrap(err, fault.CodeUnknownOutcome, fault.Unknown, "the lead did not answer")
 }
--- a/internal/services/lead/system_test.go
+++ b/internal/services/lead/system_test.go
@@ -18,6 +18,7 @@
 	"github.com/ibischute/ibischute/internal/modules/meter"
 	"github.com/ibischute/ibischute/internal/services/confs"
 	"github.com/ibischute/ibischute/internal/services/elect"
+	"github.com/ibischute/ibischute/internal/services/gather"
 	"github.com/ibischute/ibischute/internal/services/intake"
 	"github.com/ibischute/ibischute/internal/services/lead"
 	"github.com/ibischute/ibischute/internal/services/replic"
@@ -119,8 +120,9 @@
 	n.elector = elect.New(elect.Options{
 		Log: n.view, Instance: name, Address: name, MaxLease: params.LongestLease(), Lead: n.lead.Run, Logger: logger,
 	})
+	g := gather.New(gather.Options{Log: n.view, Topic: logs.Intake, AnsweredAt: n.view.AnsweredAt})
 	n.intake = intake.New(intake.Options{
-		Log: n.view, Self: name, Elector: n.elector, Lead: n.lead, Replica: replica,
+		Gather: g, Self: name, Elector: n.elector, Lead: n.lead, Replica: replica, StoreAnsweredAt: n.view.AnsweredAt,
 		Client: &http.Client{Transport: s}, Visible: 3 * time.Second, Logger: logger,
 	})
 	s.peers[name] = jobpb.NewJobsServer(intake.NewPeer(n.intake))
@@ -129,8 +131,8 @@
 		delete(s.peers, name)
 		cancel()
 	}
-	done := make(chan struct{}, 3)
-	for _, serve := range []func(context.Context) error{config.Serve, replica.Serve, n.elector.Serve} {
+	done := make(chan struct{}, 4)
+	for _, serve := range []func(context.Context) error{config.Serve, replica.Serve, n.elector.Serve, g.Serve} {
 		go func() {
 			_ = serve(ctx)
 			done <- struct{}{}
@@ -298,6 +300,34 @@
 	})
 }
 
+func TestSilentStoreIsRefusedAtOnceAfterTheFirstRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSystem(t, 3)
+		time.Sleep(2 * time.Second)
+		for _, n := range s.instances {
+			n.view.Set(memlog.Faults{Silent: true})
+		}
+		n := s.leader()
+		ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
+		defer cancel()
+		err := n.intake.Accept(ctx, s.job(0))
+		assert.Assert(t, err != nil && !fault.IsErrNotRun(err), "what may be stored was said not to run: %v", err)
+		refused := 0
+		for id := 1; id < 10; id++ {
+			begun := time.Now()
+			ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
+			err := n.intake.Accept(ctx, s.job(id))
+			cancel()
+			if fault.IsErrNotRun(err) {
+				assert.Assert(t, time.Since(begun) < 20*time.Millisecond, "a refusal took %v", time.Since(begun))
+				assert.Assert(t, fault.From(err).RetryAfter > 0)
+				refused++
+			}
+		}
+		assert.Assert(t, refused >= 7, "%d of 9 were refused at once", refused)
+	})
+}
+
 func TestInstanceThatTheStoreTurnsAwayAcceptsThroughTheLead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSystem(t, 3)
@@ -323,6 +353,7 @@
 			n.view.Set(memlog.Faults{LoseAnswers: 0.35})
 		}
 		accepted := 0
+		var refused []int
 		for id := range 12 {
 			ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
 			err := s.instances[id%3].intake.Accept(ctx, s.job(id))
@@ -331,13 +362,16 @@
 				accepted++
 				continue
 			}
-			assert.Assert(t, !fault.IsErrNotRun(err), "a job that may be stored is said not to run: %v", err)
+			if fault.IsErrNotRun(err) {
+				refused = append(refused, id)
+			}
 		}
 		for _, n := range s.instances {
 			n.view.Set(memlog.Faults{})
 		}
 		time.Sleep(8 * time.Second)
 		assert.Assert(t, accepted >= 10, "accepted %d of 12", accepted)
+		assert.Equal(t, len(refused), 0, "a job that may be stored is said not to run: %v", refused)
 		s.checkCompleted(s.leader(), 12)
 	})
 }
--- a/internal/stand/memlog/memlog.go
+++ b/internal/stand/memlog/memlog.go
@@ -38,6 +38,8 @@
 	LoseAnswers float64
 	// Slow times the latency; 0 means 1.
 	Slow int
+	// AppendTime is how long an append takes; a partition makes one at a time.
+	AppendTime time.Duration
 }
 
 type partition struct {
@@ -55,11 +57,31 @@
 	part  logs.Part
 }
 
+// queue waits until the appends before this one are made, and for its own.
+func (l *Log) queue(ctx context.Context, d time.Duration) {
+	l.mu.Lock()
+	l.busyUntil = max(l.busyUntil, tick.Now()).Add(d)
+	until := l.busyUntil
+	l.appends++
+	l.mu.Unlock()
+	tick.Pause(ctx, until.Sub(tick.Now()))
+}
+
+// Appends returns how many appends took time.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
 // Log is the log.
 type Log struct {
 	mu    sync.Mutex
 	rnd   *rand.Rand
 	parts map[place]*partition
+	// busyUntil is when the appends so far are made; all partitions share it.
+	busyUntil tick.Time
+	appends   int
 }
 
 // New returns an empty Log.
@@ -70,6 +92,15 @@
 	log    *Log
 	mu     sync.Mutex
 	faults Faults
+	// answeredAt is when a call was last let through.
+	answeredAt tick.Time
+}
+
+// AnsweredAt returns when the log last let a call of the view through.
+func (v *View) AnsweredAt() tick.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.answeredAt
 }
 
 // View returns a way to the log without faults.
@@ -95,6 +126,9 @@
 	if ctx.Err() != nil {
 		return f, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "no answer in time")
 	}
+	v.mu.Lock()
+	v.answeredAt = tick.Now()
+	v.mu.Unlock()
 	if f.Down {
 		return f, fault.New(fault.CodeUnavailable, fault.NotRun, "the log is down")
 	}
@@ -122,6 +156,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if f.AppendTime > 0 {
+		v.log.queue(ctx, f.AppendTime)
+	}
 	v.log.mu.Lock()
 	offset, err := v.log.part(t, p).append(t, records, c)
 	isLost := v.log.rnd.Float64() < f.LoseAnswers
--- /dev/null
+++ b/internal/state/circ/circ_test.go
@@ -0,0 +1,25 @@
+package circ
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+func TestCircuit(t *testing.T) {
+	now := tick.Time(time.Hour)
+	c := New(200 * time.Millisecond)
+	assert.Assert(t, c.Allows(now))
+	c.Failed(now)
+	assert.Assert(t, !c.Allows(now.Add(100*time.Millisecond)))
+	assert.Assert(t, c.Allows(now.Add(200*time.Millisecond)), "one call looks for a sign of life")
+	assert.Assert(t, !c.Allows(now.Add(250*time.Millisecond)))
+	c.Answered(now.Add(-time.Second))
+	assert.Assert(t, c.IsOpen(), "an answer from before closes nothing")
+	c.Answered(now.Add(300 * time.Millisecond))
+	assert.Assert(t, c.Allows(now.Add(310*time.Millisecond)))
+	assert.Assert(t, !c.IsOpen())
+}
