--- a/internal/services/intake/intake.go
+++ b/internal/services/intake/intake.go
@@ -73,6 +73,10 @@
 
 // Accept records a job. A failure that says that it has not run means that the job never will.
 func (i *Intake) Accept(ctx context.Context, j *jobpb.Job) error {
+	if _, isKnown := i.opts.Replica.Job(j.Id); isKnown {
+		// A repeat of a submission that was stored.
+		return nil
+	}
 	v, err := proto.Marshal(&jobpb.Intake{Job: j})
 	if err != nil {
 		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode job")
