--- a/cmd/ibischute/node.go
+++ b/cmd/ibischute/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -34,9 +35,26 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, buffer.Close(), m.Close()) }()
+	limitMemory(s.Limits.MemoryMB)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	// The settings that may change while a process runs concern nothing that it holds; the next start reads them.
 	signal.Ignore(syscall.SIGHUP)
 	return unit.New(s, c.MetricsPort, m, logger).Run(ctx)
 }
+
+const (
+	// gcPercent trades memory, of which little is used, for processor time.
+	gcPercent = 300
+	// memoryShare is the share of the memory at which the collector works harder.
+	memoryShare = 0.6
+	bytesPerMB  = 1 << 20
+)
+
+// limitMemory keeps the process below the memory that its machine gives it.
+func limitMemory(memoryMB int64) {
+	debug.SetGCPercent(gcPercent)
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(memoryMB) * bytesPerMB))
+	}
+}
--- /dev/null
+++ b/internal/modules/logkv/format.go
@@ -0,0 +1,67 @@
+package logkv
+
+import (
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fastjson"
+)
+
+// formatter writes events as pairs of keys and values, with less work than a console writer does for each line.
+type formatter struct {
+	out    io.Writer
+	parser fastjson.Parser
+	line   []byte
+}
+
+// Write implements io.Writer. It takes one event in JSON.
+func (f *formatter) Write(p []byte) (int, error) {
+	v, err := f.parser.ParseBytes(p)
+	if err != nil {
+		return 0, err
+	}
+	o, err := v.Object()
+	if err != nil {
+		return 0, err
+	}
+	f.line = f.line[:0]
+	for _, k := range [][2]string{
+		{"time", zerolog.TimestampFieldName}, {"level", zerolog.LevelFieldName}, {"event", zerolog.MessageFieldName},
+	} {
+		f.add(k[0], o.Get(k[1]))
+	}
+	o.Visit(func(key []byte, v *fastjson.Value) {
+		switch k := string(key); k {
+		case zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName:
+		default:
+			f.add(k, v)
+		}
+	})
+	f.line[len(f.line)-1] = '\n'
+	if _, err := f.out.Write(f.line); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// add appends a pair and a space.
+func (f *formatter) add(key string, v *fastjson.Value) {
+	if v == nil {
+		return
+	}
+	f.line = append(f.line, key...)
+	f.line = append(f.line, '=')
+	if v.Type() != fastjson.TypeString {
+		f.line = append(v.MarshalTo(f.line), ' ')
+		return
+	}
+	s := string(v.GetStringBytes())
+	if s == "" || strings.ContainsAny(s, " \"=\\\n\r\t") {
+		f.line = strconv.AppendQuote(f.line, s)
+	} else {
+		f.line = append(f.line, s...)
+	}
+	f.line = append(f.line, ' ')
+}
--- a/internal/modules/logkv/logkv.go
+++ b/internal/modules/logkv/logkv.go
@@ -54,7 +54,7 @@
 // NewBounded returns a logger that never waits for its output and writes a bounded number of lines a second. Close
 // writes out what is buffered. Dropped lines are counted by onDrop.
 func NewBounded(w io.Writer, level string, name ident.Instance, onDrop func(n int)) (zerolog.Logger, io.Closer, error) {
-	buffer := diode.NewWriter(console(w), bufferLines, pollInterval, onDrop)
+	buffer := diode.NewWriter(&formatter{out: w}, bufferLines, pollInterval, onDrop)
 	l, err := newLogger(buffer, level, name)
 	if err != nil {
 		return l, buffer, err
--- /dev/null
+++ b/internal/modules/logkv/logkv_test.go
@@ -0,0 +1,69 @@
+package logkv
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestBoundedWritesPairs(t *testing.T) {
+	var out bytes.Buffer
+	l, closer, err := NewBounded(&out, "info", "n-1", func(int) {})
+	assert.NilError(t, err)
+	l.Info().Str("cause", `it's "full" now`).Int("jobs", 7).Str("empty", "").Msg("job-queued")
+	l.Debug().Msg("unseen")
+	assert.NilError(t, closer.Close())
+	line := out.String()
+	assert.Assert(t, strings.HasPrefix(line, "time="), line)
+	assert.Assert(t, strings.HasSuffix(line, "level=info event=job-queued instance=n-1 "+
+		`cause="it's \"full\" now" jobs=7 empty=""`+"\n"), line)
+}
+
+// slowWriter takes a second for each line.
+type slowWriter struct{ lines int }
+
+func (s *slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(20 * time.Millisecond)
+	s.lines++
+	return len(p), nil
+}
+
+func TestBoundedNeverWaits(t *testing.T) {
+	out := &slowWriter{}
+	l, _, err := NewBounded(out, "info", "n-1", func(int) {})
+	assert.NilError(t, err)
+	begun := time.Now()
+	for range 20_000 {
+		l.Info().Msg("x")
+	}
+	took := time.Since(begun)
+	assert.Assert(t, took < 2*time.Second, "20000 lines took %v", took)
+}
+
+func TestBoundedLimitsItsVolume(t *testing.T) {
+	var out bytes.Buffer
+	l, closer, err := NewBounded(&out, "info", "n-1", func(int) {})
+	assert.NilError(t, err)
+	for range 3 * linesPerSecond {
+		l.Info().Msg("x")
+	}
+	assert.NilError(t, closer.Close())
+	got := strings.Count(out.String(), "\n")
+	assert.Assert(t, got <= 2*linesPerSecond, "%d lines", got)
+}
+
+func BenchmarkBounded(b *testing.B) {
+	f := &formatter{out: &bytes.Buffer{}}
+	line := []byte(`{"level":"info","instance":"n-1","epoch":7,"job":"5c0e7a21d94b36f8","step":1,"task":17,` +
+		`"executor":"i-7f3a91c2","time":"2026-05-09T12:15:58.010Z","message":"start"}`)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := f.Write(line); err != nil {
+			b.Fatal(err)
+		}
+		f.out.(*bytes.Buffer).Reset()
+	}
+}
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -10,8 +10,10 @@
 const (
 	// holdWait is how long an executor may keep a hold that waits for an end.
 	holdWait = time.Second
-	// watchWait is that time while the tails of serving tasks are watched.
-	watchWait = 400 * time.Millisecond
+	// watchWait is that time while the tails of serving tasks are watched, and watchesPerSecond the most such looks in
+	// a second at all executors.
+	watchWait        = 400 * time.Millisecond
+	watchesPerSecond = 600
 	// stalledAckPause is how long the next hold waits for the record of the ends that the last one listed.
 	stalledAckPause = 250 * time.Millisecond
 	// silentRetry is the pause before the next hold after one without an answer, and idleRetry that for an executor on
@@ -54,12 +56,18 @@
 	if hasRuns && x.seen <= x.acked {
 		h.Wait = holdWait
 		if len(x.serving) > 0 && len(x.filling) > 0 {
-			h.Wait = watchWait
+			h.Wait = c.watchInterval()
 		}
 	}
 	return h, x.target(), 0
 }
 
+// watchInterval returns how often an executor with serving and filling tasks is looked at.
+func (c *Cell) watchInterval() time.Duration {
+	even := time.Duration(len(c.execs)) * time.Second / watchesPerSecond
+	return min(holdWait, max(watchWait, even))
+}
+
 // Held applies the answer to a hold that was sent at sent.
 func (c *Cell) Held(now, sent tick.Time, id string, h orders.Hold, l orders.Lists, reply orders.Reply) {
 	x, ok := c.execs[id]
