--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -26,11 +26,13 @@
 	return c.stops(now, out)
 }
 
-// urgency orders jobs that wait: lower values first.
+// urgency orders jobs that wait: lower values first. It answers a load beyond the room, when not every job can be done
+// in time: within a priority those that still can come first, and of these the ones that are soonest done, so that the
+// most callers get their results in time. Orders by the least slack finish every job a little late under such a load.
 type urgency struct {
-	priority int
-	lateness int
-	slack    time.Duration
+	priority  int
+	lateness  int
+	remaining time.Duration
 }
 
 // The classes of lateness. Tasks that run until they are cancelled come after those that soon give their room back, but
@@ -51,7 +53,7 @@
 	objective := time.Duration(float64(chain)*j.queue.StretchFactor) + time.Duration(j.queue.TargetMS)*time.Millisecond
 	left := time.Duration(float64(j.remainingChain()) * ratio)
 	slack := j.accepted.Add(objective).Sub(now) - left
-	u := urgency{priority: j.queue.Priority, slack: slack}
+	u := urgency{priority: j.queue.Priority, remaining: left}
 	switch {
 	case j.isLasting():
 		u.lateness = lasting
@@ -65,7 +67,9 @@
 }
 
 func (u urgency) compare(v urgency) int {
-	return cmp.Or(cmp.Compare(u.priority, v.priority), cmp.Compare(u.lateness, v.lateness), cmp.Compare(u.slack, v.slack))
+	return cmp.Or(
+		cmp.Compare(u.priority, v.priority), cmp.Compare(u.lateness, v.lateness), cmp.Compare(u.remaining, v.remaining),
+	)
 }
 
 // isLasting reports whether the job has tasks that run until it is cancelled.
