--- a/internal/state/cell/plan_test.go
+++ b/internal/state/cell/plan_test.go
@@ -17,8 +17,10 @@
 func TestOverloadServesTheSoonestDone(t *testing.T) {
 	b := newBench(t, machine("x"))
 	b.accept("long", "q", fullStep(8000))
-	b.accept("short", "q", fullStep(500))
+	b.pass(8 * time.Second)
+	b.held("x")
 	b.accept("middle", "q", fullStep(2000))
+	b.accept("short", "q", fullStep(500))
 	assert.DeepEqual(t, started(b.plan()), []string{"short"})
 }
 
