Ask the policy service for tickets where a queue has one

Cause: a queue with advice would have had every start refused; none of the deployments here has one, others may. Change: for the most urgent step without tickets the lead asks for the executors that suit it best, one question at a time; what is bad for a step stays bad.

--- a/internal/modules/orders/orders.go
+++ b/internal/modules/orders/orders.go
@@ -159,3 +159,16 @@
 	// Forget releases the connections to an executor.
 	Forget(t Target)
 }
+
+// Advice is which executors may run a step.
+type Advice struct {
+	// Tickets has the ticket for each executor that may.
+	Tickets map[string]string
+	// Validity is how long the tickets are valid.
+	Validity time.Duration
+}
+
+// Advisor tells which executors may run a step. The index of the task does not matter.
+type Advisor interface {
+	Advise(ctx context.Context, step Task, executors []string) (Advice, error)
+}
--- a/internal/services/lead/lead.go
+++ b/internal/services/lead/lead.go
@@ -46,10 +46,12 @@
 	Log       logs.Log
 	Part      logs.Part
 	Executors orders.Executors
-	Replica   *replic.Replica
-	Config    *confs.Follower
-	Decode    confs.DecodeExecutor
-	Params    cell.Params
+	// Advisor is nil where there is no policy service.
+	Advisor orders.Advisor
+	Replica *replic.Replica
+	Config  *confs.Follower
+	Decode  confs.DecodeExecutor
+	Params  cell.Params
 	// MayAct reports whether the right to act holds.
 	MayAct func(now tick.Time) bool
 	Meter  *meter.Meter
@@ -75,6 +77,7 @@
 	cell     *cell.Cell
 	planned  chan struct{}
 	changed  chan struct{}
+	advised  chan struct{}
 	fenced   chan struct{}
 	holders  map[string]*holder
 	slots    chan struct{}
@@ -88,7 +91,8 @@
 	defer cancel()
 	tm := &term{
 		Lead: l, epoch: t.Epoch, planned: make(chan struct{}, 1), changed: make(chan struct{}, 1),
-		fenced: make(chan struct{}, 1), holders: map[string]*holder{}, slots: make(chan struct{}, maxOrders),
+		advised: make(chan struct{}, 1),
+		fenced:  make(chan struct{}, 1), holders: map[string]*holder{}, slots: make(chan struct{}, maxOrders),
 	}
 	if err := tm.takeOver(ctx, t); err != nil {
 		return err
@@ -98,6 +102,9 @@
 	tm.start(ctx, tm.commitLoop)
 	tm.start(ctx, tm.discoverLoop)
 	tm.start(ctx, tm.configLoop)
+	if l.opts.Advisor != nil {
+		tm.start(ctx, tm.adviceLoop)
+	}
 	var err error
 	select {
 	case <-ctx.Done():
--- a/internal/services/lead/loops.go
+++ b/internal/services/lead/loops.go
@@ -63,6 +63,38 @@
 	for _, o := range list {
 		t.send(ctx, o)
 	}
+	signal(t.advised)
+}
+
+// adviceLoop asks the policy service, one question at a time.
+func (t *term) adviceLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.advised:
+		}
+		t.mu.Lock()
+		q, ok := t.cell.Question(tick.Now())
+		t.mu.Unlock()
+		if ok {
+			t.ask(ctx, q)
+		}
+	}
+}
+
+func (t *term) ask(ctx context.Context, q cell.Question) {
+	ctx, cancel := context.WithTimeout(ctx, q.Timeout)
+	defer cancel()
+	sent := tick.Now()
+	a, err := t.opts.Advisor.Advise(ctx, q.Step, q.Executors)
+	if err != nil {
+		t.opts.Logger.Warn().Err(err).Str("job", q.Step.Job).Msg("advice-missing")
+	}
+	t.mu.Lock()
+	t.cell.Advised(tick.Now(), sent, q, a, err)
+	t.mu.Unlock()
+	t.wakePlan()
 }
 
 func (t *term) logEvents(events []cell.Event) {
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -20,6 +20,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
@@ -66,6 +67,11 @@
 	pace     *speeds
 	press    *presses
 	isFenced bool
+	// needsAdvice means that a queue has a policy service.
+	needsAdvice bool
+	// isAsking means that a question to the policy service is under way; askAt is the earliest time for the next.
+	isAsking bool
+	askAt    tick.Time
 	// isModelDue means that what was learnt is to be recorded with the next batch.
 	isModelDue bool
 }
@@ -115,6 +121,7 @@
 		return
 	}
 	c.config = cfg
+	c.needsAdvice = slices.ContainsFunc(cfg.Queues, func(q queue.Queue) bool { return q.Advice != nil })
 	for _, j := range c.active {
 		j.configure(cfg)
 	}
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -61,6 +61,8 @@
 	tasks      []*task
 	// left counts the tasks that have not ended as done, idle those of them that have no run.
 	left, idle int
+	// advised is what the policy service has said, if the queue has one.
+	advised *advised
 	// gangFailures are the run numbers of a gang that failed.
 	gangFailures []uint64
 }
--- a/internal/state/cell/place.go
+++ b/internal/state/cell/place.go
@@ -54,7 +54,7 @@
 	var best *executor
 	lowest := math.Inf(1)
 	for _, x := range p.pools[service] {
-		if !x.allows(s, t, need) {
+		if !x.allows(s, t, need) || !s.holdsTicket(p.now, x) {
 			continue
 		}
 		cost := x.cost(s, need)
@@ -69,7 +69,7 @@
 			best, lowest = x, cost
 		}
 	}
-	if best == nil && len(t.shunned) == 0 && s.pb.MaxPerExecutor == 0 && len(p.refused[service]) < maxRefusals {
+	if best == nil && s.advised == nil && len(t.shunned) == 0 && s.pb.MaxPerExecutor == 0 && len(p.refused[service]) < maxRefusals {
 		p.refused[service] = append(p.refused[service], refusal{need, s.pb.Fills, s.pb.RequiresLabel})
 	}
 	return best
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -181,6 +181,7 @@
 	c.note(Event{Name: "start", Task: t.id, Run: number, Executor: x.entry.ID})
 	return Order{Target: x.target(), Start: &orders.Start{
 		Run: r.id, Spec: t.step.job.pb.Spec, Checkpoint: t.checkpoint, DeadlineMS: c.extend(now, x), Epoch: c.epoch,
+		Ticket: t.step.ticketFor(x),
 	}}
 }
 
--- a/internal/state/cell/replies.go
+++ b/internal/state/cell/replies.go
@@ -58,6 +58,8 @@
 		return
 	case orders.NotSent:
 		x.avoid(now, avoidAfterSilence)
+	case orders.NoTicket:
+		r.task.step.dropTicket(x)
 	case orders.Unhealthy, orders.NoRoom, orders.Malformed:
 		x.avoid(now, avoidAfterRefusal)
 	}
