--- a/internal/services/lead/lead.go
+++ b/internal/services/lead/lead.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -37,7 +38,9 @@
 	modelRounds = 6
 	callTimeout = 1200 * time.Millisecond
 	retryPause  = 100 * time.Millisecond
-	// maxOrders bounds the orders under way.
+	// maxStarts bounds the starts under way. Further ones wait with the cell, where they are in order.
+	maxStarts = 128
+	// maxOrders bounds all orders under way.
 	maxOrders = 1024
 )
 
@@ -72,15 +75,17 @@
 // term is the work of one term.
 type term struct {
 	*Lead
-	epoch    uint64
-	mu       sync.Mutex
-	cell     *cell.Cell
-	planned  chan struct{}
-	changed  chan struct{}
-	advised  chan struct{}
-	fenced   chan struct{}
-	holders  map[string]*holder
-	slots    chan struct{}
+	epoch   uint64
+	mu      sync.Mutex
+	cell    *cell.Cell
+	planned chan struct{}
+	changed chan struct{}
+	advised chan struct{}
+	fenced  chan struct{}
+	holders map[string]*holder
+	slots   chan struct{}
+	// starting counts the starts under way.
+	starting atomic.Int64
 	wg       sync.WaitGroup
 	sequence uint64
 }
--- a/internal/services/lead/loops.go
+++ b/internal/services/lead/loops.go
@@ -48,7 +48,7 @@
 
 func (t *term) plan(ctx context.Context) {
 	t.mu.Lock()
-	list := t.cell.Plan(tick.Now(), tick.Wall().UnixMilli())
+	list := t.cell.Plan(tick.Now(), tick.Wall().UnixMilli(), maxStarts-int(t.starting.Load()))
 	events := t.cell.Events()
 	isFenced := t.cell.IsFenced()
 	hasChanges := t.cell.HasChanges()
@@ -126,9 +126,16 @@
 		t.replied(o, orders.Reply{Outcome: orders.NotSent, Detail: "too many orders under way"})
 		return
 	}
+	if o.Start != nil {
+		t.starting.Add(1)
+	}
 	t.start(ctx, func(ctx context.Context) {
 		defer func() { <-t.slots }()
-		t.replied(o, t.carryOut(ctx, o))
+		reply := t.carryOut(ctx, o)
+		if o.Start != nil {
+			t.starting.Add(-1)
+		}
+		t.replied(o, reply)
 	})
 }
 
@@ -155,7 +162,7 @@
 	if h != nil {
 		signal(h.kick)
 	}
-	if r.Outcome != orders.Done {
+	if r.Outcome != orders.Done || o.Start != nil {
 		t.wakePlan()
 	}
 }
--- a/internal/state/cell/lead_test.go
+++ b/internal/state/cell/lead_test.go
@@ -67,7 +67,7 @@
 	if !l.w.now.Before(l.rightUntil) {
 		return
 	}
-	list := l.cell.Plan(l.w.now, l.w.wallMS())
+	list := l.cell.Plan(l.w.now, l.w.wallMS(), benchStarts)
 	slices.SortFunc(list, compareOrders)
 	for _, o := range list {
 		l.send(o)
--- a/internal/state/cell/place.go
+++ b/internal/state/cell/place.go
@@ -69,7 +69,8 @@
 			best, lowest = x, cost
 		}
 	}
-	if best == nil && s.advised == nil && len(t.shunned) == 0 && s.pb.MaxPerExecutor == 0 && len(p.refused[service]) < maxRefusals {
+	isGeneral := s.advised == nil && len(t.shunned) == 0 && s.pb.MaxPerExecutor == 0
+	if best == nil && isGeneral && len(p.refused[service]) < maxRefusals {
 		p.refused[service] = append(p.refused[service], refusal{need, s.pb.Fills, s.pb.RequiresLabel})
 	}
 	return best
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -9,8 +9,9 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// Plan returns the orders to send now. It takes what they start, stop or pace as under way.
-func (c *Cell) Plan(now tick.Time, wallMS int64) []Order {
+// Plan returns the orders to send now, with at most maxStarts starts. It takes what they start, stop or pace as under
+// way.
+func (c *Cell) Plan(now tick.Time, wallMS int64, maxStarts int) []Order {
 	c.lapse(now)
 	c.settle(now)
 	for _, j := range c.active {
@@ -22,7 +23,7 @@
 	c.clearDraining(now)
 	p := c.newPlacement(now)
 	out := c.steer(now, p, nil)
-	out = append(out, c.starts(now, p)...)
+	out = append(out, c.starts(now, p, maxStarts)...)
 	return c.stops(now, out)
 }
 
@@ -138,22 +139,29 @@
 }
 
 // starts places waiting tasks.
-func (c *Cell) starts(now tick.Time, p *placement) []Order {
+func (c *Cell) starts(now tick.Time, p *placement, maxStarts int) []Order {
 	steps := c.waitingSteps(now)
 	var out []Order
 	for _, s := range steps {
+		room := maxStarts - len(out)
+		if room <= 0 {
+			break
+		}
 		if s.pb.Gang {
 			out = append(out, c.startGang(now, p, s)...)
 			continue
 		}
-		out = append(out, c.startTasks(now, p, s)...)
+		out = append(out, c.startTasks(now, p, s, room)...)
 	}
 	return out
 }
 
-func (c *Cell) startTasks(now tick.Time, p *placement, s *step) []Order {
+func (c *Cell) startTasks(now tick.Time, p *placement, s *step, room int) []Order {
 	var out []Order
 	for _, t := range s.tasks {
+		if len(out) == room {
+			break
+		}
 		if t.done || t.run != nil || now.Before(t.retryAt) {
 			continue
 		}
--- a/internal/state/cell/plan_test.go
+++ b/internal/state/cell/plan_test.go
@@ -50,3 +50,26 @@
 	b.accept("high", "q", fullStep(5000))
 	assert.DeepEqual(t, started(b.plan()), []string{"high"})
 }
+
+// TestStartsUnderWayAreBounded replays a burst beyond what a lead can send: what is not sent waits in order, and a stop
+// does not wait behind it.
+func TestStartsUnderWayAreBounded(t *testing.T) {
+	b := newBench(t, machine("x"))
+	b.accept("cancelled", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 5000})
+	assert.Equal(t, len(b.plan()), 1)
+	b.accept("wide", "q", &jobpb.Step{Count: 40, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
+	b.cell.Plan(b.now, benchWallMS, 3)
+	b.commit()
+	b.cell.Cancel(b.now, "cancelled")
+	list := b.cell.Plan(b.now, benchWallMS, 3)
+	stops := 0
+	for _, o := range list {
+		if o.Stop != nil {
+			stops++
+		}
+	}
+	assert.Equal(t, len(started(list)), 3)
+	assert.Equal(t, stops, 1)
+	assert.Equal(t, len(started(b.cell.Plan(b.now, benchWallMS, 0))), 0)
+	assert.Equal(t, len(started(b.cell.Plan(b.now, benchWallMS, benchStarts))), 37)
+}
