Let a refused request hold up only what is like it, and never shun every executor

Found by tests of the kinds of jobs, written now, which failed first: - what one filling image was refused counted for all images, so that an image that presses too much everywhere kept light ones waiting; - members of a gang that did not fit left refusals behind that other gangs met; - a task that had failed on every executor of a small service never ran again.

--- a/internal/state/cell/place.go
+++ b/internal/state/cell/place.go
@@ -19,12 +19,27 @@
 
 type refusal struct {
 	room  room
-	fills bool
 	label string
+	// image and cores matter for tasks that fill: each image presses on others, and their cores take no room.
+	image string
+	cores uint32
+}
+
+func refusalOf(s *step, need room) refusal {
+	r := refusal{room: need, label: s.pb.RequiresLabel}
+	if s.pb.Fills {
+		r.image, r.cores = s.pb.Image, s.pb.MilliCpu
+	}
+	return r
+}
+
+// covers reports whether a request is no smaller than the one refused.
+func (r refusal) covers(o refusal) bool {
+	return r.label == o.label && r.image == o.image && o.cores >= r.cores && o.room.holds(r.room)
 }
 
 // maxRefusals bounds the requests that are remembered in one pass.
-const maxRefusals = 8
+const maxRefusals = 32
 
 func (c *Cell) newPlacement(now tick.Time) *placement {
 	p := &placement{cell: c, now: now, pools: map[string][]*executor{}, refused: map[string][]refusal{}}
@@ -53,11 +68,18 @@
 	}
 	var best *executor
 	lowest := math.Inf(1)
+	shuns := t.shuns(p.pools[service])
 	for _, x := range p.pools[service] {
-		if !x.allows(s, t, need) || !s.holdsTicket(p.now, x) {
+		if !x.allows(s, need) || !s.holdsTicket(p.now, x) {
 			continue
 		}
 		cost := x.cost(s, need)
+		if slices.Contains(t.shunned, x.entry.ID) {
+			if shuns {
+				continue
+			}
+			cost += costShunned
+		}
 		if s.pb.Fills {
 			press, ok := p.cell.bears(p.now, x, s)
 			if !ok || x.unused() < int64(s.pb.MilliCpu) {
@@ -69,39 +91,42 @@
 			best, lowest = x, cost
 		}
 	}
-	isGeneral := s.advised == nil && len(t.shunned) == 0 && s.pb.MaxPerExecutor == 0
+	// What a gang did not find tells nothing to others, since its members before that one took room for the moment.
+	isGeneral := s.advised == nil && len(t.shunned) == 0 && s.pb.MaxPerExecutor == 0 && !s.pb.Gang
 	if best == nil && isGeneral && len(p.refused[service]) < maxRefusals {
-		p.refused[service] = append(p.refused[service], refusal{need, s.pb.Fills, s.pb.RequiresLabel})
+		p.refused[service] = append(p.refused[service], refusalOf(s, need))
 	}
 	return best
 }
 
 func (p *placement) isRefused(service string, need room, s *step) bool {
-	for _, r := range p.refused[service] {
-		if r.label == s.pb.RequiresLabel && r.fills == s.pb.Fills && need.holds(r.room) {
-			return true
-		}
-	}
-	return false
+	request := refusalOf(s, need)
+	return slices.ContainsFunc(p.refused[service], func(r refusal) bool { return r.covers(request) })
 }
 
 // allows reports whether the task may be started on the executor.
-func (x *executor) allows(s *step, t *task, need room) bool {
+func (x *executor) allows(s *step, need room) bool {
 	if !x.free().holds(need) {
 		return false
 	}
 	if s.pb.RequiresLabel != "" && !x.hasLabel(s.pb.RequiresLabel) {
 		return false
 	}
-	if slices.Contains(t.shunned, x.entry.ID) && len(t.shunned) < maxShunned {
-		return false
-	}
 	if s.pb.MaxPerExecutor > 0 && x.countOf(s) >= int(s.pb.MaxPerExecutor) {
 		return false
 	}
 	return true
 }
 
+// shuns reports whether the task keeps off the executors on which it has failed. It does not where none is left, and a
+// lasting task takes what there is.
+func (t *task) shuns(pool []*executor) bool {
+	if len(t.shunned) == 0 || len(t.shunned) >= maxShunned || t.step.pb.LongRunning {
+		return false
+	}
+	return slices.ContainsFunc(pool, func(x *executor) bool { return !slices.Contains(t.shunned, x.entry.ID) })
+}
+
 // maxShunned is how many executors a task may avoid for its failures; beyond it the task itself is to blame.
 const maxShunned = 8
 
@@ -137,6 +162,8 @@
 	// costOtherImage is the cost of each other image that serves there: fewer images leave more kinds of filling
 	// tasks that press on none.
 	costOtherImage = 2
+	// costShunned is the cost of an executor on which the task has failed.
+	costShunned = 500
 	// costFailing is the cost of an executor whose last run failed.
 	costFailing = 50
 )
--- a/internal/state/cell/plan_test.go
+++ b/internal/state/cell/plan_test.go
@@ -73,3 +73,20 @@
 	assert.Equal(t, len(started(b.cell.Plan(b.now, benchWallMS, 0))), 0)
 	assert.Equal(t, len(started(b.cell.Plan(b.now, benchWallMS, benchStarts))), 37)
 }
+
+// TestHeavyImageDoesNotHoldUpLightOnes replays filling tasks of an image that presses too much everywhere, ahead of
+// tasks of an image that presses on nothing.
+func TestHeavyImageDoesNotHoldUpLightOnes(t *testing.T) {
+	b := newBench(t, machine("x"))
+	b.accept("s", "q", serving("web"))
+	s := starts(b.plan())[0]
+	b.pass(time.Second)
+	b.held("x", row(s, 20, 100))
+	b.cell.press.base["web"] = 10
+	b.cell.press.fits["web"] = &fit{images: []string{"heavy", "light"}, weight: []float64{0.2, 0}}
+	heavy, light := filling("heavy"), filling("light")
+	light.EstimateMs *= 2
+	b.accept("first", "low", heavy)
+	b.accept("second", "low", light)
+	assert.DeepEqual(t, started(b.plan()), []string{"second"})
+}
