Rate the executors once for all tasks of a step, and bound the searches for moves

Cause: each task of a step was placed by a pass over all executors; on the grown deployment the lead's plans took most of its processor time, and everything else came late. A search for a better place for each slowed run at each look did too.

--- a/internal/state/cell/kinds_test.go
+++ b/internal/state/cell/kinds_test.go
@@ -46,7 +46,9 @@
 
 func TestGangFailsAsOne(t *testing.T) {
 	b := newBench(t, machine("a"), machine("b"))
-	b.accept("g", "q", &jobpb.Step{Count: 2, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000, Gang: true, Checkpointing: true})
+	b.accept("g", "q", &jobpb.Step{
+		Count: 2, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000, Gang: true, Checkpointing: true,
+	})
 	list := starts(b.plan())
 	assert.Equal(t, len(list), 2)
 	b.ended(list[0], 1, orders.EndedFailed, "saved")
@@ -164,11 +166,13 @@
 	other := machine("o")
 	other.Service = "other"
 	b := newBench(t, machine("a"), other)
-	b.cell.Configure(&queue.Configuration{Version: 2, Queues: []queue.Queue{{Name: "q", Service: "other", MaxAttempts: 3}}})
+	moved := queue.Queue{Name: "q", Service: "other", MaxAttempts: 3}
+	b.cell.Configure(&queue.Configuration{Version: 2, Queues: []queue.Queue{moved}})
 	b.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 500})
 	list := starts(b.plan())
 	assert.Equal(t, list[0].Target.ID, "o")
-	b.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{{Name: "q", Service: "svc", MaxAttempts: 3}}})
+	stale := queue.Queue{Name: "q", Service: "svc", MaxAttempts: 3}
+	b.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{stale}})
 	b.accept("k", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 500})
 	assert.Equal(t, starts(b.plan())[0].Target.ID, "o", "an older version changes nothing")
 }
--- a/internal/state/cell/place.go
+++ b/internal/state/cell/place.go
@@ -59,46 +59,91 @@
 	return p
 }
 
-// find returns the best executor for a task, or nil.
-func (p *placement) find(s *step, t *task) *executor {
+// candidate is an executor that can take a task of a step, with its cost.
+type candidate struct {
+	exec *executor
+	cost float64
+}
+
+// candidates are the executors that can take tasks of one step. They are rated once for all tasks of the step; a start
+// changes the rating of its executor alone.
+type candidates struct {
+	placement *placement
+	step      *step
+	need      room
+	list      []candidate
+}
+
+// candidates rates the executors for a step.
+func (p *placement) candidates(s *step) *candidates {
+	c := &candidates{placement: p, step: s, need: roomOf(s.pb)}
 	service := s.job.queue.Service
-	need := roomOf(s.pb)
-	if p.isRefused(service, need, s) {
-		return nil
+	if p.isRefused(service, c.need, s) {
+		return c
 	}
-	var best *executor
-	lowest := math.Inf(1)
-	shuns := t.shuns(p.pools[service])
 	for _, x := range p.pools[service] {
-		if !x.allows(s, need) || !s.holdsTicket(p.now, x) {
-			continue
+		if cost, ok := p.rate(s, c.need, x); ok {
+			c.list = append(c.list, candidate{x, cost})
 		}
-		cost := x.cost(s, need)
-		if slices.Contains(t.shunned, x.entry.ID) {
+	}
+	// What a gang did not find tells nothing to others, since its members before that one took room for the moment.
+	isGeneral := s.advised == nil && s.pb.MaxPerExecutor == 0 && !s.pb.Gang
+	if len(c.list) == 0 && isGeneral && len(p.refused[service]) < maxRefusals {
+		p.refused[service] = append(p.refused[service], refusalOf(s, c.need))
+	}
+	return c
+}
+
+// rate returns the cost of an executor for a task of the step, and whether it can take one.
+func (p *placement) rate(s *step, need room, x *executor) (float64, bool) {
+	if !x.allows(s, need) || !s.holdsTicket(p.now, x) {
+		return 0, false
+	}
+	cost := x.cost(s, need)
+	if !s.pb.Fills {
+		return cost, true
+	}
+	press, ok := p.cell.bears(p.now, x, s)
+	if !ok || x.unused() < int64(s.pb.MilliCpu) {
+		return 0, false
+	}
+	return cost + costPress*press, true
+}
+
+// best returns the cheapest executor for the task, or nil.
+func (c *candidates) best(t *task) *executor {
+	shuns := t.shuns(c.placement.pools[c.step.job.queue.Service])
+	var best *executor
+	lowest := math.Inf(1)
+	for _, k := range c.list {
+		cost := k.cost
+		if slices.Contains(t.shunned, k.exec.entry.ID) {
 			if shuns {
 				continue
 			}
 			cost += costShunned
 		}
-		if s.pb.Fills {
-			press, ok := p.cell.bears(p.now, x, s)
-			if !ok || x.unused() < int64(s.pb.MilliCpu) {
-				continue
-			}
-			cost += costPress * press
-		}
 		if cost < lowest {
-			best, lowest = x, cost
+			best, lowest = k.exec, cost
 		}
 	}
-	// What a gang did not find tells nothing to others, since its members before that one took room for the moment.
-	isGeneral := s.advised == nil && len(t.shunned) == 0 && s.pb.MaxPerExecutor == 0 && !s.pb.Gang
-	if best == nil && isGeneral && len(p.refused[service]) < maxRefusals {
-		p.refused[service] = append(p.refused[service], refusalOf(s, need))
-	}
 	return best
 }
 
+// update rates an executor anew after a start.
+func (c *candidates) update(x *executor) {
+	i := slices.IndexFunc(c.list, func(k candidate) bool { return k.exec == x })
+	if i < 0 {
+		return
+	}
+	cost, ok := c.placement.rate(c.step, c.need, x)
+	if !ok {
+		c.list = slices.Delete(c.list, i, i+1)
+		return
+	}
+	c.list[i].cost = cost
+}
+
 func (p *placement) isRefused(service string, need room, s *step) bool {
 	request := refusalOf(s, need)
 	return slices.ContainsFunc(p.refused[service], func(r refusal) bool { return r.covers(request) })
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -158,24 +158,23 @@
 
 func (c *Cell) startTasks(now tick.Time, p *placement, s *step, room int) []Order {
 	var out []Order
+	places := p.candidates(s)
 	for _, t := range s.tasks {
-		if len(out) == room {
+		if len(out) == room || len(places.list) == 0 {
 			break
 		}
 		if t.done || t.run != nil || now.Before(t.retryAt) {
 			continue
 		}
-		x := p.find(s, t)
+		x := places.best(t)
 		if x == nil {
-			if len(t.shunned) > 0 {
-				continue
-			}
-			break
+			continue
 		}
 		if !c.mayBegin(s.job) {
 			break
 		}
 		out = append(out, c.start(now, t, x, c.nextNumber(t)))
+		places.update(x)
 	}
 	return out
 }
@@ -199,16 +198,18 @@
 		return nil
 	}
 	var placed []*executor
+	places := p.candidates(s)
 	for _, t := range s.tasks {
 		if t.done || now.Before(t.retryAt) {
 			break
 		}
-		x := p.find(s, t)
+		x := places.best(t)
 		if x == nil {
 			break
 		}
 		// The room is taken at once, so that the next member is placed beside this one.
 		c.begin(now, t, x, 0)
+		places.update(x)
 		placed = append(placed, x)
 	}
 	for _, t := range s.tasks[:len(placed)] {
--- a/internal/state/cell/press.go
+++ b/internal/state/cell/press.go
@@ -199,6 +199,8 @@
 	// slowPace is the pace below which a run is moved when that lasts, and moveAfter how long it may last.
 	slowPace  = 60
 	moveAfter = 500 * time.Millisecond
+	// maxMoveSearches bounds the searches for a better place in one plan.
+	maxMoveSearches = 8
 	// restartPercent is the progress up to which a run without checkpoints is moved too.
 	restartPercent = 25
 )
@@ -219,6 +221,7 @@
 
 // steer sets the paces of filling runs so that the serving runs beside them stay below their targets.
 func (c *Cell) steer(now tick.Time, p *placement, out []Order) []Order {
+	searches := 0
 	for _, x := range c.execs {
 		if x.isDead || x.heardAt == x.judgedAt {
 			continue
@@ -229,7 +232,10 @@
 		}
 		out = c.steerExecutor(now, x, x.serving, slices.Clone(x.filling), out)
 		for _, f := range x.filling {
-			c.moveSlowed(now, p, f)
+			if searches < maxMoveSearches && c.isToMove(now, f) {
+				searches++
+				c.move(p, f)
+			}
 		}
 	}
 	return out
@@ -349,16 +355,18 @@
 	return c.press.weightOf(pair{s.task.step.pb.Image, f.task.step.pb.Image})
 }
 
-// moveSlowed stops a run that has been slowed for a while if another executor can take it at its full pace.
-func (c *Cell) moveSlowed(now tick.Time, p *placement, f *run) {
+// isToMove reports whether a run has been slowed for a while and can resume elsewhere.
+func (c *Cell) isToMove(now tick.Time, f *run) bool {
 	pb := f.task.step.pb
 	if f.isUnwanted || f.pace >= slowPace || now.Sub(f.slowAt) < moveAfter || pb.Gang {
-		return
-	}
-	if !pb.Checkpointing && f.percent > restartPercent {
-		return
+		return false
 	}
-	if x := p.find(f.task.step, f.task); x == nil || x == f.exec {
+	return pb.Checkpointing || f.percent <= restartPercent
+}
+
+// move stops a run if another executor can take it at its full pace.
+func (c *Cell) move(p *placement, f *run) {
+	if x := p.candidates(f.task.step).best(f.task); x == nil || x == f.exec {
 		return
 	}
 	c.unwant(f)
