--- a/internal/state/cell/place.go
+++ b/internal/state/cell/place.go
@@ -9,8 +9,7 @@
 
 // placement finds executors for waiting tasks in one pass.
 type placement struct {
-	cell *Cell
-	now  tick.Time
+	now tick.Time
 	// pools has the usable executors of each service.
 	pools map[string][]*executor
 	// refused has, for each service, requests that fit nowhere. A request that is no smaller does not fit either.
@@ -42,7 +41,7 @@
 const maxRefusals = 32
 
 func (c *Cell) newPlacement(now tick.Time) *placement {
-	p := &placement{cell: c, now: now, pools: map[string][]*executor{}, refused: map[string][]refusal{}}
+	p := &placement{now: now, pools: map[string][]*executor{}, refused: map[string][]refusal{}}
 	for _, x := range c.execs {
 		if x.isUsable(now) {
 			p.pools[x.entry.Service] = append(p.pools[x.entry.Service], x)
@@ -103,7 +102,7 @@
 	if !s.pb.Fills {
 		return cost, true
 	}
-	press, ok := p.cell.bears(p.now, x, s)
+	press, ok := bears(p.now, x, s)
 	if !ok || x.unused() < int64(s.pb.MilliCpu) {
 		return 0, false
 	}
--- a/internal/state/cell/plan_test.go
+++ b/internal/state/cell/plan_test.go
@@ -81,9 +81,9 @@
 	b.accept("s", "q", serving("web"))
 	s := starts(b.plan())[0]
 	b.pass(time.Second)
-	b.held("x", row(s, 20, 100))
 	b.cell.press.base["web"] = 10
 	b.cell.press.fits["web"] = &fit{images: []string{"heavy", "light"}, weight: []float64{0.2, 0}}
+	b.held("x", row(s, 20, 100))
 	heavy, light := filling("heavy"), filling("light")
 	light.EstimateMs *= 2
 	b.accept("first", "low", heavy)
--- a/internal/state/cell/press.go
+++ b/internal/state/cell/press.go
@@ -57,11 +57,15 @@
 func newPresses() *presses { return &presses{base: map[string]float64{}, fits: map[string]*fit{}} }
 
 func (p *presses) weightOf(k pair) float64 {
-	f, ok := p.fits[k.serving]
-	if !ok {
+	return p.fits[k.serving].weightOf(k.filling)
+}
+
+// weightOf returns the load that one core of a filling image adds. The fit may be nil.
+func (f *fit) weightOf(image string) float64 {
+	if f == nil {
 		return priorWeight
 	}
-	if i := slices.Index(f.images, k.filling); i >= 0 {
+	if i := slices.Index(f.images, image); i >= 0 {
 		return f.weight[i]
 	}
 	return priorWeight
@@ -216,6 +220,18 @@
 	}
 	for _, s := range x.serving {
 		c.press.observe(now, s, cores)
+		c.press.assess(s)
+	}
+}
+
+// assess notes what a serving run bears, for all placements until its next look.
+func (p *presses) assess(s *run) {
+	pb := s.task.step.pb
+	s.fit = p.fits[pb.Image]
+	s.isTight = float64(s.usage) > tightShare*float64(pb.TargetMs)
+	s.headroom = 0
+	if s.usage > 0 {
+		s.headroom = 1 - p.base[pb.Image]/(calmShare*float64(pb.TargetMs)) - p.load(s)
 	}
 }
 
@@ -383,24 +399,19 @@
 }
 
 // bears reports whether the serving runs of an executor bear one more filling task, and the load that it would add.
-func (c *Cell) bears(now tick.Time, x *executor, s *step) (float64, bool) {
+func bears(now tick.Time, x *executor, s *step) (float64, bool) {
 	if len(x.serving) == 0 {
 		return 0, true
 	}
 	cores := float64(s.pb.MilliCpu) / coreThousandths
 	most := 0.0
 	for _, r := range x.serving {
-		adds := c.press.weightOf(pair{r.task.step.pb.Image, s.pb.Image}) * cores
-		most = max(most, adds)
-		pb := r.task.step.pb
-		if float64(r.usage) > tightShare*float64(pb.TargetMs) {
+		if r.isTight {
 			return 0, false
 		}
-		if adds < lightPress {
-			continue
-		}
-		room := 1 - c.press.base[pb.Image]/(calmShare*float64(pb.TargetMs)) - c.press.load(r)
-		if r.usage <= 0 || adds > room || now.Before(x.noFillUntil) {
+		adds := r.fit.weightOf(s.pb.Image) * cores
+		most = max(most, adds)
+		if adds >= lightPress && (adds > r.headroom || now.Before(x.noFillUntil)) {
 			return 0, false
 		}
 	}
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -42,6 +42,10 @@
 	pace         int
 	isPaceUnsure bool
 	slowAt       tick.Time
+	// fit, headroom and isTight tell what a serving run bears beside it, as of the last list.
+	fit      *fit
+	headroom float64
+	isTight  bool
 	// look is the last look at a serving run's tail.
 	look look
 }
