--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -219,6 +219,6 @@
 // isUsable reports whether tasks may be started on the executor. Surplus runs take room that is not accounted.
 func (x *executor) isUsable(now tick.Time) bool {
 	isKnown := x.isListed && x.isRostered && x.isHeard && x.hasClock
-	isServing := !x.isDead && !x.entry.Draining && len(x.surplus) == 0
+	isServing := !x.isDead && !x.isSilent && !x.entry.Draining && len(x.surplus) == 0
 	return isKnown && isServing && !now.Before(x.avoidUntil)
 }
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -78,6 +78,8 @@
 	starts     uint64
 	// retryAt keeps a task that cannot run from being started again at once.
 	retryAt tick.Time
+	// strayOn is an executor that has listed a run of the task that is not the task's own.
+	strayOn *executor
 	// shunned are the executors on which the task has failed.
 	shunned []string
 }
@@ -242,6 +244,30 @@
 	return true
 }
 
+// mayStart reports whether the task may be started at now: no run of it is known anywhere.
+func (t *task) mayStart(now tick.Time) bool {
+	if t.done || t.run != nil || now.Before(t.retryAt) {
+		return false
+	}
+	if t.strayOn != nil && !t.strayOn.hasSurplus(t.id) {
+		t.strayOn = nil
+	}
+	return t.strayOn == nil
+}
+
+// hasSurplus reports whether the executor runs the task without being meant to.
+func (x *executor) hasSurplus(id orders.Task) bool {
+	if x.isDead {
+		return false
+	}
+	for r := range x.surplus {
+		if r.Task == id {
+			return true
+		}
+	}
+	return false
+}
+
 // markDone notes that the task has ended as done.
 func (t *task) markDone() {
 	t.done = true
--- a/internal/state/cell/kinds_test.go
+++ b/internal/state/cell/kinds_test.go
@@ -191,6 +191,39 @@
 	assert.Equal(t, len(starts(b.plan())), 2)
 }
 
+// TestLateNewsOfADoneRunEndsTheLaterOne plays an executor that is out of reach until its lease has lapsed, and then
+// lists that the run was done before.
+func TestLateNewsOfADoneRunEndsTheLaterOne(t *testing.T) {
+	b := newBench(t, machine("a"), machine("b"))
+	b.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 20000})
+	first := starts(b.plan())[0]
+	other := "a"
+	if first.Target.ID == "a" {
+		other = "b"
+	}
+	for range 8 {
+		b.pass(time.Second)
+		h, _, _ := b.cell.Hold(b.now, first.Target.ID)
+		b.cell.Held(b.now, b.now, first.Target.ID, h, orders.Lists{}, orders.Reply{Outcome: orders.Unanswered})
+		b.held(other)
+		if again := starts(b.plan()); len(again) > 0 {
+			assert.Equal(t, again[0].Target.ID, other, "a silent executor gets no starts")
+			break
+		}
+	}
+	b.ended(first, 1, orders.EndedDone, "")
+	stops := 0
+	for _, o := range b.plan() {
+		assert.Assert(t, o.Start == nil)
+		if o.Stop != nil {
+			stops++
+		}
+	}
+	assert.Equal(t, stops, 1)
+	state, _ := b.cell.State("j")
+	assert.Equal(t, state, jobpb.State_STATE_COMPLETED)
+}
+
 func TestStandstillIsMoved(t *testing.T) {
 	b := newBench(t, machine("a"), machine("b"))
 	b.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 2000, Checkpointing: true})
--- a/internal/state/cell/lead_test.go
+++ b/internal/state/cell/lead_test.go
@@ -15,9 +15,6 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// debug names a job whose events are printed.
-var debug string
-
 // modelLead drives a cell as the lead service does.
 type modelLead struct {
 	w     *world
@@ -73,7 +70,7 @@
 		l.send(o)
 	}
 	for _, e := range l.cell.Events() {
-		if debug != "" && (e.Task.Job == debug || e.Task.Job == "") {
+		if *modelJob != "" && (e.Task.Job == *modelJob || e.Task.Job == "") {
 			fmt.Printf("%8.3f epoch %d %+v\n", float64(l.w.now)/1e9, l.epoch, e)
 		}
 	}
@@ -179,7 +176,11 @@
 		return
 	}
 	l.committing = true
-	l.w.after(l.w.between(5*time.Millisecond, 40*time.Millisecond), func() {
+	longest := 40 * time.Millisecond
+	if l.w.chance(0.2) {
+		longest = 600 * time.Millisecond
+	}
+	l.w.after(l.w.between(5*time.Millisecond, longest), func() {
 		l.committing = false
 		if l.w.fence > l.epoch {
 			return
@@ -275,7 +276,7 @@
 func newWorld(seed uint64, f faults) *world {
 	w := &world{
 		rnd: rand.New(rand.NewPCG(seed, 7)), faults: f, book: book.New(), jobs: map[string]*jobpb.Job{},
-		done: map[orders.Task]bool{}, cancelled: map[string]tick.Time{},
+		done: map[orders.Task]bool{}, acked: map[orders.Task]bool{}, cancelled: map[string]tick.Time{},
 		params: Params{
 			MaxHold: worldMaxHold, StopTimeout: worldStop, GangTimeout: 3 * time.Second, Interference: 4 * time.Second,
 			Retention: time.Minute, Restore: 250 * time.Millisecond, RemoteFactor: 3,
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -22,7 +22,7 @@
 	idleRetry   = 400 * time.Millisecond
 	// ackValidity is how long after an answer the numbers of ends surely belong to the same process. A process that has
 	// restarted since must not forget ends of the same numbers.
-	ackValidity = 1500 * time.Millisecond
+	ackValidity = 250 * time.Millisecond
 	// idleInterval is how often an idle executor is asked, since late orders and restarts may have changed what it has.
 	idleInterval = 2 * time.Second
 )
@@ -176,6 +176,9 @@
 		return
 	}
 	x.surplus[row.Run] = false
+	if t != nil {
+		t.strayOn = x
+	}
 }
 
 func (c *Cell) update(now tick.Time, r *run, row orders.Running) {
--- a/internal/state/cell/model_test.go
+++ b/internal/state/cell/model_test.go
@@ -19,6 +19,7 @@
 var (
 	modelSeeds = flag.Int("model-seeds", 150, "schedules of TestModel")
 	modelFirst = flag.Uint64("model-first", 1, "the first seed of TestModel")
+	modelJob   = flag.String("model-job", "", "a job whose events TestModel prints")
 )
 
 func intakeRecord(key string, in *jobpb.Intake) (logs.Record, error) {
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -163,7 +163,7 @@
 		if len(out) == room || len(places.list) == 0 {
 			break
 		}
-		if t.done || t.run != nil || now.Before(t.retryAt) {
+		if !t.mayStart(now) {
 			continue
 		}
 		x := places.best(t)
@@ -200,7 +200,7 @@
 	var placed []*executor
 	places := p.candidates(s)
 	for _, t := range s.tasks {
-		if t.done || now.Before(t.retryAt) {
+		if !t.mayStart(now) {
 			break
 		}
 		x := places.best(t)
--- a/internal/state/cell/replies.go
+++ b/internal/state/cell/replies.go
@@ -50,7 +50,8 @@
 		r.isDoubtful = false
 		r.task.step.job.begun = true
 		return
-	case orders.Unanswered:
+	case orders.Unanswered, orders.Outdated:
+		// Numbers rise, so an outdated one means that the executor has a run of the task that this lead does not know.
 		r.isDoubtful = true
 		c.stopping[r] = true
 		x.avoid(now, avoidAfterSilence)
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -157,8 +157,13 @@
 		return
 	}
 	switch {
-	case e.How == orders.EndedDone && !t.done && t.run == nil && !t.step.pb.LongRunning:
+	case e.How == orders.EndedDone && !t.done && !t.step.pb.LongRunning:
+		// An earlier run was done before its lease lapsed; a later one is not needed any more.
+		later := t.run
 		c.done(now, t)
+		if later != nil {
+			c.unwant(later)
+		}
 	case e.How == orders.EndedFailed && !t.done:
 		c.failed(now, t, e.Run.Number, x)
 	}
--- a/internal/state/cell/world_test.go
+++ b/internal/state/cell/world_test.go
@@ -70,7 +70,9 @@
 	leads  []*modelLead
 	jobs   map[string]*jobpb.Job
 	// ends has for each task how its runs ended, in order; done is set once a run ended so.
-	done      map[orders.Task]bool
+	done map[orders.Task]bool
+	// acked has the tasks whose end as done an executor was told to forget.
+	acked     map[orders.Task]bool
 	cancelled map[string]tick.Time
 	storeDown bool
 	broken    []string
@@ -299,6 +301,9 @@
 		x.extend(o.DeadlineMS)
 	}
 	for len(x.ended) > 0 && x.ended[0].Number <= o.AckCursor {
+		if e := x.ended[0]; e.How == orders.EndedDone {
+			x.w.acked[e.Run.Task] = true
+		}
 		x.ended = x.ended[1:]
 	}
 	l := orders.Lists{BornMS: x.bornMS, Ended: append([]orders.Ended(nil), x.ended...)}
@@ -377,6 +382,9 @@
 			same++
 		}
 	}
+	if w.acked[t] {
+		w.fail("task %v begins after its end as done was acknowledged", t)
+	}
 	if step.MaxPerExecutor > 0 && same >= int(step.MaxPerExecutor) {
 		w.fail("task %v is beside %d of its step", t, same)
 	}
