--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -37,6 +37,8 @@
 	beatInterval = 500 * time.Millisecond
 	// silence is how long no heartbeat may come before an instance claims.
 	silence = 1600 * time.Millisecond
+	// soleTime is how long after the sending of a stored heartbeat no other instance can have claimed.
+	soleTime = 1400 * time.Millisecond
 	// outage is how long no read may succeed before the silence counts anew.
 	outage = 1500 * time.Millisecond
 	// claimStagger spreads the claims of the instances.
@@ -115,6 +117,13 @@
 	return e.leads && now.Before(e.rightUntil)
 }
 
+// IsSole reports whether this instance leads and no other one can have claimed by now.
+func (e *Elector) IsSole(now tick.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leads && now.Before(e.rightUntil.Add(soleTime-Right))
+}
+
 // Resign gives the lead up for good. This instance claims no more.
 func (e *Elector) Resign() { e.resignOnce.Do(func() { close(e.resigning) }) }
 
--- a/internal/services/lead/lead.go
+++ b/internal/services/lead/lead.go
@@ -57,6 +57,8 @@
 	Params  cell.Params
 	// MayAct reports whether the right to act holds.
 	MayAct func(now tick.Time) bool
+	// IsSole reports whether no other instance can have taken over.
+	IsSole func(now tick.Time) bool
 	Meter  *meter.Meter
 	Logger zerolog.Logger
 }
--- a/internal/services/lead/loops.go
+++ b/internal/services/lead/loops.go
@@ -48,7 +48,10 @@
 
 func (t *term) plan(ctx context.Context) {
 	t.mu.Lock()
-	list := t.cell.Plan(tick.Now(), tick.Wall().UnixMilli(), maxStarts-int(t.starting.Load()))
+	now := tick.Now()
+	list := t.cell.Plan(now, tick.Wall().UnixMilli(), cell.Allowance{
+		MaxStarts: maxStarts - int(t.starting.Load()), IsSole: t.opts.IsSole(now),
+	})
 	events := t.cell.Events()
 	isFenced := t.cell.IsFenced()
 	hasChanges := t.cell.HasChanges()
--- a/internal/services/lead/system_test.go
+++ b/internal/services/lead/system_test.go
@@ -115,7 +115,8 @@
 	replica := replic.New(n.view, 0, logger)
 	n.lead = lead.New(lead.Options{
 		Log: n.view, Executors: s.fleet, Replica: replica, Config: config, Decode: decodeExecutor, Params: params,
-		MayAct: func(now tick.Time) bool { return n.elector.Leads(now) }, Meter: s.meter, Logger: logger,
+		MayAct: func(now tick.Time) bool { return n.elector.Leads(now) },
+		IsSole: func(now tick.Time) bool { return n.elector.IsSole(now) }, Meter: s.meter, Logger: logger,
 	})
 	n.elector = elect.New(elect.Options{
 		Log: n.view, Instance: name, Address: name, MaxLease: params.LongestLease(), Lead: n.lead.Run, Logger: logger,
--- a/internal/state/cell/advice_test.go
+++ b/internal/state/cell/advice_test.go
@@ -63,9 +63,9 @@
 	b.plan()
 	q, _ := b.cell.Question(b.now)
 	b.cell.Advised(b.now, b.now, q, orders.Advice{Tickets: map[string]string{"b": "t-b"}, Validity: 3 * time.Second}, nil)
-	assert.Equal(t, len(b.cell.Plan(b.now, benchWallMS, benchStarts)), 0)
+	assert.Equal(t, len(b.cell.Plan(b.now, benchWallMS, unbounded)), 0)
 	b.commit()
-	refused := b.cell.Plan(b.now, benchWallMS, benchStarts)
+	refused := b.cell.Plan(b.now, benchWallMS, unbounded)
 	assert.Equal(t, len(refused), 2)
 	for _, o := range refused {
 		b.cell.Replied(b.now, o, orders.Reply{Outcome: orders.NoTicket, ClockMS: 1000})
--- a/internal/state/cell/bench_test.go
+++ b/internal/state/cell/bench_test.go
@@ -58,7 +58,7 @@
 func settleAll(b *testing.B, c *Cell, now tick.Time, rnd *rand.Rand) {
 	b.Helper()
 	for range 3 {
-		for _, o := range c.Plan(now, benchWallMS, benchStarts) {
+		for _, o := range c.Plan(now, benchWallMS, unbounded) {
 			c.Replied(now, o, orders.Reply{Outcome: orders.Done, ClockMS: 1})
 		}
 		commitAll(b, c, now)
@@ -87,7 +87,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				now = now.Add(time.Millisecond)
-				c.Plan(now, benchWallMS, benchStarts)
+				c.Plan(now, benchWallMS, unbounded)
 			}
 		})
 	}
--- a/internal/state/cell/kinds_test.go
+++ b/internal/state/cell/kinds_test.go
@@ -69,9 +69,9 @@
 		Steps: []*jobpb.Step{{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 500}},
 	})
 	at := func(ms int64) []Order {
-		list := b.cell.Plan(b.now, benchWallMS+ms, benchStarts)
+		list := b.cell.Plan(b.now, benchWallMS+ms, unbounded)
 		b.commit()
-		return starts(append(list, b.cell.Plan(b.now, benchWallMS+ms, benchStarts)...))
+		return starts(append(list, b.cell.Plan(b.now, benchWallMS+ms, unbounded)...))
 	}
 	assert.Equal(t, len(at(900)), 0)
 	first := at(1000)
--- a/internal/state/cell/lead_test.go
+++ b/internal/state/cell/lead_test.go
@@ -22,8 +22,10 @@
 	epoch uint64
 	// rightUntil is when it must stop acting; a lead that is cut off acts until then.
 	rightUntil tick.Time
-	isOver     bool
-	isCutOff   bool
+	// soleUntil is when another lead may have claimed.
+	soleUntil tick.Time
+	isOver    bool
+	isCutOff  bool
 	// isInside means that it reaches just the executors that are cut off.
 	isInside   bool
 	committing bool
@@ -58,13 +60,14 @@
 	if !l.isCutOff {
 		if !l.w.storeDown {
 			l.rightUntil = l.w.now.Add(worldRight)
+			l.soleUntil = l.w.now.Add(worldSole)
 		}
 		l.discover()
 	}
 	if !l.w.now.Before(l.rightUntil) {
 		return
 	}
-	list := l.cell.Plan(l.w.now, l.w.wallMS(), benchStarts)
+	list := l.cell.Plan(l.w.now, l.w.wallMS(), Allowance{MaxStarts: 1 << 20, IsSole: l.w.now.Before(l.soleUntil)})
 	slices.SortFunc(list, compareOrders)
 	for _, o := range list {
 		l.send(o)
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -9,10 +9,20 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// Plan returns the orders to send now, with at most maxStarts starts. It takes what they start, stop or pace as under
-// way.
-func (c *Cell) Plan(now tick.Time, wallMS int64, maxStarts int) []Order {
-	c.lapse(now)
+// Allowance is what a plan may do.
+type Allowance struct {
+	// MaxStarts bounds the starts.
+	MaxStarts int
+	// IsSole means that no other lead can have taken over. Otherwise another may know what became of a run whose lease
+	// has lapsed here, so that it is not started again.
+	IsSole bool
+}
+
+// Plan returns the orders to send now. It takes what they start, stop or pace as under way.
+func (c *Cell) Plan(now tick.Time, wallMS int64, a Allowance) []Order {
+	if a.IsSole {
+		c.lapse(now)
+	}
 	c.settle(now)
 	for _, j := range c.active {
 		j.due(wallMS)
@@ -23,7 +33,7 @@
 	c.clearDraining(now)
 	p := c.newPlacement(now)
 	out := c.steer(now, p, nil)
-	out = append(out, c.starts(now, p, maxStarts)...)
+	out = append(out, c.starts(now, p, a.MaxStarts)...)
 	return c.stops(now, out)
 }
 
--- a/internal/state/cell/plan_test.go
+++ b/internal/state/cell/plan_test.go
@@ -58,10 +58,10 @@
 	b.accept("cancelled", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 5000})
 	assert.Equal(t, len(b.plan()), 1)
 	b.accept("wide", "q", &jobpb.Step{Count: 40, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
-	b.cell.Plan(b.now, benchWallMS, 3)
+	b.cell.Plan(b.now, benchWallMS, Allowance{MaxStarts: 3, IsSole: true})
 	b.commit()
 	b.cell.Cancel(b.now, "cancelled")
-	list := b.cell.Plan(b.now, benchWallMS, 3)
+	list := b.cell.Plan(b.now, benchWallMS, Allowance{MaxStarts: 3, IsSole: true})
 	stops := 0
 	for _, o := range list {
 		if o.Stop != nil {
@@ -70,8 +70,8 @@
 	}
 	assert.Equal(t, len(started(list)), 3)
 	assert.Equal(t, stops, 1)
-	assert.Equal(t, len(started(b.cell.Plan(b.now, benchWallMS, 0))), 0)
-	assert.Equal(t, len(started(b.cell.Plan(b.now, benchWallMS, benchStarts))), 37)
+	assert.Equal(t, len(started(b.cell.Plan(b.now, benchWallMS, Allowance{MaxStarts: 0, IsSole: true}))), 0)
+	assert.Equal(t, len(started(b.cell.Plan(b.now, benchWallMS, unbounded))), 37)
 }
 
 // TestHeavyImageDoesNotHoldUpLightOnes replays filling tasks of an image that presses too much everywhere, ahead of
--- a/internal/state/cell/press_test.go
+++ b/internal/state/cell/press_test.go
@@ -23,10 +23,11 @@
 
 const (
 	benchWallMS = int64(1_700_000_000_000)
-	// benchStarts is more than any test starts at once.
-	benchStarts = 1 << 20
 )
 
+// unbounded lets a plan do all.
+var unbounded = Allowance{MaxStarts: 1 << 20, IsSole: true}
+
 func newBench(t *testing.T, executors ...queue.Executor) *bench {
 	t.Helper()
 	b := &bench{t: t, now: tick.Time(time.Hour), ends: map[string]uint64{}}
@@ -66,9 +67,9 @@
 // plan returns the orders of a plan, and answers that all were carried out. Jobs that would begin are marked first.
 func (b *bench) plan() []Order {
 	b.t.Helper()
-	list := b.answer(b.cell.Plan(b.now, benchWallMS, benchStarts))
+	list := b.answer(b.cell.Plan(b.now, benchWallMS, unbounded))
 	b.commit()
-	list = append(list, b.answer(b.cell.Plan(b.now, benchWallMS, benchStarts))...)
+	list = append(list, b.answer(b.cell.Plan(b.now, benchWallMS, unbounded))...)
 	return list
 }
 
@@ -136,7 +137,7 @@
 	for range 4 {
 		b.pass(400 * time.Millisecond)
 		b.held("x", row(s, 400, 100), row(f, 8000, 10))
-		for _, o := range b.cell.Plan(b.now, benchWallMS, benchStarts) {
+		for _, o := range b.cell.Plan(b.now, benchWallMS, unbounded) {
 			if o.Pace != nil {
 				sent++
 				b.cell.Replied(b.now, o, orders.Reply{Outcome: orders.Unanswered})
--- a/internal/state/cell/takeover_test.go
+++ b/internal/state/cell/takeover_test.go
@@ -85,7 +85,7 @@
 func TestMarkedJobsThatHaveNotBegunStillWait(t *testing.T) {
 	old := newBench(t, machine("x"))
 	old.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
-	assert.Equal(t, len(old.cell.Plan(old.now, benchWallMS, benchStarts)), 0)
+	assert.Equal(t, len(old.cell.Plan(old.now, benchWallMS, unbounded)), 0)
 	batch, err := old.cell.Cut()
 	assert.NilError(t, err)
 	log := book.New()
@@ -109,10 +109,10 @@
 func TestJobBeginsOnlyAfterItsMarkIsStored(t *testing.T) {
 	b := newBench(t, machine("x"))
 	b.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
-	assert.Equal(t, len(b.cell.Plan(b.now, benchWallMS, benchStarts)), 0)
+	assert.Equal(t, len(b.cell.Plan(b.now, benchWallMS, unbounded)), 0)
 	batch, err := b.cell.Cut()
 	assert.NilError(t, err)
-	assert.Equal(t, len(b.cell.Plan(b.now, benchWallMS, benchStarts)), 0)
+	assert.Equal(t, len(b.cell.Plan(b.now, benchWallMS, unbounded)), 0)
 	b.cell.Commit(b.now, batch)
-	assert.Equal(t, len(b.cell.Plan(b.now, benchWallMS, benchStarts)), 1)
+	assert.Equal(t, len(b.cell.Plan(b.now, benchWallMS, unbounded)), 1)
 }
--- a/internal/state/cell/world_test.go
+++ b/internal/state/cell/world_test.go
@@ -23,6 +23,7 @@
 const (
 	worldRight    = 5 * time.Second
 	worldSilence  = 1600 * time.Millisecond
+	worldSole     = 1400 * time.Millisecond
 	worldMaxHold  = 6 * time.Second
 	worldStop     = 200 * time.Millisecond
 	worldEpochMS  = int64(1_700_000_000_000)
