--- a/cmd/ibischute/node.go
+++ b/cmd/ibischute/node.go
@@ -4,10 +4,12 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 
 	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/ibischute/ibischute/internal/modules/logkv"
 	"github.com/ibischute/ibischute/internal/modules/meter"
@@ -38,11 +40,31 @@
 	limitMemory(s.Limits.MemoryMB)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// The settings that may change while a process runs concern nothing that it holds; the next start reads them.
-	signal.Ignore(syscall.SIGHUP)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go c.reload(ctx, hangups, s, logger)
 	return unit.New(s, c.MetricsPort, m, logger).Run(ctx)
 }
 
+// reload reads the settings at each SIGHUP and tells whether they have changed. They concern what a process binds at its
+// start, so the next start applies them.
+func (c *nodeCommand) reload(ctx context.Context, hangups <-chan os.Signal, had boot.Settings, logger zerolog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		got, err := boot.Load(c.Settings)
+		if err != nil {
+			logger.Error().Err(err).Msg("settings-unread")
+			continue
+		}
+		logger.Info().Bool("changed", !reflect.DeepEqual(had, got)).Msg("settings-read")
+	}
+}
+
 const (
 	// gcPercent trades memory, of which little is used, for processor time.
 	gcPercent = 300
--- a/internal/services/lead/system_test.go
+++ b/internal/services/lead/system_test.go
@@ -51,7 +51,7 @@
 }
 
 var params = cell.Params{
-	MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, Retention: time.Minute, RemoteFactor: 3,
+	MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, Retention: time.Minute,
 }
 
 const executors = 4
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -34,16 +34,10 @@
 	MaxHold time.Duration
 	// StopTimeout is the longest time that a stop takes.
 	StopTimeout time.Duration
-	// GangTimeout is how long the members of a gang wait for each other.
-	GangTimeout time.Duration
 	// Interference is how long a serving task may be over its target.
 	Interference time.Duration
 	// Retention is how long an ended job is shown.
 	Retention time.Duration
-	// Restore is how long a resumed task takes to load its checkpoint.
-	Restore time.Duration
-	// RemoteFactor is how many times as long a task takes far from its data.
-	RemoteFactor float64
 }
 
 // Cell is the state of one cell under one lead.
--- a/internal/state/cell/lead_test.go
+++ b/internal/state/cell/lead_test.go
@@ -281,8 +281,7 @@
 		rnd: rand.New(rand.NewPCG(seed, 7)), faults: f, book: book.New(), jobs: map[string]*jobpb.Job{},
 		done: map[orders.Task]bool{}, acked: map[orders.Task]bool{}, cancelled: map[string]tick.Time{},
 		params: Params{
-			MaxHold: worldMaxHold, StopTimeout: worldStop, GangTimeout: 3 * time.Second, Interference: 4 * time.Second,
-			Retention: time.Minute, Restore: 250 * time.Millisecond, RemoteFactor: 3,
+			MaxHold: worldMaxHold, StopTimeout: worldStop, Interference: 4 * time.Second, Retention: time.Minute,
 		},
 	}
 	w.now = tick.Time(time.Second)
--- a/internal/state/cell/press_test.go
+++ b/internal/state/cell/press_test.go
@@ -32,7 +32,7 @@
 	t.Helper()
 	b := &bench{t: t, now: tick.Time(time.Hour), ends: map[string]uint64{}}
 	b.cell = New(Params{
-		MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, Retention: time.Minute, RemoteFactor: 3,
+		MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, Retention: time.Minute,
 	}, 1, b.now)
 	b.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000},
