Let only configured instances lead, and have jobs carry their queue's limits

The log shows lead-won, job-failed and configuration-in-force in this order. Change: an instance claims once it is configured, the lead waits for a configuration, and a job's record has the limits of its queue. An instance that may not claim no longer reads the election without a pause.

--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -50,6 +50,8 @@
 	beatTimeout = 900 * time.Millisecond
 	retryPause  = 150 * time.Millisecond
 	maxWait     = time.Second
+	// idleWait is how long an instance that may not claim waits for records.
+	idleWait = 200 * time.Millisecond
 )
 
 // Term is the time in which this instance leads.
@@ -67,6 +69,8 @@
 	Address  string
 	// Handicap is how much later than the strongest instances this one claims.
 	Handicap time.Duration
+	// IsEligible reports whether this instance knows enough to lead.
+	IsEligible func() bool
 	// MaxLease is the longest time for which an executor goes on without a lead.
 	MaxLease time.Duration
 	// Lead runs while this instance leads; its context ends with the term.
@@ -149,9 +153,8 @@
 
 // follow reads the records once and claims if there is no lead.
 func (e *Elector) follow(ctx context.Context) (Term, bool) {
+	page, err := e.read(ctx, e.wait(tick.Now()))
 	now := tick.Now()
-	page, err := e.read(ctx, min(maxWait, max(0, e.claimAt().Sub(now))))
-	now = tick.Now()
 	if err != nil {
 		e.unread(ctx, err)
 		return Term{}, false
@@ -161,12 +164,22 @@
 	}
 	e.readAt = now
 	e.apply(now, page)
-	if e.next < page.End || now.Before(e.claimAt()) || e.isResigning() {
+	if e.next < page.End || now.Before(e.claimAt()) || !e.mayClaim() {
 		return Term{}, false
 	}
 	return e.claim(ctx)
 }
 
+func (e *Elector) mayClaim() bool { return !e.isResigning() && e.opts.IsEligible() }
+
+// wait returns how long a read may wait for records: until this instance would claim.
+func (e *Elector) wait(now tick.Time) time.Duration {
+	if !e.mayClaim() {
+		return idleWait
+	}
+	return min(maxWait, max(0, e.claimAt().Sub(now)))
+}
+
 func (e *Elector) read(ctx context.Context, wait time.Duration) (logs.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
--- a/internal/services/lead/lead.go
+++ b/internal/services/lead/lead.go
@@ -140,11 +140,13 @@
 	if err := t.opts.Replica.CatchUp(ctx); err != nil {
 		return err
 	}
+	cfg, err := t.awaitConfig(ctx)
+	if err != nil {
+		return err
+	}
 	now := tick.Now()
 	c := cell.New(t.opts.Params, et.Epoch, et.SafeAt)
-	if cfg, ok := t.opts.Config.Current(); ok {
-		c.Configure(cfg)
-	}
+	c.Configure(cfg)
 	t.opts.Replica.Observe(t.observe)
 	jobs := 0
 	t.opts.Replica.Visit(func(b *book.Book) {
@@ -163,6 +165,21 @@
 	return nil
 }
 
+// awaitConfig waits for a configuration, since an instance may win the election before it has read one.
+func (t *term) awaitConfig(ctx context.Context) (*queue.Configuration, error) {
+	for ctx.Err() == nil {
+		changed := t.opts.Config.Changed()
+		if cfg, ok := t.opts.Config.Current(); ok {
+			return cfg, nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+	return nil, ctx.Err()
+}
+
 // adopt makes the term the one that questions are answered from.
 func (l *Lead) adopt(t *term) {
 	l.mu.Lock()
--- a/internal/services/lead/system_test.go
+++ b/internal/services/lead/system_test.go
@@ -119,7 +119,12 @@
 		IsSole: func(now tick.Time) bool { return n.elector.IsSole(now) }, Meter: s.meter, Logger: logger,
 	})
 	n.elector = elect.New(elect.Options{
-		Log: n.view, Instance: name, Address: name, MaxLease: params.LongestLease(), Lead: n.lead.Run, Logger: logger,
+		Log: n.view, Instance: name, Address: name, MaxLease: params.LongestLease(),
+		IsEligible: func() bool {
+			_, ok := config.Current()
+			return ok
+		},
+		Lead: n.lead.Run, Logger: logger,
 	})
 	g := gather.New(gather.Options{Log: n.view, Topic: logs.Intake, AnsweredAt: n.view.AnsweredAt})
 	n.intake = intake.New(intake.Options{
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -159,7 +159,10 @@
 		id: pb.Id, pb: pb, accepted: accepted, state: jobpb.State_STATE_QUEUED,
 		undue: max(1, pb.RepeatCount),
 	}
-	j.queue = queue.Queue{Name: queue.Name(pb.Queue), Service: pb.Service, MaxAttempts: 1, StretchFactor: 1}
+	j.queue = queue.Queue{
+		Name: queue.Name(pb.Queue), Service: pb.Service, MaxAttempts: max(1, int(pb.MaxAttempts)),
+		Priority: int(pb.Priority), StretchFactor: max(1, pb.StretchFactor), TargetMS: pb.TargetMs,
+	}
 	if c.config != nil {
 		j.configure(c.config)
 	}
--- a/internal/state/cell/takeover_test.go
+++ b/internal/state/cell/takeover_test.go
@@ -116,3 +116,21 @@
 	b.cell.Commit(b.now, batch)
 	assert.Equal(t, len(b.cell.Plan(b.now, benchWallMS, unbounded)), 1)
 }
+
+// TestLeadWithoutConfigurationKeepsTheJobsOwnLimits plays an instance that wins right after its start, before it has
+// read a configuration.
+func TestLeadWithoutConfigurationKeepsTheJobsOwnLimits(t *testing.T) {
+	b := &bench{t: t, now: tick.Time(time.Hour)}
+	b.cell = New(Params{MaxHold: 6 * time.Second, Retention: time.Minute}, 7, b.now)
+	e := entryOf("j", nil)
+	e.Job.MaxAttempts = 3
+	b.cell.Load(b.now, benchWallMS, e)
+	b.cell.Discover(b.now, []queue.Executor{machine("x"), machine("y")})
+	b.commit()
+	b.held("x")
+	b.held("y")
+	first := starts(b.plan())
+	assert.Equal(t, len(first), 1)
+	b.ended(first[0], 1, orders.EndedFailed, "")
+	assert.Equal(t, len(starts(b.plan())), 1, "one of three attempts has failed")
+}
