--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -30,18 +30,20 @@
 	// stoppedAt is when the executor answered the order to stop; the run cannot begin after that.
 	stoppedAt tick.Time
 
+	// checkpoint, percent and usage are as of the last list; usage is the tail in milliseconds of a serving run, or the
+	// thousandths of a core that another one uses.
 	checkpoint string
 	percent    int
-	// percentAt is when percent last rose.
-	percentAt tick.Time
-	firstAt   tick.Time
-	usage     int64
+	usage      int64
+	// firstAt is when a list first had the run, percentAt when percent last changed.
+	firstAt, percentAt tick.Time
 	// overSince is since when a serving run is over its target.
 	overSince tick.Time
 	// pace is the share of its speed, in percent, that was ordered last; the order may not have arrived.
 	pace         int
 	isPaceUnsure bool
-	slowAt       tick.Time
+	// slowAt is since when the pace is below slowPace.
+	slowAt tick.Time
 	// fit, headroom and isTight tell what a serving run bears beside it, as of the last list.
 	fit      *fit
 	headroom float64
