--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -101,6 +101,9 @@
 // hasLabel reports whether the executor has the label.
 func (x *executor) hasLabel(l string) bool { return slices.Contains(x.entry.Labels, l) }
 
+// satisfies reports whether the executor has the label that a step requires, which may be none.
+func (x *executor) satisfies(label string) bool { return label == "" || x.hasLabel(label) }
+
 // Discover applies the whole list of the discovery.
 func (c *Cell) Discover(now tick.Time, list []queue.Executor) {
 	listed := make(map[string]bool, len(list))
--- a/internal/state/cell/kinds_test.go
+++ b/internal/state/cell/kinds_test.go
@@ -121,6 +121,23 @@
 	assert.Equal(t, state, jobpb.State_STATE_FAILED)
 }
 
+// TestFailedOnEveryExecutorWithItsLabel plays a task that may run on one executor only and has failed there.
+func TestFailedOnEveryExecutorWithItsLabel(t *testing.T) {
+	only, other := machine("only"), machine("other")
+	only.Labels, other.Labels = []string{"a"}, []string{"b"}
+	b := newBench(t, only, other)
+	b.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 500, RequiresLabel: "a"})
+	for n := range uint64(2) {
+		list := starts(b.plan())
+		assert.Equal(t, len(list), 1, "attempt %d", n+1)
+		b.ended(list[0], n+1, orders.EndedFailed, "")
+		b.pass(time.Second)
+		b.held("only")
+		b.held("other")
+	}
+	assert.Equal(t, len(starts(b.plan())), 1, "the last attempt")
+}
+
 func TestLastingTaskIsRestartedHoweverItEnds(t *testing.T) {
 	b := newBench(t, machine("a"), machine("b"))
 	b.accept("j", "q", serving("web"))
--- a/internal/state/cell/place.go
+++ b/internal/state/cell/place.go
@@ -153,7 +153,7 @@
 	if !x.free().holds(need) {
 		return false
 	}
-	if s.pb.RequiresLabel != "" && !x.hasLabel(s.pb.RequiresLabel) {
+	if !x.satisfies(s.pb.RequiresLabel) {
 		return false
 	}
 	if s.pb.MaxPerExecutor > 0 && x.countOf(s) >= int(s.pb.MaxPerExecutor) {
@@ -168,7 +168,10 @@
 	if len(t.shunned) == 0 || len(t.shunned) >= maxShunned || t.step.pb.LongRunning {
 		return false
 	}
-	return slices.ContainsFunc(pool, func(x *executor) bool { return !slices.Contains(t.shunned, x.entry.ID) })
+	label := t.step.pb.RequiresLabel
+	return slices.ContainsFunc(pool, func(x *executor) bool {
+		return x.satisfies(label) && !slices.Contains(t.shunned, x.entry.ID)
+	})
 }
 
 // maxShunned is how many executors a task may avoid for its failures; beyond it the task itself is to blame.
