Keep the platform's topic names in platform/, and drop what nothing calls

Read once more: logs named the topics of the operator and of the executors by the platform's words; platform/store maps them now. The command asks platform/boot for the variable of the settings instead of naming it again.

--- a/cmd/ibischute/node.go
+++ b/cmd/ibischute/node.go
@@ -19,13 +19,16 @@
 )
 
 type nodeCommand struct {
-	Settings    string `long:"settings" env:"IBISCHUTE_BOOT" required:"true" description:"the settings file that the platform writes"`
+	Settings    string `long:"settings" description:"the settings file that the platform writes; its variable names it otherwise"`
 	MetricsPort int    `long:"metrics-port" env:"IBISCHUTE_METRICS_PORT" default:"9464" description:"the port for metrics, 0 for none"`
 	LogLevel    string `long:"log-level" env:"IBISCHUTE_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
 }
 
 // Execute implements flags.Commander.
 func (c *nodeCommand) Execute([]string) (err error) {
+	if c.Settings == "" {
+		c.Settings = os.Getenv(boot.Variable)
+	}
 	s, err := boot.Load(c.Settings)
 	if err != nil {
 		return err
--- a/internal/modules/logs/logs.go
+++ b/internal/modules/logs/logs.go
@@ -113,9 +113,7 @@
 	// Election has the claims and heartbeats of the leads of the cells.
 	Election = Topic{Name: "election"}
 	// Operator has the configuration and requests of the operator; it is read only.
-	Operator = Topic{Name: "op", Keyed: true}
+	Operator = Topic{Name: "operator", Keyed: true}
 	// Backends has the entries of the executors; it is read only.
-	Backends = Topic{Name: "servers", Keyed: true}
-	// Status has what the operator reads.
-	Status = Topic{Name: "status", Keyed: true}
+	Backends = Topic{Name: "backends", Keyed: true}
 )
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -48,6 +48,3 @@
 		j.isInherited = false
 	}
 }
-
-// IsSettled reports whether nothing of a former lead is awaited.
-func (c *Cell) IsSettled() bool { return !c.inherits }
