Cut the press on serving tasks less, and only once the last cut shows

Lists come whenever a task ends, several a second beside short tasks, while a tail covers the last half second: the same evidence cut the press again and again. The tails' growth is also mostly their own task's doing, so that a cut of 0.8 took much from the filling tasks and gave the serving ones little.

The lead's processor was not what bound: 0.19 to 0.32 cores.

Change: no second cut before the first shows (the delay of paces, from the settings, and most of the tail's half second) unless the tail has grown; 0.4 instead of 0.8 beyond the target, 0.1 instead of 0.25 near it. The halt of all that fills beside a target missed for long stays as it was.

The test replays a tail beyond its target with fast lists; it failed before.

--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -36,6 +36,8 @@
 	StopTimeout time.Duration
 	// Interference is how long a serving task may be over its target.
 	Interference time.Duration
+	// PaceDelay is how long a pace takes to take effect.
+	PaceDelay time.Duration
 	// Retention is how long an ended job is shown.
 	Retention time.Duration
 }
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -87,6 +87,9 @@
 	failedBy string
 	// judgedAt is the list by which interference was last judged; noFillUntil keeps filling tasks from starting.
 	judgedAt, noFillUntil tick.Time
+	// cutAt is when the press on its serving tasks was last cut, cutShare the worst tail then, as a share of its target.
+	cutAt    tick.Time
+	cutShare float64
 	// drainBy is when it may leave.
 	drainBy tick.Time
 }
--- a/internal/state/cell/press.go
+++ b/internal/state/cell/press.go
@@ -23,9 +23,14 @@
 	tightShare = 0.85
 	// overShare is the share beyond which the press is cut to nothing.
 	overShare = 3
-	// tightCut and targetCut are the shares of the press that are cut beyond tightShare and beyond the target.
-	tightCut  = 0.25
-	targetCut = 0.8
+	// tightCut and targetCut are the shares of the press that are cut beyond tightShare and beyond the target. Most of
+	// a tail is its own task's doing, so that a larger cut costs the filling tasks more than it gives the serving ones.
+	tightCut  = 0.1
+	targetCut = 0.4
+	// tailDelay is how long after a pace has changed the tails show most of it: they cover half a second.
+	tailDelay = 400 * time.Millisecond
+	// worseFactor is how much a tail must have grown since the last cut for another one before that shows.
+	worseFactor = 1.15
 	// overShareOfBound is the share of the time for which a serving task may be over its target after which all that
 	// fills beside it is halted; the rest is for looks, orders and the tail's own delay.
 	overShareOfBound = 0.3
@@ -108,12 +113,9 @@
 		)
 	})
 	switch {
-	case share > overShare:
-		out = c.cut(now, x, worst, filling, 1, out)
-	case share > 1:
-		out = c.cut(now, x, worst, filling, targetCut, out)
-	case share > tightShare:
-		out = c.cut(now, x, worst, filling, tightCut, out)
+	case share > tightShare && c.isCutDue(now, x, share):
+		x.cutAt, x.cutShare = now, share
+		out = c.cut(now, x, worst, filling, cutOf(share), out)
 	case share < calmShare:
 		out = c.raise(now, x, filling, out)
 	}
@@ -125,6 +127,22 @@
 	return out
 }
 
+// isCutDue reports whether the press may be cut: the last cut shows in the tails by now, or they have grown since.
+func (c *Cell) isCutDue(now tick.Time, x *executor, share float64) bool {
+	return now.Sub(x.cutAt) >= c.params.PaceDelay+tailDelay || share > worseFactor*x.cutShare
+}
+
+// cutOf returns the share of the press to cut at a tail's share of its target.
+func cutOf(share float64) float64 {
+	switch {
+	case share > overShare:
+		return 1
+	case share > 1:
+		return targetCut
+	}
+	return tightCut
+}
+
 // halt stops the work of all filling runs of an executor.
 func (c *Cell) halt(now tick.Time, x *executor, filling []*run, out []Order) []Order {
 	x.noFillUntil = max(x.noFillUntil, now.Add(haltPause))
--- a/internal/state/cell/press_test.go
+++ b/internal/state/cell/press_test.go
@@ -125,6 +125,37 @@
 	assert.Equal(t, paced, 0)
 }
 
+// TestCutsAgainOnlyOnceTheLastCutShows replays a tail beyond its target whose lists come faster than a pace shows in it,
+// as they do under a load of short tasks: cuts on the same evidence took the filling tasks' whole pace.
+func TestCutsAgainOnlyOnceTheLastCutShows(t *testing.T) {
+	b := newBench(t, machine("x"))
+	b.cell.params.PaceDelay = 100 * time.Millisecond
+	b.accept("s", "q", serving("web"))
+	s := b.plan()[0]
+	b.pass(time.Second)
+	b.held("x", row(s, 12, 100))
+	b.accept("f", "low", filling("sum"))
+	f := b.plan()[0]
+	// cutsBy counts the orders on pace within a second of looks at that interval; the tail is the same in each.
+	cutsBy := func(tail int64, interval, span time.Duration) int {
+		cuts := 0
+		for end := b.now.Add(span); b.now.Before(end); {
+			b.pass(interval)
+			b.held("x", row(s, tail, 100), row(f, 8000, 10))
+			for _, o := range b.plan() {
+				if o.Pace != nil {
+					cuts++
+				}
+			}
+		}
+		return cuts
+	}
+	assert.Equal(t, cutsBy(55, 50*time.Millisecond, 450*time.Millisecond), 1)
+	assert.Equal(t, cutsBy(55, 50*time.Millisecond, 200*time.Millisecond), 1)
+	// A tail that grows on is no old evidence.
+	assert.Equal(t, cutsBy(80, 50*time.Millisecond, 50*time.Millisecond), 1)
+}
+
 func TestRepeatsAPaceWithoutAnswer(t *testing.T) {
 	b := newBench(t, machine("x"))
 	b.accept("s", "q", serving("web"))
