--- a/internal/state/cell/press_test.go
+++ b/internal/state/cell/press_test.go
@@ -125,8 +125,8 @@
 	assert.Equal(t, paced, 0)
 }
 
-// TestCutsAgainOnlyOnceTheLastCutShows replays a tail beyond its target whose lists come faster than a pace shows in it,
-// as they do under a load of short tasks: cuts on the same evidence took the filling tasks' whole pace.
+// TestCutsAgainOnlyOnceTheLastCutShows replays a tail beyond its target whose lists come faster than a pace shows in
+// it, as they do under a load of short tasks: cuts on the same evidence took the whole pace of the filling tasks.
 func TestCutsAgainOnlyOnceTheLastCutShows(t *testing.T) {
 	b := newBench(t, machine("x"))
 	b.cell.params.PaceDelay = 100 * time.Millisecond
