Add a soak of the real program against stand-ins that speak the platform's protocol

Faults: SIGKILL, SIGTERM, SIGSTOP, series of SIGHUP, all killed, the log cut off, down, silent, slow, losing answers, refusing one instance, trimmed, connections reset, executors cut off; in series and overlapping. Checked while it runs, from what callers and executors see: no task twice or after it was done, completed shown only when all is done, no accepted job unknown, refused jobs never begun, every accepted job ends.

The stand-in of executors now refuses runs that are not above one that ended there, and starts whose deadline has passed, as the protocol says.

Not covered: connections between instances cut, one-way cuts, clocks, restarts of executors.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,10 @@
 race: ## run the tests of the packages without processes under the race detector
 	go test -race -count=1 ./pkg/... ./internal/modules/... ./internal/state/... ./internal/services/... ./internal/web/...
 
+soak: ## run the real program under random faults for some minutes; SEEDS and FIRST choose the schedules
+	go test ./platform/soak -count=1 -v -timeout=60m -parallel=6 -soak-seeds=$(or $(SEEDS),50) \
+		-soak-first=$(or $(FIRST),$(shell date +%s))
+
 fuzz: ## fuzz the fold of the config stream and the bundle parser for 20 s each
 	go test -fuzz=FuzzParse -fuzztime=20s ./pkg/bundle
 	go test -fuzz=FuzzFold -fuzztime=20s ./internal/state/accept
--- a/internal/stand/memex/memex.go
+++ b/internal/stand/memex/memex.go
@@ -38,27 +38,35 @@
 	count    uint64
 	deadline int64
 	runs     map[orders.Task]running
-	ended    []orders.Ended
+	// over has the highest run of each task that has ended there.
+	over  map[orders.Task]uint64
+	ended []orders.Ended
 }
 
 // Fleet is a set of executors.
 type Fleet struct {
-	mu         sync.Mutex
-	executors  map[string]*executor
-	done       map[orders.Task]bool
+	mu        sync.Mutex
+	executors map[string]*executor
+	done      map[orders.Task]bool
+	// begun are the jobs of which a task was started.
+	begun      map[string]bool
 	violations []string
 	starts     int
 }
 
 // New returns a Fleet without executors.
-func New() *Fleet { return &Fleet{executors: map[string]*executor{}, done: map[orders.Task]bool{}} }
+func New() *Fleet {
+	return &Fleet{executors: map[string]*executor{}, done: map[orders.Task]bool{}, begun: map[string]bool{}}
+}
 
 // Add starts an executor.
 func (f *Fleet) Add(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := tick.Now()
-	f.executors[id] = &executor{bornMS: int64(now), bornAt: now, runs: map[orders.Task]running{}}
+	f.executors[id] = &executor{
+		bornMS: int64(now), bornAt: now, runs: map[orders.Task]running{}, over: map[orders.Task]uint64{},
+	}
 }
 
 // Violations returns what was seen that must not be.
@@ -75,6 +83,30 @@
 	return f.starts
 }
 
+// Begun reports whether a task of the job was started.
+func (f *Fleet) Begun(job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.begun[job]
+}
+
+// Done reports whether a run of the task has ended as done.
+func (f *Fleet) Done(t orders.Task) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, x := range f.executors {
+		f.advance(x, tick.Now())
+	}
+	return f.done[t]
+}
+
+// Born returns the start of an executor's process.
+func (f *Fleet) Born(id string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.executors[id].bornMS
+}
+
 // Running returns how many runs there are.
 func (f *Fleet) Running() int {
 	f.mu.Lock()
@@ -100,12 +132,18 @@
 		default:
 			continue
 		}
-		delete(x.runs, t)
-		x.count++
-		x.ended = append(x.ended, orders.Ended{Number: x.count, Run: r.run, How: how})
+		x.end(r.run, how)
 	}
 }
 
+// end lists the end of a run.
+func (x *executor) end(r orders.Run, how orders.Ending) {
+	delete(x.runs, r.Task)
+	x.over[r.Task] = max(x.over[r.Task], r.Number)
+	x.count++
+	x.ended = append(x.ended, orders.Ended{Number: x.count, Run: r, How: how})
+}
+
 // call finds the executor and checks the epoch. The caller holds the mutex.
 func (f *Fleet) call(id string, epoch uint64) (*executor, orders.Reply) {
 	x, ok := f.executors[id]
@@ -135,8 +173,17 @@
 	if had, ok := x.runs[o.Run.Task]; ok && had.run == o.Run {
 		return r
 	}
+	if o.Run.Number <= x.over[o.Run.Task] {
+		r.Outcome = orders.Outdated
+		return r
+	}
+	if o.DeadlineMS <= r.ClockMS {
+		r.Outcome = orders.Late
+		return r
+	}
 	f.check(t.ID, o.Run)
 	f.starts++
+	f.begun[o.Run.Task.Job] = true
 	x.deadline = max(x.deadline, o.DeadlineMS)
 	x.runs[o.Run.Task] = running{run: o.Run, till: tick.Now().Add(workTime)}
 	return r
@@ -165,10 +212,10 @@
 		return r
 	}
 	if had, ok := x.runs[o.Run.Task]; ok && had.run == o.Run {
-		delete(x.runs, o.Run.Task)
-		x.count++
-		x.ended = append(x.ended, orders.Ended{Number: x.count, Run: o.Run, How: orders.EndedStopped})
+		x.end(o.Run, orders.EndedStopped)
 	}
+	// A run that is not there yet is rejected from now on.
+	x.over[o.Run.Task] = max(x.over[o.Run.Task], o.Run.Number)
 	return r
 }
 
--- a/internal/stand/tcprel/tcprel.go
+++ b/internal/stand/tcprel/tcprel.go
@@ -56,6 +56,15 @@
 	r.all = cut
 }
 
+// Reset breaks the open connections; new ones work.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.open {
+		_ = c.Close()
+	}
+}
+
 // Close ends the relay and its connections.
 func (r *Relay) Close() error {
 	r.mu.Lock()
