--- a/internal/services/confs/confs.go
+++ b/internal/services/confs/confs.go
@@ -12,10 +12,10 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/modules/tail"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -31,11 +31,9 @@
 
 // Follower follows the configuration.
 type Follower struct {
-	log    logs.Log
+	tail   *tail.Tail
 	decode Decode
 	logger zerolog.Logger
-	next   logs.Offset
-	isRead bool
 
 	mu      sync.Mutex
 	current *queue.Configuration
@@ -46,7 +44,9 @@
 
 // New returns a Follower without a configuration.
 func New(log logs.Log, decode Decode, logger zerolog.Logger) *Follower {
-	return &Follower{log: log, decode: decode, logger: logger, changed: make(chan struct{})}
+	return &Follower{
+		tail: tail.New(log, logs.Operator, 0), decode: decode, logger: logger, changed: make(chan struct{}),
+	}
 }
 
 // String names the service in logs.
@@ -87,29 +87,11 @@
 func (f *Follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, waitForChange+callTimeout)
 	defer cancel()
-	if !f.isRead {
-		return f.readNewest(ctx)
-	}
-	page, err := f.log.Read(ctx, logs.Operator, 0, f.next, waitForChange)
-	var trimmed *logs.TrimmedError
-	if errors.As(err, &trimmed) {
-		return f.readNewest(ctx)
-	}
-	if err != nil {
-		return err
-	}
-	f.next = page.Next(f.next)
-	f.apply(page.Records)
-	return nil
-}
-
-func (f *Follower) readNewest(ctx context.Context) error {
-	records, next, err := f.log.Newest(ctx, logs.Operator, 0)
+	b, err := f.tail.Read(ctx, waitForChange)
 	if err != nil {
 		return err
 	}
-	f.next, f.isRead = next, true
-	f.apply(records)
+	f.apply(b.Records)
 	return nil
 }
 
--- a/internal/services/confs/roster.go
+++ b/internal/services/confs/roster.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/modules/tail"
 	"github.com/ibischute/ibischute/pkg/queue"
 )
 
@@ -16,26 +16,33 @@
 
 // Roster reads the entries of the executors. It is not safe for concurrent use.
 type Roster struct {
-	log     logs.Log
+	tail    *tail.Tail
 	decode  DecodeExecutor
 	logger  zerolog.Logger
-	next    logs.Offset
-	isRead  bool
 	entries map[string]queue.Executor
 }
 
 // NewRoster returns an empty Roster.
 func NewRoster(log logs.Log, decode DecodeExecutor, logger zerolog.Logger) *Roster {
-	return &Roster{log: log, decode: decode, logger: logger, entries: map[string]queue.Executor{}}
+	return &Roster{
+		tail: tail.New(log, logs.Backends, 0), decode: decode, logger: logger, entries: map[string]queue.Executor{},
+	}
 }
 
 // Read brings the entries up to date and returns them.
 func (r *Roster) Read(ctx context.Context, timeout time.Duration) ([]queue.Executor, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if err := r.read(ctx); err != nil {
+	b, err := r.tail.Read(ctx, 0)
+	if err != nil {
 		return nil, err
 	}
+	if b.IsWhole {
+		clear(r.entries)
+	}
+	for _, rec := range b.Records {
+		r.apply(rec)
+	}
 	list := make([]queue.Executor, 0, len(r.entries))
 	for _, e := range r.entries {
 		list = append(list, e)
@@ -43,38 +50,6 @@
 	return list, nil
 }
 
-func (r *Roster) read(ctx context.Context) error {
-	if !r.isRead {
-		return r.readNewest(ctx)
-	}
-	page, err := r.log.Read(ctx, logs.Backends, 0, r.next, 0)
-	var trimmed *logs.TrimmedError
-	if errors.As(err, &trimmed) {
-		return r.readNewest(ctx)
-	}
-	if err != nil {
-		return err
-	}
-	r.next = page.Next(r.next)
-	for _, rec := range page.Records {
-		r.apply(rec)
-	}
-	return nil
-}
-
-func (r *Roster) readNewest(ctx context.Context) error {
-	records, next, err := r.log.Newest(ctx, logs.Backends, 0)
-	if err != nil {
-		return err
-	}
-	clear(r.entries)
-	for _, rec := range records {
-		r.apply(rec)
-	}
-	r.next, r.isRead = next, true
-	return nil
-}
-
 func (r *Roster) apply(rec logs.Record) {
 	if len(rec.Value) == 0 {
 		delete(r.entries, rec.Key)
--- a/internal/services/intake/intake.go
+++ b/internal/services/intake/intake.go
@@ -62,13 +62,13 @@
 // Intake serves callers on one instance.
 type Intake struct {
 	opts Options
-	// store and lead are the circuits of the dependencies.
-	store, lead *circ.Circuit
+	// toStore and toLead are the circuits of the dependencies.
+	toStore, toLead *circ.Circuit
 }
 
 // New returns an Intake.
 func New(o Options) *Intake {
-	return &Intake{opts: o, store: circ.New(probeInterval), lead: circ.New(probeInterval)}
+	return &Intake{opts: o, toStore: circ.New(probeInterval), toLead: circ.New(probeInterval)}
 }
 
 // Accept records a job. A failure that says that it has not run means that the job never will.
@@ -93,25 +93,34 @@
 	return i.record(ctx, logs.Record{Key: book.CancelKey(id), Value: v})
 }
 
-// record has a record stored, by this instance or by the lead. What no call was made for has not run and is refused at
-// once.
+// record has a record stored and takes it into the replica.
 func (i *Intake) record(ctx context.Context, rec logs.Record) error {
-	err := i.append(ctx, rec)
-	if err != nil && ctx.Err() == nil {
-		ran := ranOf(err)
-		if err = i.forward(ctx, rec); err != nil {
-			ran = worse(ran, err)
-			i.opts.Logger.Warn().Err(err).Str("key", rec.Key).Str("ran", string(ran)).Msg("intake-unstored")
-			return refusal(err, ran)
-		}
-	}
-	if err != nil {
-		return refusal(err, ranOf(err))
+	if err := i.store(ctx, rec); err != nil {
+		return err
 	}
 	i.opts.Replica.Add(rec)
 	return nil
 }
 
+// store has a record stored, by this instance or by the lead. What no call was made for has not run and is refused at
+// once.
+func (i *Intake) store(ctx context.Context, rec logs.Record) error {
+	err := i.append(ctx, rec)
+	if err == nil {
+		return nil
+	}
+	ran := ranOf(err)
+	if ctx.Err() != nil {
+		return refusal(err, ran)
+	}
+	if err = i.forward(ctx, rec); err == nil {
+		return nil
+	}
+	ran = worse(ran, err)
+	i.opts.Logger.Warn().Err(err).Str("key", rec.Key).Str("ran", string(ran)).Msg("intake-unstored")
+	return refusal(err, ran)
+}
+
 func refusal(err error, ran fault.Ran) error {
 	code := fault.CodeUnavailable
 	if ran != fault.NotRun {
@@ -133,13 +142,13 @@
 // append has this instance append, unless the store has just left another append and every other call unanswered.
 func (i *Intake) append(ctx context.Context, rec logs.Record) error {
 	begun := tick.Now()
-	i.store.Answered(i.opts.StoreAnsweredAt())
-	if !i.store.Allows(begun) {
+	i.toStore.Answered(i.opts.StoreAnsweredAt())
+	if !i.toStore.Allows(begun) {
 		return fault.New(fault.CodeUnavailable, fault.NotRun, "the store does not answer")
 	}
 	err := i.opts.Gather.Append(ctx, rec)
 	if err != nil && !fault.IsErrNotRun(err) && i.opts.StoreAnsweredAt().Before(begun) {
-		i.store.Failed(tick.Now())
+		i.toStore.Failed(tick.Now())
 	}
 	return err
 }
@@ -163,7 +172,7 @@
 // peer returns a client of the lead, if that is another instance and answers.
 func (i *Intake) peer() (jobpb.Jobs, bool) {
 	address, ok := i.opts.Elector.Lead()
-	if !ok || address == i.opts.Self || !i.lead.Allows(tick.Now()) {
+	if !ok || address == i.opts.Self || !i.toLead.Allows(tick.Now()) {
 		return nil, false
 	}
 	return jobpb.NewJobsProtobufClient("http://"+address, i.opts.Client), true
@@ -172,14 +181,14 @@
 // asked notes whether the lead answered, and translates its failure.
 func (i *Intake) asked(err error) error {
 	if err == nil {
-		i.lead.Answered(tick.Now())
+		i.toLead.Answered(tick.Now())
 		return nil
 	}
 	fe := peerFailure(err)
 	if fe.Code == fault.CodeNoOwner || fe.Code == fault.CodeUnavailable {
-		i.lead.Answered(tick.Now())
+		i.toLead.Answered(tick.Now())
 	} else {
-		i.lead.Failed(tick.Now())
+		i.toLead.Failed(tick.Now())
 	}
 	return fe.WithRetry(retryAfter)
 }
--- a/internal/services/lead/lead.go
+++ b/internal/services/lead/lead.go
@@ -18,6 +18,7 @@
 	"github.com/ibischute/ibischute/internal/modules/logs"
 	"github.com/ibischute/ibischute/internal/modules/meter"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/modules/wake"
 	"github.com/ibischute/ibischute/internal/services/confs"
 	"github.com/ibischute/ibischute/internal/services/elect"
 	"github.com/ibischute/ibischute/internal/services/replic"
@@ -229,16 +230,9 @@
 	t.wakeCommit()
 }
 
-func (t *term) wakePlan() { signal(t.planned) }
+func (t *term) wakePlan() { wake.Send(t.planned) }
 
-func (t *term) wakeCommit() { signal(t.changed) }
-
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
+func (t *term) wakeCommit() { wake.Send(t.changed) }
 
 // Show returns the state of a job. It fails unless this instance leads.
 func (l *Lead) Show(now tick.Time, id string) (jobpb.State, bool, error) {
--- a/internal/services/lead/loops.go
+++ b/internal/services/lead/loops.go
@@ -8,6 +8,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/logs"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/modules/wake"
 	"github.com/ibischute/ibischute/internal/state/cell"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -58,7 +59,7 @@
 	t.mu.Unlock()
 	t.logEvents(events)
 	if isFenced {
-		signal(t.fenced)
+		wake.Send(t.fenced)
 	}
 	if hasChanges {
 		t.wakeCommit()
@@ -66,7 +67,7 @@
 	for _, o := range list {
 		t.send(ctx, o)
 	}
-	signal(t.advised)
+	wake.Send(t.advised)
 }
 
 // adviceLoop asks the policy service, one question at a time.
@@ -163,7 +164,7 @@
 	h := t.holders[o.Target.ID]
 	t.mu.Unlock()
 	if h != nil {
-		signal(h.kick)
+		wake.Send(h.kick)
 	}
 	if r.Outcome != orders.Done || o.Start != nil {
 		t.wakePlan()
@@ -180,7 +181,7 @@
 		}
 		if err := t.commit(ctx); err != nil {
 			if isFenced(err) {
-				signal(t.fenced)
+				wake.Send(t.fenced)
 			}
 			return
 		}
@@ -207,7 +208,7 @@
 	kicks := t.waiting()
 	t.mu.Unlock()
 	for _, h := range kicks {
-		signal(h.kick)
+		wake.Send(h.kick)
 	}
 	t.wakePlan()
 	return nil
@@ -303,7 +304,7 @@
 		if pause == 0 {
 			pause = t.holdOnce(ctx, h, to, order)
 		}
-		waitKick(ctx, h.kick, pause)
+		wake.Wait(ctx, h.kick, pause)
 	}
 }
 
@@ -330,16 +331,3 @@
 	}
 	return pause
 }
-
-func waitKick(ctx context.Context, kick chan struct{}, d time.Duration) {
-	if d == 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-kick:
-	case <-timer.C:
-	}
-}
--- a/internal/services/member/member.go
+++ b/internal/services/member/member.go
@@ -19,6 +19,7 @@
 	"github.com/ibischute/ibischute/internal/modules/logio"
 	"github.com/ibischute/ibischute/internal/modules/roster"
 	"github.com/ibischute/ibischute/internal/modules/suprv"
+	"github.com/ibischute/ibischute/internal/modules/wake"
 	"github.com/ibischute/ibischute/internal/modules/wire"
 	"github.com/ibischute/ibischute/internal/state/lease"
 	"github.com/ibischute/ibischute/internal/state/owner"
@@ -138,15 +139,7 @@
 // Changed is sent to whenever ownership may have changed.
 func (m *Member) Changed() <-chan struct{} { return m.changed }
 
-func (m *Member) notify() { signal(m.changed) }
-
-// signal sends unless a signal is waiting already.
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
+func (m *Member) notify() { wake.Send(m.changed) }
 
 // MayAct reports whether this instance may act on the key now: it is the acting owner and its lease is valid.
 func (m *Member) MayAct(now tick.Time, key ident.Key) bool {
--- a/internal/services/member/tail.go
+++ b/internal/services/member/tail.go
@@ -9,6 +9,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/logio"
 	"github.com/ibischute/ibischute/internal/modules/suprv"
+	"github.com/ibischute/ibischute/internal/modules/wake"
 	"github.com/ibischute/ibischute/internal/modules/wire"
 	"github.com/ibischute/ibischute/internal/state/view"
 	"github.com/ibischute/ibischute/pkg/fault"
@@ -103,7 +104,7 @@
 	m.opts.Logger.Info().Uint64("epoch", uint64(m.view.Epoch())).Int("members", m.view.Len()).
 		Str("record", fmt.Sprintf("%T", rec.GetKind())).Msg("view-changed")
 	m.notify()
-	signal(m.viewChanged)
+	wake.Send(m.viewChanged)
 }
 
 // noteOwnState follows what the change of view means for this instance; it needs the lock.
--- a/internal/services/replic/replic.go
+++ b/internal/services/replic/replic.go
@@ -15,11 +15,12 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/modules/tail"
+	"github.com/ibischute/ibischute/internal/modules/wake"
 	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -36,31 +37,36 @@
 
 // Replica is the copy.
 type Replica struct {
-	log    logs.Log
-	part   logs.Part
 	logger zerolog.Logger
 
 	// reading serializes reads; mu guards the rest.
 	reading sync.Mutex
 	mu      sync.Mutex
 	book    *book.Book
-	intake  tail
-	progr   tail
+	intake  *topic
+	progr   *topic
 	observe Observer
 	wake    chan struct{}
 }
 
-// tail is the place in one topic.
-type tail struct {
-	next    logs.Offset
-	started bool
+// topic is one topic and how far it was read.
+type topic struct {
+	logs.Topic
+	tail *tail.Tail
 	// freshAt is when a read was begun that reached the end of the topic.
 	freshAt tick.Time
 }
 
+func newTopic(log logs.Log, t logs.Topic, part logs.Part) *topic {
+	return &topic{Topic: t, tail: tail.New(log, t, part)}
+}
+
 // New returns an empty Replica.
 func New(log logs.Log, part logs.Part, logger zerolog.Logger) *Replica {
-	return &Replica{log: log, part: part, logger: logger, book: book.New(), wake: make(chan struct{}, 1)}
+	return &Replica{
+		logger: logger, book: book.New(), wake: make(chan struct{}, 1),
+		intake: newTopic(log, logs.Intake, part), progr: newTopic(log, logs.Progress, part),
+	}
 }
 
 // String names the service in logs.
@@ -77,33 +83,17 @@
 			r.logger.Warn().Err(err).Msg("replica-unread")
 			pause = retryPause
 		}
-		r.pause(ctx, pause)
+		wake.Wait(ctx, r.wake, pause)
 	}
 	return ctx.Err()
 }
 
-func (r *Replica) pause(ctx context.Context, d time.Duration) {
-	if d == 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-r.wake:
-	}
-}
-
 // Observe sets who is told of intake records; nil ends that.
 func (r *Replica) Observe(o Observer) {
 	r.mu.Lock()
 	r.observe = o
 	r.mu.Unlock()
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
+	wake.Send(r.wake)
 }
 
 func (r *Replica) observer() Observer {
@@ -131,10 +121,10 @@
 func (r *Replica) readBoth(ctx context.Context) error {
 	r.reading.Lock()
 	defer r.reading.Unlock()
-	if err := r.readTopic(ctx, logs.Intake, &r.intake, 0); err != nil {
+	if err := r.readTopic(ctx, r.intake, 0); err != nil {
 		return err
 	}
-	return r.readTopic(ctx, logs.Progress, &r.progr, 0)
+	return r.readTopic(ctx, r.progr, 0)
 }
 
 // read reads once: the intake alone for a lead, both topics otherwise.
@@ -144,48 +134,31 @@
 	}
 	r.reading.Lock()
 	defer r.reading.Unlock()
-	return r.readTopic(ctx, logs.Intake, &r.intake, wait)
+	return r.readTopic(ctx, r.intake, wait)
 }
 
-func (r *Replica) readTopic(ctx context.Context, t logs.Topic, at *tail, wait time.Duration) error {
+func (r *Replica) readTopic(ctx context.Context, t *topic, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	begun := tick.Now()
-	if !at.started {
-		return r.readNewest(ctx, t, at, begun)
-	}
-	page, err := r.log.Read(ctx, t, r.part, at.next, wait)
-	var trimmed *logs.TrimmedError
-	if errors.As(err, &trimmed) {
-		r.logger.Info().Str("topic", t.Name).Uint64("first", uint64(trimmed.First)).Msg("replica-behind-retention")
-		return r.readNewest(ctx, t, at, begun)
+	b, err := t.tail.Read(ctx, wait)
+	if b.Trimmed != nil {
+		r.logger.Info().Str("topic", t.Name).Uint64("first", uint64(b.Trimmed.First)).Msg("replica-behind-retention")
 	}
 	if err != nil {
 		return err
 	}
-	r.apply(t, page.Records)
+	r.apply(t.Topic, b.Records)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	at.next = page.Next(at.next)
-	if at.next >= page.End {
-		// A read that waited for records was at the end all the while.
-		at.freshAt = begun
-		if wait > 0 && len(page.Records) == 0 {
-			at.freshAt = tick.Now().Add(-retryPause)
-		}
+	if !b.IsAtEnd {
+		return nil
 	}
-	return nil
-}
-
-func (r *Replica) readNewest(ctx context.Context, t logs.Topic, at *tail, begun tick.Time) error {
-	records, next, err := r.log.Newest(ctx, t, r.part)
-	if err != nil {
-		return err
+	t.freshAt = begun
+	if !b.IsWhole && wait > 0 && len(b.Records) == 0 {
+		// A read that waited for records was at the end all the while.
+		t.freshAt = tick.Now().Add(-retryPause)
 	}
-	r.apply(t, records)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	at.next, at.started, at.freshAt = next, true, begun
 	return nil
 }
 
--- a/internal/web/entry/entry.go
+++ b/internal/web/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/ibischute/ibischute/internal/modules/params"
 	"github.com/ibischute/ibischute/internal/modules/roster"
 	"github.com/ibischute/ibischute/internal/modules/suprv"
+	"github.com/ibischute/ibischute/internal/modules/wake"
 	"github.com/ibischute/ibischute/internal/modules/wire"
 	"github.com/ibischute/ibischute/internal/modules/workio"
 	"github.com/ibischute/ibischute/internal/services/keyed"
@@ -212,12 +213,7 @@
 	return e.warm.Load() && known > 0 || known > 0 && now.Sub(e.started) > warmUpTime
 }
 
-func (e *Entry) requestDrain() {
-	select {
-	case e.drain <- struct{}{}:
-	default:
-	}
-}
+func (e *Entry) requestDrain() { wake.Send(e.drain) }
 
 // reporter states this instance's loads and version in heartbeats.
 type reporter struct{ e *Entry }
