--- a/internal/services/lead/system_test.go
+++ b/internal/services/lead/system_test.go
@@ -87,6 +87,14 @@
 	return s
 }
 
+// newLedSystem returns a system of three instances and the one that leads.
+func newLedSystem(t *testing.T) (*system, *instance) {
+	t.Helper()
+	s := newSystem(t, 3)
+	time.Sleep(2 * time.Second)
+	return s, s.leader()
+}
+
 // RoundTrip carries calls between instances.
 func (s *system) RoundTrip(r *http.Request) (*http.Response, error) {
 	h, ok := s.peers[r.URL.Host]
@@ -163,6 +171,13 @@
 	return nil
 }
 
+// awaitOther waits until another instance leads.
+func (s *system) awaitOther(first *instance) {
+	for s.leader() == nil || s.leader() == first {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 func (s *system) job(id int) *jobpb.Job {
 	return &jobpb.Job{
 		Id: fmt.Sprintf("%016x", id), Queue: "q", Service: "svc", Spec: "s", AcceptedMs: time.Now().UnixMilli(),
@@ -214,18 +229,14 @@
 
 func TestLeadIsKilledMidway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSystem(t, 3)
-		time.Sleep(2 * time.Second)
-		first := s.leader()
+		s, first := newLedSystem(t)
 		for id := range 10 {
 			s.accept(s.instances[id%3], id)
 			time.Sleep(50 * time.Millisecond)
 		}
 		first.kill()
 		killed := time.Now()
-		for s.leader() == nil || s.leader() == first {
-			time.Sleep(10 * time.Millisecond)
-		}
+		s.awaitOther(first)
 		assert.Assert(t, time.Since(killed) < 2500*time.Millisecond, "took %v", time.Since(killed))
 		time.Sleep(4 * time.Second)
 		s.checkCompleted(s.leader(), 10)
@@ -234,17 +245,13 @@
 
 func TestResigningLeadHandsOverAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSystem(t, 3)
-		time.Sleep(2 * time.Second)
-		first := s.leader()
+		s, first := newLedSystem(t)
 		for id := range 5 {
 			s.accept(first, id)
 		}
 		first.elector.Resign()
 		begun := time.Now()
-		for s.leader() == nil || s.leader() == first {
-			time.Sleep(5 * time.Millisecond)
-		}
+		s.awaitOther(first)
 		assert.Assert(t, time.Since(begun) < 500*time.Millisecond, "took %v", time.Since(begun))
 		time.Sleep(3 * time.Second)
 		s.checkCompleted(s.leader(), 5)
@@ -253,9 +260,7 @@
 
 func TestStoreOutageKeepsTheLeadAndItsWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSystem(t, 3)
-		time.Sleep(2 * time.Second)
-		first := s.leader()
+		s, first := newLedSystem(t)
 		for id := range 5 {
 			s.accept(first, id)
 		}
@@ -284,9 +289,7 @@
 
 func TestLeadWithoutTheStoreIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSystem(t, 3)
-		time.Sleep(2 * time.Second)
-		first := s.leader()
+		s, first := newLedSystem(t)
 		first.view.Set(memlog.Faults{Silent: true})
 		for id := range 5 {
 			time.Sleep(300 * time.Millisecond)
@@ -384,9 +387,7 @@
 
 func TestHistoryIsForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSystem(t, 3)
-		time.Sleep(2 * time.Second)
-		first := s.leader()
+		s, first := newLedSystem(t)
 		for id := range 5 {
 			s.accept(first, id)
 		}
--- a/internal/stand/fleet/fleet.go
+++ b/internal/stand/fleet/fleet.go
@@ -27,6 +27,7 @@
 	"github.com/ibischute/ibischute/internal/modules/httpj"
 	"github.com/ibischute/ibischute/internal/modules/roster"
 	"github.com/ibischute/ibischute/internal/stand/plat"
+	"github.com/ibischute/ibischute/internal/stand/proc"
 	"github.com/ibischute/ibischute/internal/stand/tcprel"
 	"github.com/ibischute/ibischute/internal/web/opersv"
 	"github.com/ibischute/ibischute/pkg/bundle"
@@ -86,7 +87,7 @@
 	authority, stranger *authority
 
 	mu        sync.Mutex
-	processes map[string]*process
+	processes map[string]*proc.Process
 	peers     map[string]*tcprel.Relay
 	platforms map[string]*tcprel.Relay
 	executors map[string]string
@@ -99,7 +100,7 @@
 	key := ed25519.NewKeyFromSeed(seed[:])
 	f := &Fleet{
 		Config: c, block: [2]int{16 + rand.IntN(200), rand.IntN(250)}, client: httpj.NewClient(httpj.Dialer(""), 64),
-		Key: key, processes: map[string]*process{}, peers: map[string]*tcprel.Relay{},
+		Key: key, processes: map[string]*proc.Process{}, peers: map[string]*tcprel.Relay{},
 		platforms: map[string]*tcprel.Relay{}, executors: map[string]string{},
 	}
 	if err := f.start(ctx); err != nil {
@@ -373,10 +374,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.processes {
-		_ = p.cmd.Process.Signal(syscall.SIGKILL)
+		_ = p.Signal(syscall.SIGKILL)
 	}
 	for _, p := range f.processes {
-		<-p.ended
+		<-p.Ended()
 	}
 	for _, r := range f.peers {
 		_ = r.Close()
--- a/internal/stand/fleet/process.go
+++ b/internal/stand/fleet/process.go
@@ -2,46 +2,31 @@
 
 import (
 	"os"
-	"os/exec"
 	"path/filepath"
 	"syscall"
 	"time"
 
+	"github.com/ibischute/ibischute/internal/stand/proc"
 	"github.com/ibischute/ibischute/pkg/fault"
 )
 
-type process struct {
-	name  string
-	args  []string
-	path  string
-	cmd   *exec.Cmd
-	ended chan struct{}
-}
-
 func (f *Fleet) spawn(name, path string, args []string) error {
 	log, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, logMode)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(path, args...)
-	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	p, err := proc.Start(log, path, args...)
+	if err != nil {
 		return err
 	}
-	p := &process{name: name, path: path, args: args, cmd: cmd, ended: make(chan struct{})}
-	go func() {
-		_ = cmd.Wait()
-		close(p.ended)
-	}()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.processes[name] = p
 	return nil
 }
 
-func (f *Fleet) process(name string) (*process, error) {
+func (f *Fleet) process(name string) (*proc.Process, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p, ok := f.processes[name]
@@ -57,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	return p.cmd.Process.Signal(s)
+	return p.Signal(s)
 }
 
 // Kill ends a process at once.
@@ -66,7 +51,7 @@
 		return err
 	}
 	p, _ := f.process(name)
-	<-p.ended
+	<-p.Ended()
 	return nil
 }
 
@@ -85,7 +70,7 @@
 		return err
 	}
 	select {
-	case <-p.ended:
+	case <-p.Ended():
 		return nil
 	case <-time.After(stopTimeout):
 		return fault.New(fault.CodeDeadline, fault.Unknown, name+" did not stop")
--- a/internal/stand/fleet/usage.go
+++ b/internal/stand/fleet/usage.go
@@ -38,7 +38,7 @@
 		return Usage{}, err
 	}
 	u := Usage{Control: map[string]float64{}}
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
 	if err != nil {
 		return u, fault.Wrap(err, fault.CodeNotFound, fault.NotRun, "processor time of "+name)
 	}
@@ -46,7 +46,7 @@
 	user, _ := strconv.ParseInt(fields[userField], 10, 64)
 	system, _ := strconv.ParseInt(fields[userField+1], 10, 64)
 	u.CPU = time.Duration(user+system) * clockTick
-	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.PID()))
 	if err != nil {
 		return u, fault.Wrap(err, fault.CodeNotFound, fault.NotRun, "memory of "+name)
 	}
--- a/internal/stand/memex/memex.go
+++ b/internal/stand/memex/memex.go
@@ -161,32 +161,43 @@
 	return x, r
 }
 
-// Start implements orders.Executors.
-func (f *Fleet) Start(ctx context.Context, t orders.Target, o orders.Start) orders.Reply {
+// order carries out an order at an executor, unless a lead of a higher epoch has called it.
+func (f *Fleet) order(
+	ctx context.Context, id string, epoch uint64, carryOut func(x *executor, r orders.Reply) orders.Reply,
+) orders.Reply {
 	tick.Pause(ctx, latency)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	x, r := f.call(t.ID, o.Epoch)
+	x, r := f.call(id, epoch)
 	if x == nil {
 		return r
 	}
-	if had, ok := x.runs[o.Run.Task]; ok && had.run == o.Run {
-		return r
-	}
-	if o.Run.Number <= x.over[o.Run.Task] {
-		r.Outcome = orders.Outdated
-		return r
-	}
-	if o.DeadlineMS <= r.ClockMS {
-		r.Outcome = orders.Late
+	return carryOut(x, r)
+}
+
+// Start implements orders.Executors.
+func (f *Fleet) Start(ctx context.Context, t orders.Target, o orders.Start) orders.Reply {
+	return f.order(ctx, t.ID, o.Epoch, func(x *executor, r orders.Reply) orders.Reply {
+		had, isThere := x.runs[o.Run.Task]
+		switch {
+		case isThere && had.run == o.Run:
+		case o.Run.Number <= x.over[o.Run.Task]:
+			r.Outcome = orders.Outdated
+		case o.DeadlineMS <= r.ClockMS:
+			r.Outcome = orders.Late
+		default:
+			f.begin(t.ID, x, o)
+		}
 		return r
-	}
-	f.check(t.ID, o.Run)
+	})
+}
+
+func (f *Fleet) begin(id string, x *executor, o orders.Start) {
+	f.check(id, o.Run)
 	f.starts++
 	f.begun[o.Run.Task.Job] = true
 	x.deadline = max(x.deadline, o.DeadlineMS)
 	x.runs[o.Run.Task] = running{run: o.Run, till: tick.Now().Add(workTime)}
-	return r
 }
 
 func (f *Fleet) check(id string, run orders.Run) {
@@ -204,28 +215,19 @@
 
 // Stop implements orders.Executors.
 func (f *Fleet) Stop(ctx context.Context, t orders.Target, o orders.Stop) orders.Reply {
-	tick.Pause(ctx, latency)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	x, r := f.call(t.ID, o.Epoch)
-	if x == nil {
+	return f.order(ctx, t.ID, o.Epoch, func(x *executor, r orders.Reply) orders.Reply {
+		if had, ok := x.runs[o.Run.Task]; ok && had.run == o.Run {
+			x.end(o.Run, orders.EndedStopped)
+		}
+		// A run that is not there yet is rejected from now on.
+		x.over[o.Run.Task] = max(x.over[o.Run.Task], o.Run.Number)
 		return r
-	}
-	if had, ok := x.runs[o.Run.Task]; ok && had.run == o.Run {
-		x.end(o.Run, orders.EndedStopped)
-	}
-	// A run that is not there yet is rejected from now on.
-	x.over[o.Run.Task] = max(x.over[o.Run.Task], o.Run.Number)
-	return r
+	})
 }
 
 // Pace implements orders.Executors.
 func (f *Fleet) Pace(ctx context.Context, t orders.Target, o orders.Pace) orders.Reply {
-	tick.Pause(ctx, latency)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	_, r := f.call(t.ID, o.Epoch)
-	return r
+	return f.order(ctx, t.ID, o.Epoch, func(_ *executor, r orders.Reply) orders.Reply { return r })
 }
 
 // Hold implements orders.Executors.
--- a/internal/state/cell/press_test.go
+++ b/internal/state/cell/press_test.go
@@ -100,14 +100,19 @@
 	return orders.Running{Run: o.Start.Run, Usage: usage, Percent: percent}
 }
 
-func TestHaltsAllBesideALongMissedTarget(t *testing.T) {
-	b := newBench(t, machine("x"))
+// fillingBesideServing starts a task that fills beside one that serves far below its target.
+func fillingBesideServing(t *testing.T) (b *bench, s, f Order) {
+	b = newBench(t, machine("x"))
 	b.accept("s", "q", serving("web"))
-	s := b.plan()[0]
+	s = b.plan()[0]
 	b.pass(time.Second)
 	b.held("x", row(s, 12, 100))
 	b.accept("f", "low", filling("sum"))
-	f := b.plan()[0]
+	return b, s, b.plan()[0]
+}
+
+func TestHaltsAllBesideALongMissedTarget(t *testing.T) {
+	b, s, f := fillingBesideServing(t)
 	// The model holds that the image adds nothing, and it is wrong.
 	b.cell.press.fits["web"] = &fit{
 		images: []string{"sum"}, weight: []float64{0}, products: [][]float64{{1e9}}, targets: []float64{0},
@@ -128,14 +133,8 @@
 // TestCutsAgainOnlyOnceTheLastCutShows replays a tail beyond its target whose lists come faster than a pace shows in
 // it, as they do under a load of short tasks: cuts on the same evidence took the whole pace of the filling tasks.
 func TestCutsAgainOnlyOnceTheLastCutShows(t *testing.T) {
-	b := newBench(t, machine("x"))
+	b, s, f := fillingBesideServing(t)
 	b.cell.params.PaceDelay = 100 * time.Millisecond
-	b.accept("s", "q", serving("web"))
-	s := b.plan()[0]
-	b.pass(time.Second)
-	b.held("x", row(s, 12, 100))
-	b.accept("f", "low", filling("sum"))
-	f := b.plan()[0]
 	// cutsBy counts the orders on pace within a second of looks at that interval; the tail is the same in each.
 	cutsBy := func(tail int64, interval, span time.Duration) int {
 		cuts := 0
@@ -157,13 +156,7 @@
 }
 
 func TestRepeatsAPaceWithoutAnswer(t *testing.T) {
-	b := newBench(t, machine("x"))
-	b.accept("s", "q", serving("web"))
-	s := b.plan()[0]
-	b.pass(time.Second)
-	b.held("x", row(s, 12, 100))
-	b.accept("f", "low", filling("sum"))
-	f := b.plan()[0]
+	b, s, f := fillingBesideServing(t)
 	sent := 0
 	for range 4 {
 		b.pass(400 * time.Millisecond)
