Bound start orders in flight, and let a list settle starts without a response

Ruled out: the leader's processor (0.043 of 0.12 cores at the most), the store, interference (72 s over target in all). Change: the limit of start orders in flight falls by half with a timeout and rises by one a round (package aimd, a decision without I/O); a start without a response is settled by the executor's next list, which mostly shows the run, and stopped only if that list lacks it; a stop order is repeated only after the executor has answered something since. The stop decisions moved to stops.go. Conclusion: a leader that is too small for its fleet now starts less instead of nothing. What limits it there is still its link.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -23,6 +23,7 @@
 	"github.com/ibischute/ibischute/internal/services/config"
 	"github.com/ibischute/ibischute/internal/services/elect"
 	"github.com/ibischute/ibischute/internal/services/replic"
+	"github.com/ibischute/ibischute/internal/state/aimd"
 	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/internal/state/cell"
 	"github.com/ibischute/ibischute/pkg/fault"
@@ -41,7 +42,8 @@
 	modelSaveRounds = 6
 	callTimeout     = 1200 * time.Millisecond
 	retryDelay      = 100 * time.Millisecond
-	// maxStarts limits the start orders in flight. Further ones stay in the cell, which keeps them in order.
+	// maxStarts is the highest limit of the start orders in flight. Further ones stay in the cell, which keeps them in
+	// order.
 	maxStarts = 128
 	// maxOrders limits all orders in flight.
 	maxOrders = 1024
@@ -77,7 +79,7 @@
 // New returns a Leader without a term.
 func New(o Options) *Leader { return &Leader{opts: o} }
 
-// term is the state of one term. Its mutex guards cell and holdSenders.
+// term is the state of one term. Its mutex guards cell, holdSenders and startWindow.
 type term struct {
 	*Leader
 	epoch      uint64
@@ -90,8 +92,9 @@
 	fenced         chan struct{}
 	holdSenders    map[string]*holdSender
 	orderSemaphore chan struct{}
-	// pendingStarts counts the start orders in flight.
+	// pendingStarts counts the start orders in flight, which startWindow limits.
 	pendingStarts atomic.Int64
+	startWindow   *aimd.Window
 	wg            sync.WaitGroup
 	// sequence is the sequence number of the next append of records. It is not advanced by fence, which appends none.
 	sequence uint64
@@ -105,7 +108,7 @@
 		Leader: l, epoch: t.Epoch, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
 		adviceWake: make(chan struct{}, 1),
 		fenced:     make(chan struct{}, 1), holdSenders: map[string]*holdSender{},
-		orderSemaphore: make(chan struct{}, maxOrders),
+		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts),
 	}
 	if err := tm.takeOver(ctx, t); err != nil {
 		return err
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -51,7 +51,7 @@
 	t.mu.Lock()
 	now := tick.Now()
 	list := t.cell.Plan(now, tick.Wall().UnixMilli(), cell.PlanLimits{
-		MaxStarts: maxStarts - int(t.pendingStarts.Load()), IsSoleLeader: t.opts.IsSoleLeader(now),
+		MaxStarts: t.startWindow.Limit() - int(t.pendingStarts.Load()), IsSoleLeader: t.opts.IsSoleLeader(now),
 	})
 	events := t.cell.Events()
 	isFenced := t.cell.IsFenced()
@@ -135,14 +135,27 @@
 	}
 	t.spawn(ctx, func(ctx context.Context) {
 		defer func() { <-t.orderSemaphore }()
+		sent := tick.Now()
 		reply := t.executeOrder(ctx, o)
 		if o.Start != nil {
 			t.pendingStarts.Add(-1)
+			t.updateStartWindow(sent, reply)
 		}
 		t.handleReply(o, reply)
 	})
 }
 
+// updateStartWindow adapts the limit of start orders in flight to the outcome of one that was sent at the time sent.
+func (t *term) updateStartWindow(sent tick.Time, r orders.Reply) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.Outcome == orders.NoResponse {
+		t.startWindow.TimedOut(tick.Now(), sent)
+		return
+	}
+	t.startWindow.Answered()
+}
+
 func (t *term) executeOrder(ctx context.Context, o cell.Order) orders.Reply {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
--- a/internal/state/cell/replies.go
+++ b/internal/state/cell/replies.go
@@ -53,7 +53,7 @@
 	case orders.NoResponse, orders.Outdated:
 		// Run numbers increase, so an outdated one means that the executor has seen a later run of the task that this leader
 		// does not track.
-		r.isStartUnconfirmed = true
+		r.isStartUnconfirmed, r.unconfirmedSince = true, now
 		c.stopping[r] = true
 		x.quarantine(now, quarantineAfterNoResponse)
 		c.emit(Event{Name: "start-unanswered", Task: id.Task, Run: id.Number, Executor: x.entry.ID, Detail: reply.Detail})
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -22,8 +22,9 @@
 	startedAt tick.Time
 	// confirmedAt is when the executor confirmed that it has the run; 0 before.
 	confirmedAt tick.Time
-	// isStartUnconfirmed is true if the outcome of the start order is unknown.
+	// isStartUnconfirmed is true if the outcome of the start order is unknown, as it has been since unconfirmedSince.
 	isStartUnconfirmed bool
+	unconfirmedSince   tick.Time
 	// isMarkedForStopping is true if the run must be stopped.
 	isMarkedForStopping bool
 	stopSentAt          tick.Time
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -10,6 +10,7 @@
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/logs"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/aimd"
 	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -32,6 +33,8 @@
 	isCommitting  bool
 	isHolding     map[string]bool
 	nextHoldAt    map[string]tick.Time
+	startWindow   *aimd.Window
+	pendingStarts int
 }
 
 func (sim *simulation) currentLeader() *simLeader { return sim.leaders[len(sim.leaders)-1] }
@@ -39,7 +42,7 @@
 func (sim *simulation) newLeader(previousLeasesExpireAt tick.Time) *simLeader {
 	l := &simLeader{
 		sim: sim, epoch: uint64(len(sim.leaders)*3 + 1), leaseUntil: sim.now.Add(simLeaseDuration),
-		isHolding: map[string]bool{}, nextHoldAt: map[string]tick.Time{},
+		isHolding: map[string]bool{}, nextHoldAt: map[string]tick.Time{}, startWindow: aimd.New(simMaxStarts),
 	}
 	l.cell = New(sim.params, l.epoch, previousLeasesExpireAt)
 	l.cell.Configure(sim.config)
@@ -51,7 +54,10 @@
 	return l
 }
 
-const loopInterval = 20 * time.Millisecond
+const (
+	loopInterval = 20 * time.Millisecond
+	simMaxStarts = 128
+)
 
 func (l *simLeader) loop() {
 	if l.isKilled || l.cell.IsFenced() {
@@ -69,7 +75,9 @@
 		return
 	}
 	list := l.cell.Plan(l.sim.now, l.sim.wallMS(),
-		PlanLimits{MaxStarts: 1 << 20, IsSoleLeader: l.sim.now.Before(l.soleLeaderUntil)})
+		PlanLimits{
+			MaxStarts: l.startWindow.Limit() - l.pendingStarts, IsSoleLeader: l.sim.now.Before(l.soleLeaderUntil),
+		})
 	slices.SortFunc(list, compareOrders)
 	for _, o := range list {
 		l.send(o)
@@ -125,8 +133,18 @@
 
 func (l *simLeader) send(o Order) {
 	x := l.executor(o.Target.ID)
+	if o.Stop != nil {
+		l.sim.stopCalls++
+	}
+	if o.Start != nil {
+		l.pendingStarts++
+	}
+	sent := l.sim.now
 	reply := func(r orders.Reply) func() {
 		return func() {
+			if o.Start != nil {
+				l.endStart(sent, r)
+			}
 			if !l.isKilled {
 				l.cell.HandleReply(l.sim.now, o, r)
 			}
@@ -143,6 +161,15 @@
 	}, reply(orders.Reply{Outcome: orders.NoResponse}))
 }
 
+func (l *simLeader) endStart(sent tick.Time, r orders.Reply) {
+	l.pendingStarts--
+	if r.Outcome == orders.NoResponse {
+		l.startWindow.TimedOut(l.sim.now, sent)
+		return
+	}
+	l.startWindow.Answered()
+}
+
 func (l *simLeader) hold(x *simExecutor) {
 	sim := l.sim
 	if l.isHolding[x.id] || sim.now.Before(l.nextHoldAt[x.id]) {
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -81,6 +81,20 @@
 	isStoreDown bool
 	violations  []string
 	startCount  int
+	// linkCallTime is how long the leader's link takes for one call or reply; 0 for a link without limit. linkFreeAt is
+	// when the link has sent what is queued.
+	linkCallTime time.Duration
+	linkFreeAt   tick.Time
+	stopCalls    int
+}
+
+// crossLink returns how long a message waits for and takes on the leader's link.
+func (sim *simulation) crossLink() time.Duration {
+	if sim.linkCallTime == 0 {
+		return 0
+	}
+	sim.linkFreeAt = max(sim.linkFreeAt, sim.now).Add(sim.linkCallTime)
+	return sim.linkFreeAt.Sub(sim.now)
 }
 
 func (sim *simulation) after(d time.Duration, f func()) {
@@ -337,7 +351,7 @@
 	if !sim.isReachable(l, x) || sim.chance(sim.faults.requestLossRate) {
 		return
 	}
-	delay := sim.randomDuration(time.Millisecond, 5*time.Millisecond)
+	delay := sim.randomDuration(time.Millisecond, 5*time.Millisecond) + sim.crossLink()
 	isLate := sim.chance(sim.faults.lateRequestRate)
 	if isLate {
 		delay = sim.randomDuration(2*time.Second, 12*time.Second)
@@ -351,7 +365,7 @@
 		if isLate || sim.chance(sim.faults.replyLossRate) {
 			return
 		}
-		sim.after(sim.randomDuration(time.Millisecond, 5*time.Millisecond), func() {
+		sim.after(sim.randomDuration(time.Millisecond, 5*time.Millisecond)+sim.crossLink(), func() {
 			if answered || !sim.isReachable(l, x) {
 				return
 			}
--- /dev/null
+++ b/internal/state/cell/stops.go
@@ -0,0 +1,106 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// stopRetryPause is the shortest pause between two orders to stop the same run.
+const stopRetryPause = 600 * time.Millisecond
+
+// appendStopOrders appends the orders to stop runs that are marked for stopping, that a list after their unconfirmed
+// start did not confirm, or that are orphaned. An executor that does not respond gets each order once, as repeated
+// orders would add to the load of a saturated link.
+func (c *Cell) appendStopOrders(now tick.Time, out []Order) []Order {
+	for r := range c.stopping {
+		if !r.isMarkedForStopping && !r.isStartUnconfirmed {
+			delete(c.stopping, r)
+			continue
+		}
+		if r.isStopDue(now) {
+			r.stopSentAt = now
+			out = append(out, c.stopOrder(r.exec, r.id))
+		}
+	}
+	for _, x := range c.execs {
+		for id, isSent := range x.orphaned {
+			if !isSent && !x.isTerminated {
+				x.orphaned[id] = true
+				out = append(out, c.stopOrder(x, id))
+			}
+		}
+	}
+	return out
+}
+
+// isStopDue reports whether an order to stop the run must be sent now.
+func (r *run) isStopDue(now tick.Time) bool {
+	x := r.exec
+	isUnconfirmed := r.isStartUnconfirmed && x.lastResponseAt.After(r.unconfirmedSince)
+	if !x.hasResponded || !r.isMarkedForStopping && !isUnconfirmed {
+		return false
+	}
+	return r.stopSentAt == 0 || now.Sub(r.stopSentAt) >= stopRetryPause && x.lastResponseAt.After(r.stopSentAt)
+}
+
+func (c *Cell) stopOrder(x *executor, id orders.Run) Order {
+	c.emit(Event{Name: "stop", Task: id.Task, Run: id.Number, Executor: x.entry.ID})
+	return Order{Target: x.target(), Stop: &orders.Stop{Run: id, Epoch: c.epoch}}
+}
+
+// drainReserve is the part of a draining executor's remaining time that is reserved for stops and their checkpoints.
+const drainReserve = 500 * time.Millisecond
+
+// stopDraining stops the runs that will not be done before their executor leaves.
+func (c *Cell) stopDraining(now tick.Time) {
+	for _, x := range c.execs {
+		if !x.entry.Draining || x.isTerminated {
+			continue
+		}
+		left := x.drainDeadline.Sub(now) - drainReserve - c.params.StopTimeout
+		for _, r := range x.runs {
+			if r.task.step.pb.LongRunning || c.remainingTime(r) > left {
+				c.markForStopping(r)
+			}
+		}
+	}
+}
+
+// remainingTime estimates the remaining duration of a run.
+func (c *Cell) remainingTime(r *run) time.Duration {
+	estimate := float64(r.task.step.pb.EstimateMs) * c.durations.ratioOf(r.task.step.job.pb.Queue)
+	return time.Duration(estimate*float64(100-r.percent)/100) * time.Millisecond
+}
+
+const (
+	// stallTimeout is how long a run may make no progress before it is moved.
+	stallTimeout = 1800 * time.Millisecond
+	// quarantineAfterStall is the quarantine of an executor on which a run has stalled.
+	quarantineAfterStall = 4 * time.Second
+	// stallEstimateShare is the share of its estimate for which a run may make no progress, if that is longer than
+	// stallTimeout. It allows for tasks that report progress in large steps.
+	stallEstimateShare = 0.25
+)
+
+// stopStalled stops the stalled runs of an executor that has just sent a list, so that they resume elsewhere.
+func (c *Cell) stopStalled(now tick.Time, x *executor) {
+	for _, r := range x.runs {
+		if isStalled(r) {
+			c.markForStopping(r)
+			x.quarantine(now, quarantineAfterStall)
+			c.emit(Event{Name: "run-stalled", Task: r.id.Task, Run: r.id.Number, Executor: x.entry.ID})
+		}
+	}
+}
+
+func isStalled(r *run) bool {
+	s := r.task.step.pb
+	if r.isMarkedForStopping || r.firstListedAt == 0 || r.pace < fullPacePercent || s.LongRunning || s.Gang {
+		return false
+	}
+	timeout := max(stallTimeout, time.Duration(stallEstimateShare*float64(s.EstimateMs))*time.Millisecond)
+	// Only lists report progress, so time without a response from the executor does not count.
+	return r.exec.lastResponseAt.Sub(r.progressAt) > timeout
+}
