Wait for the list of an executor whose run may have been done; tell lost calls from overload

Cause: a run whose executor's lease had expired unseen was started again although it may have ended as done before. Ruled out: a clock offset that is too high, extended leases (no order to the executor after the last one that was counted). Change: such a run is kept while discovery lists its executor, whose next list tells. A run that certainly was still going when the lease expired, long-running ones above all, is released as before. Cause: the limit of start orders fell with each lost answer. Change: only slow responses, or timeouts with no fast response to a later call, lower the limit.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -108,7 +108,7 @@
 		Leader: l, epoch: t.Epoch, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
 		adviceWake: make(chan struct{}, 1),
 		fenced:     make(chan struct{}, 1), holdSenders: map[string]*holdSender{},
-		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts),
+		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts, slowOrder),
 	}
 	if err := tm.takeOver(ctx, t); err != nil {
 		return err
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -18,6 +18,8 @@
 	// planPauseFactor is the ratio of the pause after a plan to the time that the plan took.
 	planPauseFactor = 4
 	orderTimeout    = 800 * time.Millisecond
+	// slowOrder is the response time of an order above which fewer start orders are sent.
+	slowOrder = orderTimeout / 2
 	// holdTimeoutMargin is added to the wait time of a hold for the timeout of the call.
 	holdTimeoutMargin = 600 * time.Millisecond
 	// commitPause is the pause after a commit, so that many changes share one record.
@@ -149,11 +151,12 @@
 func (t *term) updateStartWindow(sent tick.Time, r orders.Reply) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := tick.Now()
 	if r.Outcome == orders.NoResponse {
-		t.startWindow.TimedOut(tick.Now(), sent)
+		t.startWindow.TimedOut(now, sent)
 		return
 	}
-	t.startWindow.Answered()
+	t.startWindow.Answered(now, sent)
 }
 
 func (t *term) executeOrder(ctx context.Context, o cell.Order) orders.Reply {
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -216,18 +216,33 @@
 	}
 }
 
-// releaseExpired releases the runs of executors whose lease has certainly expired.
+// releaseExpired releases the runs of executors whose lease has certainly expired. A run that may have been done before
+// is kept while service discovery lists its executor, whose next list tells: a second run would repeat its effects.
 func (c *Cell) releaseExpired(now tick.Time) {
 	for _, x := range c.execs {
 		if len(x.runs) == 0 || !now.After(x.leaseExpiresBy) {
 			continue
 		}
 		for _, r := range x.runs {
-			c.releaseRun(r, orders.EndedLeaseExpired)
+			if !x.isListed || !c.mayBeDone(r) {
+				c.releaseRun(r, orders.EndedLeaseExpired)
+			}
 		}
 	}
 }
 
+// maxSpeedup is how much faster than its estimate a run may be.
+const maxSpeedup = 2
+
+// mayBeDone reports whether the run may have been done before the lease of its executor expired.
+func (c *Cell) mayBeDone(r *run) bool {
+	if r.task.step.pb.LongRunning || r.task.done {
+		return false
+	}
+	knownAt := max(r.startedAt, r.exec.lastResponseAt)
+	return !knownAt.Add(c.remainingTime(r) / maxSpeedup).After(r.exec.leaseExpiresBy)
+}
+
 // RetryPause returns the pause after a hold that the executor did not carry out.
 func (c *Cell) RetryPause(id string) time.Duration {
 	if x, ok := c.execs[id]; ok && len(x.runs) > 0 {
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -42,7 +42,8 @@
 func (sim *simulation) newLeader(previousLeasesExpireAt tick.Time) *simLeader {
 	l := &simLeader{
 		sim: sim, epoch: uint64(len(sim.leaders)*3 + 1), leaseUntil: sim.now.Add(simLeaseDuration),
-		isHolding: map[string]bool{}, nextHoldAt: map[string]tick.Time{}, startWindow: aimd.New(simMaxStarts),
+		isHolding: map[string]bool{}, nextHoldAt: map[string]tick.Time{},
+		startWindow: aimd.New(simMaxStarts, simCallTimeout/2),
 	}
 	l.cell = New(sim.params, l.epoch, previousLeasesExpireAt)
 	l.cell.Configure(sim.config)
@@ -167,7 +168,7 @@
 		l.startWindow.TimedOut(l.sim.now, sent)
 		return
 	}
-	l.startWindow.Answered()
+	l.startWindow.Answered(l.sim.now, sent)
 }
 
 func (l *simLeader) hold(x *simExecutor) {
@@ -309,6 +310,7 @@
 	sim := &simulation{
 		rnd: rand.New(rand.NewPCG(seed, 7)), faults: f, book: book.New(), jobs: map[string]*jobpb.Job{},
 		done: map[orders.Task]bool{}, acked: map[orders.Task]bool{}, cancelled: map[string]tick.Time{},
+		doneRuns: map[orders.Task]map[orders.Run]bool{},
 		params: Params{
 			MaxHold: simMaxHold, StopTimeout: simStopTimeout, InterferenceBound: 4 * time.Second, Retention: time.Minute,
 		},
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -76,7 +76,10 @@
 	// done has the tasks of which a run has ended as done.
 	done map[orders.Task]bool
 	// acked has the tasks of which an end as done was acknowledged to an executor, which then discarded it.
-	acked       map[orders.Task]bool
+	acked map[orders.Task]bool
+	// doneRuns has the runs of each task that have ended as done. The value is true once a later run of the task was
+	// started.
+	doneRuns    map[orders.Task]map[orders.Run]bool
 	cancelled   map[string]tick.Time
 	isStoreDown bool
 	violations  []string
@@ -146,10 +149,13 @@
 	ended           []orders.EndedRun
 	endCount        uint64
 	leaseDeadlineMS int64
-	isDown          bool
-	isPartitioned   bool
-	stalledUntil    tick.Time
-	isFaulty        bool
+	// expiredUpTo is the cursor of the last end before the lease last expired with runs left. An acknowledgement of such
+	// an end does not count as noting it.
+	expiredUpTo   uint64
+	isDown        bool
+	isPartitioned bool
+	stalledUntil  tick.Time
+	isFaulty      bool
 }
 
 type simRun struct {
@@ -168,7 +174,7 @@
 func (x *simExecutor) restart() {
 	x.startedMS = x.sim.wallMS()
 	x.startedAt = x.sim.now
-	x.highestEpoch, x.endCount, x.leaseDeadlineMS = 0, 0, 0
+	x.highestEpoch, x.endCount, x.leaseDeadlineMS, x.expiredUpTo = 0, 0, 0, 0
 	x.ended = nil
 	x.runs = map[orders.Task]*simRun{}
 	x.highestEndedRun = map[orders.Task]uint64{}
@@ -188,6 +194,7 @@
 	if len(x.runs) == 0 || x.clockMS() < x.leaseDeadlineMS {
 		return
 	}
+	x.expiredUpTo = x.endCount
 	for _, t := range x.sortedTasks() {
 		x.endRun(x.runs[t], orders.EndedLeaseExpired)
 	}
@@ -219,6 +226,10 @@
 	x.ended = append(x.ended, orders.EndedRun{Cursor: x.endCount, Run: r.id, Reason: reason, Checkpoint: saved})
 	if reason == orders.EndedDone {
 		x.sim.done[r.id.Task] = true
+		if x.sim.doneRuns[r.id.Task] == nil {
+			x.sim.doneRuns[r.id.Task] = map[orders.Run]bool{}
+		}
+		x.sim.doneRuns[r.id.Task][r.id] = false
 	}
 }
 
@@ -322,6 +333,9 @@
 	for len(x.ended) > 0 && x.ended[0].Cursor <= o.AckCursor {
 		if e := x.ended[0]; e.Reason == orders.EndedDone {
 			x.sim.acked[e.Run.Task] = true
+			if x.sim.doneRuns[e.Run.Task][e.Run] && e.Cursor > x.expiredUpTo {
+				x.sim.recordViolation("the end of %v as done on %s is acknowledged after another start", e.Run, x.id)
+			}
 		}
 		x.ended = x.ended[1:]
 	}
@@ -402,6 +416,9 @@
 			sameStep++
 		}
 	}
+	for r := range sim.doneRuns[t] {
+		sim.doneRuns[t][r] = true
+	}
 	if sim.acked[t] {
 		sim.recordViolation("task %v starts although its end as done was acknowledged", t)
 	}
