Read the progress topic only on instances as capable as the leader

Ruled out: fewer records (they are written once a commit; the readers multiply them); compact records (an older leader could not read them, so that tasks that are done would run again). Change: election records carry the leader's cores. An instance with fewer reads the progress topic at a takeover, or when it has to show a job's state and the leader does not answer. All instances still follow the intake topic.

--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -70,6 +70,8 @@
 	Part     logs.Part
 	Instance string
 	Address  string
+	// Cores is the processor capacity that this instance is allotted.
+	Cores float64
 	// ClaimDelay delays the claims of this instance, so that instances with more processor capacity claim first.
 	ClaimDelay time.Duration
 	// IsEligible reports whether this instance has the data that a leader needs.
@@ -117,6 +119,14 @@
 	return e.lastRecord.Address, true
 }
 
+// IsAsCapable reports whether this instance has at least the processor capacity of the leader. If it has less, others
+// claim before it.
+func (e *Elector) IsAsCapable() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lastRecord == nil || e.opts.Cores >= e.lastRecord.Cores
+}
+
 // IsLeader reports whether this instance is the leader and its lease has not expired at now.
 func (e *Elector) IsLeader(now tick.Time) bool {
 	e.mu.Lock()
@@ -243,7 +253,7 @@
 func (e *Elector) claim(ctx context.Context) (Term, bool) {
 	epoch := uint64(e.next) + 1
 	sent := tick.Now()
-	err := e.append(ctx, callTimeout, &jobpb.Lead{Instance: e.opts.Instance, Address: e.opts.Address, Epoch: epoch})
+	err := e.append(ctx, callTimeout, e.record(epoch))
 	if err != nil {
 		e.opts.Logger.Info().Err(err).Uint64("epoch", epoch).Msg("claim-failed")
 		return Term{}, false
@@ -253,13 +263,18 @@
 	t := Term{Epoch: epoch, ExecutorLeasesExpireAt: e.formerLeaseUntil(sent).Add(e.opts.MaxExecutorLease)}
 	e.isLeader = true
 	e.leaseUntil = sent.Add(LeaseDuration)
-	e.lastRecord = &jobpb.Lead{Instance: e.opts.Instance, Address: e.opts.Address, Epoch: epoch}
+	e.lastRecord = e.record(epoch)
 	e.lastRecordAt = sent
 	e.opts.Logger.Info().Uint64("epoch", epoch).
 		Dur("former-leases-expire-in", t.ExecutorLeasesExpireAt.Sub(sent)).Msg("election-won")
 	return t, true
 }
 
+// record returns a record that this instance leads with the epoch.
+func (e *Elector) record(epoch uint64) *jobpb.Lead {
+	return &jobpb.Lead{Instance: e.opts.Instance, Address: e.opts.Address, Epoch: epoch, Cores: e.opts.Cores}
+}
+
 // formerLeaseUntil returns when the lease of the former leader expires. The caller must hold the mutex.
 func (e *Elector) formerLeaseUntil(now tick.Time) tick.Time {
 	switch {
@@ -337,8 +352,7 @@
 // sendHeartbeat appends one heartbeat. It returns false if another instance has claimed leadership.
 func (e *Elector) sendHeartbeat(ctx context.Context, t Term) bool {
 	sent := tick.Now()
-	err := e.append(ctx, heartbeatAppendTimeout,
-		&jobpb.Lead{Instance: e.opts.Instance, Address: e.opts.Address, Epoch: t.Epoch})
+	err := e.append(ctx, heartbeatAppendTimeout, e.record(t.Epoch))
 	var conflict *logs.ConflictError
 	switch {
 	case err == nil:
@@ -377,7 +391,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	err := e.append(ctx, callTimeout, &jobpb.Lead{Instance: e.opts.Instance, Epoch: t.Epoch, Resigned: true})
+	resignation := e.record(t.Epoch)
+	resignation.Address, resignation.Resigned = "", true
+	err := e.append(ctx, callTimeout, resignation)
 	if err != nil {
 		e.opts.Logger.Warn().Err(err).Uint64("epoch", t.Epoch).Msg("resignation-append-failed")
 	}
--- a/internal/services/intake/intake.go
+++ b/internal/services/intake/intake.go
@@ -210,13 +210,26 @@
 	case err == nil && known:
 		return state, true, nil
 	case isRecorded:
-		return recorded, true, nil
+		return i.refreshedState(ctx, id, recorded), true, nil
 	case err == nil || i.IsFresh(now):
 		return jobpb.State_STATE_UNKNOWN, false, nil
 	}
 	return jobpb.State_STATE_UNKNOWN, false, err
 }
 
+// refreshedState returns the recorded state of a job after an attempt to read newer progress. If that fails, it returns
+// the known state.
+func (i *Intake) refreshedState(ctx context.Context, id string, known jobpb.State) jobpb.State {
+	if err := i.opts.Replica.RefreshProgress(ctx); err != nil {
+		i.opts.Logger.Warn().Err(err).Str("job", id).Msg("progress-refresh-failed")
+		return known
+	}
+	if state, ok := i.opts.Replica.Job(id); ok {
+		return state
+	}
+	return known
+}
+
 // askLeader gets the state of a job from the leader, which may be this instance.
 func (i *Intake) askLeader(ctx context.Context, now tick.Time, id string) (jobpb.State, bool, error) {
 	state, known, err := i.Show(now, id)
--- a/internal/services/leader/system_test.go
+++ b/internal/services/leader/system_test.go
@@ -120,7 +120,9 @@
 	n := &instance{name: name, view: s.log.View(), ended: make(chan struct{})}
 	logger := zerolog.Nop()
 	follower := config.New(n.view, decodeConfig, logger)
-	replica := replic.New(n.view, 0, logger)
+	replica := replic.New(replic.Options{
+		Log: n.view, FollowsProgress: func() bool { return n.elector.IsAsCapable() }, Logger: logger,
+	})
 	n.leader = leader.New(leader.Options{
 		Log: n.view, Executors: s.fleet, Replica: replica, Config: follower, Decode: decodeExecutor, Params: params,
 		HoldsLease:   func(now tick.Time) bool { return n.elector.IsLeader(now) },
--- a/internal/services/replic/replic.go
+++ b/internal/services/replic/replic.go
@@ -1,11 +1,12 @@
 // Package replic maintains an instance's replica of the job records of one cell.
 //
 // The leader is notified of every new intake record immediately. The other instances read at intervals, so that they
-// can answer callers and can take over without a long read.
+// can answer callers and can take over without a long read. Instances that are unlikely to take over read the progress
+// topic, the larger one, only when it is needed.
 //
 // # Usage
 //
-//	r := replic.New(log, part, logger)
+//	r := replic.New(replic.Options{Log: log, Part: part, FollowsProgress: isLikelyNextLeader, Logger: logger})
 //	go r.Serve(ctx)
 //	entry, ok := r.Job(id)
 package replic
@@ -32,14 +33,26 @@
 	leaderWait  = time.Second
 	callTimeout = 1200 * time.Millisecond
 	retryDelay  = 100 * time.Millisecond
+	// maxTailGap is the time without a read after which the newest record of each key is read instead of all records
+	// since, which are more.
+	maxTailGap = 10 * time.Second
 )
 
+// Options configure a Replica.
+type Options struct {
+	Log  logs.Log
+	Part logs.Part
+	// FollowsProgress reports whether this instance reads the progress topic at intervals although it is not the leader.
+	FollowsProgress func() bool
+	Logger          zerolog.Logger
+}
+
 // Observer is called for each job that an intake record concerns.
 type Observer func(now tick.Time, id string, e *book.Entry)
 
 // Replica is an instance's copy of the recorded job state of a cell.
 type Replica struct {
-	logger zerolog.Logger
+	opts Options
 
 	// readMu serializes reads; mu guards the other fields.
 	readMu   sync.Mutex
@@ -65,10 +78,10 @@
 }
 
 // New returns an empty Replica.
-func New(log logs.Log, part logs.Part, logger zerolog.Logger) *Replica {
+func New(o Options) *Replica {
 	return &Replica{
-		logger: logger, book: book.New(), wake: make(chan struct{}, 1),
-		intake: newTopic(log, logs.Intake, part), progress: newTopic(log, logs.Progress, part),
+		opts: o, book: book.New(), wake: make(chan struct{}, 1),
+		intake: newTopic(o.Log, logs.Intake, o.Part), progress: newTopic(o.Log, logs.Progress, o.Part),
 	}
 }
 
@@ -83,7 +96,7 @@
 			wait, pause = leaderWait, 0
 		}
 		if err := r.read(ctx, wait); err != nil && ctx.Err() == nil {
-			r.logger.Warn().Err(err).Msg("replica-read-failed")
+			r.opts.Logger.Warn().Err(err).Msg("replica-read-failed")
 			pause = retryDelay
 		}
 		wake.Wait(ctx, r.wake, pause)
@@ -127,18 +140,46 @@
 	if err := r.readTopic(ctx, r.intake, 0); err != nil {
 		return err
 	}
+	return r.readProgress(ctx)
+}
+
+// readProgress reads the progress topic. The caller must hold r.readMu.
+func (r *Replica) readProgress(ctx context.Context) error {
+	if r.progressAge() > maxTailGap {
+		r.progress.tail = tail.New(r.opts.Log, logs.Progress, r.opts.Part)
+	}
 	return r.readTopic(ctx, r.progress, 0)
 }
 
-// read reads once. On the leader, whose reads wait for records, it reads only the intake topic, and otherwise both
-// topics.
+// progressAge returns the time since the progress topic was last read to its end.
+func (r *Replica) progressAge() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return tick.Now().Sub(r.progress.completeAsOf)
+}
+
+// read reads the intake topic once, and the progress topic if this instance follows it. On the leader, which writes the
+// progress topic, reads of the intake topic wait for records.
 func (r *Replica) read(ctx context.Context, wait time.Duration) error {
-	if wait == 0 {
-		return r.readBoth(ctx)
+	r.readMu.Lock()
+	defer r.readMu.Unlock()
+	if err := r.readTopic(ctx, r.intake, wait); err != nil {
+		return err
 	}
+	if wait > 0 || !r.opts.FollowsProgress() {
+		return nil
+	}
+	return r.readProgress(ctx)
+}
+
+// RefreshProgress reads the progress topic unless it was read within the last followInterval.
+func (r *Replica) RefreshProgress(ctx context.Context) error {
 	r.readMu.Lock()
 	defer r.readMu.Unlock()
-	return r.readTopic(ctx, r.intake, wait)
+	if r.progressAge() < followInterval {
+		return nil
+	}
+	return r.readProgress(ctx)
 }
 
 func (r *Replica) readTopic(ctx context.Context, t *topic, wait time.Duration) error {
@@ -147,11 +188,14 @@
 	startedAt := tick.Now()
 	b, err := t.tail.Read(ctx, wait)
 	if b.Trimmed != nil {
-		r.logger.Info().Str("topic", t.Name).Uint64("first", uint64(b.Trimmed.First)).Msg("replica-behind-retention")
+		r.opts.Logger.Info().Str("topic", t.Name).Uint64("first", uint64(b.Trimmed.First)).Msg("replica-behind-retention")
 	}
 	if err != nil {
 		return err
 	}
+	if b.IsSnapshot && t == r.progress {
+		r.clearRoster()
+	}
 	r.apply(t.Topic, b.Records)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -166,19 +210,26 @@
 	return nil
 }
 
+// clearRoster forgets the executors of the roster. A snapshot has no records of those that were removed meanwhile.
+func (r *Replica) clearRoster() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.book.ClearRoster()
+}
+
 func (r *Replica) apply(t logs.Topic, records []logs.Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, rec := range records {
 		if t == logs.Progress {
 			if err := r.book.Progress(rec); err != nil {
-				r.logger.Error().Err(err).Msg("record-unreadable")
+				r.opts.Logger.Error().Err(err).Msg("record-unreadable")
 			}
 			continue
 		}
 		id, err := r.book.Intake(rec)
 		if err != nil {
-			r.logger.Error().Err(err).Msg("record-unreadable")
+			r.opts.Logger.Error().Err(err).Msg("record-unreadable")
 			continue
 		}
 		r.notifyObserver(id)
--- a/internal/state/book/book.go
+++ b/internal/state/book/book.go
@@ -193,6 +193,9 @@
 	}
 }
 
+// ClearRoster forgets the executors of the roster, before a snapshot of the progress topic is folded.
+func (b *Book) ClearRoster() { clear(b.roster) }
+
 // Roster calls f for each executor that a leader may have sent orders to.
 func (b *Book) Roster(f func(x *jobpb.Roster)) {
 	for _, x := range b.roster {
