Await no lease of a former leader that was an earlier process of this instance

Some executors of its roster had left meanwhile and never answered. Ruled out: the time to read the records (1.1 s), the processor. Test: TestRestartedLeaderAwaitsNoFormerLease fails without the change; TestOtherLeaderAwaitsFormerLease guards the other case.

--- a/internal/services/elect/elect_test.go
+++ b/internal/services/elect/elect_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,12 +16,23 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-func startElector(t *testing.T, log *memlog.Log, name string, cores float64, claimDelay time.Duration) *elect.Elector {
+const maxExecutorLease = 6 * time.Second
+
+// process is one process of an instance that takes part in the election.
+type process struct {
+	*elect.Elector
+	terms chan elect.Term
+	stop  func()
+}
+
+func start(t *testing.T, log *memlog.Log, name string, cores float64, claimDelay time.Duration) *process {
 	t.Helper()
-	e := elect.New(elect.Options{
+	p := &process{terms: make(chan elect.Term, 1)}
+	p.Elector = elect.New(elect.Options{
 		Log: log.View(), Instance: name, Address: name, Cores: cores, ClaimDelay: claimDelay,
-		IsEligible: func() bool { return true },
-		RunTerm: func(ctx context.Context, _ elect.Term) error {
+		MaxExecutorLease: maxExecutorLease, IsEligible: func() bool { return true },
+		RunTerm: func(ctx context.Context, term elect.Term) error {
+			p.terms <- term
 			<-ctx.Done()
 			return ctx.Err()
 		},
@@ -28,22 +40,61 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
-	go func() { ended <- e.Serve(ctx) }()
-	t.Cleanup(func() {
+	go func() { ended <- p.Serve(ctx) }()
+	p.stop = sync.OnceFunc(func() {
 		cancel()
 		<-ended
 	})
-	return e
+	t.Cleanup(p.stop)
+	return p
+}
+
+func newLog(t *testing.T) *memlog.Log {
+	t.Helper()
+	t.Cleanup(tick.SetSource(func() tick.Time { return tick.Time(time.Now().UnixNano()) }))
+	return memlog.New(rand.New(rand.NewPCG(1, 2)))
+}
+
+// TestRestartedLeaderAwaitsNoFormerLease kills the leader, whose next process becomes the leader again, as after a loss
+// of power of all instances. The former process grants no leases any more.
+func TestRestartedLeaderAwaitsNoFormerLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newLog(t)
+		former := start(t, log, "a", 1, 0)
+		<-former.terms
+		time.Sleep(3 * time.Second)
+		former.stop()
+		claimedAt := tick.Now()
+		term := <-start(t, log, "a", 1, 0).terms
+		assert.Assert(t, term.ExecutorLeasesExpireAt.Sub(claimedAt) < maxExecutorLease+time.Second)
+	})
+}
+
+// TestOtherLeaderAwaitsFormerLease replaces the leader by another instance, which cannot know that the former one has
+// ended.
+func TestOtherLeaderAwaitsFormerLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newLog(t)
+		former := start(t, log, "a", 1, 0)
+		<-former.terms
+		next := start(t, log, "b", 1, 0)
+		time.Sleep(3 * time.Second)
+		former.stop()
+		stoppedAt := tick.Now()
+		term := <-next.terms
+		// The last heartbeat was sent up to half a second before the stop.
+		wait := term.ExecutorLeasesExpireAt.Sub(stoppedAt)
+		assert.Assert(t, wait > elect.LeaseDuration+maxExecutorLease-time.Second, "waits %v", wait)
+	})
 }
 
 // TestSmallerInstanceIsNotAsCapable checks that the capacity of the leader reaches the other instances.
 func TestSmallerInstanceIsNotAsCapable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		t.Cleanup(tick.SetSource(func() tick.Time { return tick.Time(time.Now().UnixNano()) }))
-		log := memlog.New(rand.New(rand.NewPCG(1, 2)))
-		large := startElector(t, log, "large", 0.8, 0)
-		equal := startElector(t, log, "equal", 0.8, 500*time.Millisecond)
-		small := startElector(t, log, "small", 0.2, time.Second)
+		log := newLog(t)
+		large := start(t, log, "large", 0.8, 0)
+		equal := start(t, log, "equal", 0.8, 500*time.Millisecond)
+		small := start(t, log, "small", 0.2, time.Second)
 		assert.Assert(t, small.IsAsCapable(), "while no leader is known, every instance may have to lead")
 		time.Sleep(3 * time.Second)
 		assert.Assert(t, large.IsLeader(tick.Now()))
