Raise all paces that fit beside the latency-critical tasks at once

Cause: after a peak of a latency-critical task's own load, throttled best-effort runs got their paces back one run a list, 40 points at a time. With six runs on an executor and a list a second that takes 15 s, longer than the tasks and the peaks last; a step waits for its slowest task, so its job was late. Ruled out: waiting for room (medians of 0.05 s to 0.14 s), failed runs (runs for each task 1.07). Change: paces are raised in order of least interference as far as the headroom of each latency-critical run permits, together. Tests: TestRaisesAllPacesThatFit and TestRaisesPacesWithinHeadroom replay the end of such a peak and fail before the change.

--- a/internal/state/cell/pacing.go
+++ b/internal/state/cell/pacing.go
@@ -46,9 +46,8 @@
 	// bestEffortStartInterval is the shortest time between two starts of best-effort tasks colocated with
 	// latency-critical ones, and from a change of pace to the next start.
 	bestEffortStartInterval = 300 * time.Millisecond
-	// paceStepPercent is the granularity of throttled paces, and maxPaceRaisePercent the largest raise at once.
-	paceStepPercent     = 10
-	maxPaceRaisePercent = 40
+	// paceStepPercent is the granularity of throttled paces.
+	paceStepPercent = 10
 	// movePacePercent is the pace below which a run is moved elsewhere once moveGracePeriod has passed.
 	movePacePercent = 60
 	moveGracePeriod = 500 * time.Millisecond
@@ -128,7 +127,7 @@
 		x.throttledAt, x.throttledTailRatio = now, tailRatio
 		out = c.throttle(now, x, worst, bestEffort, throttleShare(tailRatio), out)
 	case tailRatio < raiseTailRatio:
-		out = c.raisePace(now, x, bestEffort, out)
+		out = c.raisePaces(now, x, bestEffort, out)
 	}
 	for _, be := range bestEffort {
 		if be.isPaceUnconfirmed {
@@ -228,17 +227,40 @@
 	return out
 }
 
-// raisePace raises the pace of the throttled run with the least interference per core.
-func (c *Cell) raisePace(now tick.Time, x *executor, bestEffort []*run, out []Order) []Order {
+// raisePaces raises the paces of throttled runs as far as the headroom of the latency-critical runs permits, those with
+// the least interference per core first.
+func (c *Cell) raisePaces(now tick.Time, x *executor, bestEffort []*run, out []Order) []Order {
+	added := make([]float64, len(x.latencyCritical))
 	for _, be := range slices.Backward(bestEffort) {
-		if be.pace < fullPacePercent && !be.isMarkedForStopping {
-			x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
-			return append(out, c.setPace(now, x, be, min(fullPacePercent, be.pace+maxPaceRaisePercent)))
+		if be.pace == fullPacePercent || be.isMarkedForStopping {
+			continue
+		}
+		raise := c.highestRaise(x, be, added)
+		if raise < paceStepPercent {
+			continue
+		}
+		for i, lc := range x.latencyCritical {
+			added[i] += c.interferencePerCore(lc, be) * be.fullPaceCores() * float64(raise) / fullPacePercent
 		}
+		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
+		out = append(out, c.setPace(now, x, be, be.pace+raise))
 	}
 	return out
 }
 
+// highestRaise returns by how much the pace of a best-effort run may be raised, given the load that other raises add to
+// each latency-critical run.
+func (c *Cell) highestRaise(x *executor, be *run, added []float64) int {
+	raise := float64(fullPacePercent - be.pace)
+	for i, lc := range x.latencyCritical {
+		load := c.interferencePerCore(lc, be) * be.fullPaceCores()
+		if load > 0 {
+			raise = min(raise, max(0, lc.headroom-added[i])/load*fullPacePercent)
+		}
+	}
+	return int(raise) / paceStepPercent * paceStepPercent
+}
+
 // interferenceOf returns the load that a best-effort run adds to a latency-critical run at its present pace.
 func (c *Cell) interferenceOf(lc, be *run) float64 {
 	return c.interferencePerCore(lc, be) * be.fullPaceCores() * float64(be.pace) / fullPacePercent
--- a/internal/state/cell/pacing_test.go
+++ b/internal/state/cell/pacing_test.go
@@ -205,3 +205,79 @@
 	assert.Assert(t, heavy > 0.015 && heavy < 0.025, "heavy %.4f", heavy)
 	assert.Assert(t, light < 0.004, "light %.4f", light)
 }
+
+// rows returns the rows of running best-effort tasks.
+func rows(starts []Order) []orders.Running {
+	var out []orders.Running
+	for _, o := range starts {
+		out = append(out, runningRow(o, 4000, 10))
+	}
+	return out
+}
+
+// runsOf returns the runs of a job's first step.
+func (h *harness) runsOf(id string) []*run {
+	var out []*run
+	for _, t := range h.cell.jobs[id].occurrences[0].steps[0].tasks {
+		out = append(out, t.run)
+	}
+	return out
+}
+
+// newThrottledHarness starts six best-effort tasks beside a latency-critical one and halts them all by a tail latency
+// far beyond the target.
+func newThrottledHarness(t *testing.T, weight float64) (h *harness, lc Order, bes []Order) {
+	t.Helper()
+	h = newHarness(t, testExecutor("x"))
+	h.accept("s", "q", latencyCriticalStep("web"))
+	lc = h.planAndConfirm()[0]
+	h.cell.interference.baseMS["web"] = 10
+	h.cell.interference.regressions["web"] = &regression{
+		images: []string{"sum"}, weights: []float64{weight},
+		normalMatrix: [][]float64{{1e9}}, normalVector: []float64{weight * 1e9},
+	}
+	be := bestEffortStep("sum")
+	be.Count, be.MilliCpu, be.EstimateMs = 6, 4000, 200_000
+	h.accept("f", "low", be)
+	for range 20 {
+		h.advance(time.Second)
+		h.reportRunning("x", append(rows(bes), runningRow(lc, 10, 100))...)
+		bes = append(bes, startOrders(h.planAndConfirm())...)
+	}
+	assert.Equal(t, len(bes), 6)
+	h.advance(time.Second)
+	h.reportRunning("x", append(rows(bes), runningRow(lc, 500, 100))...)
+	h.planAndConfirm()
+	for _, r := range h.runsOf("f") {
+		assert.Equal(t, r.pace, 0)
+	}
+	return h, lc, bes
+}
+
+// TestRaisesAllPacesThatFit replays the end of a peak of a latency-critical task's own load, during which all
+// best-effort tasks beside it were halted. They go on at once, as each waits for the others of its step.
+func TestRaisesAllPacesThatFit(t *testing.T) {
+	h, lc, bes := newThrottledHarness(t, 0.001)
+	h.advance(time.Second)
+	h.reportRunning("x", append(rows(bes), runningRow(lc, 12, 100))...)
+	h.planAndConfirm()
+	for _, r := range h.runsOf("f") {
+		assert.Equal(t, r.pace, fullPacePercent)
+	}
+}
+
+// TestRaisesPacesWithinHeadroom checks that all raises together stay within the headroom of the latency-critical task.
+func TestRaisesPacesWithinHeadroom(t *testing.T) {
+	const weight = 0.03
+	h, lc, bes := newThrottledHarness(t, weight)
+	h.advance(time.Second)
+	h.reportRunning("x", append(rows(bes), runningRow(lc, 15, 100))...)
+	headroom := h.runsOf("s")[0].headroom
+	h.planAndConfirm()
+	added := 0.0
+	for _, r := range h.runsOf("f") {
+		added += weight * r.fullPaceCores() * float64(r.pace) / fullPacePercent
+	}
+	assert.Assert(t, added > headroom/2, "added %.3f of %.3f", added, headroom)
+	assert.Assert(t, added <= headroom, "added %.3f of %.3f", added, headroom)
+}
