Report how many executors a new leader waits for

Change: cell-usage and the gauge cell_awaited_executors have the number. Test: TestUsageCountsAwaitedExecutors.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -301,7 +301,7 @@
 		if err == nil {
 			t.cell.Discover(tick.Now(), list)
 		}
-		usage := t.cell.Usage()
+		usage := t.cell.Usage(tick.Now())
 		if round%modelSaveRounds == 0 {
 			t.cell.SaveModel()
 		}
@@ -323,7 +323,8 @@
 		Int64("used-cores", u.UsedCores).Int64("lasting-cores", u.LongRunningCores).Int64("filling-cores", u.BestEffortCores).
 		Int("waiting-short", u.WaitingShort).Int("waiting-lasting", u.WaitingLongRunning).
 		Int("waiting-filling", u.WaitingBestEffort).Int("serving", u.LatencyCritical).Int("over-target", u.OverTarget).
-		Int("filling", u.BestEffort).Int("slowed", u.Throttled).Msg("cell-usage")
+		Int("filling", u.BestEffort).Int("slowed", u.Throttled).Int("awaited-executors", u.AwaitedExecutors).
+		Msg("cell-usage")
 }
 
 func (t *term) setUsageGauges(u cell.Usage) {
@@ -332,7 +333,7 @@
 		"cores_filling": u.BestEffortCores, "waiting_short": int64(u.WaitingShort),
 		"waiting_lasting": int64(u.WaitingLongRunning), "waiting_filling": int64(u.WaitingBestEffort),
 		"serving": int64(u.LatencyCritical), "over_target": int64(u.OverTarget),
-		"filling": int64(u.BestEffort), "slowed": int64(u.Throttled),
+		"filling": int64(u.BestEffort), "slowed": int64(u.Throttled), "awaited_executors": int64(u.AwaitedExecutors),
 	} {
 		t.opts.Meter.Gauge("cell_"+name, nil, float64(v))
 	}
--- a/internal/state/cell/takeover_test.go
+++ b/internal/state/cell/takeover_test.go
@@ -135,3 +135,14 @@
 	h.reportEnd(first[0], 1, orders.EndedFailed, "")
 	assert.Equal(t, len(startOrders(h.planAndConfirm())), 1, "one of three attempts has failed")
 }
+
+// TestUsageCountsAwaitedExecutors checks the figure by which operators see why a new leader starts nothing yet.
+func TestUsageCountsAwaitedExecutors(t *testing.T) {
+	h := newTakeoverHarness(t)
+	assert.Equal(t, h.cell.Usage(h.now).AwaitedExecutors, 2)
+	h.reportRunning("x")
+	assert.Equal(t, h.cell.Usage(h.now).AwaitedExecutors, 1)
+	h.reportRunning("y")
+	h.planAndConfirm()
+	assert.Equal(t, h.cell.Usage(h.now).AwaitedExecutors, 0)
+}
--- a/internal/state/cell/usage.go
+++ b/internal/state/cell/usage.go
@@ -1,5 +1,7 @@
 package cell
 
+import "github.com/ibischute/ibischute/pkg/tick"
+
 // Usage is the utilization of the executors and the number of waiting tasks, by kind of task.
 type Usage struct {
 	// Cores is the CPU capacity of all listed executors, UsedCores the part of it allocated to tasks that are not
@@ -17,12 +19,18 @@
 	BestEffort, Throttled int
 	// Jobs is the number of jobs that have not ended.
 	Jobs int
+	// AwaitedExecutors counts the executors that have not responded to this leader and may run tasks of a former one.
+	// Until there are none, jobs that a former leader may have started start nothing.
+	AwaitedExecutors int
 }
 
 // Usage returns the present utilization.
-func (c *Cell) Usage() Usage {
+func (c *Cell) Usage(now tick.Time) Usage {
 	u := Usage{Jobs: len(c.active)}
 	for _, x := range c.execs {
+		if c.isTakingOver && c.isAwaited(now, x) {
+			u.AwaitedExecutors++
+		}
 		if x.isTerminated || !x.isListed {
 			continue
 		}
