Let no caller queue up behind a read of the progress topic

Cause (found by reading the diff): a caller that asks for a job's state while neither leader nor store answers waited up to 1.2 s for a read of the progress topic, and all callers of an instance one after another. An instance that is cut off must answer from what it knows. Change: RefreshProgress returns at once while another read is under way or within a second of the last try; the known state is shown. Test: TestRefreshesDoNotQueueUp.

--- a/internal/services/replic/replic.go
+++ b/internal/services/replic/replic.go
@@ -54,8 +54,11 @@
 type Replica struct {
 	opts Options
 
-	// readMu serializes reads; mu guards the other fields.
-	readMu   sync.Mutex
+	// readMu serializes reads and guards refreshedAt; mu guards the other fields.
+	readMu sync.Mutex
+	// refreshedAt is when RefreshProgress last began a read.
+	refreshedAt tick.Time
+
 	mu       sync.Mutex
 	book     *book.Book
 	intake   *topic
@@ -172,13 +175,18 @@
 	return r.readProgress(ctx)
 }
 
-// RefreshProgress reads the progress topic unless it was read within the last followInterval.
+// RefreshProgress reads the progress topic unless that was tried within the last followInterval or another read is under
+// way, so that callers do not queue up while the store does not respond.
 func (r *Replica) RefreshProgress(ctx context.Context) error {
-	r.readMu.Lock()
+	if !r.readMu.TryLock() {
+		return nil
+	}
 	defer r.readMu.Unlock()
-	if r.progressAge() < followInterval {
+	now := tick.Now()
+	if r.progressAge() < followInterval || now.Sub(r.refreshedAt) < followInterval {
 		return nil
 	}
+	r.refreshedAt = now
 	return r.readProgress(ctx)
 }
 
--- a/internal/services/replic/replic_test.go
+++ b/internal/services/replic/replic_test.go
@@ -97,3 +97,26 @@
 		assert.DeepEqual(t, roster, []string{"kept"})
 	})
 }
+
+// TestRefreshesDoNotQueueUp checks callers that ask for states while the store does not respond.
+func TestRefreshesDoNotQueueUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		t.Cleanup(tick.SetSource(func() tick.Time { return tick.Time(time.Now().UnixNano()) }))
+		view := memlog.New(rand.New(rand.NewPCG(1, 2))).View()
+		view.SetFaults(memlog.Faults{Unresponsive: true})
+		r := replic.New(replic.Options{Log: view, Logger: zerolog.Nop()})
+		started := time.Now()
+		ended := make(chan error, 20)
+		for range cap(ended) {
+			go func() { ended <- r.RefreshProgress(t.Context()) }()
+		}
+		failed := 0
+		for range cap(ended) {
+			if err := <-ended; err != nil {
+				failed++
+			}
+		}
+		assert.Equal(t, failed, 1, "one caller tries to read")
+		assert.Assert(t, time.Since(started) < 2*time.Second, "took %v", time.Since(started))
+	})
+}
