Count no time at a lower pace as a stall

Cause: since all paces that fit are raised at once, a run that was halted counted as stalled with the first list after its raise, as the time without progress included the halt. It was stopped and its executor got no starts for 4 s. Before, a raise took several lists, in which the run made progress. Change: a raise of the pace begins the time without progress anew. Test: TestRaisedRunIsNotStalled fails without the change.

--- a/internal/state/cell/pacing.go
+++ b/internal/state/cell/pacing.go
@@ -297,6 +297,10 @@
 	if r.pace >= movePacePercent && percent < movePacePercent {
 		r.lowPaceSince = now
 	}
+	if percent > r.pace {
+		// The time without progress at the lower pace is no sign of a stall.
+		r.progressAt = now
+	}
 	r.pace = percent
 	r.isPaceUnconfirmed = false
 	return Order{Target: x.target(), Pace: &orders.Pace{Run: r.id, Percent: percent, Epoch: c.epoch}}
--- a/internal/state/cell/pacing_test.go
+++ b/internal/state/cell/pacing_test.go
@@ -281,3 +281,21 @@
 	assert.Assert(t, added > headroom/2, "added %.3f of %.3f", added, headroom)
 	assert.Assert(t, added <= headroom, "added %.3f of %.3f", added, headroom)
 }
+
+// TestRaisedRunIsNotStalled checks runs that made no progress while they were halted. They are not stalled right after
+// their paces were raised, and their executor stays usable.
+func TestRaisedRunIsNotStalled(t *testing.T) {
+	h, lc, bes := newThrottledHarness(t, 0.001)
+	for _, r := range h.runsOf("f") {
+		r.task.step.pb.EstimateMs = 2000
+	}
+	for _, tail := range []int64{60, 60, 60, 12, 12} {
+		h.advance(time.Second)
+		h.reportRunning("x", append(rows(bes), runningRow(lc, tail, 100))...)
+		h.planAndConfirm()
+	}
+	for _, r := range h.runsOf("f") {
+		assert.Assert(t, !r.isMarkedForStopping)
+	}
+	assert.Assert(t, h.cell.execs["x"].isUsable(h.now))
+}
