--- a/internal/state/cell/model_test.go
+++ b/internal/state/cell/model_test.go
@@ -126,8 +126,8 @@
 	return out
 }
 
-// TestScheduleWithUnreachedExecutor runs a schedule in which a new leader has not reached an executor when the leases of
-// the former leader expire. A run that was done there is started again.
+// TestScheduleWithUnreachedExecutor runs a schedule in which a new leader has not reached an executor when the leases
+// of the former leader expire. A run that was done there is started again.
 func TestScheduleWithUnreachedExecutor(t *testing.T) {
 	sim := runSchedule(6230)
 	assert.Assert(t, len(sim.violations) == 0, strings.Join(sim.violations, "\n"))
