--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -301,6 +301,7 @@
 		if err == nil {
 			t.cell.Discover(tick.Now(), list)
 		}
+		t.cell.Diagnose(tick.Now())
 		usage := t.cell.Usage(tick.Now())
 		if round%modelSaveRounds == 0 {
 			t.cell.SaveModel()
@@ -324,10 +325,22 @@
 		Int("waiting-short", u.WaitingShort).Int("waiting-lasting", u.WaitingLongRunning).
 		Int("waiting-filling", u.WaitingBestEffort).Int("serving", u.LatencyCritical).Int("over-target", u.OverTarget).
 		Int("filling", u.BestEffort).Int("slowed", u.Throttled).Int("awaited-executors", u.AwaitedExecutors).
-		Msg("cell-usage")
+		Int("delayed", countDelayed(u)).Msg("cell-usage")
+}
+
+// countDelayed returns the number of delayed steps and runs of all causes.
+func countDelayed(u cell.Usage) int {
+	n := 0
+	for _, k := range u.Delayed {
+		n += k
+	}
+	return n
 }
 
 func (t *term) setUsageGauges(u cell.Usage) {
+	for _, cause := range cell.WaitCauses() {
+		t.opts.Meter.Gauge("cell_delayed", map[string]string{"cause": string(cause)}, float64(u.Delayed[cause]))
+	}
 	for name, v := range map[string]int64{
 		"jobs": int64(u.Jobs), "cores": u.Cores, "cores_used": u.UsedCores, "cores_lasting": u.LongRunningCores,
 		"cores_filling": u.BestEffortCores, "waiting_short": int64(u.WaitingShort),
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -200,6 +200,8 @@
 		if err := t.commit(ctx); err != nil {
 			if isFencedError(err) {
 				wake.Send(t.fenced)
+			} else if ctx.Err() == nil {
+				t.opts.Logger.Error().Err(err).Uint64("epoch", t.epoch).Msg("commit-failed")
 			}
 			return
 		}
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -64,7 +64,9 @@
 	// them.
 	retired map[string]bool
 	// stopping has the runs that are marked for stopping and those whose start is unconfirmed.
-	stopping     map[*run]bool
+	stopping map[*run]bool
+	// delayed counts the tasks and runs that Diagnose has found, by cause.
+	delayed      map[WaitCause]int
 	events       []Event
 	durations    *durationModel
 	interference *interferenceModel
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -65,6 +65,9 @@
 	advice *stepAdvice
 	// gangFailures are the run numbers of the gang's failed attempts.
 	gangFailures []uint64
+	// waitsSince is since when Diagnose has seen a due task of the step without a run; 0 if there is none.
+	// waitReportedAt is when it last reported the cause.
+	waitsSince, waitReportedAt tick.Time
 }
 
 type task struct {
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -198,6 +198,7 @@
 	if r.firstListedAt == 0 {
 		r.firstListedAt = now
 	}
+	r.listedAt = now
 	r.percent = row.Percent
 	r.usage = row.Usage
 }
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -36,8 +36,10 @@
 	checkpoint string
 	percent    int
 	usage      int64
-	// firstListedAt is when a list first contained the run, progressAt when percent last changed.
-	firstListedAt, progressAt tick.Time
+	// firstListedAt and listedAt are when a list first and last contained the run, progressAt when percent last changed.
+	firstListedAt, listedAt, progressAt tick.Time
+	// waitReportedAt is when Diagnose last reported that no list contains the run.
+	waitReportedAt tick.Time
 	// overTargetSince is since when a latency-critical run has exceeded its target; 0 if it does not.
 	overTargetSince tick.Time
 	// pace is the last ordered pace in percent of full speed. isPaceUnconfirmed is true if that order may not have
--- a/internal/state/cell/usage.go
+++ b/internal/state/cell/usage.go
@@ -22,11 +22,14 @@
 	// AwaitedExecutors counts the executors that have not responded to this leader and may run tasks of a former one.
 	// Until there are none, jobs that a former leader may have started start nothing.
 	AwaitedExecutors int
+	// Delayed counts the steps that wait although an executor has the room, and the runs that no list shows, by cause, as
+	// of the last call of Diagnose.
+	Delayed map[WaitCause]int
 }
 
 // Usage returns the present utilization.
 func (c *Cell) Usage(now tick.Time) Usage {
-	u := Usage{Jobs: len(c.active)}
+	u := Usage{Jobs: len(c.active), Delayed: c.delayed}
 	for _, x := range c.execs {
 		if c.isTakingOver && c.isAwaited(now, x) {
 			u.AwaitedExecutors++
--- /dev/null
+++ b/internal/state/cell/waits.go
@@ -0,0 +1,262 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// WaitCause is why a task has no run, or why an executor does not take it.
+type WaitCause string
+
+// The causes that concern the task itself.
+const (
+	// WaitTakeover means that a former leader may have started the task on an executor that has not responded yet.
+	WaitTakeover WaitCause = "takeover"
+	// WaitStartRecord means that the record of the job's start is not stored yet.
+	WaitStartRecord WaitCause = "start-record"
+	// WaitOrphan means that an executor may still run the task although this leader does not track that run.
+	WaitOrphan WaitCause = "orphaned-run"
+	// WaitRun means that the tracked run of the task is not in the lists of its executor.
+	WaitRun WaitCause = "unlisted-run"
+)
+
+// The causes that concern an executor, those that no decision of this leader can remove first.
+const (
+	WaitNoLabel      WaitCause = "no-label"
+	WaitNoRoom       WaitCause = "no-room"
+	WaitAntiAffinity WaitCause = "anti-affinity"
+	WaitUnreached    WaitCause = "unreached"
+	WaitOrphans      WaitCause = "orphaned-runs"
+	WaitQuarantine   WaitCause = "quarantined"
+	WaitNoTicket     WaitCause = "no-ticket"
+	WaitFailedOn     WaitCause = "failed-on"
+	WaitInterference WaitCause = "interference"
+	WaitNotPlanned   WaitCause = "not-planned"
+)
+
+// WaitCauses returns the causes that Usage.Delayed may count.
+func WaitCauses() []WaitCause {
+	return []WaitCause{
+		WaitTakeover, WaitStartRecord, WaitOrphan, WaitRun, WaitOrphans, WaitQuarantine, WaitNoTicket, WaitFailedOn,
+		WaitInterference, WaitNotPlanned,
+	}
+}
+
+// hardCauses are the causes for which an executor cannot take a task.
+var hardCauses = []WaitCause{WaitNoLabel, WaitNoRoom, WaitAntiAffinity, WaitUnreached}
+
+const (
+	// waitReportDelay is how long a task may have no run before the cause is reported.
+	waitReportDelay = 2 * time.Second
+	// waitReportInterval is the shortest time between two reports on the same step or run.
+	waitReportInterval = 2 * time.Second
+	// maxWaitReports bounds the reports of one call of Diagnose, maxWaitChecks the steps that it looks at.
+	maxWaitReports = 16
+	maxWaitChecks  = 64
+)
+
+// Diagnose emits an event with the cause for each due task that has had no run, and for each run that no list has
+// shown, for waitReportDelay. Steps that wait for room alone are not reported.
+func (c *Cell) Diagnose(now tick.Time) {
+	c.delayed = map[WaitCause]int{}
+	p := c.newPlacement(now)
+	checks, reports := 0, 0
+	for _, j := range c.active {
+		for _, s := range j.delayedSteps(now) {
+			if checks == maxWaitChecks {
+				break
+			}
+			checks++
+			if c.diagnoseStep(p, s) && reports < maxWaitReports {
+				reports++
+				c.reportStep(p, s)
+			}
+		}
+	}
+	for _, x := range c.execs {
+		for _, r := range x.runs {
+			if c.diagnoseRun(now, r) && reports < maxWaitReports {
+				reports++
+				c.reportRun(now, r)
+			}
+		}
+	}
+}
+
+// delayedSteps returns the steps of the job that have due tasks without a run and have had them for waitReportDelay.
+// Waiting tasks of a job of which others run are not delayed, unless they are long-running.
+func (j *job) delayedSteps(now tick.Time) []*step {
+	var out []*step
+	hasRuns := j.hasRuns()
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			isWaiting := s.waiting > 0 && s.isReady() && (s.pb.LongRunning || !hasRuns)
+			switch {
+			case !isWaiting:
+				s.waitsSince = 0
+			case s.waitsSince == 0:
+				s.waitsSince = now
+			case now.Sub(s.waitsSince) >= waitReportDelay:
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
+
+// hasRuns reports whether a task of the job has a run.
+func (j *job) hasRuns() bool {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.waiting < s.unfinished {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// diagnoseStep counts a delayed step by its cause, and returns whether a report is due.
+func (c *Cell) diagnoseStep(p *placement, s *step) bool {
+	t := s.firstWaiting()
+	if t == nil {
+		return false
+	}
+	cause, _ := c.causeOf(p, t)
+	if slices.Contains(hardCauses, cause) {
+		return false
+	}
+	c.delayed[cause]++
+	return s.waitReportedAt == 0 || p.now.Sub(s.waitReportedAt) >= waitReportInterval
+}
+
+// firstWaiting returns the first task of the step without a run, or nil.
+func (s *step) firstWaiting() *task {
+	i := slices.IndexFunc(s.tasks, func(t *task) bool { return t.run == nil && !t.done })
+	if i < 0 {
+		return nil
+	}
+	return s.tasks[i]
+}
+
+func (c *Cell) reportStep(p *placement, s *step) {
+	s.waitReportedAt = p.now
+	t := s.firstWaiting()
+	cause, detail := c.causeOf(p, t)
+	c.emit(Event{
+		Name: "task-waiting", Task: t.id, Executor: executorID(t.orphanedOn),
+		Detail: fmt.Sprintf(
+			"%s for %v, started %d times; %s", cause, inMillis(p.now.Sub(s.waitsSince)), t.startCount, detail),
+	})
+}
+
+// inMillis rounds a duration for the log.
+func inMillis(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+// causeOf returns why a task without a run does not start, and the number of executors by cause.
+func (c *Cell) causeOf(p *placement, t *task) (WaitCause, string) {
+	switch {
+	case c.isTakingOver && t.step.job.isInherited:
+		return WaitTakeover, ""
+	case t.orphanedOn != nil && t.orphanedOn.hasOrphanedRun(t.id):
+		return WaitOrphan, fmt.Sprintf("last response %v ago", inMillis(p.now.Sub(t.orphanedOn.lastResponseAt)))
+	case t.step.job.startRecord == startRecordPending:
+		return WaitStartRecord, ""
+	}
+	counts := c.countCauses(p, t)
+	cause := WaitNoRoom
+	var parts []string
+	for _, k := range sortedCauses(counts) {
+		parts = append(parts, fmt.Sprintf("%s %d", k, counts[k]))
+		isSofter := slices.Contains(hardCauses, cause) && !slices.Contains(hardCauses, k)
+		if isSofter || !slices.Contains(hardCauses, k) && counts[k] > counts[cause] {
+			cause = k
+		}
+	}
+	return cause, "executors: " + strings.Join(parts, ", ")
+}
+
+// sortedCauses returns the causes in alphabetical order.
+func sortedCauses(counts map[WaitCause]int) []WaitCause {
+	var out []WaitCause
+	for k := range counts {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// countCauses counts the executors of the task's service by the cause for which they do not take the task.
+func (c *Cell) countCauses(p *placement, t *task) map[WaitCause]int {
+	counts := map[WaitCause]int{}
+	avoids := t.avoidsFailedOn(p.pools[t.step.job.queue.Service])
+	for _, x := range c.execs {
+		isCandidate := x.isListed && !x.isTerminated && !x.entry.Draining
+		if isCandidate && x.entry.Service == t.step.job.queue.Service {
+			counts[p.causeOn(x, t, avoids)]++
+		}
+	}
+	return counts
+}
+
+// causeOn returns why the executor does not take the task.
+func (p *placement) causeOn(x *executor, t *task, avoidsFailedOn bool) WaitCause {
+	s, need := t.step, resourcesOf(t.step.pb)
+	switch {
+	case !x.satisfies(s.pb.RequiresLabel):
+		return WaitNoLabel
+	case !x.free().covers(need), s.pb.Fills && x.freeBestEffortMilliCPU() < int64(s.pb.MilliCpu):
+		return WaitNoRoom
+	case !x.allows(s, need):
+		return WaitAntiAffinity
+	case !x.isRostered || !x.hasResponded || !x.hasClock || x.isUnresponsive:
+		return WaitUnreached
+	case len(x.orphaned) > 0:
+		return WaitOrphans
+	case !x.isUsable(p.now):
+		return WaitQuarantine
+	case !s.isPermittedOn(p.now, x):
+		return WaitNoTicket
+	case avoidsFailedOn && slices.Contains(t.failedOn, x.entry.ID):
+		return WaitFailedOn
+	}
+	if _, ok := p.rateExecutor(s, need, x); !ok {
+		return WaitInterference
+	}
+	return WaitNotPlanned
+}
+
+// diagnoseRun counts a run that no list has shown for waitReportDelay, and returns whether a report is due.
+func (c *Cell) diagnoseRun(now tick.Time, r *run) bool {
+	if now.Sub(max(r.startedAt, r.listedAt)) < waitReportDelay {
+		return false
+	}
+	c.delayed[WaitRun]++
+	return r.waitReportedAt == 0 || now.Sub(r.waitReportedAt) >= waitReportInterval
+}
+
+func (c *Cell) reportRun(now tick.Time, r *run) {
+	r.waitReportedAt = now
+	x := r.exec
+	c.emit(Event{
+		Name: "run-unlisted", Task: r.id.Task, Run: r.id.Number, Executor: x.entry.ID,
+		Detail: fmt.Sprintf(
+			"for %v; confirmed %t, marked for stopping %t, stop confirmed %t; executor listed %t, last response %v ago, "+
+				"lease expires in %v",
+			inMillis(now.Sub(max(r.startedAt, r.listedAt))), r.confirmedAt != 0, r.isMarkedForStopping, r.stoppedAt != 0,
+			x.isListed, inMillis(now.Sub(x.lastResponseAt)), inMillis(x.leaseExpiresBy.Sub(now)),
+		),
+	})
+}
+
+// executorID returns the id of an executor, or an empty string if there is none.
+func executorID(x *executor) string {
+	if x == nil {
+		return ""
+	}
+	return x.entry.ID
+}
