Try suspect executors with one run at a time instead of a growing quarantine

Cause: an executor on which runs of several jobs had failed got nothing for 4 to 16 s. Only the end of that time could show that it works again; the time grew with each failed run, so that one batch of five raised it from 4 to 16 s; failures of jobs that fail everywhere counted against each executor in turn; and long-running runs that work never cleared the count, as they are never done. Where other executors are full, the quarantined ones are the only room. At the end of the quarantine the executor was filled at once, so a sick one failed as many runs as it has room for.

Now nothing starts on a suspect executor for 1.5 s after a failure, then one run at a time until one makes progress for 1 s or is done. The bound of 3 s is met whatever has failed, and a sick executor spoils one run in 1.5 s instead of a batch. Failures of tasks that failed elsewhere before raise no suspicion. Stalls use the same rule.

--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -86,12 +86,10 @@
 	// acknowledged to the executor.
 	appliedCursor, batchedCursor, storedCursor, ackSentCursor uint64
 
-	// quarantinedUntil is the time until which no runs are started on the executor.
+	// quarantinedUntil is the time until which no runs are started on the executor, because it refused an order or did not
+	// respond to one.
 	quarantinedUntil tick.Time
-	// failures counts the failed runs since the last successful one, at most maxFailuresCounted. Consecutive failures of
-	// the same job, which is lastFailedJob, count once.
-	failures      int
-	lastFailedJob string
+	suspicion        suspicion
 	// pacesAdjustedAt is the lastResponseAt of the list for which paces were last adjusted. No best-effort task starts
 	// before noBestEffortUntil.
 	pacesAdjustedAt, noBestEffortUntil tick.Time
@@ -236,5 +234,5 @@
 func (x *executor) isUsable(now tick.Time) bool {
 	isRegistered := x.isListed && x.isRostered && x.hasResponded && x.hasClock
 	isAvailable := !x.isTerminated && !x.isUnresponsive && !x.entry.Draining && len(x.orphaned) == 0
-	return isRegistered && isAvailable && !now.Before(x.quarantinedUntil)
+	return isRegistered && isAvailable && !now.Before(x.quarantinedUntil) && x.suspicion.admits(now)
 }
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -132,7 +132,7 @@
 	c.emit(Event{Name: "executor-reborn", Executor: x.entry.ID})
 	x.appliedCursor, x.batchedCursor, x.storedCursor, x.ackSentCursor = 0, 0, 0, 0
 	x.hasClock = false
-	x.failures = 0
+	x.suspicion.recordSuccess()
 	for _, r := range x.runs {
 		if r.confirmedAt == 0 {
 			// A start order without a response may still arrive, so the run is stopped in advance.
@@ -145,7 +145,7 @@
 // applyEnded applies one listed end.
 func (c *Cell) applyEnded(now tick.Time, x *executor, e orders.EndedRun) {
 	if e.Reason == orders.EndedDone {
-		x.failures, x.lastFailedJob = 0, ""
+		x.suspicion.recordSuccess()
 	}
 	if r, ok := x.runs[e.Run.Task]; ok && r.id == e.Run && r.task != c.task(e.Run.Task) {
 		// The run belongs to a job that has ended.
@@ -201,6 +201,9 @@
 	r.listedAt = now
 	r.percent = row.Percent
 	r.usage = row.Usage
+	if r.proves(now) {
+		r.exec.suspicion.recordSuccess()
+	}
 }
 
 // releaseMissing releases runs that are missing from a list that was requested after they were confirmed or stopped.
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -99,7 +99,7 @@
 
 // rateExecutor returns the cost of an executor for a task of the step, and whether it can take one.
 func (p *placement) rateExecutor(s *step, need resources, x *executor) (float64, bool) {
-	if !x.allows(s, need) || !s.isPermittedOn(p.now, x) {
+	if !x.allows(s, need) || !s.isPermittedOn(p.now, x) || !x.suspicion.admits(p.now) {
 		return 0, false
 	}
 	cost := x.cost(s, need)
@@ -227,7 +227,7 @@
 	if s.pb.DataRack != "" && !x.hasLabel(s.pb.DataRack) {
 		cost += costRemoteData
 	}
-	cost += costPerFailure * float64(x.failures)
+	cost += costPerFailure * float64(x.suspicion.failures)
 	total := float64(max(1, x.total.milliCPU))
 	if s.pb.Fills {
 		return cost - float64(x.freeBestEffortMilliCPU())/total
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -64,6 +64,7 @@
 		startedAt: now, progressAt: now, checkpoint: t.checkpoint, pace: fullPacePercent,
 	}
 	c.attachRun(r)
+	x.suspicion.begin(r)
 	return r
 }
 
@@ -93,6 +94,7 @@
 // removeRun removes a run and its resources.
 func (x *executor) removeRun(r *run) {
 	delete(x.runs, r.id.Task)
+	x.suspicion.end(r)
 	x.used = x.used.minus(r.resources)
 	is := func(o *run) bool { return o == r }
 	switch pb := r.task.step.pb; {
@@ -200,10 +202,10 @@
 // recordFailure counts a failed run. The job fails with the last permitted attempt.
 func (c *Cell) recordFailure(now tick.Time, t *task, number uint64, x *executor) {
 	j := t.step.job
+	c.recordExecutorFailure(now, x, t)
 	if !slices.Contains(t.failedOn, x.entry.ID) {
 		t.failedOn = append(t.failedOn, x.entry.ID)
 	}
-	c.recordExecutorFailure(now, x, j.id)
 	if t.step.pb.LongRunning || slices.Contains(t.failedRuns, number) {
 		return
 	}
@@ -224,30 +226,21 @@
 }
 
 const (
-	// failuresBeforeQuarantine is the number of consecutive failures, of runs of different jobs, until an executor is
-	// quarantined.
-	failuresBeforeQuarantine = 2
-	// quarantineAfterFailures is the first quarantine of an executor on which runs fail one after another. It grows with
-	// each further failure.
-	quarantineAfterFailures = 4 * time.Second
 	// quarantineAfterRefusal is the quarantine of an executor that refused an order.
 	quarantineAfterRefusal = 300 * time.Millisecond
 	// quarantineAfterNoResponse is the quarantine of an executor that did not respond to an order.
 	quarantineAfterNoResponse = 1500 * time.Millisecond
-	// maxFailuresCounted bounds the growth of the quarantine of a failing executor.
-	maxFailuresCounted = 5
 )
 
-// recordExecutorFailure counts a failure against the executor. Consecutive failures of one job count once, since the
-// job itself may be the cause.
-func (c *Cell) recordExecutorFailure(now tick.Time, x *executor, jobID string) {
-	if x.lastFailedJob == jobID {
+// recordExecutorFailure counts the failure of a task's run against the executor. A task that has failed on another one
+// before may itself be the cause, so its failures raise no suspicion, but they prolong one. Long-running tasks fail at
+// any time, so their past says nothing.
+func (c *Cell) recordExecutorFailure(now tick.Time, x *executor, t *task) {
+	hasFailedElsewhere := len(t.failedOn) > 0 && !slices.Contains(t.failedOn, x.entry.ID)
+	if hasFailedElsewhere && !t.step.pb.LongRunning && !x.suspicion.isActive() {
 		return
 	}
-	x.lastFailedJob = jobID
-	x.failures = min(x.failures+1, maxFailuresCounted)
-	if x.failures >= failuresBeforeQuarantine {
-		x.quarantine(now, quarantineAfterFailures*time.Duration(x.failures-1))
+	if x.suspicion.recordFailure(now, t.id.Job) {
 		c.emit(Event{Name: "executor-avoided", Executor: x.entry.ID, Detail: "failing"})
 	}
 }
--- a/internal/state/cell/stops.go
+++ b/internal/state/cell/stops.go
@@ -77,8 +77,6 @@
 const (
 	// stallTimeout is how long a run may make no progress before it is moved.
 	stallTimeout = 1800 * time.Millisecond
-	// quarantineAfterStall is the quarantine of an executor on which a run has stalled.
-	quarantineAfterStall = 4 * time.Second
 	// stallEstimateShare is the share of its estimate for which a run may make no progress, if that is longer than
 	// stallTimeout. It allows for tasks that report progress in large steps.
 	stallEstimateShare = 0.25
@@ -89,7 +87,7 @@
 	for _, r := range x.runs {
 		if isStalled(r) {
 			c.markForStopping(r)
-			x.quarantine(now, quarantineAfterStall)
+			x.suspicion.recordStall(now)
 			c.emit(Event{Name: "run-stalled", Task: r.id.Task, Run: r.id.Number, Executor: x.entry.ID})
 		}
 	}
--- /dev/null
+++ b/internal/state/cell/suspicion.go
@@ -0,0 +1,84 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// suspicion is the circuit breaker of an executor on which runs fail or stall. After failures of several jobs, nothing
+// starts on the executor for suspicionPause. Then it gets one run at a time, its trial, until a run works on it. The
+// pause does not grow, because the executor may be the only one that has room for a task.
+type suspicion struct {
+	// failures counts the failed runs since the last one that worked, at most maxFailuresCounted. Consecutive failures of
+	// the same job, which is lastFailedJob, count once, since the job itself may be the cause.
+	failures      int
+	lastFailedJob string
+	// lastFailedAt is when a run last failed.
+	lastFailedAt tick.Time
+	// trial is the run that is on trial, if any.
+	trial *run
+}
+
+const (
+	// failuresBeforeSuspicion is the number of failures of different jobs from which an executor is under suspicion.
+	failuresBeforeSuspicion = 2
+	// maxFailuresCounted bounds the count of failures.
+	maxFailuresCounted = 5
+	// suspicionPause is half the time for which a due task may have no run, so that a trial fits into the rest.
+	suspicionPause = 1500 * time.Millisecond
+	// provenAfter is how long a run must have made progress on an executor to show that the executor works.
+	provenAfter = time.Second
+)
+
+// recordFailure counts the failure of a run of the job. It returns whether the executor is under suspicion.
+func (s *suspicion) recordFailure(now tick.Time, jobID string) bool {
+	if s.lastFailedJob != jobID {
+		s.lastFailedJob = jobID
+		s.failures = min(s.failures+1, maxFailuresCounted)
+	}
+	s.lastFailedAt = now
+	return s.isActive()
+}
+
+// recordStall puts the executor under suspicion, because a run has stalled on it.
+func (s *suspicion) recordStall(now tick.Time) {
+	s.failures = max(s.failures, failuresBeforeSuspicion)
+	s.lastFailedAt = now
+}
+
+// recordSuccess ends the suspicion: a run works on the executor.
+func (s *suspicion) recordSuccess() {
+	*s = suspicion{}
+}
+
+func (s *suspicion) isActive() bool { return s.failures >= failuresBeforeSuspicion }
+
+// admits reports whether a run may be started on the executor.
+func (s *suspicion) admits(now tick.Time) bool {
+	return !s.isActive() || s.trial == nil && now.Sub(s.lastFailedAt) >= suspicionPause
+}
+
+// begin puts a new run on trial if the executor is under suspicion.
+func (s *suspicion) begin(r *run) {
+	if s.isActive() && s.trial == nil {
+		s.trial = r
+	}
+}
+
+// end ends the trial of a run that is over.
+func (s *suspicion) end(r *run) {
+	if s.trial == r {
+		s.trial = nil
+	}
+}
+
+// proves reports whether a run that was started since the last failure shows that its executor works.
+func (r *run) proves(now tick.Time) bool {
+	isNew := r.startedAt.After(r.exec.suspicion.lastFailedAt)
+	isLongEnough := r.firstListedAt != 0 && now.Sub(r.firstListedAt) >= provenAfter
+	if r.task.step.pb.LongRunning {
+		return isNew && isLongEnough && r.percent == fullPacePercent
+	}
+	return isNew && isLongEnough && r.progressAt.After(r.firstListedAt)
+}
