Tell apart in the log why best-effort tasks are refused

task-waiting summed up three refusals as interference: a latency-critical run near its target, the pause after a change of paces, and the forecast.

--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -34,6 +34,8 @@
 	WaitQuarantine   WaitCause = "quarantined"
 	WaitNoTicket     WaitCause = "no-ticket"
 	WaitFailedOn     WaitCause = "failed-on"
+	WaitNearTarget   WaitCause = "near-target"
+	WaitStartPause   WaitCause = "start-pause"
 	WaitInterference WaitCause = "interference"
 	WaitNotPlanned   WaitCause = "not-planned"
 )
@@ -42,7 +44,7 @@
 func WaitCauses() []WaitCause {
 	return []WaitCause{
 		WaitTakeover, WaitStartRecord, WaitOrphan, WaitRun, WaitOrphans, WaitQuarantine, WaitNoTicket, WaitFailedOn,
-		WaitInterference, WaitNotPlanned,
+		WaitNearTarget, WaitStartPause, WaitInterference, WaitNotPlanned,
 	}
 }
 
@@ -225,11 +227,22 @@
 		return WaitFailedOn
 	}
 	if _, ok := p.rateExecutor(s, need, x); !ok {
-		return WaitInterference
+		return p.interferenceCauseOn(x)
 	}
 	return WaitNotPlanned
 }
 
+// interferenceCauseOn returns why the latency-critical runs of the executor do not tolerate a best-effort task.
+func (p *placement) interferenceCauseOn(x *executor) WaitCause {
+	switch {
+	case slices.ContainsFunc(x.latencyCritical, func(r *run) bool { return r.isNearTarget }):
+		return WaitNearTarget
+	case p.now.Before(x.noBestEffortUntil):
+		return WaitStartPause
+	}
+	return WaitInterference
+}
+
 // diagnoseRun counts a run that no list has shown for waitReportDelay, and returns whether a report is due.
 func (c *Cell) diagnoseRun(now tick.Time, r *run) bool {
 	if now.Sub(max(r.startedAt, r.listedAt)) < waitReportDelay {
