Check in the model that tasks that are due start in time

TestModel asks only at the end of a schedule whether jobs have ended. TestDueTasksStart runs a new family of schedules and checks every 50 ms of virtual time that no task that is due and fits on two executors waits for over 3 s (a long-running one: from 6 s after its last run) while no fault is active and none was in the 4 s before. What runs, fits and is done is read from the simulated executors and the stored records. A violation is printed with the reason for which the leader places the task nowhere. The schedules have executors of different sizes that crash for good, are replaced at the same address, drain, restart or are cut off while they are listed; jobs whose every run fails, in three queues; long-running jobs whose runs fail again and again; lost and late messages, leader changes, store outages and stalls in two phases, with 25 s and 40 s without faults after them.

--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -112,17 +112,38 @@
 func (l *simLeader) discover() {
 	var list []queue.Executor
 	for _, x := range l.sim.execs {
-		if x.isDown && l.sim.rnd.IntN(2) == 0 {
+		if l.sim.isEntryMissing(x) {
 			continue
 		}
-		list = append(list, queue.Executor{
-			ID: x.id, Address: x.id, Service: "svc", Labels: x.labels,
-			MilliCPU: x.total.milliCPU, MemoryMB: x.total.memoryMB,
-		})
+		list = append(list, x.entry())
 	}
 	l.cell.Discover(l.sim.now, list)
 }
 
+// isEntryMissing reports whether service discovery does not list the executor.
+func (sim *simulation) isEntryMissing(x *simExecutor) bool {
+	if sim.hasDiscovery {
+		return x.isDown && !sim.now.Before(x.entryExpiresAt)
+	}
+	return x.isDown && sim.rnd.IntN(2) == 0
+}
+
+// entry returns the executor's entry in service discovery.
+func (x *simExecutor) entry() queue.Executor {
+	e := queue.Executor{
+		ID: x.id, Address: x.address, Service: "svc", Labels: x.labels,
+		MilliCPU: x.total.milliCPU, MemoryMB: x.total.memoryMB,
+	}
+	if x.sim.hasDiscovery {
+		e.StartedMS = x.entryStartedMS
+	}
+	if x.leavesAt != 0 {
+		e.Draining = true
+		e.RemainingMS = max(0, x.leavesAt.Sub(x.sim.now).Milliseconds())
+	}
+	return e
+}
+
 func (l *simLeader) executor(id string) *simExecutor {
 	for _, x := range l.sim.execs {
 		if x.id == id {
@@ -153,6 +174,8 @@
 	}
 	l.sim.call(l, x, func() func() {
 		switch {
+		case l.sim.processAt(x) != x:
+			return reply(orders.Reply{Outcome: orders.OtherIncarnation})
 		case o.Start != nil:
 			return reply(x.start(*o.Start))
 		case o.Stop != nil:
@@ -194,6 +217,9 @@
 		}
 	}
 	sim.call(l, x, func() func() {
+		if sim.processAt(x) != x {
+			return func() { finish(orders.Lists{}, orders.Reply{Outcome: orders.OtherIncarnation}) }
+		}
 		lists, r := x.hold(h)
 		return func() { finish(lists, r) }
 	}, func() { finish(orders.Lists{}, orders.Reply{Outcome: orders.NoResponse}) })
@@ -306,22 +332,27 @@
 	}
 }
 
-func newSimulation(seed uint64, f faults) *simulation {
-	sim := &simulation{
+// newEmptySimulation returns a simulation without executors, configuration and leader.
+func newEmptySimulation(seed uint64, f faults) *simulation {
+	return &simulation{
 		rnd: rand.New(rand.NewPCG(seed, 7)), faults: f, book: book.New(), jobs: map[string]*jobpb.Job{},
 		done: map[orders.Task]bool{}, acked: map[orders.Task]bool{}, cancelled: map[string]tick.Time{},
-		doneRuns: map[orders.Task]map[orders.Run]bool{},
+		doneRuns: map[orders.Task]map[orders.Run]bool{}, lostEnds: map[orders.Task]bool{}, failingJobs: map[string]bool{},
 		params: Params{
 			MaxHold: simMaxHold, StopTimeout: simStopTimeout, InterferenceBound: 4 * time.Second, Retention: time.Minute,
 		},
+		now: tick.Time(time.Second),
 	}
-	sim.now = tick.Time(time.Second)
+}
+
+func newSimulation(seed uint64, f faults) *simulation {
+	sim := newEmptySimulation(seed, f)
 	sim.config = &queue.Configuration{Version: 1, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 4, StretchFactor: 2, TargetMS: 1000},
 	}}
 	for i := range 6 {
 		x := &simExecutor{
-			sim: sim, id: fmt.Sprintf("x%d", i), labels: []string{string(rune('a' + i%2))},
+			sim: sim, id: fmt.Sprintf("x%d", i), address: fmt.Sprintf("x%d", i), labels: []string{string(rune('a' + i%2))},
 			total: resources{milliCPU: 16000, memoryMB: 64000}, clockRate: 0.98 + 0.02*sim.rnd.Float64(),
 			enforcesCapacity: sim.rnd.IntN(2) == 0,
 		}
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -89,6 +89,16 @@
 	linkCallTime time.Duration
 	linkFreeAt   tick.Time
 	stopCalls    int
+	// lostEnds has the tasks of which a run has ended as done on an executor that crashed before it was acknowledged.
+	lostEnds map[orders.Task]bool
+	// failingJobs has the jobs of which every run fails. Runs of long-running tasks fail within longestServing, unless
+	// that is 0.
+	failingJobs    map[string]bool
+	longestServing time.Duration
+	// disturbedUntil is when the last message that is delivered late arrives.
+	disturbedUntil tick.Time
+	// hasDiscovery is true if entries of service discovery state the start of their process and outlive it for a while.
+	hasDiscovery bool
 }
 
 // crossLink returns how long a message waits for and takes on the leader's link.
@@ -156,6 +166,16 @@
 	isPartitioned bool
 	stalledUntil  tick.Time
 	isFaulty      bool
+	// address is shared by executors that replace one another.
+	address string
+	// isGone is true if the process has ended for good. downSince is when the process last ended, entryExpiresAt when its
+	// entry in service discovery expires.
+	isGone                    bool
+	downSince, entryExpiresAt tick.Time
+	// entryStartedMS is the start of the process according to service discovery.
+	entryStartedMS int64
+	// leavesAt is when the executor leaves if it is draining; 0 otherwise.
+	leavesAt tick.Time
 }
 
 type simRun struct {
@@ -181,14 +201,25 @@
 }
 
 func (x *simExecutor) crash(down time.Duration) {
-	x.isDown = true
-	x.runs = map[orders.Task]*simRun{}
+	x.endProcess()
 	x.sim.after(down, func() {
 		x.isDown = false
 		x.restart()
 	})
 }
 
+// endProcess ends the executor's process and everything that runs there.
+func (x *simExecutor) endProcess() {
+	x.isDown = true
+	x.downSince = x.sim.now
+	x.runs = map[orders.Task]*simRun{}
+	for _, e := range x.ended {
+		if e.Reason == orders.EndedDone {
+			x.sim.lostEnds[e.Run.Task] = true
+		}
+	}
+}
+
 // endExpiredRuns ends all runs if the lease of the executor has expired.
 func (x *simExecutor) endExpiredRuns() {
 	if len(x.runs) == 0 || x.clockMS() < x.leaseDeadlineMS {
@@ -279,15 +310,28 @@
 	r := &simRun{id: o.Run, step: step, remaining: total, total: total, startedAt: sim.now, checkpoint: o.Checkpoint}
 	x.runs[o.Run.Task] = r
 	if step.LongRunning {
+		x.limitServing(r)
 		return
 	}
 	reason := orders.EndedDone
-	if x.isFaulty || sim.chance(sim.faults.runFailureRate) {
+	if x.isFaulty || sim.failingJobs[o.Run.Task.Job] || sim.chance(sim.faults.runFailureRate) {
 		reason = orders.EndedFailed
 	}
 	x.scheduleEnd(r, reason)
 }
 
+// shortestServing is the shortest time after which the run of a long-running task fails.
+const shortestServing = 500 * time.Millisecond
+
+// limitServing schedules the failure of the run of a long-running task, if such runs fail.
+func (x *simExecutor) limitServing(r *simRun) {
+	if x.sim.longestServing == 0 {
+		return
+	}
+	r.remaining = x.sim.randomDuration(shortestServing, x.sim.longestServing)
+	x.scheduleEnd(r, orders.EndedFailed)
+}
+
 // scheduleEnd ends the run when its work is done, or right after the stall if the executor is stalled at that time.
 func (x *simExecutor) scheduleEnd(r *simRun, reason orders.EndReason) {
 	x.sim.after(r.remaining, func() {
@@ -362,6 +406,7 @@
 			onTimeout()
 		}
 	})
+	x = sim.processAt(x)
 	if !sim.isReachable(l, x) || sim.chance(sim.faults.requestLossRate) {
 		return
 	}
@@ -369,6 +414,7 @@
 	isLate := sim.chance(sim.faults.lateRequestRate)
 	if isLate {
 		delay = sim.randomDuration(2*time.Second, 12*time.Second)
+		sim.disturbedUntil = max(sim.disturbedUntil, sim.now.Add(delay))
 	}
 	startedMS := x.startedMS
 	sim.after(delay, func() {
@@ -389,6 +435,19 @@
 	})
 }
 
+// processAt returns the executor that answers at the address of x: x itself, or the one that has replaced it.
+func (sim *simulation) processAt(x *simExecutor) *simExecutor {
+	if !x.isGone {
+		return x
+	}
+	for _, y := range sim.execs {
+		if y.address == x.address && !y.isGone {
+			return y
+		}
+	}
+	return x
+}
+
 func (sim *simulation) isReachable(l *simLeader, x *simExecutor) bool {
 	return !x.isDown && x.isPartitioned == l.isPartitioned
 }
