Test that failing jobs leave executors to other jobs

What callers see: jobs have nothing running for up to 16 s although all executors are idle and sound. Cause: recordExecutorFailure counts a failed run against its executor unless the last failure there was of the same job. From the second on, the executor is quarantined for 4 s, then 8, 12 and 16 s. Jobs that fail wherever they run, or two long-running jobs whose runs fail in turn, quarantine every executor, one after another, since tasks are retried on executors on which they have not failed. Only a run that ends as done resets the count; a long-running run never does, and the reset does not end a quarantine. Evidence: go test ./internal/state/cell -run TestFailing: both tests fail.

--- /dev/null
+++ b/internal/state/cell/waiting_test.go
@@ -0,0 +1,101 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// and run nothing else meanwhile.
+func (h *harness) waitForStart(job string, limit time.Duration, executors ...string) Order {
+	h.t.Helper()
+	const interval = 100 * time.Millisecond
+	for range limit / interval {
+		for _, o := range startOrders(h.planAndConfirm()) {
+			if o.Start.Run.Task.Job == job {
+				return o
+			}
+		}
+		h.advance(interval)
+		for _, id := range executors {
+			h.reportRunning(id)
+		}
+	}
+	h.t.Fatalf("no task of job %s has started for %v", job, limit)
+	return Order{}
+}
+
+// failAll reports the given runs as failed.
+func (h *harness) failAll(list []Order) {
+	h.t.Helper()
+	for _, o := range list {
+		h.ends[o.Target.ID]++
+		h.reportEnd(o, h.ends[o.Target.ID], orders.EndedFailed, "")
+	}
+}
+
+// TestFailingJobsDoNotStopOtherJobs checks that executors are not blamed for jobs that fail wherever they run.
+func TestFailingJobsDoNotStopOtherJobs(t *testing.T) {
+	h := newHarness(t, testExecutor("a"), testExecutor("b"), testExecutor("c"))
+	for i := range 6 {
+		h.accept(fmt.Sprintf("fails%d", i), "q", &jobpb.Step{Count: 2, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 300})
+	}
+	for range 20 {
+		h.failAll(startOrders(h.planAndConfirm()))
+		h.advance(100 * time.Millisecond)
+	}
+	h.accept("sound", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 300})
+	h.waitForStart("sound", longestWait, "a", "b", "c")
+}
+
+// nothing else runs.
+func TestFailingServersAreRestartedInTime(t *testing.T) {
+	const (
+		interval = 100 * time.Millisecond
+		serving  = 2 * time.Second
+	)
+	h := newHarness(t, testExecutor("a"), testExecutor("b"))
+	endedAt := map[string]tick.Time{}
+	started := map[string]Order{}
+	startedAt := map[string]tick.Time{}
+	for _, job := range []string{"s0", "s1"} {
+		h.accept(job, "q", latencyCriticalStep("web"))
+		endedAt[job] = h.now
+	}
+	for range time.Minute / interval {
+		for _, o := range startOrders(h.planAndConfirm()) {
+			job := o.Start.Run.Task.Job
+			started[job], startedAt[job] = o, h.now
+		}
+		h.advance(interval)
+		rows := map[string][]orders.Running{}
+		var failed []Order
+		for _, job := range []string{"s0", "s1"} {
+			o, isRunning := started[job]
+			switch {
+			case !isRunning:
+				wait := h.now.Sub(endedAt[job])
+				assert.Assert(t, wait <= restartGrace+longestWait, "job %s has had no run for %v", job, wait)
+			case h.now.Sub(startedAt[job]) >= serving:
+				failed = append(failed, o)
+				delete(started, job)
+				endedAt[job] = h.now
+			default:
+				rows[o.Target.ID] = append(rows[o.Target.ID], runningRow(o, 10, 100))
+			}
+		}
+		for _, o := range failed {
+			h.ends[o.Target.ID]++
+			h.reportEnd(o, h.ends[o.Target.ID], orders.EndedFailed, "", rows[o.Target.ID]...)
+		}
+		for _, id := range []string{"a", "b"} {
+			h.reportRunning(id, rows[id]...)
+		}
+	}
+}
