Test that tasks are retried where they failed if nothing else can take them

What callers see: a job has nothing running, and never ends, although two executors have room for its task. Cause: a task is kept off the executors on which it has failed if the pool has any other executor with its label (avoidsFailedOn), whether or not that one has the size, the room or a ticket for the task. Evidence: go test ./internal/state/cell -run TestTaskRetriesWhereItFailed: all three tests fail.

--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
@@ -99,3 +100,91 @@
 		}
 	}
 }
+
+// TestTaskRetriesWhereItFailedIfOthersAreTooSmall checks a task that has failed on both executors of sufficient size.
+func TestTaskRetriesWhereItFailedIfOthersAreTooSmall(t *testing.T) {
+	small := testExecutor("small")
+	small.MilliCPU = 2000
+	h := newHarness(t, testExecutor("a"), testExecutor("b"), small)
+	h.accept("large", "q", &jobpb.Step{Count: 1, MilliCpu: 4000, MemoryMb: 100, EstimateMs: 300})
+	for range 2 {
+		h.failAll([]Order{h.waitForStart("large", longestWait, "a", "b", "small")})
+	}
+	h.waitForStart("large", longestWait, "a", "b", "small")
+}
+
+// TestTaskRetriesWhereItFailedIfOthersAreFull checks a task that has failed on both executors that have room.
+func TestTaskRetriesWhereItFailedIfOthersAreFull(t *testing.T) {
+	full := testExecutor("full")
+	full.Labels = []string{"full"}
+	h := newHarness(t, testExecutor("a"), testExecutor("b"), full)
+	h.accept("fills", "q", &jobpb.Step{
+		Count: 1, MilliCpu: 64000, MemoryMb: 100, EstimateMs: 60000, RequiresLabel: "full",
+	})
+	long := startOrders(h.planAndConfirm())
+	assert.Equal(t, len(long), 1)
+	h.accept("retries", "q", &jobpb.Step{Count: 1, MilliCpu: 4000, MemoryMb: 100, EstimateMs: 300})
+	for range 2 {
+		h.failAll([]Order{h.waitForStart("retries", longestWait, "a", "b")})
+	}
+	h.waitForStart("retries", longestWait, "a", "b")
+}
+
+// last two have the label a.
+func newPolicyHarness(t *testing.T) *harness {
+	t.Helper()
+	var list []queue.Executor
+	for i := range minAdviceExecutors + 4 {
+		x := testExecutor(fmt.Sprintf("x%02d", i))
+		if i >= minAdviceExecutors+2 {
+			x.Labels = []string{"a"}
+		}
+		list = append(list, x)
+	}
+	h := newHarness(t, list...)
+	h.cell.Configure(&queue.Configuration{Version: 2, Queues: []queue.Queue{{
+		Name: "q", Service: "svc", MaxAttempts: 4, StretchFactor: 2, TargetMS: 1000,
+		Advice: &queue.AdviceTiming{DecisionMS: 5, PeriodMS: 1, ValidityMS: testTicketValidity.Milliseconds()},
+	}}})
+	return h
+}
+
+// testTicketValidity is longer than a task may wait.
+const testTicketValidity = 20 * time.Second
+
+// executors for which isPermitted is true. The given runs keep running.
+func (h *harness) waitForPermittedStart(limit time.Duration, isPermitted func(id string) bool, runs ...Order) Order {
+	h.t.Helper()
+	const interval = 100 * time.Millisecond
+	for range limit / interval {
+		if q, ok := h.cell.NextAdviceRequest(h.now); ok {
+			a := orders.Advice{Tickets: map[string]string{}, Validity: testTicketValidity}
+			for _, id := range q.Executors {
+				if isPermitted(id) {
+					a.Tickets[id] = "ticket"
+				}
+			}
+			h.cell.HandleAdvice(h.now, h.now, q, a, nil)
+		}
+		if list := startOrders(h.planAndConfirm()); len(list) > 0 {
+			return list[0]
+		}
+		h.advance(interval)
+		for _, o := range runs {
+			h.reportRunning(o.Target.ID, runningRow(o, 10, 100))
+		}
+	}
+	h.t.Fatalf("no task has started for %v", limit)
+	return Order{}
+}
+
+// service permits.
+func TestTaskRetriesWhereItFailedIfOthersAreRejected(t *testing.T) {
+	h := newPolicyHarness(t)
+	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 300})
+	isPermitted := func(id string) bool { return id == "x00" || id == "x01" }
+	for range 2 {
+		h.failAll([]Order{h.waitForPermittedStart(longestWait, isPermitted)})
+	}
+	h.waitForPermittedStart(longestWait, isPermitted)
+}
