Test that the orphaned run of a vanished executor blocks no task

What callers see: a task has no run and gets none before the next change of leader. Cause: an orphaned run blocks its task (isStartable) until a later list of the executor lacks the run. An executor that is gone for good sends no list, and retire keeps it, and its roster record, as long as it has orphaned runs. Evidence: go test ./internal/state/cell -run TestOrphanedRunOfVanishedExecutorBlocksNoTask fails.

--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -130,6 +130,34 @@
 	h.waitForStart("retries", longestWait, "a", "b")
 }
 
+// the run that has been replaced meanwhile, and is gone for good before its next list.
+func TestOrphanedRunOfVanishedExecutorBlocksNoTask(t *testing.T) {
+	h := newHarness(t, testExecutor("a"), testExecutor("b"))
+	h.accept("j", "q", latencyCriticalStep("web"))
+	first := h.waitForStart("j", longestWait, "a", "b")
+	lost, other := first.Target.ID, "a"
+	if lost == "a" {
+		other = "b"
+	}
+	var second Order
+	for range 10 {
+		h.advance(time.Second)
+		hold, _, _ := h.cell.Hold(h.now, lost)
+		h.cell.HandleHoldReply(h.now, h.now, lost, hold, orders.Lists{}, orders.Reply{Outcome: orders.NoResponse})
+		h.reportRunning(other)
+		if list := startOrders(h.planAndConfirm()); len(list) > 0 {
+			second = list[0]
+			break
+		}
+	}
+	assert.Equal(t, second.Target.ID, other)
+	h.reportRunning(lost, runningRow(first, 10, 100))
+	h.reportEnd(second, 1, orders.EndedFailed, "")
+	h.cell.Discover(h.now, []queue.Executor{testExecutor(other)})
+	h.advance(h.cell.params.LongestLease())
+	h.waitForStart("j", longestWait, other)
+}
+
 // last two have the label a.
 func newPolicyHarness(t *testing.T) *harness {
 	t.Helper()
