Test that advice is requested for executors that can take the step

What callers see: on a queue with a policy service, a job has nothing running although permitted executors are idle. Cause: adviceCandidates checks the free resources of an executor, but neither the label nor the anti-affinity of the step. Requests name the cheapest executors, whether or not they have the label. Their tickets, and those of executors that already run as many tasks of the step as they may, count as enough for the waiting tasks, so no other executors are asked for. Evidence: go test ./internal/state/cell -run TestAdviceIsRequested: both tests fail.

--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -216,3 +216,21 @@
 	}
 	h.waitForPermittedStart(longestWait, isPermitted)
 }
+
+// TestAdviceIsRequestedForExecutorsWithLabel checks a step that requires a label which few executors have.
+func TestAdviceIsRequestedForExecutorsWithLabel(t *testing.T) {
+	h := newPolicyHarness(t)
+	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 300, RequiresLabel: "a"})
+	h.waitForPermittedStart(longestWait, func(string) bool { return true })
+}
+
+// tasks of it as it may.
+func TestAdviceIsRequestedBeyondAntiAffinity(t *testing.T) {
+	h := newPolicyHarness(t)
+	s := latencyCriticalStep("web")
+	s.Count, s.MaxPerExecutor = 2, 1
+	h.accept("j", "q", s)
+	isPermitted := func(id string) bool { return id == "x00" || id >= "x10" }
+	first := h.waitForPermittedStart(longestWait, isPermitted)
+	h.waitForPermittedStart(restartGrace+longestWait, isPermitted, first)
+}
