--- /dev/null
+++ b/internal/state/cell/waiting_test.go
@@ -0,0 +1,236 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/pkg/queue"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// and run nothing else meanwhile.
+func (h *harness) waitForStart(job string, limit time.Duration, executors ...string) Order {
+	h.t.Helper()
+	const interval = 100 * time.Millisecond
+	for range limit / interval {
+		for _, o := range startOrders(h.planAndConfirm()) {
+			if o.Start.Run.Task.Job == job {
+				return o
+			}
+		}
+		h.advance(interval)
+		for _, id := range executors {
+			h.reportRunning(id)
+		}
+	}
+	h.t.Fatalf("no task of job %s has started for %v", job, limit)
+	return Order{}
+}
+
+// failAll reports the given runs as failed.
+func (h *harness) failAll(list []Order) {
+	h.t.Helper()
+	for _, o := range list {
+		h.ends[o.Target.ID]++
+		h.reportEnd(o, h.ends[o.Target.ID], orders.EndedFailed, "")
+	}
+}
+
+// TestFailingJobsDoNotStopOtherJobs checks that executors are not blamed for jobs that fail wherever they run.
+func TestFailingJobsDoNotStopOtherJobs(t *testing.T) {
+	h := newHarness(t, testExecutor("a"), testExecutor("b"), testExecutor("c"))
+	for i := range 6 {
+		h.accept(fmt.Sprintf("fails%d", i), "q", &jobpb.Step{Count: 2, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 300})
+	}
+	for range 20 {
+		h.failAll(startOrders(h.planAndConfirm()))
+		h.advance(100 * time.Millisecond)
+	}
+	h.accept("sound", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 300})
+	h.waitForStart("sound", longestWait, "a", "b", "c")
+}
+
+// nothing else runs.
+func TestFailingServersAreRestartedInTime(t *testing.T) {
+	const (
+		interval = 100 * time.Millisecond
+		serving  = 2 * time.Second
+	)
+	h := newHarness(t, testExecutor("a"), testExecutor("b"))
+	endedAt := map[string]tick.Time{}
+	started := map[string]Order{}
+	startedAt := map[string]tick.Time{}
+	for _, job := range []string{"s0", "s1"} {
+		h.accept(job, "q", latencyCriticalStep("web"))
+		endedAt[job] = h.now
+	}
+	for range time.Minute / interval {
+		for _, o := range startOrders(h.planAndConfirm()) {
+			job := o.Start.Run.Task.Job
+			started[job], startedAt[job] = o, h.now
+		}
+		h.advance(interval)
+		rows := map[string][]orders.Running{}
+		var failed []Order
+		for _, job := range []string{"s0", "s1"} {
+			o, isRunning := started[job]
+			switch {
+			case !isRunning:
+				wait := h.now.Sub(endedAt[job])
+				assert.Assert(t, wait <= restartGrace+longestWait, "job %s has had no run for %v", job, wait)
+			case h.now.Sub(startedAt[job]) >= serving:
+				failed = append(failed, o)
+				delete(started, job)
+				endedAt[job] = h.now
+			default:
+				rows[o.Target.ID] = append(rows[o.Target.ID], runningRow(o, 10, 100))
+			}
+		}
+		for _, o := range failed {
+			h.ends[o.Target.ID]++
+			h.reportEnd(o, h.ends[o.Target.ID], orders.EndedFailed, "", rows[o.Target.ID]...)
+		}
+		for _, id := range []string{"a", "b"} {
+			h.reportRunning(id, rows[id]...)
+		}
+	}
+}
+
+// TestTaskRetriesWhereItFailedIfOthersAreTooSmall checks a task that has failed on both executors of sufficient size.
+func TestTaskRetriesWhereItFailedIfOthersAreTooSmall(t *testing.T) {
+	small := testExecutor("small")
+	small.MilliCPU = 2000
+	h := newHarness(t, testExecutor("a"), testExecutor("b"), small)
+	h.accept("large", "q", &jobpb.Step{Count: 1, MilliCpu: 4000, MemoryMb: 100, EstimateMs: 300})
+	for range 2 {
+		h.failAll([]Order{h.waitForStart("large", longestWait, "a", "b", "small")})
+	}
+	h.waitForStart("large", longestWait, "a", "b", "small")
+}
+
+// TestTaskRetriesWhereItFailedIfOthersAreFull checks a task that has failed on both executors that have room.
+func TestTaskRetriesWhereItFailedIfOthersAreFull(t *testing.T) {
+	full := testExecutor("full")
+	full.Labels = []string{"full"}
+	h := newHarness(t, testExecutor("a"), testExecutor("b"), full)
+	h.accept("fills", "q", &jobpb.Step{
+		Count: 1, MilliCpu: 64000, MemoryMb: 100, EstimateMs: 60000, RequiresLabel: "full",
+	})
+	long := startOrders(h.planAndConfirm())
+	assert.Equal(t, len(long), 1)
+	h.accept("retries", "q", &jobpb.Step{Count: 1, MilliCpu: 4000, MemoryMb: 100, EstimateMs: 300})
+	for range 2 {
+		h.failAll([]Order{h.waitForStart("retries", longestWait, "a", "b")})
+	}
+	h.waitForStart("retries", longestWait, "a", "b")
+}
+
+// the run that has been replaced meanwhile, and is gone for good before its next list.
+func TestOrphanedRunOfVanishedExecutorBlocksNoTask(t *testing.T) {
+	h := newHarness(t, testExecutor("a"), testExecutor("b"))
+	h.accept("j", "q", latencyCriticalStep("web"))
+	first := h.waitForStart("j", longestWait, "a", "b")
+	lost, other := first.Target.ID, "a"
+	if lost == "a" {
+		other = "b"
+	}
+	var second Order
+	for range 10 {
+		h.advance(time.Second)
+		hold, _, _ := h.cell.Hold(h.now, lost)
+		h.cell.HandleHoldReply(h.now, h.now, lost, hold, orders.Lists{}, orders.Reply{Outcome: orders.NoResponse})
+		h.reportRunning(other)
+		if list := startOrders(h.planAndConfirm()); len(list) > 0 {
+			second = list[0]
+			break
+		}
+	}
+	assert.Equal(t, second.Target.ID, other)
+	h.reportRunning(lost, runningRow(first, 10, 100))
+	h.reportEnd(second, 1, orders.EndedFailed, "")
+	h.cell.Discover(h.now, []queue.Executor{testExecutor(other)})
+	h.advance(h.cell.params.LongestLease())
+	h.waitForStart("j", longestWait, other)
+}
+
+// last two have the label a.
+func newPolicyHarness(t *testing.T) *harness {
+	t.Helper()
+	var list []queue.Executor
+	for i := range minAdviceExecutors + 4 {
+		x := testExecutor(fmt.Sprintf("x%02d", i))
+		if i >= minAdviceExecutors+2 {
+			x.Labels = []string{"a"}
+		}
+		list = append(list, x)
+	}
+	h := newHarness(t, list...)
+	h.cell.Configure(&queue.Configuration{Version: 2, Queues: []queue.Queue{{
+		Name: "q", Service: "svc", MaxAttempts: 4, StretchFactor: 2, TargetMS: 1000,
+		Advice: &queue.AdviceTiming{DecisionMS: 5, PeriodMS: 1, ValidityMS: testTicketValidity.Milliseconds()},
+	}}})
+	return h
+}
+
+// testTicketValidity is longer than a task may wait.
+const testTicketValidity = 20 * time.Second
+
+// executors for which isPermitted is true. The given runs keep running.
+func (h *harness) waitForPermittedStart(limit time.Duration, isPermitted func(id string) bool, runs ...Order) Order {
+	h.t.Helper()
+	const interval = 100 * time.Millisecond
+	for range limit / interval {
+		if q, ok := h.cell.NextAdviceRequest(h.now); ok {
+			a := orders.Advice{Tickets: map[string]string{}, Validity: testTicketValidity}
+			for _, id := range q.Executors {
+				if isPermitted(id) {
+					a.Tickets[id] = "ticket"
+				}
+			}
+			h.cell.HandleAdvice(h.now, h.now, q, a, nil)
+		}
+		if list := startOrders(h.planAndConfirm()); len(list) > 0 {
+			return list[0]
+		}
+		h.advance(interval)
+		for _, o := range runs {
+			h.reportRunning(o.Target.ID, runningRow(o, 10, 100))
+		}
+	}
+	h.t.Fatalf("no task has started for %v", limit)
+	return Order{}
+}
+
+// service permits.
+func TestTaskRetriesWhereItFailedIfOthersAreRejected(t *testing.T) {
+	h := newPolicyHarness(t)
+	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 300})
+	isPermitted := func(id string) bool { return id == "x00" || id == "x01" }
+	for range 2 {
+		h.failAll([]Order{h.waitForPermittedStart(longestWait, isPermitted)})
+	}
+	h.waitForPermittedStart(longestWait, isPermitted)
+}
+
+// TestAdviceIsRequestedForExecutorsWithLabel checks a step that requires a label which few executors have.
+func TestAdviceIsRequestedForExecutorsWithLabel(t *testing.T) {
+	h := newPolicyHarness(t)
+	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 300, RequiresLabel: "a"})
+	h.waitForPermittedStart(longestWait, func(string) bool { return true })
+}
+
+// tasks of it as it may.
+func TestAdviceIsRequestedBeyondAntiAffinity(t *testing.T) {
+	h := newPolicyHarness(t)
+	s := latencyCriticalStep("web")
+	s.Count, s.MaxPerExecutor = 2, 1
+	h.accept("j", "q", s)
+	isPermitted := func(id string) bool { return id == "x00" || id >= "x10" }
+	first := h.waitForPermittedStart(longestWait, isPermitted)
+	h.waitForPermittedStart(restartGrace+longestWait, isPermitted, first)
+}
