--- a/internal/state/cell/liveness_test.go
+++ b/internal/state/cell/liveness_test.go
@@ -316,7 +316,10 @@
 	case len(x.orphaned) > 0:
 		return "orphans"
 	case now.Before(x.quarantinedUntil):
-		return fmt.Sprintf("quarantined until %.3f (failures %d)", float64(x.quarantinedUntil)/1e9, x.failures)
+		return fmt.Sprintf("quarantined until %.3f", float64(x.quarantinedUntil)/1e9)
+	case !x.suspicion.admits(now):
+		return fmt.Sprintf("suspect (failures %d, last at %.3f, on trial %t)", x.suspicion.failures,
+			float64(x.suspicion.lastFailedAt)/1e9, x.suspicion.trial != nil)
 	case !x.allows(t.step, resourcesOf(t.step.pb)):
 		return fmt.Sprintf("full (used %v)", x.used)
 	case slices.Contains(t.failedOn, id):
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -232,12 +232,11 @@
 	quarantineAfterNoResponse = 1500 * time.Millisecond
 )
 
-// recordExecutorFailure counts the failure of a task's run against the executor. A task that has failed on another one
-// before may itself be the cause, so its failures raise no suspicion, but they prolong one. Long-running tasks fail at
-// any time, so their past says nothing.
+// recordExecutorFailure counts the failure of a task's run against the executor, unless the task has failed on another
+// one before: then the task itself may be the cause. Long-running tasks fail at any time, so their past says nothing.
 func (c *Cell) recordExecutorFailure(now tick.Time, x *executor, t *task) {
 	hasFailedElsewhere := len(t.failedOn) > 0 && !slices.Contains(t.failedOn, x.entry.ID)
-	if hasFailedElsewhere && !t.step.pb.LongRunning && !x.suspicion.isActive() {
+	if hasFailedElsewhere && !t.step.pb.LongRunning {
 		return
 	}
 	if x.suspicion.recordFailure(now, t.id.Job) {
--- a/internal/state/cell/suspicion_test.go
+++ b/internal/state/cell/suspicion_test.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// failAll reports that all runs have failed, those of each executor in one list.
-func (h *harness) failAll(list []Order) {
+// failAllAtOnce reports that all runs have failed, those of each executor in one list.
+func (h *harness) failAllAtOnce(list []Order) {
 	ended := map[string][]orders.EndedRun{}
 	for _, o := range list {
 		h.ends[o.Target.ID]++
@@ -65,7 +65,7 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, testExecutor("a"), testExecutor("b"))
 			h.acceptMany("failing", 12, s)
-			h.failAll(startOrders(h.planAndConfirm()))
+			h.failAllAtOnce(startOrders(h.planAndConfirm()))
 			_, waited := h.untilNextStarts(time.Minute)
 			assert.Assert(t, waited < maxIdleTime, "no task started for %v", waited)
 		})
@@ -76,11 +76,11 @@
 func TestFailingExecutorReceivesManyRunsAfterItsQuarantine(t *testing.T) {
 	h := newHarness(t, testExecutor("a"))
 	h.acceptMany("failing", 12, ordinaryStep)
-	h.failAll(startOrders(h.planAndConfirm()))
+	h.failAllAtOnce(startOrders(h.planAndConfirm()))
 	for range 4 {
 		list, _ := h.untilNextStarts(time.Minute)
 		assert.Equal(t, len(list), 1)
-		h.failAll(list)
+		h.failAllAtOnce(list)
 	}
 }
 
@@ -90,7 +90,7 @@
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, testExecutor("a"))
 			h.acceptMany("failing", 6, s)
-			h.failAll(startOrders(h.planAndConfirm()))
+			h.failAllAtOnce(startOrders(h.planAndConfirm()))
 			list, _ := h.untilNextStarts(time.Minute)
 			assert.Equal(t, len(list), 1)
 			for _, percent := range []int{60, 80, 100} {
@@ -113,7 +113,7 @@
 		list, waited := h.untilNextStarts(time.Minute)
 		assert.Equal(t, len(list), 2)
 		assert.Assert(t, waited < time.Second, "no task started for %v", waited)
-		h.failAll(list)
+		h.failAllAtOnce(list)
 	}
 	suspects := 0
 	for _, x := range h.cell.execs {
--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -13,6 +13,7 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
+// waitForStart plans at intervals until a task of the job starts and returns the order. The executors answer holds
 // and run nothing else meanwhile.
 func (h *harness) waitForStart(job string, limit time.Duration, executors ...string) Order {
 	h.t.Helper()
@@ -55,6 +56,7 @@
 	h.waitForStart("sound", longestWait, "a", "b", "c")
 }
 
+// TestFailingServersAreRestartedInTime checks long-running jobs whose runs fail again and again, on executors where
 // nothing else runs.
 func TestFailingServersAreRestartedInTime(t *testing.T) {
 	const (
@@ -130,6 +132,7 @@
 	h.waitForStart("retries", longestWait, "a", "b")
 }
 
+// TestOrphanedRunOfVanishedExecutorBlocksNoTask checks an executor that comes back after its lease has expired, lists
 // the run that has been replaced meanwhile, and is gone for good before its next list.
 func TestOrphanedRunOfVanishedExecutorBlocksNoTask(t *testing.T) {
 	h := newHarness(t, testExecutor("a"), testExecutor("b"))
@@ -158,6 +161,7 @@
 	h.waitForStart("j", longestWait, other)
 }
 
+// newPolicyHarness returns a harness with a policy service and more executors than one request names, of which the
 // last two have the label a.
 func newPolicyHarness(t *testing.T) *harness {
 	t.Helper()
@@ -180,6 +184,7 @@
 // testTicketValidity is longer than a task may wait.
 const testTicketValidity = 20 * time.Second
 
+// waitForPermittedStart plans until a task starts and returns the order. The policy service gives tickets for the
 // executors for which isPermitted is true. The given runs keep running.
 func (h *harness) waitForPermittedStart(limit time.Duration, isPermitted func(id string) bool, runs ...Order) Order {
 	h.t.Helper()
@@ -206,6 +211,7 @@
 	return Order{}
 }
 
+// TestTaskRetriesWhereItFailedIfOthersAreRejected checks a task that has failed on both executors that the policy
 // service permits.
 func TestTaskRetriesWhereItFailedIfOthersAreRejected(t *testing.T) {
 	h := newPolicyHarness(t)
@@ -224,6 +230,7 @@
 	h.waitForPermittedStart(longestWait, func(string) bool { return true })
 }
 
+// TestAdviceIsRequestedBeyondAntiAffinity checks a step that has a ticket for an executor that already runs as many
 // tasks of it as it may.
 func TestAdviceIsRequestedBeyondAntiAffinity(t *testing.T) {
 	h := newPolicyHarness(t)
