Retry a task where it failed if nothing else can take it

Cause: avoidsFailedOn compared labels with the pool instead of looking at the executors that can take the task; so a preference became an exclusion without an end.

An executor on which the task has not failed still comes first, whatever it costs. If none can take the task, it waits for one for 1.5 s after its last failure and then is tried where it failed.

--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -82,8 +82,9 @@
 	retryAt tick.Time
 	// orphanedOn is the executor that listed an orphaned run of the task, if any.
 	orphanedOn *executor
-	// failedOn has the ids of the executors on which runs of the task have failed.
-	failedOn []string
+	// failedOn has the ids of the executors on which runs of the task have failed, the last time at lastFailedAt.
+	failedOn     []string
+	lastFailedAt tick.Time
 }
 
 // Accept adds a job that was just recorded in the intake. A job that is already tracked is ignored.
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -113,24 +114,32 @@
 	return cost + costPerLoad*load, true
 }
 
-// best returns the cheapest executor for the task, or nil.
+// best returns the cheapest executor for the task, or nil. Executors on which the task has failed come last.
 func (c *candidates) best(t *task) *executor {
-	avoids := t.avoidsFailedOn(c.placement.pools[c.step.job.queue.Service])
+	best, lowest := c.cheapest(func(x *executor) bool { return !t.hasFailedOn(x) })
+	if best != nil && !t.step.pb.LongRunning || len(t.failedOn) == 0 {
+		return best
+	}
+	if t.avoidsFailedOn(c.placement) {
+		return nil
+	}
+	failed, cost := c.cheapest(t.hasFailedOn)
+	if best != nil && cost+costFailedOn >= lowest {
+		return best
+	}
+	return failed
+}
+
+// cheapest returns the cheapest executor for which the condition holds, or nil, and its cost.
+func (c *candidates) cheapest(isPermitted func(x *executor) bool) (*executor, float64) {
 	var best *executor
 	lowest := math.Inf(1)
 	for _, k := range c.list {
-		cost := k.cost
-		if slices.Contains(t.failedOn, k.exec.entry.ID) {
-			if avoids {
-				continue
-			}
-			cost += costFailedOn
-		}
-		if cost < lowest {
-			best, lowest = k.exec, cost
+		if k.cost < lowest && isPermitted(k.exec) {
+			best, lowest = k.exec, k.cost
 		}
 	}
-	return best
+	return best, lowest
 }
 
 // update rates an executor again after a start.
@@ -166,21 +175,29 @@
 	return true
 }
 
-// avoidsFailedOn reports whether the task must not run on the executors on which it has failed. It may if no other
-// executor is left, and a long-running task always may.
-func (t *task) avoidsFailedOn(pool []*executor) bool {
-	if len(t.failedOn) == 0 || len(t.failedOn) >= maxFailedExecutors || t.step.pb.LongRunning {
+// hasFailedOn reports whether a run of the task has failed on the executor.
+func (t *task) hasFailedOn(x *executor) bool { return slices.Contains(t.failedOn, x.entry.ID) }
+
+// avoidsFailedOn reports whether the task still waits for room on an executor on which it has not failed. It does so
+// for failedOnPause, if there is another executor. A long-running task does not wait.
+func (t *task) avoidsFailedOn(p *placement) bool {
+	isOver := p.now.Sub(t.lastFailedAt) >= failedOnPause
+	if isOver || len(t.failedOn) == 0 || len(t.failedOn) >= maxFailedExecutors || t.step.pb.LongRunning {
 		return false
 	}
 	label := t.step.pb.RequiresLabel
-	return slices.ContainsFunc(pool, func(x *executor) bool {
-		return x.satisfies(label) && !slices.Contains(t.failedOn, x.entry.ID)
+	return slices.ContainsFunc(p.pools[t.step.job.queue.Service], func(x *executor) bool {
+		return x.satisfies(label) && !t.hasFailedOn(x)
 	})
 }
 
-// maxFailedExecutors is the number of executors from which a task may be kept after failures. If it has failed on that
-// many, the task itself is assumed to be the cause.
-const maxFailedExecutors = 8
+const (
+	// maxFailedExecutors is the number of executors from which a task may be kept after failures. If it has failed on that
+	// many, the task itself is assumed to be the cause.
+	maxFailedExecutors = 8
+	// failedOnPause is half the time for which a due task may have no run.
+	failedOnPause = 1500 * time.Millisecond
+)
 
 // countTasks returns the number of runs of the step's tasks on the executor.
 func (x *executor) countTasks(s *step) int {
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -203,7 +203,8 @@
 func (c *Cell) recordFailure(now tick.Time, t *task, number uint64, x *executor) {
 	j := t.step.job
 	c.recordExecutorFailure(now, x, t)
-	if !slices.Contains(t.failedOn, x.entry.ID) {
+	t.lastFailedAt = now
+	if !t.hasFailedOn(x) {
 		t.failedOn = append(t.failedOn, x.entry.ID)
 	}
 	if t.step.pb.LongRunning || slices.Contains(t.failedRuns, number) {
@@ -235,7 +236,7 @@
 // recordExecutorFailure counts the failure of a task's run against the executor, unless the task has failed on another
 // one before: then the task itself may be the cause. Long-running tasks fail at any time, so their past says nothing.
 func (c *Cell) recordExecutorFailure(now tick.Time, x *executor, t *task) {
-	hasFailedElsewhere := len(t.failedOn) > 0 && !slices.Contains(t.failedOn, x.entry.ID)
+	hasFailedElsewhere := len(t.failedOn) > 0 && !t.hasFailedOn(x)
 	if hasFailedElsewhere && !t.step.pb.LongRunning {
 		return
 	}
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -195,7 +195,7 @@
 // countCauses counts the executors of the task's service by the cause for which they do not take the task.
 func (c *Cell) countCauses(p *placement, t *task) map[WaitCause]int {
 	counts := map[WaitCause]int{}
-	avoids := t.avoidsFailedOn(p.pools[t.step.job.queue.Service])
+	avoids := t.avoidsFailedOn(p)
 	for _, x := range c.execs {
 		isCandidate := x.isListed && !x.isTerminated && !x.entry.Draining
 		if isCandidate && x.entry.Service == t.step.job.queue.Service {
@@ -223,7 +223,7 @@
 		return WaitQuarantine
 	case !s.isPermittedOn(p.now, x):
 		return WaitNoTicket
-	case avoidsFailedOn && slices.Contains(t.failedOn, x.entry.ID):
+	case avoidsFailedOn && t.hasFailedOn(x):
 		return WaitFailedOn
 	}
 	if _, ok := p.rateExecutor(s, need, x); !ok {
