Forget orphaned runs once the lease of their executor has expired

Cause: only the next list replaced the executor's orphaned runs, so they outlived the lease under which they ran, blocked their task, and kept the executor from being retired.

What an executor runs ends with its lease, which only this leader extends; so orphaned runs are forgotten when it has certainly expired, as tracked ones are.

--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -224,9 +224,11 @@
 // is kept while service discovery lists its executor, whose next list tells: a second run would repeat its effects.
 func (c *Cell) releaseExpired(now tick.Time) {
 	for _, x := range c.execs {
-		if len(x.runs) == 0 || !now.After(x.leaseExpiresBy) {
+		if !now.After(x.leaseExpiresBy) {
 			continue
 		}
+		// Orphaned runs are under the same lease.
+		clear(x.orphaned)
 		for _, r := range x.runs {
 			if !x.isListed || !c.mayBeDone(r) {
 				c.releaseRun(r, orders.EndedLeaseExpired)
