Show that a task whose start order is lost never starts again

Cause: the start order gets no response and never arrives. The next list lacks the run, so an order to stop it is sent. Its reply sets run.stoppedAt, and releaseMissing releases the run with a list that was requested after that. But the stop is sent again with each list that comes 0.6 s or more after the last stop, and its reply moves stoppedAt past the sending of the hold that is under way. A hold waits for 1 s where nothing ends, so this repeats with every list. The holds extend the lease meanwhile, so the run doesn't expire either.

The rig runs whole leaders with replaceable executors and log. Its log takes no time for reads that do not wait: virtual time stands still while a goroutine waits for a mutex, so a takeover beside a read of the replica hangs the test with memlog (seen once with TestJobsAcceptedAroundTakeoverStart).

--- /dev/null
+++ b/internal/services/leader/rig_test.go
@@ -0,0 +1,278 @@
+package leader_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/modules/meter"
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/services/config"
+	"github.com/ibischute/ibischute/internal/services/elect"
+	"github.com/ibischute/ibischute/internal/services/leader"
+	"github.com/ibischute/ibischute/internal/services/replic"
+	"github.com/ibischute/ibischute/internal/stand/memex"
+	"github.com/ibischute/ibischute/internal/state/book"
+	"github.com/ibischute/ibischute/pkg/queue"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+const (
+	// maxDue is the longest time for which a task that is due may stand while there is capacity for it.
+	maxDue = 3 * time.Second
+	// dueLimit is how long a test waits for a start before it gives up.
+	dueLimit = 30 * time.Second
+)
+
+// rig runs leaders with replaceable dependencies in one process and in virtual time.
+type rig struct {
+	t     *testing.T
+	log   *fastLog
+	fleet *memex.Fleet
+	calls *calls
+	// wrapLog replaces the access of an instance to the log. The default is the log itself.
+	wrapLog func(l logs.Log) logs.Log
+	// wrapLease replaces the check of the leadership lease.
+	wrapLease func(holdsLease func(now tick.Time) bool) func(now tick.Time) bool
+	advisor   orders.Advisor
+	// decode decodes the entries of the executors.
+	decode config.DecodeExecutor
+	queues []queue.Queue
+	meter  *meter.Meter
+	nodes  []*rigNode
+}
+
+// rigNode is one instance of a rig.
+type rigNode struct {
+	elector *elect.Elector
+	leader  *leader.Leader
+	replica *replic.Replica
+	kill    context.CancelFunc
+	ended   chan struct{}
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	t.Cleanup(tick.SetSource(func() tick.Time { return tick.Time(time.Now().UnixNano()) }))
+	fleet := memex.New()
+	r := &rig{
+		t: t, log: newFastLog(), fleet: fleet, calls: newCalls(fleet), decode: decodeExecutor,
+		wrapLog:   func(l logs.Log) logs.Log { return l },
+		wrapLease: func(f func(tick.Time) bool) func(tick.Time) bool { return f },
+		queues:    []queue.Queue{{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000}},
+		meter:     meter.New(),
+	}
+	r.record(logs.Operator, "config", []byte("1"))
+	for i := range executors {
+		id := fmt.Sprintf("x%d", i)
+		fleet.Add(id)
+		r.record(logs.Backends, id, []byte(id))
+	}
+	t.Cleanup(func() {
+		for _, n := range r.nodes {
+			n.kill()
+			<-n.ended
+		}
+		assert.Check(t, r.meter.Close())
+	})
+	return r
+}
+
+// record appends a record; an empty value removes the key.
+func (r *rig) record(t logs.Topic, key string, value []byte) {
+	r.t.Helper()
+	_, err := r.log.Append(context.Background(), t, 0, []logs.Record{{Key: key, Value: value}}, logs.Condition{})
+	assert.NilError(r.t, err)
+}
+
+// submit records a job as another instance would.
+func (r *rig) submit(j *jobpb.Job) {
+	r.t.Helper()
+	j.AcceptedMs = time.Now().UnixMilli()
+	value, err := proto.Marshal(&jobpb.Intake{Job: j})
+	assert.NilError(r.t, err)
+	r.record(logs.Intake, book.JobKey(j.Id), value)
+}
+
+func (r *rig) start(name string) *rigNode {
+	n := &rigNode{ended: make(chan struct{})}
+	log := r.wrapLog(r.log)
+	logger := zerolog.Nop()
+	decode := func(string, []byte) (*queue.Configuration, error) {
+		return &queue.Configuration{Version: 1, Queues: r.queues}, nil
+	}
+	follower := config.New(log, decode, logger)
+	n.replica = replic.New(replic.Options{Log: log, FollowsProgress: func() bool { return true }, Logger: logger})
+	n.leader = leader.New(leader.Options{
+		Log: log, Executors: r.calls, Advisor: r.advisor, Replica: n.replica, Config: follower, Decode: r.decode,
+		Params:       params,
+		HoldsLease:   r.wrapLease(func(now tick.Time) bool { return n.elector.IsLeader(now) }),
+		IsSoleLeader: func(now tick.Time) bool { return n.elector.IsSoleLeader(now) }, Meter: r.meter, Logger: logger,
+	})
+	n.elector = elect.New(elect.Options{
+		Log: log, Instance: name, Address: name, MaxExecutorLease: params.LongestLease(),
+		IsEligible: func() bool {
+			_, ok := follower.Current()
+			return ok
+		},
+		RunTerm: n.leader.Run, Logger: logger,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.kill = cancel
+	var wg sync.WaitGroup
+	for _, serve := range []func(context.Context) error{follower.Serve, n.replica.Serve, n.elector.Serve} {
+		wg.Go(func() { _ = serve(ctx) })
+	}
+	go func() {
+		wg.Wait()
+		close(n.ended)
+	}()
+	r.nodes = append(r.nodes, n)
+	return n
+}
+
+// startNodes starts n instances and returns the leader once it has been so for 2 s.
+func (r *rig) startNodes(n int) *rigNode {
+	for i := range n {
+		r.start(fmt.Sprintf("n%d", i))
+	}
+	time.Sleep(2 * time.Second)
+	for _, node := range r.nodes {
+		if node.elector.IsLeader(tick.Now()) {
+			return node
+		}
+	}
+	r.t.Fatal("no leader")
+	return nil
+}
+
+// awaitStart returns the time until the next start of a task of the job, at most dueLimit.
+func (r *rig) awaitStart(job string) time.Duration {
+	before := r.calls.starts(job)
+	since := time.Now()
+	for time.Since(since) < dueLimit && r.calls.starts(job) == before {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(since)
+}
+
+// rigJob returns a job with one step.
+func rigJob(id int, s *jobpb.Step) *jobpb.Job {
+	if s.Count == 0 {
+		s.Count = 1
+	}
+	s.MilliCpu, s.MemoryMb, s.EstimateMs = 1000, 100, 400
+	return &jobpb.Job{Id: jobID(id), Queue: "q", Service: "svc", Spec: "s", Steps: []*jobpb.Step{s}}
+}
+
+func jobID(id int) string { return fmt.Sprintf("%016x", id) }
+
+// calls passes orders to a fleet unless a rule for the executor says otherwise.
+type calls struct {
+	orders.Executors
+	mu      sync.Mutex
+	started map[string]int
+	// silent are the executors that do not respond, refusing those that refuse holds.
+	silent, refusing map[string]bool
+	// address is the address under which an executor can be reached; the others respond as another incarnation.
+	address map[string]string
+	// lostStarts is the number of start orders that are lost on the way.
+	lostStarts int
+	// editLists changes the lists of an executor.
+	editLists func(id string, l *orders.Lists)
+}
+
+func newCalls(f *memex.Fleet) *calls {
+	return &calls{
+		Executors: f, started: map[string]int{}, silent: map[string]bool{}, refusing: map[string]bool{},
+		address: map[string]string{}, editLists: func(string, *orders.Lists) {},
+	}
+}
+
+// edit changes the rules.
+func (c *calls) edit(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+}
+
+func (c *calls) starts(job string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.started[job]
+}
+
+// failure returns the reply to a call that does not reach the executor.
+func (c *calls) failure(ctx context.Context, t orders.Target) (orders.Reply, bool) {
+	c.mu.Lock()
+	isSilent := c.silent[t.ID]
+	address, isFixed := c.address[t.ID]
+	c.mu.Unlock()
+	if isSilent {
+		<-ctx.Done()
+		return orders.Reply{Outcome: orders.NoResponse}, true
+	}
+	if isFixed && address != t.Address {
+		return orders.Reply{Outcome: orders.OtherIncarnation}, true
+	}
+	return orders.Reply{}, false
+}
+
+// losesStart reports whether the next start order is lost.
+func (c *calls) losesStart() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lostStarts == 0 {
+		return false
+	}
+	c.lostStarts--
+	return true
+}
+
+// Start implements orders.Executors.
+func (c *calls) Start(ctx context.Context, t orders.Target, o orders.Start) orders.Reply {
+	if r, isFailed := c.failure(ctx, t); isFailed {
+		return r
+	}
+	if c.losesStart() {
+		<-ctx.Done()
+		return orders.Reply{Outcome: orders.NoResponse}
+	}
+	r := c.Executors.Start(ctx, t, o)
+	if r.Outcome == orders.Done {
+		c.edit(func() { c.started[o.Run.Task.Job]++ })
+	}
+	return r
+}
+
+// Stop implements orders.Executors.
+func (c *calls) Stop(ctx context.Context, t orders.Target, o orders.Stop) orders.Reply {
+	if r, isFailed := c.failure(ctx, t); isFailed {
+		return r
+	}
+	return c.Executors.Stop(ctx, t, o)
+}
+
+// Hold implements orders.Executors.
+func (c *calls) Hold(ctx context.Context, t orders.Target, o orders.Hold) (orders.Lists, orders.Reply) {
+	if r, isFailed := c.failure(ctx, t); isFailed {
+		return orders.Lists{}, r
+	}
+	c.mu.Lock()
+	isRefusing, editLists := c.refusing[t.ID], c.editLists
+	c.mu.Unlock()
+	if isRefusing {
+		return orders.Lists{}, orders.Reply{Outcome: orders.Unhealthy}
+	}
+	l, r := c.Executors.Hold(ctx, t, o)
+	editLists(t.ID, &l)
+	return l, r
+}
