Show that the forecast keeps best-effort jobs from every executor

Callers see an accepted job with nothing running for as long as it lasts.

Cause: toleratesBestEffort compares the load that a task would add at full pace with the headroom of each latency-critical run, and nothing bounds how long a job waits for that. Where every executor has latency-critical runs of several images that peak at different times, one of them has too little headroom at any moment.

--- a/internal/state/cell/starve_test.go
+++ b/internal/state/cell/starve_test.go
@@ -844,3 +844,25 @@
 	r.log(t, "4 executors")
 	r.assertBestEffortStarts(t)
 }
+
+// TestForecastRefusesEveryExecutor guards against a best-effort job that never starts, since at any time one
+// latency-critical task of each executor has less headroom than the job's only task adds.
+func TestForecastRefusesEveryExecutor(t *testing.T) {
+	s := newQuietSim(4)
+	s.acceptServing("lc1", math.Pi)
+	s.weights[imagePair{"lc0", "be0"}], s.weights[imagePair{"lc1", "be0"}] = 0.03, 0.03
+	s.acceptLargeAfterSmall("be0")
+	r := s.run()
+	r.log(t, "4 executors")
+	r.assertBestEffortStarts(t)
+}
+
+// TestDeploymentStartsBestEffortJobs guards against best-effort jobs that the forecast refuses on every executor of the
+// simulated deployment for many seconds.
+func TestDeploymentStartsBestEffortJobs(t *testing.T) {
+	l := largeDeployment(66)
+	l.hopelessShare, l.failureRate, l.longRunningFailures = 0, 0, 0
+	r := newStarveSim(l, 2).run()
+	r.log(t, "66 executors")
+	r.assertBestEffortStarts(t)
+}
