Show that a weight learned too high keeps an image from every executor

Callers see each job of one image with nothing running for minutes.

Cause: only runs of an image beside a latency-critical run change its weight, and a weight that is too high starts none. What is left is forgettingFactor, which fades the evidence by 0.0005 with each sample of the latency-critical image, whatever runs beside it.

--- a/internal/state/cell/starve_test.go
+++ b/internal/state/cell/starve_test.go
@@ -866,3 +866,24 @@
 	r.log(t, "66 executors")
 	r.assertBestEffortStarts(t)
 }
+
+// TestOverestimatedWeightIsNotCorrected guards against a best-effort job that waits because the weight of its image was
+// learned too high: no run of the image corrects the weight, as none starts beside a latency-critical task.
+func TestOverestimatedWeightIsNotCorrected(t *testing.T) {
+	const overestimated, evidence = 0.05, 44
+	s := newQuietSim(4)
+	s.length = 10 * time.Minute
+	s.weights[imagePair{"lc0", "be0"}] = 0.001
+	s.cell.interference.regressions["lc0"] = &regression{
+		images: []string{"be0"}, weights: []float64{overestimated}, normalMatrix: [][]float64{{evidence}},
+		normalVector: []float64{evidence*overestimated + priorStrength*(overestimated-priorWeight)},
+	}
+	s.onTick = func(since time.Duration) {
+		if since == 10*time.Second {
+			s.acceptFilling("be0", 1, 14000, 1000)
+		}
+	}
+	r := s.run()
+	r.log(t, "4 executors")
+	r.assertBestEffortStarts(t)
+}
