Show that starts of one best-effort image exclude the others for ever

Callers see a job with nothing running while shorter jobs of the queue run.

Cause: every start of a best-effort task sets noBestEffortUntil 300 ms ahead, also one whose interference is negligible and that itself ignores the pause. A task with some interference waits until no best-effort task has started on one of its executors for 300 ms, and jobs with less remaining work go first.

--- a/internal/state/cell/starve_test.go
+++ b/internal/state/cell/starve_test.go
@@ -887,3 +887,22 @@
 	r.log(t, "4 executors")
 	r.assertBestEffortStarts(t)
 }
+
+// TestStartsOfLightImageExcludeOthers guards against a best-effort job that waits as long as tasks of an image without
+// interference start: each start renews the pause for images with some interference.
+func TestStartsOfLightImageExcludeOthers(t *testing.T) {
+	s := newQuietSim(2)
+	s.ownLoad, s.swing = 0.2, 0
+	s.weights[imagePair{"lc0", "be1"}] = 0.008
+	s.onTick = func(since time.Duration) {
+		if since%(100*time.Millisecond) == 0 {
+			s.acceptFilling("be0", 4, 1000, 300)
+		}
+		if since == 10*time.Second {
+			s.acceptFilling("be1", 1, 8000, 2000)
+		}
+	}
+	r := s.run()
+	r.log(t, "2 executors")
+	r.assertBestEffortStarts(t)
+}
