Show that failures of jobs quarantine all executors that have the room

Callers see a job, or a long-running task, with nothing running for longer than 3 s (6 s after its last run), though executors have the room.

Cause: two failures in a row of different jobs quarantine an executor for 4 s, further ones for up to 16 s, whoever is at fault, and a quarantine excludes the executor even where no other one has the room. Only an end as done resets the count; long-running tasks have none, and a quarantined executor gets no other tasks. Its tasks leave it, so on a nearly full service the room is on the quarantined executors.

--- a/internal/state/cell/starve_test.go
+++ b/internal/state/cell/starve_test.go
@@ -1020,3 +1020,35 @@
 	t.Log(m.waits)
 	assert.Assert(t, longest <= starveBound, "a moved job has had no run for %v", longest)
 }
+
+// TestFailingJobsQuarantineAllExecutors guards against a job that waits because runs of two jobs that always fail have
+// failed on every executor.
+func TestFailingJobsQuarantineAllExecutors(t *testing.T) {
+	for _, n := range []int{4, 8, 22} {
+		s := newQuietSim(n)
+		failing := &jobpb.Step{Count: uint32(n), MilliCpu: 4000, MemoryMb: 1000, EstimateMs: 400, MaxPerExecutor: 1}
+		s.onTick = func(since time.Duration) {
+			switch since {
+			case 10 * time.Second, 10*time.Second + 400*time.Millisecond:
+				s.accept(&starveJob{isHopeless: true}, "short", failing)
+			case 11 * time.Second:
+				s.accept(&starveJob{}, "short", &jobpb.Step{Count: 1, MilliCpu: 4000, MemoryMb: 1000, EstimateMs: 400})
+			}
+		}
+		r := s.run()
+		r.log(t, fmt.Sprintf("%d executors", n))
+		assert.Check(t, r.longest["short"] <= starveBound, "waited %v: %s", r.longest["short"], r.detail["short"])
+		assert.Check(t, r.longestUnusable <= starveBound, "no executor was usable for %v", r.longestUnusable)
+	}
+}
+
+// TestDeploymentRestartsLongRunningTasks guards against long-running tasks that wait because the executors that have
+// the room are quarantined for failures of other long-running tasks.
+func TestDeploymentRestartsLongRunningTasks(t *testing.T) {
+	l := largeDeployment(66)
+	l.usualWeight, l.hopelessShare, l.failureRate, l.longRunningFailures = 0, 0, 0, 0.03
+	r := newStarveSim(l, 1).run()
+	r.log(t, "66 executors")
+	longest := r.longest["long-running"]
+	assert.Assert(t, longest <= starveRestartGrace, "waited %v: %s", longest, r.detail["long-running"])
+}
