Keep the first confirmation of a stop, so that a list can settle a lost start

Cause: a start order that gets no response and does not arrive leaves a run whose start is unconfirmed. The next list lacks it, so it is ordered to stop; once that is confirmed, a list requested later releases the task. But the stop is repeated each 0.6 s, and each confirmation moved the time after which the list must be requested. Where nothing ends, a list takes 1 s, so none is ever requested late enough, while the holds extend the lease, so that does not expire either. Log: start-unanswered, then a stop of the same run each second, run-unlisted, no run-over.

The model did not find it, as its executors answer holds at once.

The first confirmation counts, which is safe: the executor rejects the run from then on. While it is open whether a run has started, holds wait 0.1 s instead of 1 s, so that the task starts again in 1.1 to 1.3 s after the order instead of 3.2 s.

--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -10,6 +10,8 @@
 const (
 	// maxHoldWait is the longest time for which an executor may delay its response to a hold until a run ends.
 	maxHoldWait = time.Second
+	// settleHoldWait is the same while it is open whether a run has started, which the next list tells.
+	settleHoldWait = 100 * time.Millisecond
 	// minWatchInterval is the shortest interval of holds that monitor the tail latencies of latency-critical runs.
 	// maxWatchesPerSecond limits the rate of these holds over all executors.
 	minWatchInterval    = 400 * time.Millisecond
@@ -55,14 +57,32 @@
 	}
 	h.DeadlineMS = c.extendLease(now, x)
 	if hasRuns && x.appliedCursor <= x.storedCursor {
-		h.Wait = maxHoldWait
-		if len(x.latencyCritical) > 0 && len(x.bestEffort) > 0 {
-			h.Wait = c.watchInterval()
-		}
+		h.Wait = c.holdWait(x)
 	}
 	return h, x.target(), 0
 }
 
+// holdWait returns how long an executor with runs may delay its response to a hold.
+func (c *Cell) holdWait(x *executor) time.Duration {
+	switch {
+	case x.hasUnsettledRun():
+		return settleHoldWait
+	case len(x.latencyCritical) > 0 && len(x.bestEffort) > 0:
+		return c.watchInterval()
+	}
+	return maxHoldWait
+}
+
+// hasUnsettledRun reports whether it is open if a run of the executor has started.
+func (x *executor) hasUnsettledRun() bool {
+	for _, r := range x.runs {
+		if r.isStartUnconfirmed {
+			return true
+		}
+	}
+	return false
+}
+
 // watchInterval returns the interval of holds to an executor with latency-critical and best-effort runs.
 func (c *Cell) watchInterval() time.Duration {
 	spread := time.Duration(len(c.execs)) * time.Second / maxWatchesPerSecond
--- a/internal/state/cell/replies.go
+++ b/internal/state/cell/replies.go
@@ -74,7 +74,10 @@
 }
 
 func (c *Cell) applyStopReply(now tick.Time, x *executor, id orders.Run, reply orders.Reply) {
-	if r, ok := x.runs[id.Task]; ok && r.id == id && reply.Outcome == orders.Done {
-		r.stoppedAt = now
+	r, ok := x.runs[id.Task]
+	if !ok || r.id != id || reply.Outcome != orders.Done || r.stoppedAt != 0 {
+		// A repeated confirmation must not discard the list that was requested after the first one.
+		return
 	}
+	r.stoppedAt = now
 }
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -28,7 +28,7 @@
 	// isMarkedForStopping is true if the run must be stopped.
 	isMarkedForStopping bool
 	stopSentAt          tick.Time
-	// stoppedAt is when the executor confirmed the order to stop; the run cannot begin after that.
+	// stoppedAt is when the executor first confirmed the order to stop; the run cannot begin after that.
 	stoppedAt tick.Time
 
 	// checkpoint, percent and usage are as of the last list. percent is the progress of the run. usage is the tail latency
--- a/internal/state/cell/starve_test.go
+++ b/internal/state/cell/starve_test.go
@@ -709,7 +709,7 @@
 		return "unusable"
 	case !x.allows(st, resourcesOf(st.pb)):
 		return "unlisted room"
-	case t.avoidsFailedOn(s.cell.newPlacement(s.now).pools["svc"]) && slices.Contains(t.failedOn, x.entry.ID):
+	case t.avoidsFailedOn(s.cell.newPlacement(s.now)) && slices.Contains(t.failedOn, x.entry.ID):
 		return "failed on"
 	case !st.pb.Fills:
 		return "usable"
