End a suspicion by its trial, and raise none for runs that had worked

Cause, in the mend of the quarantine: a failure of another run during a trial made the trial count as older than the last failure, so it proved nothing, and a long-running trial kept the executor closed for its whole life. Failures of long-running runs after minutes of work counted like those of starts. And hopeless tasks took one trial after the other.

A trial that works ends the suspicion whatever else fails; a long-running run that had worked for 1 s raises none when it fails; a task that has just failed takes no trial for 1.5 s, and trials begin 1 s after a failure.

--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -221,7 +221,8 @@
 	r.listedAt = now
 	r.percent = row.Percent
 	r.usage = row.Usage
-	if r.proves(now) {
+	r.updateWork(now)
+	if r.exec.suspicion.isClearedBy(r) {
 		r.exec.suspicion.recordSuccess()
 	}
 }
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -116,18 +116,33 @@
 
 // best returns the cheapest executor for the task, or nil. Executors on which the task has failed come last.
 func (c *candidates) best(t *task) *executor {
-	best, lowest := c.cheapest(func(x *executor) bool { return !t.hasFailedOn(x) })
-	if best != nil && !t.step.pb.LongRunning || len(t.failedOn) == 0 {
-		return best
+	if len(t.failedOn) == 0 {
+		x, _ := c.cheapest(func(*executor) bool { return true })
+		return x
 	}
-	if t.avoidsFailedOn(c.placement) {
-		return nil
+	if t.step.pb.LongRunning {
+		return c.bestForLongRunning(t)
 	}
+	isPaused := c.placement.now.Sub(t.lastFailedAt) < failedOnPause
+	// A task that has just failed is not suited to try a suspect executor.
+	isSuited := func(x *executor) bool { return !isPaused || !x.suspicion.isActive() }
+	x, _ := c.cheapest(func(x *executor) bool { return isSuited(x) && !t.hasFailedOn(x) })
+	if x != nil || t.avoidsFailedOn(c.placement) {
+		return x
+	}
+	x, _ = c.cheapest(isSuited)
+	return x
+}
+
+// bestForLongRunning returns the cheapest executor for a long-running task, which avoids executors on which it has
+// failed only as far as others are not much worse.
+func (c *candidates) bestForLongRunning(t *task) *executor {
+	other, lowest := c.cheapest(func(x *executor) bool { return !t.hasFailedOn(x) })
 	failed, cost := c.cheapest(t.hasFailedOn)
-	if best != nil && cost+costFailedOn >= lowest {
-		return best
+	if other == nil || cost+costFailedOn < lowest {
+		return failed
 	}
-	return failed
+	return other
 }
 
 // cheapest returns the cheapest executor for which the condition holds, or nil, and its cost.
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -38,6 +38,8 @@
 	usage      int64
 	// firstListedAt and listedAt are when a list first and last contained the run, progressAt when percent last changed.
 	firstListedAt, listedAt, progressAt tick.Time
+	// hasWorked is true once the run has made progress for provenAfter.
+	hasWorked bool
 	// waitReportedAt is when Diagnose last reported that no list contains the run.
 	waitReportedAt tick.Time
 	// overTargetSince is since when a latency-critical run has exceeded its target; 0 if it does not.
@@ -160,7 +162,7 @@
 		}
 		c.releaseRun(r, e.Reason)
 		if e.Reason == orders.EndedFailed {
-			c.recordFailure(now, t, e.Run.Number, x)
+			c.recordFailure(now, t, e.Run.Number, x, r.hasWorked)
 		}
 		return
 	}
@@ -173,7 +175,7 @@
 			c.markForStopping(later)
 		}
 	case e.Reason == orders.EndedFailed && !t.done:
-		c.recordFailure(now, t, e.Run.Number, x)
+		c.recordFailure(now, t, e.Run.Number, x, false)
 	}
 	if t.run == nil && !t.done && e.Checkpoint != "" && t.step.pb.Checkpointing {
 		t.keepCheckpoint(e.Checkpoint)
@@ -199,10 +201,10 @@
 	}
 }
 
-// recordFailure counts a failed run. The job fails with the last permitted attempt.
-func (c *Cell) recordFailure(now tick.Time, t *task, number uint64, x *executor) {
+// recordFailure counts a failed run, which may have worked before. The job fails with the last permitted attempt.
+func (c *Cell) recordFailure(now tick.Time, t *task, number uint64, x *executor, hadWorked bool) {
 	j := t.step.job
-	c.recordExecutorFailure(now, x, t)
+	c.recordExecutorFailure(now, x, t, hadWorked)
 	t.lastFailedAt = now
 	if !t.hasFailedOn(x) {
 		t.failedOn = append(t.failedOn, x.entry.ID)
@@ -233,11 +235,15 @@
 	quarantineAfterNoResponse = 1500 * time.Millisecond
 )
 
-// recordExecutorFailure counts the failure of a task's run against the executor, unless the task has failed on another
-// one before: then the task itself may be the cause. Long-running tasks fail at any time, so their past says nothing.
-func (c *Cell) recordExecutorFailure(now tick.Time, x *executor, t *task) {
+// recordExecutorFailure counts the failure of a task's run against the executor, unless the task may itself be the
+// cause: it has failed on another executor before, or it is long-running and had worked.
+func (c *Cell) recordExecutorFailure(now tick.Time, x *executor, t *task, hadWorked bool) {
 	hasFailedElsewhere := len(t.failedOn) > 0 && !t.hasFailedOn(x)
-	if hasFailedElsewhere && !t.step.pb.LongRunning {
+	isOwnFault := hasFailedElsewhere
+	if t.step.pb.LongRunning {
+		isOwnFault = hadWorked
+	}
+	if isOwnFault {
 		return
 	}
 	if x.suspicion.recordFailure(now, t.id.Job) {
--- a/internal/state/cell/suspicion.go
+++ b/internal/state/cell/suspicion.go
@@ -25,8 +25,9 @@
 	failuresBeforeSuspicion = 2
 	// maxFailuresCounted bounds the count of failures.
 	maxFailuresCounted = 5
-	// suspicionPause is half the time for which a due task may have no run, so that a trial fits into the rest.
-	suspicionPause = 1500 * time.Millisecond
+	// suspicionPause is a third of the time for which a due task may have no run, so that two trials fit into the rest. It
+	// is shorter than failedOnPause, so that tasks that have just failed do not take all trials.
+	suspicionPause = time.Second
 	// provenAfter is how long a run must have made progress on an executor to show that the executor works.
 	provenAfter = time.Second
 )
@@ -73,12 +74,19 @@
 	}
 }
 
-// proves reports whether a run that was started since the last failure shows that its executor works.
-func (r *run) proves(now tick.Time) bool {
-	isNew := r.startedAt.After(r.exec.suspicion.lastFailedAt)
-	isLongEnough := r.firstListedAt != 0 && now.Sub(r.firstListedAt) >= provenAfter
+// isClearedBy reports whether the work of a run ends the suspicion: it is the trial, or was started since the last failure.
+func (s *suspicion) isClearedBy(r *run) bool {
+	return r.hasWorked && (r == s.trial || r.startedAt.After(s.lastFailedAt))
+}
+
+// updateWork records whether the run has made progress for long enough to show that its executor can run it.
+func (r *run) updateWork(now tick.Time) {
+	if r.firstListedAt == 0 || now.Sub(r.firstListedAt) < provenAfter {
+		return
+	}
 	if r.task.step.pb.LongRunning {
-		return isNew && isLongEnough && r.percent == fullPacePercent
+		r.hasWorked = r.hasWorked || r.percent == fullPacePercent
+		return
 	}
-	return isNew && isLongEnough && r.progressAt.After(r.firstListedAt)
+	r.hasWorked = r.hasWorked || r.progressAt.After(r.firstListedAt)
 }
