Start an overdue best-effort job throttled, whatever the forecast says

Cause: the forecast of interference decides alone, at full pace, and without an end. Where each executor's headroom is below what the task adds, where a weight was learned too high (no run of the image corrects it, as none starts), while light starts renew the pause after starts, or where several runs are stopped for one executor, the task waits as long as that lasts.

Once a job has had no run for 1.5 s, one task of it starts on the executor that tolerates it at the highest pace, throttled to that pace, where no latency-critical run is over its target and no other best-effort run is throttled. Paces, halts and moves then work as for every run, and its samples correct the weights.

--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -31,6 +31,8 @@
 	endedAt      tick.Time
 	// startRecord is the state of the record that the job may have started.
 	startRecord startRecordState
+	// idleSince is since when a job with a due task has had no run; 0 if it has one.
+	idleSince tick.Time
 	// isInherited is true if a previous leader may have started tasks of the job.
 	isInherited bool
 }
--- /dev/null
+++ b/internal/state/cell/overdue.go
@@ -0,0 +1,111 @@
+package cell
+
+import (
+	"math"
+	"time"
+
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// maxBestEffortDeferral is how long a forecast or a pause may keep a best-effort job without a run: half the time for
+// which a due task may have none.
+const maxBestEffortDeferral = 1500 * time.Millisecond
+
+// updateIdle records since when the job, which has a due task, has had no run.
+func (j *job) updateIdle(now tick.Time) {
+	switch {
+	case j.hasRuns():
+		j.idleSince = 0
+	case j.idleSince == 0:
+		j.idleSince = now
+	}
+}
+
+// isOverdue reports whether the job has had no run for maxBestEffortDeferral.
+func (j *job) isOverdue(now tick.Time) bool {
+	return j.idleSince != 0 && now.Sub(j.idleSince) >= maxBestEffortDeferral
+}
+
+// startOverdue starts one task of a best-effort step that no executor tolerates, so that its job does not wait without
+// a bound for a forecast that may be wrong. The run is throttled to the headroom of the executor and provides samples
+// that correct the forecast.
+func (c *Cell) startOverdue(now tick.Time, p *placement, s *step) []Order {
+	t := s.firstStartable(now)
+	if t == nil {
+		return nil
+	}
+	x, pace := p.mostHeadroom(t)
+	if x == nil || !c.ensureStartRecorded(s.job) {
+		return nil
+	}
+	o := c.startRun(now, t, x, c.nextRunNumber(t))
+	c.emit(Event{Name: "started-overdue", Task: t.id, Run: t.run.id.Number, Executor: x.entry.ID})
+	t.run.pace, t.run.lowPaceSince = pace, now
+	t.run.isPaceUnconfirmed = pace < fullPacePercent
+	return []Order{o}
+}
+
+func (s *step) firstStartable(now tick.Time) *task {
+	for _, t := range s.tasks {
+		if t.isStartable(now) {
+			return t
+		}
+	}
+	return nil
+}
+
+// mostHeadroom returns the executor that can run a best-effort task at the highest pace, and that pace. It returns nil
+// if on every executor a latency-critical run exceeds its target or a best-effort run is throttled already.
+func (p *placement) mostHeadroom(t *task) (*executor, int) {
+	s, need := t.step, resourcesOf(t.step.pb)
+	avoids := t.avoidsFailedOn(p)
+	var best *executor
+	highest := math.Inf(-1)
+	for _, x := range p.pools[s.job.queue.Service] {
+		isCandidate := p.hasRoomFor(s, need, x) && !x.hasThrottledRun() && !x.hasRunOverTarget()
+		if !isCandidate || avoids && t.hasFailedOn(x) {
+			continue
+		}
+		if share := x.toleratedShare(s); share > highest {
+			best, highest = x, share
+		}
+	}
+	return best, max(paceStepPercent, int(highest*fullPacePercent)/paceStepPercent*paceStepPercent)
+}
+
+// hasThrottledRun reports whether a best-effort run of the executor is below its full pace.
+func (x *executor) hasThrottledRun() bool {
+	for _, r := range x.bestEffort {
+		if r.pace < fullPacePercent {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRunOverTarget reports whether a latency-critical run of the executor exceeds its target.
+func (x *executor) hasRunOverTarget() bool {
+	for _, r := range x.latencyCritical {
+		if r.usage > int64(r.task.step.pb.TargetMs) {
+			return true
+		}
+	}
+	return false
+}
+
+// toleratedShare returns the share of its full pace at which the latency-critical runs tolerate a task of the step. It
+// is at most 1, and negative if there is no headroom.
+func (x *executor) toleratedShare(s *step) float64 {
+	share := 1.0
+	for _, r := range x.latencyCritical {
+		if added := r.addedLoad(s); added > 0 {
+			share = min(share, r.headroom/added)
+		}
+	}
+	return share
+}
+
+// addedLoad returns the load that a best-effort task of the step adds to a latency-critical run at its full pace.
+func (r *run) addedLoad(s *step) float64 {
+	return r.regression.weightOf(s.pb.Image) * float64(s.pb.MilliCpu) / milliCPUPerCore
+}
--- a/internal/state/cell/pacing.go
+++ b/internal/state/cell/pacing.go
@@ -89,6 +89,7 @@
 func (c *Cell) adjustPaces(now tick.Time, p *placement, out []Order) []Order {
 	searches := 0
 	for _, x := range c.execs {
+		out = c.throttleStarted(now, x, out)
 		if x.isTerminated || x.lastResponseAt == x.pacesAdjustedAt {
 			continue
 		}
@@ -107,6 +108,17 @@
 	return out
 }
 
+// throttleStarted sets the paces of runs that were to start throttled, as soon as they are confirmed, because executors
+// start each run at its full pace.
+func (c *Cell) throttleStarted(now tick.Time, x *executor, out []Order) []Order {
+	for _, be := range x.bestEffort {
+		if be.isPaceUnconfirmed && be.confirmedAt != 0 && be.firstListedAt == 0 {
+			out = append(out, c.setPace(now, x, be, be.pace))
+		}
+	}
+	return out
+}
+
 func (c *Cell) adjustExecutorPaces(
 	now tick.Time, x *executor, latencyCritical, bestEffort []*run, out []Order,
 ) []Order {
@@ -232,7 +244,7 @@
 func (c *Cell) raisePaces(now tick.Time, x *executor, bestEffort []*run, out []Order) []Order {
 	added := make([]float64, len(x.latencyCritical))
 	for _, be := range slices.Backward(bestEffort) {
-		if be.pace == fullPacePercent || be.isMarkedForStopping {
+		if be.pace == fullPacePercent || be.isMarkedForStopping || be.firstListedAt == 0 {
 			continue
 		}
 		raise := c.highestRaise(x, be, added)
@@ -312,13 +324,12 @@
 	if len(x.latencyCritical) == 0 {
 		return 0, true
 	}
-	cores := float64(s.pb.MilliCpu) / milliCPUPerCore
 	highest := 0.0
 	for _, r := range x.latencyCritical {
 		if r.isNearTarget {
 			return 0, false
 		}
-		added := r.regression.weightOf(s.pb.Image) * cores
+		added := r.addedLoad(s)
 		highest = max(highest, added)
 		if added >= negligibleInterference && (added > r.headroom || now.Before(x.noBestEffortUntil)) {
 			return 0, false
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -100,7 +100,7 @@
 
 // rateExecutor returns the cost of an executor for a task of the step, and whether it can take one.
 func (p *placement) rateExecutor(s *step, need resources, x *executor) (float64, bool) {
-	if !x.allows(s, need) || !s.isPermittedOn(p.now, x) || !x.suspicion.admits(p.now) {
+	if !p.hasRoomFor(s, need, x) {
 		return 0, false
 	}
 	cost := x.cost(s, need)
@@ -108,12 +108,20 @@
 		return cost, true
 	}
 	load, ok := toleratesBestEffort(p.now, x, s)
-	if !ok || x.freeBestEffortMilliCPU() < int64(s.pb.MilliCpu) {
+	if !ok {
 		return 0, false
 	}
 	return cost + costPerLoad*load, true
 }
 
+// hasRoomFor reports whether the executor can take a task of the step, regardless of interference.
+func (p *placement) hasRoomFor(s *step, need resources, x *executor) bool {
+	if !x.allows(s, need) || !s.isPermittedOn(p.now, x) || !x.suspicion.admits(p.now) {
+		return false
+	}
+	return !s.pb.Fills || x.freeBestEffortMilliCPU() >= int64(s.pb.MilliCpu)
+}
+
 // best returns the cheapest executor for the task, or nil. Executors on which the task has failed come last.
 func (c *candidates) best(t *task) *executor {
 	if len(t.failedOn) == 0 {
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -142,6 +142,7 @@
 			}
 		}
 		if len(steps) > 0 {
+			j.updateIdle(now)
 			entries = append(entries, entry{c.urgencyOf(now, j), steps})
 		}
 	}
@@ -166,7 +167,11 @@
 			out = append(out, c.startGang(now, p, s)...)
 			continue
 		}
-		out = append(out, c.startTasks(now, p, s, remaining)...)
+		started := c.startTasks(now, p, s, remaining)
+		if len(started) == 0 && s.pb.Fills && s.job.isOverdue(now) {
+			started = c.startOverdue(now, p, s)
+		}
+		out = append(out, started...)
 	}
 	return out
 }
--- a/internal/state/cell/suspicion.go
+++ b/internal/state/cell/suspicion.go
@@ -74,7 +74,8 @@
 	}
 }
 
-// isClearedBy reports whether the work of a run ends the suspicion: it is the trial, or was started since the last failure.
+// isClearedBy reports whether the work of a run ends the suspicion: the run is the trial, or was started since the last
+// failure.
 func (s *suspicion) isClearedBy(r *run) bool {
 	return r.hasWorked && (r == s.trial || r.startedAt.After(s.lastFailedAt))
 }
