Widen the soak so that it finds jobs that stand

memex derives the behaviour of a task from the job's spec, draws failures by a seed, enforces capacities, lists percent and usage, shortens leases to max_hold, takes a deadline also from starts that it refuses as outdated or for want of room, and binds calls in progress to the incarnation that they reached.

--- a/internal/stand/memex/memex.go
+++ b/internal/stand/memex/memex.go
@@ -1,16 +1,20 @@
-// Package memex is an in-process stand-in for executors. It records a violation when a task runs twice at the same time
-// or again after it is done.
+// Package memex is an in-process stand-in for executors. It records a violation when a task runs twice at the same
+// time, again after it is done, after its last permitted failure, or on an executor with too many tasks of its step.
+//
+// The spec of a job determines how its tasks behave (see Behavior).
 //
 // # Usage
 //
 //	f := memex.New()
 //	f.Add("x1")
+//	f.AddWithCapacity("x2", memex.Capacity{MilliCPU: 8000, MemoryMB: 4000})
 //	reply := f.Start(ctx, orders.Target{ID: "x1"}, order)
 package memex
 
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,20 +24,39 @@
 
 const (
 	callLatency = time.Millisecond
-	// taskDuration is how long each task runs.
-	taskDuration = 400 * time.Millisecond
 	// pollInterval is how often a waiting hold checks for ended runs.
 	pollInterval = 5 * time.Millisecond
+	// maxLeaseMS is the longest lease; a longer one is shortened.
+	maxLeaseMS = 6000
 )
 
+// Capacity is the capacity of an executor, or a part of it.
+type Capacity struct {
+	MilliCPU, MemoryMB int64
+}
+
+func (c Capacity) minus(o Capacity) Capacity {
+	return Capacity{c.MilliCPU - o.MilliCPU, c.MemoryMB - o.MemoryMB}
+}
+
+func (c Capacity) covers(o Capacity) bool {
+	return c.MilliCPU >= o.MilliCPU && c.MemoryMB >= o.MemoryMB
+}
+
 type activeRun struct {
-	run    orders.Run
-	endsAt tick.Time
+	run       orders.Run
+	behavior  Behavior
+	startedAt tick.Time
+	// endsAt is when the run ends by itself, with endReason. It is 0 for a run that continues until it is stopped.
+	endsAt    tick.Time
+	endReason orders.EndReason
 }
 
 type executor struct {
-	incarnation  int64
-	startedAt    tick.Time
+	incarnation int64
+	startedAt   tick.Time
+	// capacity limits the runs unless it is nil.
+	capacity     *Capacity
 	epoch        uint64
 	endCount     uint64
 	leaseUntilMS int64
@@ -47,26 +70,81 @@
 type Fleet struct {
 	mu        sync.Mutex
 	executors map[string]*executor
-	done      map[orders.Task]bool
+	tasks     map[orders.Task]*taskHistory
 	// startedJobs are the jobs of which at least one task was started.
 	startedJobs map[string]bool
 	violations  []string
 	starts      int
+	seed        uint64
+	// areFailuresOff means that runs that start from now on do not fail, except those that always do.
+	areFailuresOff bool
 }
 
 // New returns a Fleet without executors.
 func New() *Fleet {
-	return &Fleet{executors: map[string]*executor{}, done: map[orders.Task]bool{}, startedJobs: map[string]bool{}}
+	return &Fleet{
+		executors: map[string]*executor{}, tasks: map[orders.Task]*taskHistory{}, startedJobs: map[string]bool{},
+	}
+}
+
+// SetSeed sets the seed of the draws of the runs that fail.
+func (f *Fleet) SetSeed(seed uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seed = seed
+}
+
+// StopFailures lets the runs that have not failed yet, and those that start from now on, not fail. Tasks that always
+// fail are not affected.
+func (f *Fleet) StopFailures() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.areFailuresOff = true
+	for _, x := range f.executors {
+		f.advance(x, tick.Now())
+		for t, r := range x.runs {
+			if r.behavior.LongRunning {
+				r.endsAt = 0
+				x.runs[t] = r
+			}
+		}
+	}
 }
 
-// Add starts an executor with the id.
-func (f *Fleet) Add(id string) {
+// Add starts an executor with the id and unlimited capacity.
+func (f *Fleet) Add(id string) { f.add(id, nil) }
+
+// AddWithCapacity starts an executor that rejects what exceeds its capacity. If there is an executor with the id, it
+// must have been removed.
+func (f *Fleet) AddWithCapacity(id string, c Capacity) { f.add(id, &c) }
+
+func (f *Fleet) add(id string, c *Capacity) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := tick.Now()
 	f.executors[id] = &executor{
-		incarnation: int64(now), startedAt: now, runs: map[orders.Task]activeRun{}, lastEnded: map[orders.Task]uint64{},
+		incarnation: int64(now), startedAt: now, capacity: c, runs: map[orders.Task]activeRun{},
+		lastEnded: map[orders.Task]uint64{},
+	}
+}
+
+// Remove ends an executor without notice: its runs end and its unacknowledged ends are lost.
+func (f *Fleet) Remove(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	x, ok := f.executors[id]
+	if !ok {
+		return
+	}
+	now := tick.Now()
+	f.advance(x, now)
+	for t := range x.runs {
+		f.task(t).lastRanAt = now
 	}
+	for _, e := range x.unackedEnds {
+		f.task(e.Run.Task).loseEnd(e)
+	}
+	delete(f.executors, id)
 }
 
 // Violations returns the violations recorded so far.
@@ -94,10 +172,22 @@
 func (f *Fleet) IsDone(t orders.Task) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.advanceAll(tick.Now())
+	return f.task(t).wasDone
+}
+
+// Failures returns how many runs of the task have failed.
+func (f *Fleet) Failures(t orders.Task) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advanceAll(tick.Now())
+	return f.task(t).failures
+}
+
+func (f *Fleet) advanceAll(now tick.Time) {
 	for _, x := range f.executors {
-		f.advance(x, tick.Now())
+		f.advance(x, now)
 	}
-	return f.done[t]
 }
 
 // Incarnation returns the incarnation of an executor. An executor that is started later has a higher one.
@@ -121,35 +211,39 @@
 // clock returns the time since the start of the executor in milliseconds.
 func (x *executor) clock(now tick.Time) int64 { return int64(now.Sub(x.startedAt) / time.Millisecond) }
 
-// advance ends the runs that are done and, once the executor's lease has expired, all others.
+// advance ends the runs that are over by themselves and, once the executor's lease has expired, all others.
 func (f *Fleet) advance(x *executor, now tick.Time) {
-	for t, r := range x.runs {
-		reason := orders.EndedDone
+	leaseEndsAt := x.startedAt.Add(time.Duration(x.leaseUntilMS) * time.Millisecond)
+	for _, r := range x.runs {
+		endsByItself := r.endsAt != 0 && r.endsAt.Before(leaseEndsAt)
 		switch {
-		case !now.Before(r.endsAt):
-			f.done[t] = true
-		case x.clock(now) >= x.leaseUntilMS:
-			reason = orders.EndedLeaseExpired
-		default:
-			continue
+		case endsByItself && !now.Before(r.endsAt):
+			f.end(x, r.run, r.endReason, r.endsAt)
+		case !endsByItself && !now.Before(leaseEndsAt):
+			f.end(x, r.run, orders.EndedLeaseExpired, leaseEndsAt)
 		}
-		x.end(r.run, reason)
 	}
 }
 
 // end removes a run and adds it to the ends that wait for acknowledgement.
-func (x *executor) end(r orders.Run, reason orders.EndReason) {
+func (f *Fleet) end(x *executor, r orders.Run, reason orders.EndReason, at tick.Time) {
+	f.task(r.Task).recordEnd(reason, at)
 	delete(x.runs, r.Task)
 	x.lastEnded[r.Task] = max(x.lastEnded[r.Task], r.Number)
 	x.endCount++
 	x.unackedEnds = append(x.unackedEnds, orders.EndedRun{Cursor: x.endCount, Run: r, Reason: reason})
 }
 
-// accept returns the executor unless it is unknown or has seen a higher epoch, and raises its epoch. The caller
-// holds the mutex.
-func (f *Fleet) accept(id string, epoch uint64) (*executor, orders.Reply) {
-	x, ok := f.executors[id]
-	if !ok {
+func (f *Fleet) executor(id string) *executor {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.executors[id]
+}
+
+// accept returns the executor unless it is no longer the given one or has seen a higher epoch, and raises its epoch.
+// The caller holds the mutex.
+func (f *Fleet) accept(id string, x *executor, epoch uint64) (*executor, orders.Reply) {
+	if x == nil || f.executors[id] != x {
 		return nil, orders.Reply{Outcome: orders.NotSent}
 	}
 	now := tick.Now()
@@ -167,10 +261,11 @@
 func (f *Fleet) execute(
 	ctx context.Context, id string, epoch uint64, apply func(x *executor, r orders.Reply) orders.Reply,
 ) orders.Reply {
+	target := f.executor(id)
 	tick.Pause(ctx, callLatency)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	x, r := f.accept(id, epoch)
+	x, r := f.accept(id, target, epoch)
 	if x == nil {
 		return r
 	}
@@ -184,43 +279,90 @@
 		switch {
 		case isRunning && existing.run == o.Run:
 		case o.Run.Number <= x.lastEnded[o.Run.Task]:
+			x.extendLease(r.ClockMS, o.DeadlineMS)
 			r.Outcome = orders.Outdated
 		case o.DeadlineMS <= r.ClockMS:
 			r.Outcome = orders.Late
+		case !x.hasRoom(ParseBehavior(o.Spec)):
+			x.extendLease(r.ClockMS, o.DeadlineMS)
+			r.Outcome = orders.InsufficientResources
 		default:
-			f.beginRun(t.ID, x, o)
+			f.beginRun(t.ID, x, o, r.ClockMS)
 		}
 		return r
 	})
 }
 
-func (f *Fleet) beginRun(id string, x *executor, o orders.Start) {
-	f.checkStart(id, o.Run)
+// extendLease extends the lease to the deadline, but to at most maxLeaseMS from now on.
+func (x *executor) extendLease(clockMS, deadlineMS int64) {
+	x.leaseUntilMS = max(x.leaseUntilMS, min(deadlineMS, clockMS+maxLeaseMS))
+}
+
+// hasRoom reports whether the executor's free capacity covers a task.
+func (x *executor) hasRoom(b Behavior) bool {
+	if x.capacity == nil {
+		return true
+	}
+	free := *x.capacity
+	for _, r := range x.runs {
+		free = free.minus(r.behavior.Capacity)
+	}
+	return free.covers(b.Capacity)
+}
+
+func (f *Fleet) beginRun(id string, x *executor, o orders.Start, clockMS int64) {
+	b := ParseBehavior(o.Spec)
+	f.checkStart(id, x, o.Run, b)
 	f.starts++
 	f.startedJobs[o.Run.Task.Job] = true
-	x.leaseUntilMS = max(x.leaseUntilMS, o.DeadlineMS)
-	x.runs[o.Run.Task] = activeRun{run: o.Run, endsAt: tick.Now().Add(taskDuration)}
+	x.extendLease(clockMS, o.DeadlineMS)
+	h := f.task(o.Run.Task)
+	h.runs++
+	r := activeRun{run: o.Run, behavior: b, startedAt: tick.Now()}
+	duration, reason := h.draw(b, f.seed, o.Run.Task, f.areFailuresOff)
+	if duration > 0 {
+		r.endsAt, r.endReason = r.startedAt.Add(duration), reason
+	}
+	x.runs[o.Run.Task] = r
 }
 
-// checkStart records a violation if the task is already done or is running on any executor.
-func (f *Fleet) checkStart(id string, run orders.Run) {
-	now := tick.Now()
-	if f.done[run.Task] {
+// checkStart records a violation if the task must not run again, is running on any executor, or exceeds the number of
+// tasks of its step that may run on the executor.
+func (f *Fleet) checkStart(id string, x *executor, run orders.Run, b Behavior) {
+	h := f.task(run.Task)
+	f.advanceAll(tick.Now())
+	if h.isDone() {
 		f.violations = append(f.violations, fmt.Sprintf("%v started on %s after its task was done", run, id))
 	}
+	if b.MaxAttempts > 0 && h.ackedFailures >= b.MaxAttempts {
+		f.violations = append(f.violations, fmt.Sprintf("%v started on %s after %d failed runs", run, id, h.ackedFailures))
+	}
+	if n := x.countStep(run.Task); b.MaxPerExecutor > 0 && n >= b.MaxPerExecutor {
+		f.violations = append(f.violations, fmt.Sprintf("%v started on %s beside %d tasks of its step", run, id, n))
+	}
 	for otherID, otherExecutor := range f.executors {
-		f.advance(otherExecutor, now)
 		if r, ok := otherExecutor.runs[run.Task]; ok {
 			f.violations = append(f.violations, fmt.Sprintf("%v started on %s while %v runs on %s", run, id, r.run, otherID))
 		}
 	}
 }
 
+// countStep returns the number of runs of tasks of the same step.
+func (x *executor) countStep(t orders.Task) int {
+	n := 0
+	for o := range x.runs {
+		if o.Job == t.Job && o.Occurrence == t.Occurrence && o.Step == t.Step {
+			n++
+		}
+	}
+	return n
+}
+
 // Stop implements orders.Executors.
 func (f *Fleet) Stop(ctx context.Context, t orders.Target, o orders.Stop) orders.Reply {
 	return f.execute(ctx, t.ID, o.Epoch, func(x *executor, r orders.Reply) orders.Reply {
 		if existing, ok := x.runs[o.Run.Task]; ok && existing.run == o.Run {
-			x.end(o.Run, orders.EndedStopped)
+			f.end(x, o.Run, orders.EndedStopped, tick.Now())
 		}
 		// If the run has not started yet, its start order is rejected from now on.
 		x.lastEnded[o.Run.Task] = max(x.lastEnded[o.Run.Task], o.Run.Number)
@@ -235,10 +377,11 @@
 
 // Hold implements orders.Executors.
 func (f *Fleet) Hold(ctx context.Context, t orders.Target, o orders.Hold) (orders.Lists, orders.Reply) {
+	target := f.executor(t.ID)
 	tick.Pause(ctx, callLatency)
 	until := tick.Now().Add(o.Wait)
 	for {
-		l, r := f.tryHold(t, o)
+		l, r := f.tryHold(t, target, o)
 		if r.Outcome != orders.Done || len(l.Ended) > 0 || !tick.Now().Before(until) || ctx.Err() != nil {
 			return l, r
 		}
@@ -246,20 +389,24 @@
 	}
 }
 
-func (f *Fleet) tryHold(t orders.Target, o orders.Hold) (orders.Lists, orders.Reply) {
+func (f *Fleet) tryHold(t orders.Target, target *executor, o orders.Hold) (orders.Lists, orders.Reply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	x, r := f.accept(t.ID, o.Epoch)
+	x, r := f.accept(t.ID, target, o.Epoch)
 	if x == nil {
 		return orders.Lists{}, r
 	}
-	x.leaseUntilMS = max(x.leaseUntilMS, o.DeadlineMS)
+	x.extendLease(r.ClockMS, o.DeadlineMS)
 	for len(x.unackedEnds) > 0 && x.unackedEnds[0].Cursor <= o.AckCursor {
+		f.task(x.unackedEnds[0].Run.Task).ackEnd(x.unackedEnds[0].Reason)
 		x.unackedEnds = x.unackedEnds[1:]
 	}
-	l := orders.Lists{StartedMS: x.incarnation, Ended: append([]orders.EndedRun(nil), x.unackedEnds...)}
+	l := orders.Lists{StartedMS: x.incarnation, Ended: slices.Clone(x.unackedEnds)}
+	now := tick.Now()
 	for _, active := range x.runs {
-		l.Running = append(l.Running, orders.Running{Run: active.run})
+		l.Running = append(l.Running, orders.Running{
+			Run: active.run, Percent: active.percent(now), Usage: active.behavior.Capacity.MilliCPU,
+		})
 	}
 	return l, r
 }
