Keep asking the policy service for jobs of a removed queue

Callers see an accepted job that never starts after its queue was removed, if that was the last queue with a policy service: its job keeps the service, but no request was made any more, as only the present configuration was looked at.

--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -71,7 +71,7 @@
 	durations    *durationModel
 	interference *interferenceModel
 	isFenced     bool
-	// needsAdvice is true if a queue has a policy service.
+	// needsAdvice is true if a queue has or had a policy service.
 	needsAdvice bool
 	// isAdvicePending is true while a request to the policy service is outstanding; nextAdviceAt is the earliest time for
 	// the next one.
@@ -127,7 +127,8 @@
 		return
 	}
 	c.config = cfg
-	c.needsAdvice = slices.ContainsFunc(cfg.Queues, func(q queue.Queue) bool { return q.Advice != nil })
+	// Jobs of a queue that was removed keep its policy service.
+	c.needsAdvice = c.needsAdvice || slices.ContainsFunc(cfg.Queues, func(q queue.Queue) bool { return q.Advice != nil })
 	for _, j := range c.active {
 		j.configure(cfg)
 	}
--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -241,3 +241,19 @@
 	first := h.waitForPermittedStart(longestWait, isPermitted)
 	h.waitForPermittedStart(restartGrace+longestWait, isPermitted, first)
 }
+
+// TestAdviceIsRequestedAfterItsQueueWasRemoved checks an accepted job whose queue, the only one with a policy service,
+// is removed from the configuration.
+func TestAdviceIsRequestedAfterItsQueueWasRemoved(t *testing.T) {
+	h := newHarness(t, testExecutor("a"))
+	with := queue.Queue{
+		Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000,
+		Advice: &queue.AdviceTiming{DecisionMS: 10},
+	}
+	h.cell.Configure(&queue.Configuration{Version: 2, Queues: []queue.Queue{with}})
+	h.accept("job", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 300})
+	h.cell.Configure(&queue.Configuration{Version: 3})
+	h.planAndConfirm()
+	_, ok := h.cell.NextAdviceRequest(h.now)
+	assert.Assert(t, ok, "no advice is requested for the step")
+}
