Do not forget an orphaned run that was listed within the last lease

Now it is forgotten only a whole lease after the executor's last response, as no lease can be longer. Evidence: TestOrphanedRunListedJustNowIsForgotten failed before.

--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -245,11 +245,13 @@
 // is kept while service discovery lists its executor, whose next list tells: a second run would repeat its effects.
 func (c *Cell) releaseExpired(now tick.Time) {
 	for _, x := range c.execs {
+		if now.After(max(x.leaseExpiresBy, x.lastResponseAt.Add(c.params.LongestLease()))) {
+			// Orphaned runs end with the lease, even if the executor has listed them later than expected.
+			clear(x.orphaned)
+		}
 		if !now.After(x.leaseExpiresBy) {
 			continue
 		}
-		// Orphaned runs are under the same lease.
-		clear(x.orphaned)
 		for _, r := range x.runs {
 			if !x.isListed || !c.mayBeDone(r) {
 				c.releaseRun(r, orders.EndedLeaseExpired)
--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -257,3 +257,28 @@
 	_, ok := h.cell.NextAdviceRequest(h.now)
 	assert.Assert(t, ok, "no advice is requested for the step")
 }
+
+// TestOrphanedRunListedJustNowIsForgotten checks a task that an executor has listed as running since the last plan.
+func TestOrphanedRunListedJustNowIsForgotten(t *testing.T) {
+	h := newHarness(t, testExecutor("a"), testExecutor("b"))
+	h.accept("j", "q", latencyCriticalStep("web"))
+	first := h.waitForStart("j", longestWait, "a", "b")
+	lost, other := first.Target.ID, "a"
+	if lost == "a" {
+		other = "b"
+	}
+	var second Order
+	for range 10 {
+		h.advance(time.Second)
+		hold, _, _ := h.cell.Hold(h.now, lost)
+		h.cell.HandleHoldReply(h.now, h.now, lost, hold, orders.Lists{}, orders.Reply{Outcome: orders.NoResponse})
+		h.reportRunning(other)
+		if list := startOrders(h.planAndConfirm()); len(list) > 0 {
+			second = list[0]
+			break
+		}
+	}
+	h.reportEnd(second, 1, orders.EndedFailed, "")
+	h.reportRunning(lost, runningRow(first, 10, 100))
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 0, "the task runs on %s", lost)
+}
