Release a lost start after its deadline if its stop is never confirmed

Callers see an accepted job that never starts: its start order was lost, and the executor answers holds but refuses the stop. Only a confirmed stop or an expired lease released the task, and the holds extend the lease.

A start order carries its deadline, and executors reject it from then on. So a run that a list lacks which was requested later than the longest lease after its start is over or never began.

--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -227,7 +227,8 @@
 	}
 }
 
-// releaseMissing releases runs that are missing from a list that was requested after they were confirmed or stopped.
+// releaseMissing releases runs that are missing from a list that was requested after they were confirmed or stopped, or
+// after the deadline of their start order, which executors reject from then on.
 func (c *Cell) releaseMissing(sent tick.Time, x *executor, listed map[orders.Run]bool) {
 	for _, r := range x.runs {
 		if listed[r.id] {
@@ -235,7 +236,8 @@
 		}
 		isConfirmed := r.confirmedAt != 0 && r.confirmedAt.Before(sent)
 		isStopped := r.stoppedAt != 0 && r.stoppedAt.Before(sent)
-		if isConfirmed || isStopped {
+		isLate := r.startedAt.Add(c.params.LongestLease()).Before(sent)
+		if isConfirmed || isStopped || isLate {
 			c.releaseRun(r, orders.EndedLeaseExpired)
 		}
 	}
--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -282,3 +282,52 @@
 	h.reportRunning(lost, runningRow(first, 10, 100))
 	assert.Equal(t, len(startOrders(h.planAndConfirm())), 0, "the task runs on %s", lost)
 }
+
+// TestTaskWaitsForStopThatIsNeverConfirmed checks a lost start whose stop the executor refuses, while it answers holds.
+func TestTaskWaitsForStopThatIsNeverConfirmed(t *testing.T) {
+	const interval = 100 * time.Millisecond
+	h := newHarness(t, testExecutor("a"), testExecutor("b"))
+	h.accept("job", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 300})
+	h.cell.Plan(h.now, testWallMS, unbounded)
+	h.commit()
+	first := startOrders(h.cell.Plan(h.now, testWallMS, unbounded))[0]
+	h.advance(800 * time.Millisecond)
+	h.cell.HandleReply(h.now, first, orders.Reply{Outcome: orders.NoResponse})
+	stops := 0
+	for range time.Minute / interval {
+		for _, o := range h.cell.Plan(h.now, testWallMS, unbounded) {
+			if o.Start != nil {
+				return
+			}
+			stops++
+			h.cell.HandleReply(h.now, o, orders.Reply{Outcome: orders.Unhealthy, ClockMS: 1000})
+		}
+		h.advance(interval)
+		h.reportRunning("a")
+		h.reportRunning("b")
+	}
+	t.Fatalf("the job has not started for a minute, after %d stops", stops)
+}
+
+// TestTaskOfHungExecutorWaitsWhileItIsListed checks a task that may be done on an executor that hangs.
+func TestTaskOfHungExecutorWaitsWhileItIsListed(t *testing.T) {
+	const interval = 100 * time.Millisecond
+	h := newHarness(t, testExecutor("a"), testExecutor("b"))
+	h.accept("job", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 300})
+	first := startOrders(h.planAndConfirm())[0]
+	for range time.Minute / interval {
+		h.advance(interval)
+		hold, _, _ := h.cell.Hold(h.now, first.Target.ID)
+		h.cell.HandleHoldReply(
+			h.now, h.now, first.Target.ID, hold, orders.Lists{}, orders.Reply{Outcome: orders.NoResponse})
+		for _, id := range []string{"a", "b"} {
+			if id != first.Target.ID {
+				h.reportRunning(id)
+			}
+		}
+		if len(startOrders(h.planAndConfirm())) > 0 {
+			return
+		}
+	}
+	t.Fatal("the task has not started again for a minute")
+}
