Bound what a trial on a suspect executor can hold up

Now the members of a gang are one trial; a trial that neither fails nor shows progress holds up others for 1.5 s; long-running tasks that fail in a row take no trial for 1.5 to 6 s, the time they may be without a run; only failures of runs begun since the last one renew the pause; progress is what lists show. The log tells suspect executors from quarantined ones.

--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -234,5 +234,5 @@
 func (x *executor) isUsable(now tick.Time) bool {
 	isRegistered := x.isListed && x.isRostered && x.hasResponded && x.hasClock
 	isAvailable := !x.isTerminated && !x.isUnresponsive && !x.entry.Draining && len(x.orphaned) == 0
-	return isRegistered && isAvailable && !now.Before(x.quarantinedUntil) && x.suspicion.admits(now)
+	return isRegistered && isAvailable && !now.Before(x.quarantinedUntil)
 }
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -85,8 +85,10 @@
 	// orphanedOn is the executor that listed an orphaned run of the task, if any.
 	orphanedOn *executor
 	// failedOn has the ids of the executors on which runs of the task have failed, the last time at lastFailedAt.
-	failedOn     []string
-	lastFailedAt tick.Time
+	// failuresInRow counts the failures since a run that had worked.
+	failedOn      []string
+	lastFailedAt  tick.Time
+	failuresInRow int
 }
 
 // Accept adds a job that was just recorded in the intake. A job that is already tracked is ignored.
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -152,7 +152,7 @@
 	c.emit(Event{Name: "executor-reborn", Executor: x.entry.ID})
 	x.appliedCursor, x.batchedCursor, x.storedCursor, x.ackSentCursor = 0, 0, 0, 0
 	x.hasClock = false
-	x.suspicion.recordSuccess()
+	x.suspicion.clear()
 	for _, r := range x.runs {
 		if r.confirmedAt == 0 {
 			// A start order without a response may still arrive, so the run is stopped in advance.
@@ -165,7 +165,7 @@
 // applyEnded applies one listed end.
 func (c *Cell) applyEnded(now tick.Time, x *executor, e orders.EndedRun) {
 	if e.Reason == orders.EndedDone {
-		x.suspicion.recordSuccess()
+		x.suspicion.clear()
 	}
 	if r, ok := x.runs[e.Run.Task]; ok && r.id == e.Run && r.task != c.task(e.Run.Task) {
 		// The run belongs to a job that has ended.
@@ -216,14 +216,14 @@
 		r.progressAt = now
 	}
 	if r.firstListedAt == 0 {
-		r.firstListedAt = now
+		r.firstListedAt, r.firstPercent = now, row.Percent
 	}
 	r.listedAt = now
 	r.percent = row.Percent
 	r.usage = row.Usage
 	r.updateWork(now)
 	if r.exec.suspicion.isClearedBy(r) {
-		r.exec.suspicion.recordSuccess()
+		r.exec.suspicion.clear()
 	}
 }
 
--- a/internal/state/cell/liveness_test.go
+++ b/internal/state/cell/liveness_test.go
@@ -317,7 +317,7 @@
 		return "orphans"
 	case now.Before(x.quarantinedUntil):
 		return fmt.Sprintf("quarantined until %.3f", float64(x.quarantinedUntil)/1e9)
-	case !x.suspicion.admits(now):
+	case !x.suspicion.admits(now, t.step):
 		return fmt.Sprintf("suspect (failures %d, last at %.3f, on trial %t)", x.suspicion.failures,
 			float64(x.suspicion.lastFailedAt)/1e9, x.suspicion.trial != nil)
 	case !x.allows(t.step, resourcesOf(t.step.pb)):
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -116,7 +116,7 @@
 
 // hasRoomFor reports whether the executor can take a task of the step, regardless of interference.
 func (p *placement) hasRoomFor(s *step, need resources, x *executor) bool {
-	if !x.allows(s, need) || !s.isPermittedOn(p.now, x) || !x.suspicion.admits(p.now) {
+	if !x.allows(s, need) || !s.isPermittedOn(p.now, x) || !x.suspicion.admits(p.now, s) {
 		return false
 	}
 	return !s.pb.Fills || x.freeBestEffortMilliCPU() >= int64(s.pb.MilliCpu)
@@ -128,29 +128,27 @@
 		x, _ := c.cheapest(func(*executor) bool { return true })
 		return x
 	}
-	if t.step.pb.LongRunning {
-		return c.bestForLongRunning(t)
-	}
-	isPaused := c.placement.now.Sub(t.lastFailedAt) < failedOnPause
 	// A task that has just failed is not suited to try a suspect executor.
+	isPaused := c.placement.now.Sub(t.lastFailedAt) < t.trialPause()
 	isSuited := func(x *executor) bool { return !isPaused || !x.suspicion.isActive() }
-	x, _ := c.cheapest(func(x *executor) bool { return isSuited(x) && !t.hasFailedOn(x) })
-	if x != nil || t.avoidsFailedOn(c.placement) {
-		return x
+	other, lowest := c.cheapest(func(x *executor) bool { return isSuited(x) && !t.hasFailedOn(x) })
+	if other != nil && !t.step.pb.LongRunning || t.avoidsFailedOn(c.placement) {
+		return other
+	}
+	failed, cost := c.cheapest(func(x *executor) bool { return isSuited(x) && t.hasFailedOn(x) })
+	if other != nil && lowest <= cost+costFailedOn {
+		return other
 	}
-	x, _ = c.cheapest(isSuited)
-	return x
+	return failed
 }
 
-// bestForLongRunning returns the cheapest executor for a long-running task, which avoids executors on which it has
-// failed only as far as others are not much worse.
-func (c *candidates) bestForLongRunning(t *task) *executor {
-	other, lowest := c.cheapest(func(x *executor) bool { return !t.hasFailedOn(x) })
-	failed, cost := c.cheapest(t.hasFailedOn)
-	if other == nil || cost+costFailedOn < lowest {
-		return failed
+// trialPause returns for how long after a failure the task takes no trial on a suspect executor. It grows with the
+// failures in a row of a long-running task, whose attempts are not limited.
+func (t *task) trialPause() time.Duration {
+	if !t.step.pb.LongRunning {
+		return failedOnPause
 	}
-	return other
+	return failedOnPause * time.Duration(min(t.failuresInRow, maxTrialPauses))
 }
 
 // cheapest returns the cheapest executor for which the condition holds, or nil, and its cost.
@@ -204,8 +202,10 @@
 // avoidsFailedOn reports whether the task still waits for room on an executor on which it has not failed. It does so
 // for failedOnPause, if there is another executor. A long-running task does not wait.
 func (t *task) avoidsFailedOn(p *placement) bool {
-	isOver := p.now.Sub(t.lastFailedAt) >= failedOnPause
-	if isOver || len(t.failedOn) == 0 || len(t.failedOn) >= maxFailedExecutors || t.step.pb.LongRunning {
+	if len(t.failedOn) == 0 || len(t.failedOn) >= maxFailedExecutors || t.step.pb.LongRunning {
+		return false
+	}
+	if p.now.Sub(t.lastFailedAt) >= failedOnPause {
 		return false
 	}
 	label := t.step.pb.RequiresLabel
@@ -220,6 +220,8 @@
 	maxFailedExecutors = 8
 	// failedOnPause is half the time for which a due task may have no run.
 	failedOnPause = 1500 * time.Millisecond
+	// maxTrialPauses bounds the growth of a task's pause before trials. A long-running task may have no run for that long.
+	maxTrialPauses = 4
 )
 
 // countTasks returns the number of runs of the step's tasks on the executor.
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -37,7 +37,9 @@
 	percent    int
 	usage      int64
 	// firstListedAt and listedAt are when a list first and last contained the run, progressAt when percent last changed.
+	// firstPercent is percent in the first list.
 	firstListedAt, listedAt, progressAt tick.Time
+	firstPercent                        int
 	// hasWorked is true once the run has made progress for provenAfter.
 	hasWorked bool
 	// waitReportedAt is when Diagnose last reported that no list contains the run.
@@ -162,7 +164,7 @@
 		}
 		c.releaseRun(r, e.Reason)
 		if e.Reason == orders.EndedFailed {
-			c.recordFailure(now, t, e.Run.Number, x, r.hasWorked)
+			c.recordFailure(now, t, e.Run.Number, x, r)
 		}
 		return
 	}
@@ -175,7 +177,7 @@
 			c.markForStopping(later)
 		}
 	case e.Reason == orders.EndedFailed && !t.done:
-		c.recordFailure(now, t, e.Run.Number, x, false)
+		c.recordFailure(now, t, e.Run.Number, x, nil)
 	}
 	if t.run == nil && !t.done && e.Checkpoint != "" && t.step.pb.Checkpointing {
 		t.keepCheckpoint(e.Checkpoint)
@@ -201,11 +203,16 @@
 	}
 }
 
-// recordFailure counts a failed run, which may have worked before. The job fails with the last permitted attempt.
-func (c *Cell) recordFailure(now tick.Time, t *task, number uint64, x *executor, hadWorked bool) {
+// recordFailure counts a failed run, which is nil if this leader did not track it. The job fails with the last
+// permitted attempt.
+func (c *Cell) recordFailure(now tick.Time, t *task, number uint64, x *executor, r *run) {
 	j := t.step.job
-	c.recordExecutorFailure(now, x, t, hadWorked)
+	c.recordExecutorFailure(now, x, t, r)
 	t.lastFailedAt = now
+	t.failuresInRow++
+	if r != nil && r.hasWorked {
+		t.failuresInRow = 1
+	}
 	if !t.hasFailedOn(x) {
 		t.failedOn = append(t.failedOn, x.entry.ID)
 	}
@@ -236,17 +243,21 @@
 )
 
 // recordExecutorFailure counts the failure of a task's run against the executor, unless the task may itself be the
-// cause: it has failed on another executor before, or it is long-running and had worked.
-func (c *Cell) recordExecutorFailure(now tick.Time, x *executor, t *task, hadWorked bool) {
-	hasFailedElsewhere := len(t.failedOn) > 0 && !t.hasFailedOn(x)
-	isOwnFault := hasFailedElsewhere
+// cause: it has failed on another executor before, or it is long-running and had worked. The run is nil if this leader
+// did not track it.
+func (c *Cell) recordExecutorFailure(now tick.Time, x *executor, t *task, r *run) {
+	isOwnFault := len(t.failedOn) > 0 && !t.hasFailedOn(x)
 	if t.step.pb.LongRunning {
-		isOwnFault = hadWorked
+		isOwnFault = r != nil && r.hasWorked
 	}
 	if isOwnFault {
 		return
 	}
-	if x.suspicion.recordFailure(now, t.id.Job) {
+	startedAt := tick.Time(0)
+	if r != nil {
+		startedAt = r.startedAt
+	}
+	if x.suspicion.recordFailure(now, startedAt, t.id.Job) {
 		c.emit(Event{Name: "executor-avoided", Executor: x.entry.ID, Detail: "failing"})
 	}
 }
--- a/internal/state/cell/suspicion.go
+++ b/internal/state/cell/suspicion.go
@@ -14,7 +14,7 @@
 	// the same job, which is lastFailedJob, count once, since the job itself may be the cause.
 	failures      int
 	lastFailedJob string
-	// lastFailedAt is when a run last failed.
+	// lastFailedAt is when a run last failed that was started since the failure before.
 	lastFailedAt tick.Time
 	// trial is the run that is on trial, if any.
 	trial *run
@@ -28,17 +28,22 @@
 	// suspicionPause is a third of the time for which a due task may have no run, so that two trials fit into the rest. It
 	// is shorter than failedOnPause, so that tasks that have just failed do not take all trials.
 	suspicionPause = time.Second
+	// trialTimeout is how long a trial that neither fails nor shows progress keeps others from starting.
+	trialTimeout = 1500 * time.Millisecond
 	// provenAfter is how long a run must have made progress on an executor to show that the executor works.
 	provenAfter = time.Second
 )
 
-// recordFailure counts the failure of a run of the job. It returns whether the executor is under suspicion.
-func (s *suspicion) recordFailure(now tick.Time, jobID string) bool {
+// recordFailure counts the failure of a run of the job that was started at the given time. It returns whether the
+// executor is under suspicion. The failure of a run that is older than the last failure does not prolong the pause.
+func (s *suspicion) recordFailure(now, startedAt tick.Time, jobID string) bool {
+	if !s.isActive() || startedAt.After(s.lastFailedAt) {
+		s.lastFailedAt = now
+	}
 	if s.lastFailedJob != jobID {
 		s.lastFailedJob = jobID
 		s.failures = min(s.failures+1, maxFailuresCounted)
 	}
-	s.lastFailedAt = now
 	return s.isActive()
 }
 
@@ -48,21 +53,27 @@
 	s.lastFailedAt = now
 }
 
-// recordSuccess ends the suspicion: a run works on the executor.
-func (s *suspicion) recordSuccess() {
-	*s = suspicion{}
-}
+// clear ends the suspicion.
+func (s *suspicion) clear() { *s = suspicion{} }
 
 func (s *suspicion) isActive() bool { return s.failures >= failuresBeforeSuspicion }
 
-// admits reports whether a run may be started on the executor.
-func (s *suspicion) admits(now tick.Time) bool {
-	return !s.isActive() || s.trial == nil && now.Sub(s.lastFailedAt) >= suspicionPause
+// admits reports whether a run of the step may be started on the executor. The members of a gang are one trial.
+func (s *suspicion) admits(now tick.Time, st *step) bool {
+	switch {
+	case !s.isActive():
+		return true
+	case s.trial != nil && st.pb.Gang && s.trial.task.step == st:
+		return true
+	case s.trial != nil && now.Sub(s.trial.startedAt) < trialTimeout:
+		return false
+	}
+	return now.Sub(s.lastFailedAt) >= suspicionPause
 }
 
 // begin puts a new run on trial if the executor is under suspicion.
 func (s *suspicion) begin(r *run) {
-	if s.isActive() && s.trial == nil {
+	if s.isActive() {
 		s.trial = r
 	}
 }
@@ -89,5 +100,5 @@
 		r.hasWorked = r.hasWorked || r.percent == fullPacePercent
 		return
 	}
-	r.hasWorked = r.hasWorked || r.progressAt.After(r.firstListedAt)
+	r.hasWorked = r.hasWorked || r.percent > r.firstPercent
 }
--- a/internal/state/cell/suspicion_test.go
+++ b/internal/state/cell/suspicion_test.go
@@ -117,7 +117,7 @@
 	}
 	suspects := 0
 	for _, x := range h.cell.execs {
-		if !x.isUsable(h.now) {
+		if !x.suspicion.admits(h.now, &step{pb: ordinaryStep}) {
 			suspects++
 		}
 	}
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -32,6 +32,7 @@
 	WaitUnreached    WaitCause = "unreached"
 	WaitOrphans      WaitCause = "orphaned-runs"
 	WaitQuarantine   WaitCause = "quarantined"
+	WaitSuspect      WaitCause = "suspect"
 	WaitNoTicket     WaitCause = "no-ticket"
 	WaitFailedOn     WaitCause = "failed-on"
 	WaitNearTarget   WaitCause = "near-target"
@@ -43,8 +44,8 @@
 // WaitCauses returns the causes that Usage.Delayed may count.
 func WaitCauses() []WaitCause {
 	return []WaitCause{
-		WaitTakeover, WaitStartRecord, WaitOrphan, WaitRun, WaitOrphans, WaitQuarantine, WaitNoTicket, WaitFailedOn,
-		WaitNearTarget, WaitStartPause, WaitInterference, WaitNotPlanned,
+		WaitTakeover, WaitStartRecord, WaitOrphan, WaitRun, WaitOrphans, WaitQuarantine, WaitSuspect, WaitNoTicket,
+		WaitFailedOn, WaitNearTarget, WaitStartPause, WaitInterference, WaitNotPlanned,
 	}
 }
 
@@ -221,6 +222,8 @@
 		return WaitOrphans
 	case !x.isUsable(p.now):
 		return WaitQuarantine
+	case !x.suspicion.admits(p.now, s):
+		return WaitSuspect
 	case !s.isPermittedOn(p.now, x):
 		return WaitNoTicket
 	case avoidsFailedOn && t.hasFailedOn(x):
