Keep the last attempt from the only executor on which a task has failed

The last attempt is not spent on the only executor on which the task has failed as long as another one is large enough for it. Evidence: TestRetries- UseUpAttemptsOnOneExecutor failed before; the tests named TestTaskRetries- WhereItFailed still pass.

--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -11,8 +11,9 @@
 // placement finds executors for waiting tasks in one planning pass.
 type placement struct {
 	now tick.Time
-	// pools has the usable executors of each service.
-	pools map[string][]*executor
+	// executors has all executors, pools the usable ones of each service.
+	executors []*executor
+	pools     map[string][]*executor
 	// unplaceable has, for each service, requests for which no executor was found. They rule out all requests that need at
 	// least as much.
 	unplaceable map[string][]request
@@ -47,6 +48,7 @@
 func (c *Cell) newPlacement(now tick.Time) *placement {
 	p := &placement{now: now, pools: map[string][]*executor{}, unplaceable: map[string][]request{}}
 	for _, x := range c.execs {
+		p.executors = append(p.executors, x)
 		if x.isUsable(now) {
 			p.pools[x.entry.Service] = append(p.pools[x.entry.Service], x)
 		}
@@ -200,11 +202,15 @@
 func (t *task) hasFailedOn(x *executor) bool { return slices.Contains(t.failedOn, x.entry.ID) }
 
 // avoidsFailedOn reports whether the task still waits for room on an executor on which it has not failed. It does so
-// for failedOnPause, if there is another executor. A long-running task does not wait.
+// for failedOnPause, if there is another executor, and does not spend its last attempt on the only one on which it has
+// failed if another is large enough. A long-running task does not wait.
 func (t *task) avoidsFailedOn(p *placement) bool {
 	if len(t.failedOn) == 0 || len(t.failedOn) >= maxFailedExecutors || t.step.pb.LongRunning {
 		return false
 	}
+	if len(t.failedOn) == 1 && t.isLastAttempt() && slices.ContainsFunc(p.executors, t.mayTryOn) {
+		return true
+	}
 	if p.now.Sub(t.lastFailedAt) >= failedOnPause {
 		return false
 	}
@@ -214,6 +220,21 @@
 	})
 }
 
+// isLastAttempt reports whether the job fails with the next failure of the task.
+func (t *task) isLastAttempt() bool {
+	return len(t.failedRuns) >= t.step.job.queue.MaxAttempts-1
+}
+
+// mayTryOn reports whether the task has not failed on the executor, which is large enough for it.
+func (t *task) mayTryOn(x *executor) bool {
+	isAvailable := x.isListed && !x.isTerminated && !x.entry.Draining && x.entry.Service == t.step.job.queue.Service
+	isRejected := t.step.advice != nil && t.step.advice.rejected[x.entry.ID]
+	if !isAvailable || isRejected || t.hasFailedOn(x) {
+		return false
+	}
+	return x.satisfies(t.step.pb.RequiresLabel) && x.total.covers(resourcesOf(t.step.pb))
+}
+
 const (
 	// maxFailedExecutors is the number of executors from which a task may be kept after failures. If it has failed on that
 	// many, the task itself is assumed to be the cause.
--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -331,3 +331,24 @@
 	}
 	t.Fatal("the task has not started again for a minute")
 }
+
+// TestRetriesUseUpAttemptsOnOneExecutor checks a task that fails on one executor while the other is full for a while.
+func TestRetriesUseUpAttemptsOnOneExecutor(t *testing.T) {
+	const interval = 100 * time.Millisecond
+	h := newHarness(t, testExecutor("a"), testExecutor("b"))
+	h.accept("full", "q", &jobpb.Step{Count: 2, MilliCpu: 60_000, MemoryMb: 100, EstimateMs: 6000, MaxPerExecutor: 1})
+	full := startOrders(h.planAndConfirm())
+	assert.Equal(t, len(full), 2)
+	h.reportEnd(full[0], 1, orders.EndedDone, "")
+	h.ends[full[0].Target.ID] = 1
+	h.accept("victim", "q", &jobpb.Step{Count: 1, MilliCpu: 10_000, MemoryMb: 100, EstimateMs: 1000})
+	began := h.now
+	for h.now.Sub(began) < 8*time.Second {
+		h.failAll(startOrders(h.planAndConfirm()))
+		h.advance(interval)
+		h.reportRunning(full[1].Target.ID, runningRow(full[1], 1000, 10+int(h.now.Sub(began)/(100*time.Millisecond))))
+		h.commit()
+		state, _ := h.cell.State("victim")
+		assert.Assert(t, state != jobpb.State_STATE_FAILED, "failed after %v on one executor", h.now.Sub(began))
+	}
+}
