Let the executors of the due schedules wait with their responses to holds

They answered at once, as those of TestModel do, so that no schedule had a list requested before and answered after another order: the order of events behind a lost start that was never settled.

--- a/internal/state/cell/liveness_schedule_test.go
+++ b/internal/state/cell/liveness_schedule_test.go
@@ -53,7 +53,7 @@
 // newDueSimulation returns a simulation with executors of different sizes, of which few have the label a.
 func newDueSimulation(seed uint64) *simulation {
 	sim := newEmptySimulation(seed, faults{})
-	sim.hasDiscovery = true
+	sim.hasDiscovery, sim.hasLongPolls = true, true
 	sim.config = &queue.Configuration{Version: 1, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 4, StretchFactor: 2, TargetMS: 1000},
 		{Name: "r", Service: "svc", MaxAttempts: 2, StretchFactor: 3, TargetMS: 2000, Priority: 1},
--- a/internal/state/cell/scenario_test.go
+++ b/internal/state/cell/scenario_test.go
@@ -15,7 +15,7 @@
 // newScenario returns a simulation with equal executors and without random faults.
 func newScenario(executors int) *simulation {
 	sim := newEmptySimulation(1, faults{})
-	sim.hasDiscovery = true
+	sim.hasDiscovery, sim.hasLongPolls = true, true
 	sim.config = &queue.Configuration{Version: 1, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 4, StretchFactor: 2, TargetMS: 1000},
 	}}
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -216,7 +216,16 @@
 			l.cell.HandleHoldReply(sim.now, sent, x.id, h, lists, r)
 		}
 	}
-	sim.call(l, x, func() func() {
+	wait := time.Duration(0)
+	if sim.hasLongPolls {
+		wait = h.Wait
+	}
+	// The lease is extended at once, and only the response is delayed.
+	isReady := func() bool {
+		_, r := x.hold(h)
+		return r.Outcome != orders.Done || len(x.ended) > 0 || sim.processAt(x) != x
+	}
+	sim.longCall(l, x, wait, isReady, func() func() {
 		if sim.processAt(x) != x {
 			return func() { finish(orders.Lists{}, orders.Reply{Outcome: orders.OtherIncarnation}) }
 		}
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -97,6 +97,8 @@
 	longestServing time.Duration
 	// disturbedUntil is when the last message that is delivered late arrives.
 	disturbedUntil tick.Time
+	// hasLongPolls is true if executors delay their responses to holds until a run ends, as holds ask for.
+	hasLongPolls bool
 	// hasDiscovery is true if entries of service discovery state the start of their process and outlive it for a while.
 	hasDiscovery bool
 }
@@ -399,8 +401,15 @@
 
 // call delivers a call to an executor and the reply to the leader. Either may be lost.
 func (sim *simulation) call(l *simLeader, x *simExecutor, handle func() func(), onTimeout func()) {
+	sim.longCall(l, x, 0, func() bool { return true }, handle, onTimeout)
+}
+
+// longCall is a call that the executor handles once isReady is true, at the latest after the wait.
+func (sim *simulation) longCall(
+	l *simLeader, x *simExecutor, wait time.Duration, isReady func() bool, handle func() func(), onTimeout func(),
+) {
 	answered := false
-	sim.after(simCallTimeout, func() {
+	sim.after(simCallTimeout+wait, func() {
 		if !answered {
 			answered = true
 			onTimeout()
@@ -417,8 +426,9 @@
 		sim.disturbedUntil = max(sim.disturbedUntil, sim.now.Add(delay))
 	}
 	startedMS := x.startedMS
-	sim.after(delay, func() {
-		if x.isDown || x.startedMS != startedMS || x.isPartitioned {
+	isCut := func() bool { return x.isDown || x.startedMS != startedMS || x.isPartitioned }
+	respond := func() {
+		if isCut() {
 			return
 		}
 		onReply := handle()
@@ -432,9 +442,27 @@
 			answered = true
 			onReply()
 		})
+	}
+	sim.after(delay, func() {
+		if !isCut() {
+			sim.waitUntil(wait, isReady, respond)
+		}
 	})
 }
 
+// waitUntil calls f once isReady is true, at the latest after the limit.
+func (sim *simulation) waitUntil(limit time.Duration, isReady func() bool, f func()) {
+	if limit <= 0 || isReady() {
+		f()
+		return
+	}
+	pause := min(limit, holdPollInterval)
+	sim.after(pause, func() { sim.waitUntil(limit-pause, isReady, f) })
+}
+
+// holdPollInterval is the interval at which an executor that waits with a response looks for ended runs.
+const holdPollInterval = 50 * time.Millisecond
+
 // processAt returns the executor that answers at the address of x: x itself, or the one that has replaced it.
 func (sim *simulation) processAt(x *simExecutor) *simExecutor {
 	if !x.isGone {
