Bound the pause after a plan

What callers see: after a suspension of 1.4 s in the middle of a plan, a leader that still holds its lease starts nothing for another 5.6 s, though tasks are due and executors are idle (LOST allows 3 s).

Cause: planLoop pauses for four times the time of the plan, to leave processor time for replies. The time of a plan includes a suspension of the process, and the pause had no upper bound.

Why it works: maxPlanPause (0.5 s) bounds the pause. Plans of up to 125 ms keep their factor of four, so the processor time of a busy leader is divided as before.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -32,10 +32,11 @@
 )
 
 const (
-	// maxPlanWait is how long planLoop waits for a wake-up before it plans anyway. minPlanPause is the shortest pause
-	// after a plan.
+	// maxPlanWait is how long planLoop waits for a wake-up before it plans anyway. minPlanPause and maxPlanPause are the
+	// shortest and the longest pause after a plan.
 	maxPlanWait  = 100 * time.Millisecond
 	minPlanPause = 4 * time.Millisecond
+	maxPlanPause = 500 * time.Millisecond
 	// discoveryInterval is how often the entries of the executors are read.
 	discoveryInterval = 500 * time.Millisecond
 	// modelSaveRounds is the number of discovery rounds after which the model is recorded.
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -43,12 +43,17 @@
 		if t.opts.HoldsLease(started) {
 			t.plan(ctx)
 		}
-		// The pause grows with the time of the plan, to leave processor time for handling the replies that planning needs.
-		tick.Pause(ctx, max(minPlanPause, planPauseFactor*tick.Now().Sub(started)))
+		tick.Pause(ctx, planPause(tick.Now().Sub(started)))
 		timer.Reset(maxPlanWait)
 	}
 }
 
+// planPause returns the pause after a plan. It grows with the time that the plan took, to leave processor time for
+// handling the replies that planning needs. It is bounded, because that time includes any suspension of the process.
+func planPause(took time.Duration) time.Duration {
+	return min(maxPlanPause, max(minPlanPause, planPauseFactor*took))
+}
+
 func (t *term) plan(ctx context.Context) {
 	t.mu.Lock()
 	now := tick.Now()
