--- a/internal/services/replic/replic.go
+++ b/internal/services/replic/replic.go
@@ -32,7 +32,10 @@
 	// leaderWait is how long a read of the leader waits for records.
 	leaderWait  = time.Second
 	callTimeout = 1200 * time.Millisecond
-	retryDelay  = 100 * time.Millisecond
+	// snapshotTimeout limits the read of the newest record of each key, which takes one call for each page. The log
+	// limits each of these calls.
+	snapshotTimeout = 10 * time.Second
+	retryDelay      = 100 * time.Millisecond
 	// maxTailGap is the time without a read after which the newest record of each key is read instead of all records
 	// since, which are more.
 	maxTailGap = 10 * time.Second
@@ -77,7 +80,30 @@
 }
 
 func newTopic(log logs.Log, t logs.Topic, part logs.Part) *topic {
-	return &topic{Topic: t, tail: tail.New(log, t, part)}
+	return &topic{Topic: t, tail: newTail(log, t, part)}
+}
+
+func newTail(log logs.Log, t logs.Topic, part logs.Part) *tail.Tail {
+	return tail.New(boundedLog{log}, t, part)
+}
+
+// boundedLog limits the time of each read.
+type boundedLog struct{ logs.Log }
+
+// Read implements logs.Log.
+func (l boundedLog) Read(
+	ctx context.Context, t logs.Topic, p logs.Part, from logs.Offset, wait time.Duration,
+) (logs.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	return l.Log.Read(ctx, t, p, from, wait)
+}
+
+// Newest implements logs.Log.
+func (l boundedLog) Newest(ctx context.Context, t logs.Topic, p logs.Part) ([]logs.Record, logs.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	return l.Log.Newest(ctx, t, p)
 }
 
 // New returns an empty Replica.
@@ -149,7 +175,7 @@
 // readProgress reads the progress topic. The caller must hold r.readMu.
 func (r *Replica) readProgress(ctx context.Context) error {
 	if r.progressAge() > maxTailGap {
-		r.progress.tail = tail.New(r.opts.Log, logs.Progress, r.opts.Part)
+		r.progress.tail = newTail(r.opts.Log, logs.Progress, r.opts.Part)
 	}
 	return r.readTopic(ctx, r.progress, 0)
 }
@@ -176,7 +202,8 @@
 }
 
 // RefreshProgress reads the progress topic unless it began to do so within the last followInterval or another read is
-// under way, so that callers do not queue up while the store does not respond.
+// under way, so that callers do not queue up while the store does not respond. It takes callTimeout at most, because a
+// caller waits for it.
 func (r *Replica) RefreshProgress(ctx context.Context) error {
 	if !r.readMu.TryLock() {
 		return nil
@@ -187,12 +214,12 @@
 		return nil
 	}
 	r.refreshedAt = now
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	return r.readProgress(ctx)
 }
 
 func (r *Replica) readTopic(ctx context.Context, t *topic, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
 	startedAt := tick.Now()
 	b, err := t.tail.Read(ctx, wait)
 	if b.Trimmed != nil {
