Drop strings that no record can hold, and end a term that cannot store

What callers see: one task reports a checkpoint, or one entry of an executor has an id, that is not valid UTF-8, and from then on no further job starts and no job ends, while the leader stays the leader.

Cause: the string goes into a record, so NextBatch fails. commitLoop then logs commit-failed and ends, but the term goes on without it.

Why it works: the leader drops such checkpoints from the lists before the cell sees them, so that the task keeps its previous one; JSON could not hand them back unchanged either. Valid ones are not touched. An entry with such an id counts as unreadable. The other strings of records come from JSON or protobuf decoders, which yield valid UTF-8. If a record still cannot be encoded, the term ends, and a new one builds the cell from the log; a pause of 1.1 s limits the rate of terms and lets the replica complete its last waiting read.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -89,8 +89,8 @@
 	planWake   chan struct{}
 	commitWake chan struct{}
 	adviceWake chan struct{}
-	// fenced receives a signal when the log or an executor has seen a higher epoch.
-	fenced         chan struct{}
+	// failed receives the first error that ends the term.
+	failed         chan error
 	holdSenders    map[string]*holdSender
 	orderSemaphore chan struct{}
 	// pendingStarts counts the start orders in flight, which startWindow limits.
@@ -101,20 +101,20 @@
 	sequence uint64
 }
 
-// Run runs a term until the context ends or the term is fenced by a higher epoch.
+// Run runs a term until the context ends, the term is fenced by a higher epoch, or its changes cannot be stored.
 func (l *Leader) Run(ctx context.Context, t elect.Term) error {
-	ctx, cancel := context.WithCancel(ctx)
+	parent := ctx
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	tm := &term{
 		Leader: l, epoch: t.Epoch, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
 		adviceWake: make(chan struct{}, 1),
-		fenced:     make(chan struct{}, 1), holdSenders: map[string]*holdSender{},
+		failed:     make(chan error, 1), holdSenders: map[string]*holdSender{},
 		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts, slowOrder),
 	}
 	if err := tm.takeOver(ctx, t); err != nil {
 		return err
 	}
-	defer l.endTerm()
 	tm.spawn(ctx, tm.planLoop)
 	tm.spawn(ctx, tm.commitLoop)
 	tm.spawn(ctx, tm.discoverLoop)
@@ -125,14 +125,25 @@
 	var err error
 	select {
 	case <-ctx.Done():
-	case <-tm.fenced:
-		err = &logs.FencedError{}
+	case err = <-tm.failed:
 	}
 	cancel()
 	tm.wg.Wait()
+	l.endTerm()
+	if err != nil && !isFencedError(err) {
+		tick.Pause(parent, commitFailurePause)
+	}
 	return err
 }
 
+// fail ends the term because of the error.
+func (t *term) fail(err error) {
+	select {
+	case t.failed <- err:
+	default:
+	}
+}
+
 // spawn runs f in a goroutine that Run waits for.
 func (t *term) spawn(ctx context.Context, f func(ctx context.Context)) {
 	t.wg.Add(1)
@@ -292,7 +303,7 @@
 // discoverLoop keeps the executors of the cell up to date and runs a holdSender for each of them. It also reports the
 // usage and has the model recorded.
 func (t *term) discoverLoop(ctx context.Context) {
-	reader := config.NewExecutorReader(t.opts.Log, t.opts.Decode, t.opts.Logger)
+	reader := config.NewExecutorReader(t.opts.Log, t.decodeExecutor, t.opts.Logger)
 	for round := 1; ctx.Err() == nil; round++ {
 		list, err := reader.Read(ctx, callTimeout)
 		if err != nil && ctx.Err() == nil {
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -24,6 +24,9 @@
 	holdTimeoutMargin = 600 * time.Millisecond
 	// commitPause is the pause after a commit, so that many changes share one record.
 	commitPause = 20 * time.Millisecond
+	// commitFailurePause is the pause after a term that a failed commit has ended. It limits the rate of terms, and the
+	// replica completes its last waiting read within it.
+	commitFailurePause = 1100 * time.Millisecond
 	// producer is the producer name of the leaders of a cell in the log, which fences them by their epochs.
 	producer = "lead"
 )
@@ -66,7 +69,7 @@
 	t.mu.Unlock()
 	t.logEvents(events)
 	if isFenced {
-		wake.Send(t.fenced)
+		t.fail(&logs.FencedError{})
 	}
 	if hasChanges {
 		t.wakeCommit()
@@ -194,7 +197,8 @@
 	}
 }
 
-// commitLoop stores the changes of the cell, one batch at a time.
+// commitLoop stores the changes of the cell, one batch at a time. An error ends the term, because a leader that stores
+// nothing can neither start jobs nor acknowledge ends.
 func (t *term) commitLoop(ctx context.Context) {
 	for {
 		select {
@@ -203,11 +207,10 @@
 		case <-t.commitWake:
 		}
 		if err := t.commit(ctx); err != nil {
-			if isFencedError(err) {
-				wake.Send(t.fenced)
-			} else if ctx.Err() == nil {
+			if !isFencedError(err) && ctx.Err() == nil {
 				t.opts.Logger.Error().Err(err).Uint64("epoch", t.epoch).Msg("commit-failed")
 			}
+			t.fail(err)
 			return
 		}
 		tick.Pause(ctx, commitPause)
@@ -342,6 +345,7 @@
 	defer cancel()
 	sent := tick.Now()
 	lists, reply := t.opts.Executors.Hold(ctx, to, o)
+	t.dropInvalidCheckpoints(h.id, &lists)
 	t.mu.Lock()
 	t.cell.HandleHoldReply(tick.Now(), sent, h.id, o, lists, reply)
 	hasChanges := t.cell.HasChanges()
--- a/internal/services/leader/rig_test.go
+++ b/internal/services/leader/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -180,6 +181,8 @@
 	orders.Executors
 	mu      sync.Mutex
 	started map[string]int
+	// checkpoints are those of the start orders of each job.
+	checkpoints map[string][]string
 	// silent are the executors that do not respond, refusing those that refuse holds.
 	silent, refusing map[string]bool
 	// address is the address under which an executor can be reached; the others respond as another incarnation.
@@ -192,8 +195,8 @@
 
 func newCalls(f *memex.Fleet) *calls {
 	return &calls{
-		Executors: f, started: map[string]int{}, silent: map[string]bool{}, refusing: map[string]bool{},
-		address: map[string]string{}, editLists: func(string, *orders.Lists) {},
+		Executors: f, started: map[string]int{}, checkpoints: map[string][]string{}, silent: map[string]bool{},
+		refusing: map[string]bool{}, address: map[string]string{}, editLists: func(string, *orders.Lists) {},
 	}
 }
 
@@ -210,6 +213,13 @@
 	return c.started[job]
 }
 
+// startCheckpoints returns the checkpoints of the starts of a job.
+func (c *calls) startCheckpoints(job string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.checkpoints[job])
+}
+
 // failure returns the reply to a call that does not reach the executor.
 func (c *calls) failure(ctx context.Context, t orders.Target) (orders.Reply, bool) {
 	c.mu.Lock()
@@ -248,7 +258,10 @@
 	}
 	r := c.Executors.Start(ctx, t, o)
 	if r.Outcome == orders.Done {
-		c.edit(func() { c.started[o.Run.Task.Job]++ })
+		c.edit(func() {
+			c.started[o.Run.Task.Job]++
+			c.checkpoints[o.Run.Task.Job] = append(c.checkpoints[o.Run.Task.Job], o.Checkpoint)
+		})
 	}
 	return r
 }
