Keep the records and appends of a leader below the log's limits

What callers see: once the progress record of one job exceeds the log's limit for a record (its checkpoints are large), or the changes of many jobs together exceed the limit for an append, no further job starts and no job ends.

Cause: a batch is one append, whatever its size. The store rejects it for good, and the leader repeats it without end.

The new tests of the cell check what is treated as stored.

Why it works: the leader splits a batch, in the order of its records, into appends below request_bytes, each with the next sequence number, and commits the batch after the last of them. The records of a batch do not depend on each other, so a leader that is lost in between leaves a valid log. A job's record above record_bytes is stored without checkpoints: its ends are recorded, and after a change of leader its tasks start from the beginning. So no end is acknowledged without its record.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -48,6 +48,9 @@
 	maxStarts = 128
 	// maxOrders limits all orders in flight.
 	maxOrders = 1024
+	// The defaults of Options.MaxRecordBytes and Options.MaxAppendBytes.
+	defaultMaxRecordBytes = 256 << 10
+	defaultMaxAppendBytes = 2 << 20
 )
 
 // Options configure a Leader.
@@ -65,8 +68,11 @@
 	HoldsLease func(now tick.Time) bool
 	// IsSoleLeader reports whether no other instance can have become the leader.
 	IsSoleLeader func(now tick.Time) bool
-	Meter        *meter.Meter
-	Logger       zerolog.Logger
+	// MaxRecordBytes and MaxAppendBytes are the log's limits for a record and for the records of an append. The defaults
+	// apply if they are 0.
+	MaxRecordBytes, MaxAppendBytes int
+	Meter                          *meter.Meter
+	Logger                         zerolog.Logger
 }
 
 // Leader runs the terms in which this instance is the leader.
@@ -78,7 +84,15 @@
 }
 
 // New returns a Leader without a term.
-func New(o Options) *Leader { return &Leader{opts: o} }
+func New(o Options) *Leader {
+	if o.MaxRecordBytes == 0 {
+		o.MaxRecordBytes = defaultMaxRecordBytes
+	}
+	if o.MaxAppendBytes == 0 {
+		o.MaxAppendBytes = defaultMaxAppendBytes
+	}
+	return &Leader{opts: o}
+}
 
 // term is the state of one term. Its mutex guards cell, holdSenders and startWindow.
 type term struct {
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -221,10 +221,17 @@
 	t.mu.Lock()
 	var batch *cell.Batch
 	var err error
+	var reduced, removed []string
 	if t.cell.HasChanges() {
 		batch, err = t.cell.NextBatch()
 	}
+	if err == nil && batch != nil {
+		reduced, removed = t.cell.Fit(batch, t.opts.MaxRecordBytes)
+	}
 	t.mu.Unlock()
+	if len(reduced)+len(removed) > 0 {
+		t.opts.Logger.Warn().Strs("reduced", reduced).Strs("removed", removed).Msg("too-large-records")
+	}
 	if batch == nil || err != nil {
 		return err
 	}
@@ -253,13 +260,37 @@
 	return out
 }
 
-// store retries the append of a batch until it succeeds or the log fences this leader.
+// store appends the records of a batch in order, with as few appends as the limit of the log permits.
 func (t *term) store(ctx context.Context, b *cell.Batch) error {
-	if len(b.Records) == 0 {
-		return nil
+	for rest := b.Records; len(rest) > 0; {
+		n := countFitting(rest, t.opts.MaxAppendBytes)
+		if err := t.storeRecords(ctx, rest[:n]); err != nil {
+			return err
+		}
+		rest = rest[n:]
+	}
+	return nil
+}
+
+// framingBytes is the size of the length prefixes of a record and of its key.
+const framingBytes = 5
+
+// countFitting returns how many of the records fit one append, at least one.
+func countFitting(records []logs.Record, maxBytes int) int {
+	size := 0
+	for i, r := range records {
+		size += framingBytes + len(r.Key) + len(r.Value)
+		if i > 0 && size > maxBytes {
+			return i
+		}
 	}
+	return len(records)
+}
+
+// storeRecords retries an append until it succeeds or the log fences this leader.
+func (t *term) storeRecords(ctx context.Context, records []logs.Record) error {
 	for ctx.Err() == nil {
-		err := t.append(ctx, b.Records)
+		err := t.append(ctx, records)
 		if err == nil {
 			t.sequence++
 			return nil
@@ -267,7 +298,7 @@
 		if isFencedError(err) {
 			return err
 		}
-		t.opts.Logger.Warn().Err(err).Int("records", len(b.Records)).Msg("progress-append-failed")
+		t.opts.Logger.Warn().Err(err).Int("records", len(records)).Msg("progress-append-failed")
 		tick.Pause(ctx, retryDelay)
 	}
 	return ctx.Err()
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -1,6 +1,9 @@
 package cell
 
 import (
+	"slices"
+	"strings"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
@@ -82,6 +85,71 @@
 	return nil
 }
 
+// Fit makes the records of the batch fit the log's limit for a record. It omits the checkpoints of a job whose record
+// is too large. A record that is still too large is removed from the batch, so that it does not count as stored: no end
+// is acknowledged until the job's record fits again, an executor without a roster record gets no run, and the model is
+// recorded later. Fit returns the keys of the records without checkpoints and those of the removed ones.
+func (c *Cell) Fit(b *Batch, maxBytes int) (reduced, removed []string) {
+	kept := b.Records[:0]
+	for _, r := range b.Records {
+		if recordBytes(r) <= maxBytes {
+			kept = append(kept, r)
+			continue
+		}
+		r = withoutCheckpoints(r)
+		if recordBytes(r) > maxBytes {
+			c.removeRecord(b, r.Key)
+			removed = append(removed, r.Key)
+			continue
+		}
+		reduced = append(reduced, r.Key)
+		kept = append(kept, r)
+	}
+	b.Records = kept
+	return reduced, removed
+}
+
+// recordBytes returns the size of a record in the log, which has one byte for the length of the key.
+func recordBytes(r logs.Record) int { return 1 + len(r.Key) + len(r.Value) }
+
+// withoutCheckpoints returns the progress record of a job without checkpoints, and any other record unchanged. After a
+// change of leader, the tasks start from the beginning.
+func withoutCheckpoints(r logs.Record) logs.Record {
+	p := &jobpb.Progress{}
+	if !strings.HasPrefix(r.Key, book.ProgressKey("")) || proto.Unmarshal(r.Value, p) != nil {
+		return r
+	}
+	tasks := p.Tasks[:0]
+	for _, t := range p.Tasks {
+		t.Checkpoint = ""
+		if t.Done || len(t.FailedRuns) > 0 {
+			tasks = append(tasks, t)
+		}
+	}
+	p.Tasks = tasks
+	if v, err := proto.Marshal(p); err == nil {
+		r.Value = v
+	}
+	return r
+}
+
+// removeRecord removes what the record stands for from the changes that Commit applies.
+func (c *Cell) removeRecord(b *Batch, key string) {
+	b.rosters = slices.DeleteFunc(b.rosters, func(x *executor) bool { return book.RosterKey(x.entry.ID) == key })
+	for j := range b.states {
+		if book.ProgressKey(j.id) != key {
+			continue
+		}
+		delete(b.states, j)
+		// The next batches contain the job and the ends again.
+		c.dirty[j.id] = j
+		for x := range b.cursors {
+			x.batchedCursor = x.storedCursor
+		}
+		clear(b.cursors)
+	}
+}
+
 // Commit records that the batch is stored.
 func (c *Cell) Commit(now tick.Time, b *Batch) {
 	for j, s := range b.states {
--- a/internal/state/cell/record_test.go
+++ b/internal/state/cell/record_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"strings"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -37,3 +38,54 @@
 	assert.Equal(t, next.interference.baseMS["web"], 9.0)
 	assert.Equal(t, next.durations.ratioOf("q"), 1.7)
 }
+
+// TestTooLargeRecordIsNotTreatedAsStored checks a job whose record does not fit even without checkpoints.
+func TestTooLargeRecordIsNotTreatedAsStored(t *testing.T) {
+	const failedRuns, limit = 100, 50
+	c := New(Params{}, 1, 0)
+	j := c.addJob(0, &jobpb.Job{Id: "large", Steps: []*jobpb.Step{{Count: 1}}})
+	x := &executor{appliedCursor: 3}
+	c.execs["x"] = x
+	failing := j.occurrences[0].steps[0].tasks[0]
+	for n := range uint64(failedRuns) {
+		failing.failedRuns = append(failing.failedRuns, n)
+	}
+	c.dirty[j.id] = j
+	commit := func() (removed []string) {
+		b, err := c.NextBatch()
+		assert.NilError(t, err)
+		_, removed = c.Fit(b, limit)
+		c.Commit(0, b)
+		return removed
+	}
+	for range 2 {
+		assert.DeepEqual(t, commit(), []string{"p/large"})
+		assert.Equal(t, x.storedCursor, uint64(0))
+		assert.Equal(t, j.startRecord, startUnrecorded)
+		x.appliedCursor++
+	}
+	c.endJob(0, j, jobpb.State_STATE_COMPLETED)
+	assert.Equal(t, len(commit()), 0)
+	assert.Equal(t, x.storedCursor, uint64(5))
+	assert.Equal(t, j.recordedState, jobpb.State_STATE_COMPLETED)
+}
+
+// TestTooLargeRecordIsStoredWithoutCheckpoints checks that the ends of a job are stored if its checkpoints do not fit.
+func TestTooLargeRecordIsStoredWithoutCheckpoints(t *testing.T) {
+	const limit = 50
+	c := New(Params{}, 1, 0)
+	j := c.addJob(0, &jobpb.Job{Id: "large", Steps: []*jobpb.Step{{Count: 2}}})
+	tasks := j.occurrences[0].steps[0].tasks
+	tasks[0].checkpoint = strings.Repeat("c", limit)
+	tasks[1].done = true
+	c.dirty[j.id] = j
+	b, err := c.NextBatch()
+	assert.NilError(t, err)
+	reduced, removed := c.Fit(b, limit)
+	assert.DeepEqual(t, reduced, []string{"p/large"})
+	assert.Equal(t, len(removed), 0)
+	p := &jobpb.Progress{}
+	assert.NilError(t, proto.Unmarshal(b.Records[0].Value, p))
+	assert.Equal(t, len(p.Tasks), 1)
+	assert.Assert(t, p.Tasks[0].Done)
+}
