--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -24,6 +24,9 @@
 	holdTimeoutMargin = 600 * time.Millisecond
 	// commitPause is the pause after a commit, so that many changes share one record.
 	commitPause = 20 * time.Millisecond
+	// commitFailurePause is the pause after a term that a failed commit has ended. It limits the rate of terms, and the
+	// replica completes its last waiting read within it.
+	commitFailurePause = 1100 * time.Millisecond
 	// producer is the producer name of the leaders of a cell in the log, which fences them by their epochs.
 	producer = "lead"
 )
@@ -43,12 +46,17 @@
 		if t.opts.HoldsLease(started) {
 			t.plan(ctx)
 		}
-		// The pause grows with the time of the plan, to leave processor time for handling the replies that planning needs.
-		tick.Pause(ctx, max(minPlanPause, planPauseFactor*tick.Now().Sub(started)))
+		tick.Pause(ctx, planPause(tick.Now().Sub(started)))
 		timer.Reset(maxPlanWait)
 	}
 }
 
+// planPause returns the pause after a plan. It grows with the time that the plan took, to leave processor time for
+// handling the replies that planning needs. It is bounded, because that time includes any suspension of the process.
+func planPause(took time.Duration) time.Duration {
+	return min(maxPlanPause, max(minPlanPause, planPauseFactor*took))
+}
+
 func (t *term) plan(ctx context.Context) {
 	t.mu.Lock()
 	now := tick.Now()
@@ -61,7 +69,7 @@
 	t.mu.Unlock()
 	t.logEvents(events)
 	if isFenced {
-		wake.Send(t.fenced)
+		t.fail(&logs.FencedError{})
 	}
 	if hasChanges {
 		t.wakeCommit()
@@ -189,7 +197,8 @@
 	}
 }
 
-// commitLoop stores the changes of the cell, one batch at a time.
+// commitLoop stores the changes of the cell, one batch at a time. An error ends the term, because a leader that stores
+// nothing can neither start jobs nor acknowledge ends.
 func (t *term) commitLoop(ctx context.Context) {
 	for {
 		select {
@@ -198,11 +207,10 @@
 		case <-t.commitWake:
 		}
 		if err := t.commit(ctx); err != nil {
-			if isFencedError(err) {
-				wake.Send(t.fenced)
-			} else if ctx.Err() == nil {
+			if !isFencedError(err) && ctx.Err() == nil {
 				t.opts.Logger.Error().Err(err).Uint64("epoch", t.epoch).Msg("commit-failed")
 			}
+			t.fail(err)
 			return
 		}
 		tick.Pause(ctx, commitPause)
@@ -213,10 +221,17 @@
 	t.mu.Lock()
 	var batch *cell.Batch
 	var err error
+	var reduced, removed []string
 	if t.cell.HasChanges() {
 		batch, err = t.cell.NextBatch()
 	}
+	if err == nil && batch != nil {
+		reduced, removed = t.cell.Fit(batch, t.opts.MaxRecordBytes)
+	}
 	t.mu.Unlock()
+	if len(reduced)+len(removed) > 0 {
+		t.opts.Logger.Warn().Strs("reduced", reduced).Strs("removed", removed).Msg("too-large-records")
+	}
 	if batch == nil || err != nil {
 		return err
 	}
@@ -245,13 +260,37 @@
 	return out
 }
 
-// store retries the append of a batch until it succeeds or the log fences this leader.
+// store appends the records of a batch in order, with as few appends as the limit of the log permits.
 func (t *term) store(ctx context.Context, b *cell.Batch) error {
-	if len(b.Records) == 0 {
-		return nil
+	for rest := b.Records; len(rest) > 0; {
+		n := countFitting(rest, t.opts.MaxAppendBytes)
+		if err := t.storeRecords(ctx, rest[:n]); err != nil {
+			return err
+		}
+		rest = rest[n:]
+	}
+	return nil
+}
+
+// framingBytes is the size of the length prefixes of a record and of its key.
+const framingBytes = 5
+
+// countFitting returns how many of the records fit one append, at least one.
+func countFitting(records []logs.Record, maxBytes int) int {
+	size := 0
+	for i, r := range records {
+		size += framingBytes + len(r.Key) + len(r.Value)
+		if i > 0 && size > maxBytes {
+			return i
+		}
 	}
+	return len(records)
+}
+
+// storeRecords retries an append until it succeeds or the log fences this leader.
+func (t *term) storeRecords(ctx context.Context, records []logs.Record) error {
 	for ctx.Err() == nil {
-		err := t.append(ctx, b.Records)
+		err := t.append(ctx, records)
 		if err == nil {
 			t.sequence++
 			return nil
@@ -259,7 +298,7 @@
 		if isFencedError(err) {
 			return err
 		}
-		t.opts.Logger.Warn().Err(err).Int("records", len(b.Records)).Msg("progress-append-failed")
+		t.opts.Logger.Warn().Err(err).Int("records", len(records)).Msg("progress-append-failed")
 		tick.Pause(ctx, retryDelay)
 	}
 	return ctx.Err()
@@ -337,6 +376,7 @@
 	defer cancel()
 	sent := tick.Now()
 	lists, reply := t.opts.Executors.Hold(ctx, to, o)
+	t.dropInvalidCheckpoints(h.id, &lists)
 	t.mu.Lock()
 	t.cell.HandleHoldReply(tick.Now(), sent, h.id, o, lists, reply)
 	hasChanges := t.cell.HasChanges()
