Bound the wait for another executor before a last attempt

It now waits for 10 s, longer than other waits, as the job fails with the attempt. TestLastAttemptWaitsForExecutorThatStaysFull failed before.

--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -202,16 +202,18 @@
 func (t *task) hasFailedOn(x *executor) bool { return slices.Contains(t.failedOn, x.entry.ID) }
 
 // avoidsFailedOn reports whether the task still waits for room on an executor on which it has not failed. It does so
-// for failedOnPause, if there is another executor, and does not spend its last attempt on the only one on which it has
-// failed if another is large enough. A long-running task does not wait.
+// for failedOnPause, if there is another executor. Before it spends its last attempt on the only one on which it has
+// failed, it waits for lastAttemptPause, if another is large enough. A long-running task does not wait.
 func (t *task) avoidsFailedOn(p *placement) bool {
 	if len(t.failedOn) == 0 || len(t.failedOn) >= maxFailedExecutors || t.step.pb.LongRunning {
 		return false
 	}
-	if len(t.failedOn) == 1 && t.isLastAttempt() && slices.ContainsFunc(p.executors, t.mayTryOn) {
+	waited := p.now.Sub(t.lastFailedAt)
+	isLast := len(t.failedOn) == 1 && t.isLastAttempt()
+	if isLast && waited < lastAttemptPause && slices.ContainsFunc(p.executors, t.mayTryOn) {
 		return true
 	}
-	if p.now.Sub(t.lastFailedAt) >= failedOnPause {
+	if waited >= failedOnPause {
 		return false
 	}
 	label := t.step.pb.RequiresLabel
@@ -241,6 +243,8 @@
 	maxFailedExecutors = 8
 	// failedOnPause is half the time for which a due task may have no run.
 	failedOnPause = 1500 * time.Millisecond
+	// lastAttemptPause is the same for the last attempt on the only executor on which the task has failed.
+	lastAttemptPause = 10 * time.Second
 	// maxTrialPauses bounds the growth of a task's pause before trials. A long-running task may have no run for that long.
 	maxTrialPauses = 4
 )
--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -352,3 +352,25 @@
 		assert.Assert(t, state != jobpb.State_STATE_FAILED, "failed after %v on one executor", h.now.Sub(began))
 	}
 }
+
+// TestLastAttemptWaitsForExecutorThatStaysFull checks a task with one attempt left, while the only other executor is
+// full for good.
+func TestLastAttemptWaitsForExecutorThatStaysFull(t *testing.T) {
+	const interval = 100 * time.Millisecond
+	h := newHarness(t, testExecutor("a"), testExecutor("b"))
+	h.accept("full", "q", &jobpb.Step{Count: 2, MilliCpu: 60_000, MemoryMb: 100, EstimateMs: 1000, MaxPerExecutor: 1})
+	full := startOrders(h.planAndConfirm())
+	assert.Equal(t, len(full), 2)
+	h.reportEnd(full[0], 1, orders.EndedDone, "")
+	h.ends[full[0].Target.ID] = 1
+	h.accept("job", "q", &jobpb.Step{Count: 1, MilliCpu: 10_000, MemoryMb: 100, EstimateMs: 1000})
+	starts := 0
+	for range 30 * time.Second / interval {
+		list := startOrders(h.planAndConfirm())
+		starts += len(list)
+		h.failAll(list)
+		h.advance(interval)
+		h.reportRunning(full[1].Target.ID, runningRow(full[1], 1000, starts))
+	}
+	assert.Equal(t, starts, 3, "the last attempt is never made")
+}
