Request advice for the executors that can take the step

On a queue with a policy service, a step that requires a label did not start for as long as other executors were free, and the second task of a step with anti-affinity did not start while the first kept running.

Cause: adviceCandidates counted tickets, and named executors, by free resources only. Tickets for executors without the label, or that run as many tasks of the step as they may, counted as sufficient, so no others were requested. The same held for tickets of executors on which the waiting task has failed, for best-effort tasks without the CPU, and for best-effort tasks that the latency-critical runs of these executors do not tolerate.

Why it works: only executors that placement would accept count, and only these are named. If a waiting task can start on none of the permitted ones but on an executor without a ticket, a request follows that names such executors first.

Why it is safe: placement is unchanged, so a start still needs a valid ticket. Each request turns the executors that it names into permitted or rejected ones, so the number of requests stays bounded by the validity of the tickets.

--- a/internal/state/cell/advice.go
+++ b/internal/state/cell/advice.go
@@ -67,33 +67,32 @@
 	return AdviceRequest{}, false
 }
 
-// adviceCandidates returns the executors to include in a request, or none if there are valid tickets for at least as
-// many executors as tasks are waiting.
+// adviceCandidates returns the executors to include in a request, or none if the tickets of the step suffice.
 func (c *Cell) adviceCandidates(now tick.Time, s *step) []string {
 	if s.advice == nil {
 		s.advice = &stepAdvice{tickets: map[string]ticket{}, rejected: map[string]bool{}}
 	}
 	need := resourcesOf(s.pb)
-	valid := 0
-	var candidates []*executor
+	var permitted, candidates []*executor
 	for _, x := range c.execs {
 		if !x.isUsable(now) || x.entry.Service != s.job.queue.Service || s.advice.rejected[x.entry.ID] {
 			continue
 		}
-		if !x.free().covers(need) {
+		if !x.allows(s, need) || !x.hasBestEffortCPU(s) {
 			continue
 		}
 		if s.isPermittedOn(now, x) {
-			valid++
+			permitted = append(permitted, x)
 			continue
 		}
 		candidates = append(candidates, x)
 	}
-	if valid >= s.waiting {
+	if s.hasSufficientTickets(now, permitted, candidates) {
 		return nil
 	}
 	slices.SortFunc(candidates, func(a, b *executor) int {
 		return cmp.Or(
+			cmp.Compare(s.readinessRank(now, b), s.readinessRank(now, a)),
 			cmp.Compare(s.approvalRank(b), s.approvalRank(a)), cmp.Compare(a.cost(s, need), b.cost(s, need)),
 			cmp.Compare(a.entry.ID, b.entry.ID),
 		)
@@ -106,6 +105,34 @@
 	return ids
 }
 
+// hasSufficientTickets reports whether there are valid tickets for at least as many executors as tasks are waiting, and
+// each waiting task can start on one of these executors unless it cannot start on any of the candidates either.
+func (s *step) hasSufficientTickets(now tick.Time, permitted, candidates []*executor) bool {
+	if len(permitted) < s.waiting {
+		return false
+	}
+	return !slices.ContainsFunc(s.tasks, func(t *task) bool {
+		takes := func(x *executor) bool { return s.readinessRank(now, x) > 0 && t.isSuitedTo(now, x) && !t.isKeptFrom(x) }
+		isWaiting := t.run == nil && !t.done
+		return isWaiting && !slices.ContainsFunc(permitted, takes) && slices.ContainsFunc(candidates, takes)
+	})
+}
+
+// readinessRank is 1 for an executor on which neither interference nor suspicion keeps a task of the step from starting
+// now, and 0 for others.
+func (s *step) readinessRank(now tick.Time, x *executor) int {
+	if !x.suspicion.admits(now, s) {
+		return 0
+	}
+	if !s.pb.Fills {
+		return 1
+	}
+	if _, ok := toleratesBestEffort(now, x, s); ok {
+		return 1
+	}
+	return 0
+}
+
 // approvalRank is 1 for an executor that was approved before and needs a new ticket, and 0 for others.
 func (s *step) approvalRank(x *executor) int {
 	if _, ok := s.advice.tickets[x.entry.ID]; ok {
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -121,7 +121,7 @@
 	if !x.allows(s, need) || !s.isPermittedOn(p.now, x) || !x.suspicion.admits(p.now, s) {
 		return false
 	}
-	return !s.pb.Fills || x.freeBestEffortMilliCPU() >= int64(s.pb.MilliCpu)
+	return x.hasBestEffortCPU(s)
 }
 
 // best returns the cheapest executor for the task, or nil. Executors on which the task has failed come last.
@@ -130,9 +130,7 @@
 		x, _ := c.cheapest(func(*executor) bool { return true })
 		return x
 	}
-	// A task that has just failed is not suited to try a suspect executor.
-	isPaused := c.placement.now.Sub(t.lastFailedAt) < t.trialPause()
-	isSuited := func(x *executor) bool { return !isPaused || !x.suspicion.isActive() }
+	isSuited := func(x *executor) bool { return t.isSuitedTo(c.placement.now, x) }
 	other, lowest := c.cheapest(func(x *executor) bool { return isSuited(x) && !t.hasFailedOn(x) })
 	if other != nil && !t.step.pb.LongRunning || t.avoidsFailedOn(c.placement) {
 		return other
@@ -144,6 +142,13 @@
 	return failed
 }
 
+// isSuitedTo reports whether the task may start on the executor as far as suspicion goes. A task that has just failed
+// is not suited to try a suspect executor.
+func (t *task) isSuitedTo(now tick.Time, x *executor) bool {
+	isPaused := len(t.failedOn) > 0 && now.Sub(t.lastFailedAt) < t.trialPause()
+	return !isPaused || !x.suspicion.isActive()
+}
+
 // trialPause returns for how long after a failure the task takes no trial on a suspect executor. It grows with the
 // failures in a row of a long-running task, whose attempts are not limited.
 func (t *task) trialPause() time.Duration {
@@ -198,6 +203,16 @@
 	return true
 }
 
+// hasBestEffortCPU reports whether the executor has the CPU for a task of the step, if that is a best-effort task.
+func (x *executor) hasBestEffortCPU(s *step) bool {
+	return !s.pb.Fills || x.freeBestEffortMilliCPU() >= int64(s.pb.MilliCpu)
+}
+
+// isKeptFrom reports whether the task has failed on the executor and should start on another one.
+func (t *task) isKeptFrom(x *executor) bool {
+	return t.hasFailedOn(x) && len(t.failedOn) < maxFailedExecutors
+}
+
 // hasFailedOn reports whether a run of the task has failed on the executor.
 func (t *task) hasFailedOn(x *executor) bool { return slices.Contains(t.failedOn, x.entry.ID) }
 
--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -352,3 +352,40 @@
 		assert.Assert(t, state != jobpb.State_STATE_FAILED, "failed after %v on one executor", h.now.Sub(began))
 	}
 }
+
+// TestAdviceIsRequestedBeyondExecutorsWhereTaskFailed checks a task that has failed on all executors that it has
+// tickets for.
+func TestAdviceIsRequestedBeyondExecutorsWhereTaskFailed(t *testing.T) {
+	h := newPolicyHarness(t)
+	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 300})
+	isPermitted := func(id string) bool { return id == "x00" || id == "x01" || id >= "x10" }
+	for range 2 {
+		h.failAll([]Order{h.waitForPermittedStart(longestWait, isPermitted)})
+	}
+	third := h.waitForPermittedStart(longestWait, isPermitted)
+	assert.Assert(t, third.Target.ID >= "x10", "the task starts on %s, where it has failed", third.Target.ID)
+}
+
+// TestAdviceIsRequestedBeyondInterference checks a best-effort task whose tickets are for executors with
+// latency-critical runs that are near their target.
+func TestAdviceIsRequestedBeyondInterference(t *testing.T) {
+	h := newPolicyHarness(t)
+	h.accept("fills", "q", &jobpb.Step{
+		Count: 2, MilliCpu: 32000, MemoryMb: 255000, EstimateMs: 60000, MaxPerExecutor: 1, RequiresLabel: "a",
+	})
+	h.waitForPermittedStart(longestWait, func(string) bool { return true })
+	servers := latencyCriticalStep("web")
+	servers.Count, servers.MaxPerExecutor, servers.MemoryMb = minAdviceExecutors+2, 1, 2000
+	h.accept("servers", "q", servers)
+	h.waitForPermittedStart(longestWait, func(string) bool { return true })
+	for _, x := range h.cell.execs {
+		for _, r := range x.latencyCritical {
+			r.isNearTarget = true
+		}
+	}
+	h.accept("best-effort", "q", &jobpb.Step{
+		Count: 1, MilliCpu: 8000, MemoryMb: 100, EstimateMs: 1000, Fills: true, Image: "batch",
+	})
+	started := h.waitForPermittedStart(longestWait, func(string) bool { return true })
+	assert.Assert(t, h.cell.execs[started.Target.ID].hasLabel("a"))
+}
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -212,7 +212,7 @@
 	switch {
 	case !x.satisfies(s.pb.RequiresLabel):
 		return WaitNoLabel
-	case !x.free().covers(need), s.pb.Fills && x.freeBestEffortMilliCPU() < int64(s.pb.MilliCpu):
+	case !x.free().covers(need), !x.hasBestEffortCPU(s):
 		return WaitNoRoom
 	case !x.allows(s, need):
 		return WaitAntiAffinity
