Grant no lease to an executor whose last hold was refused

The runs of an executor that responds to holds with 429, 503 or 400 ended with its lease, but were never replaced.

Cause: only a hold without a response stopped the extension of the lease. After a refusal the next hold carried a deadline again, and as a refused hold may have extended the lease, each of them moved leaseExpiresBy. So the lease never counted as expired, and its runs were never released.

Evidence: TestRunsOfExecutorThatRefusesHoldsAreReplaced failed before ("a run is replaced after 30s", that is never) and passes now.

Why it works: after any reply that is not Done, holds only query the executor, so that the lease expires at the time already recorded and its runs are released then. No task starts on the executor until it carries out a hold.

Why it is safe: nothing that was granted is shortened, and a refused hold still counts as an extension, once.

--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -78,7 +78,7 @@
 	// leaseExpiresBy is when the executor's lease has certainly expired unless it is extended.
 	leaseExpiresBy tick.Time
 	lastResponseAt tick.Time
-	// isUnresponsive is true if the last hold got no response.
+	// isUnresponsive is true if the last hold got no response or was refused.
 	isUnresponsive bool
 
 	// Ended runs are numbered by cursors. appliedCursor is the last one applied from the executor's lists,
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -51,8 +51,8 @@
 		return h, x.target(), max(0, idlePollInterval-now.Sub(x.lastResponseAt))
 	}
 	if x.isUnresponsive {
-		// A hold without a response may have extended the lease. Further holds only query the executor, so that the lease
-		// eventually expires.
+		// The last hold may have extended the lease although no response or a refusal was received. Further holds only query
+		// the executor, so that the lease eventually expires.
 		return h, x.target(), 0
 	}
 	h.DeadlineMS = c.extendLease(now, x)
@@ -95,7 +95,7 @@
 	if !ok {
 		return
 	}
-	x.isUnresponsive = reply.Outcome == orders.NoResponse || reply.Outcome == orders.NotSent
+	x.isUnresponsive = reply.Outcome != orders.Done
 	if !c.applyReply(now, x, reply) {
 		return
 	}
