Use an executor again whose entry shows a later incarnation

An executor that started again under its id, at another address or with another start time, after the leader had marked it as terminated, got no task until the leader changed. Jobs that need its label did not start.

Cause: isTerminated stayed set as long as the executor was listed. Replies from its former address could also set it for the incarnation at the present address. Further, markTerminated made a listed executor count as unlisted, so an entry that outlived its process was removed and added again with every list: two events and a roster record each time.

Evidence: TestExecutorBackAtOtherAddressIsUsed failed before ("the job starts after 30s", that is never) and passes now, as do the new TestExecutorBackAfterTerminationIsUsed (no start), TestStaleEntryIsReportedOnce (10 events in 5 rounds), TestReplyFromFormerAddressKeepsExecutor and TestReplyToHoldOfFormerIncarnationIsIgnored (no start).

Why it works: an entry with another address or start time than that of the terminated incarnation gets new state, and the executor is usable once its roster record is stored and it has responded. A terminated executor stays known while its entry does, without a roster record.

Why it is safe: nothing of the former incarnation is carried over except that previous leaders may have sent orders, so that a takeover waits for the new incarnation too. Replies to holds and orders for a former incarnation change neither the clock nor the lists of the new one; a reply that fences the leader still does.

--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -78,6 +78,8 @@
 	// leaseExpiresBy is when the executor's lease has certainly expired unless it is extended.
 	leaseExpiresBy tick.Time
 	lastResponseAt tick.Time
+	// heldAddress is the address for which the last hold was returned; empty before the first one.
+	heldAddress string
 	// isUnresponsive is true if the last hold got no response or was refused.
 	isUnresponsive bool
 
@@ -132,7 +134,7 @@
 		if next := latest[x.entry.Address]; next.ID != id && x.entry.StartedMS != 0 && next.StartedMS > x.entry.StartedMS {
 			c.markTerminated(x, "address taken over by "+next.ID)
 		}
-		if x.entry.Draining || !x.isListed {
+		if x.entry.Draining || x.isTerminated || !x.isListed {
 			c.retire(now, id, x)
 		}
 	}
@@ -140,8 +142,11 @@
 
 func (c *Cell) applyEntry(now tick.Time, e queue.Executor) {
 	x, ok := c.execs[e.ID]
-	if !ok {
-		x = newExecutor(e)
+	if !ok || x.isTerminated && x.isSucceededBy(e) {
+		next := newExecutor(e)
+		// A previous leader may have sent orders to the new incarnation.
+		next.isInherited = ok && x.isInherited
+		x = next
 		c.execs[e.ID] = x
 		c.emit(Event{Name: "executor-listed", Executor: e.ID, Detail: e.Address})
 	}
@@ -156,13 +161,18 @@
 	x.entry = e
 	x.isListed = true
 	x.total = resources{e.MilliCPU, e.MemoryMB, e.GPUs}
-	if !x.isRostered && !x.entry.Draining && !c.retired[e.ID] {
+	if !x.isRostered && !x.isTerminated && !x.entry.Draining && !c.retired[e.ID] {
 		c.pendingRosters[e.ID] = x
 	}
 }
 
-// retire removes a draining or unlisted executor from the roster once no run can exist on it, so that later leaders do
-// not wait for it.
+// isSucceededBy reports whether the entry belongs to a later incarnation of the executor.
+func (x *executor) isSucceededBy(e queue.Executor) bool {
+	return e.Address != x.entry.Address || e.StartedMS != 0 && e.StartedMS != x.entry.StartedMS
+}
+
+// retire removes a draining, terminated or unlisted executor from the roster once no run can exist on it, so that later
+// leaders do not wait for it.
 func (c *Cell) retire(now tick.Time, id string, x *executor) {
 	if len(x.runs) > 0 || len(x.orphaned) > 0 || c.isAwaited(now, x) {
 		return
@@ -190,7 +200,6 @@
 		return
 	}
 	x.isTerminated = true
-	x.isListed = false
 	c.emit(Event{Name: "executor-gone", Executor: x.entry.ID, Detail: reason})
 	for _, r := range x.runs {
 		c.releaseRun(r, orders.EndedLeaseExpired)
--- a/internal/state/cell/executor_test.go
+++ b/internal/state/cell/executor_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/pkg/queue"
 )
 
@@ -47,3 +48,91 @@
 	}
 	assert.Equal(t, len(again), 0)
 }
+
+// TestStaleEntryIsReportedOnce guards against events and records without end while the entry of a former process stays
+// beside the entry of its successor at the same address.
+func TestStaleEntryIsReportedOnce(t *testing.T) {
+	stale, fresh := executorAt("old", "10.0.0.1:80", 1000), executorAt("new", "10.0.0.1:80", 9000)
+	h := newHarness(t, stale)
+	h.cell.Discover(h.now, []queue.Executor{stale, fresh})
+	h.commit()
+	h.reportRunning("new")
+	h.cell.Events()
+	for range 5 {
+		h.advance(500 * time.Millisecond)
+		h.cell.Discover(h.now, []queue.Executor{stale, fresh})
+		assert.Assert(t, !h.cell.HasChanges())
+	}
+	assert.Equal(t, len(h.cell.Events()), 0)
+}
+
+// refuseAsOther applies a reply of another incarnation to a hold.
+func (h *harness) refuseAsOther(id string) {
+	hold, _, _ := h.cell.Hold(h.now, id)
+	h.cell.HandleHoldReply(h.now, h.now, id, hold, orders.Lists{}, orders.Reply{Outcome: orders.OtherIncarnation})
+}
+
+// TestExecutorBackAfterTerminationIsUsed checks that an executor that was marked as terminated is used again once its
+// entry shows a later incarnation, whose ends are numbered anew.
+func TestExecutorBackAfterTerminationIsUsed(t *testing.T) {
+	former := executorAt("a", "10.0.0.1:80", 1000)
+	step := &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 5000}
+	for name, next := range map[string]queue.Executor{
+		"address":    executorAt("a", "10.0.0.2:80", 1000),
+		"start time": executorAt("a", "10.0.0.1:80", 9000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, former)
+			h.accept("first", "q", step)
+			first := h.planAndConfirm()
+			h.reportEnd(first[0], 7, orders.EndedDone, "")
+			h.commit()
+			h.refuseAsOther("a")
+			h.cell.Discover(h.now, []queue.Executor{former})
+			h.commit()
+			h.accept("second", "q", step)
+			assert.Equal(t, len(h.planAndConfirm()), 0, "the entry is that of the former incarnation")
+			h.cell.Discover(h.now, []queue.Executor{next})
+			h.commit()
+			assert.Equal(t, len(h.planAndConfirm()), 0, "the new incarnation has not responded")
+			h.reportRunning("a")
+			second := h.planAndConfirm()
+			assert.Equal(t, len(second), 1)
+			assert.Equal(t, second[0].Target.Address, next.Address)
+			h.reportEnd(second[0], 1, orders.EndedDone, "")
+			h.commit()
+			state, _ := h.cell.State("second")
+			assert.Equal(t, state, jobpb.State_STATE_COMPLETED)
+		})
+	}
+}
+
+// TestReplyFromFormerAddressKeepsExecutor guards against marking an executor as terminated because of replies from the
+// address that it had before.
+func TestReplyFromFormerAddressKeepsExecutor(t *testing.T) {
+	h := newHarness(t, executorAt("a", "10.0.0.1:80", 1000))
+	next := executorAt("a", "10.0.0.2:80", 9000)
+	hold, _, _ := h.cell.Hold(h.now, "a")
+	h.cell.Discover(h.now, []queue.Executor{next})
+	h.cell.HandleHoldReply(h.now, h.now, "a", hold, orders.Lists{}, orders.Reply{Outcome: orders.OtherIncarnation})
+	h.cell.HandleReply(h.now, Order{
+		Target: orders.Target{ID: "a", Address: "10.0.0.1:80"}, Pace: &orders.Pace{},
+	}, orders.Reply{Outcome: orders.OtherIncarnation})
+	h.reportRunning("a")
+	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 5000})
+	assert.Equal(t, len(h.planAndConfirm()), 1)
+}
+
+// TestReplyToHoldOfFormerIncarnationIsIgnored checks a hold that is answered after its executor was replaced.
+func TestReplyToHoldOfFormerIncarnationIsIgnored(t *testing.T) {
+	former := executorAt("a", "10.0.0.1:80", 1000)
+	h := newHarness(t, former)
+	hold, target, _ := h.cell.Hold(h.now, "a")
+	h.cell.HandleReply(h.now, Order{Target: target, Pace: &orders.Pace{}}, orders.Reply{Outcome: orders.OtherIncarnation})
+	h.cell.Discover(h.now, []queue.Executor{executorAt("a", "10.0.0.2:80", 9000)})
+	h.commit()
+	h.cell.HandleHoldReply(h.now, h.now, "a", hold, orders.Lists{}, orders.Reply{Outcome: orders.OtherIncarnation})
+	h.reportRunning("a")
+	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 5000})
+	assert.Equal(t, len(h.planAndConfirm()), 1)
+}
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -36,6 +36,7 @@
 	if !ok || x.isTerminated {
 		return orders.Hold{}, orders.Target{}, 0
 	}
+	x.heldAddress = x.entry.Address
 	h := orders.Hold{Epoch: c.epoch}
 	if now.Sub(x.lastResponseAt) < ackValidity {
 		h.AckCursor = x.storedCursor
@@ -92,11 +93,12 @@
 // HandleHoldReply applies the reply to a hold that was sent at the time sent.
 func (c *Cell) HandleHoldReply(now, sent tick.Time, id string, h orders.Hold, l orders.Lists, reply orders.Reply) {
 	x, ok := c.execs[id]
-	if !ok {
+	if !ok || x.heldAddress == "" {
+		// The hold was sent to a former incarnation.
 		return
 	}
 	x.isUnresponsive = reply.Outcome != orders.Done
-	if !c.applyReply(now, x, reply) {
+	if !c.applyReply(now, x, x.heldAddress, reply) {
 		return
 	}
 	if x.startedMS != 0 && l.StartedMS != 0 && l.StartedMS != x.startedMS {
@@ -130,19 +132,22 @@
 	c.stopStalled(now, x)
 }
 
-// applyReply updates the executor from any reply and reports whether the order was carried out.
-func (c *Cell) applyReply(now tick.Time, x *executor, reply orders.Reply) bool {
-	switch reply.Outcome {
-	case orders.NoResponse, orders.NotSent:
+// applyReply updates the executor from any reply and reports whether the order, which was sent to the address, was
+// carried out by the executor's present incarnation.
+func (c *Cell) applyReply(now tick.Time, x *executor, address string, reply orders.Reply) bool {
+	switch {
+	case reply.Outcome == orders.NoResponse, reply.Outcome == orders.NotSent:
 		return false
-	case orders.Fenced:
+	case reply.Outcome == orders.Fenced:
 		c.isFenced = true
-	case orders.OtherIncarnation:
+		return false
+	case address != x.entry.Address:
+		return false
+	case reply.Outcome == orders.OtherIncarnation:
 		c.markTerminated(x, "response from another incarnation")
 		return false
-	default:
-		x.sampleClock(now, reply.ClockMS)
 	}
+	x.sampleClock(now, reply.ClockMS)
 	return reply.Outcome == orders.Done
 }
 
--- a/internal/state/cell/replies.go
+++ b/internal/state/cell/replies.go
@@ -24,7 +24,7 @@
 	if !ok {
 		return
 	}
-	c.applyReply(now, x, reply)
+	c.applyReply(now, x, o.Target.Address, reply)
 	switch {
 	case o.Start != nil:
 		c.applyStartReply(now, x, o.Start.Run, reply)
