Grant shorter leases to executors that have been silent

A job whose start was ordered from an idle executor within 2 s after that had crashed had nothing running until over 7 s after the crash.

Cause: an unanswered start, or hold, counts as a lease of 6.17 s from its sending. An idle executor gets a hold every 2 s only, so starts were ordered from it for up to 2.8 s after its crash, and each moved the expiry of its lease.

New: TestLeaseEndsSoonAfterLastResponse.

Why it works: the duration of a lease is max_hold, less the time beyond 0.3 s since the executor last carried out an order, and at least half of max_hold. So whatever is ordered from an executor after its crash, its lease ends at most 0.3 s later than the leases before. One that is alive gets the full lease with the next hold, which follows the reply to the start. No call is added.

Why it is safe: leaseExpiresBy is derived from the same duration as the deadline that is sent, by the same bounds of the clocks, and never moves back. No lease is longer than before, so the bound for later leaders holds.

--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -78,6 +78,8 @@
 	// leaseExpiresBy is when the executor's lease has certainly expired unless it is extended.
 	leaseExpiresBy tick.Time
 	lastResponseAt tick.Time
+	// aliveAt is when the executor last carried out an order, lastResponseAt when it last sent its lists.
+	aliveAt tick.Time
 	// heldAddress is the address for which the last hold was returned; empty before the first one.
 	heldAddress string
 	// isUnresponsive is true if the last hold got no response or was refused.
@@ -226,18 +228,37 @@
 
 func millis(t tick.Time) float64 { return float64(t) / float64(time.Millisecond) }
 
+const (
+	// fullLeaseAge is how long ago an executor may have carried out an order to be granted the longest lease.
+	fullLeaseAge = 300 * time.Millisecond
+	// minLeaseRatio is the shortest lease that is granted, as a ratio to the longest one.
+	minLeaseRatio = 0.5
+)
+
 // extendLease returns the deadline, on the executor's clock, of a lease that begins now. It records by when that lease
 // will have expired on the local clock.
 func (c *Cell) extendLease(now tick.Time, x *executor) int64 {
-	x.leaseExpiresBy = max(x.leaseExpiresBy, now.Add(c.params.LongestLease()))
-	return int64(millis(now)+x.clockOffset(now)) + c.params.MaxHold.Milliseconds()
+	d := c.leaseDuration(now, x)
+	x.leaseExpiresBy = max(x.leaseExpiresBy, now.Add(longestOnLocalClock(d)))
+	return int64(millis(now)+x.clockOffset(now)) + d.Milliseconds()
 }
 
-// LongestLease is the longest time on the local clock for which a lease granted now can last.
-func (p Params) LongestLease() time.Duration {
-	return time.Duration(float64(p.MaxHold)/(1-maxClockDrift)) + leaseExpiryMargin
+// leaseDuration returns the duration of a lease that begins now. It is shorter the longer the executor has not carried
+// out an order, so that a lease granted to one that has crashed meanwhile ends soon after the leases before.
+func (c *Cell) leaseDuration(now tick.Time, x *executor) time.Duration {
+	age := max(0, now.Sub(x.aliveAt)-fullLeaseAge)
+	shortest := time.Duration(minLeaseRatio * float64(c.params.MaxHold))
+	return max(shortest, c.params.MaxHold-age)
 }
 
+// longestOnLocalClock is the longest time on the local clock for which a lease of the duration can last.
+func longestOnLocalClock(d time.Duration) time.Duration {
+	return time.Duration(float64(d)/(1-maxClockDrift)) + leaseExpiryMargin
+}
+
+// LongestLease is the longest time on the local clock for which a lease granted now can last.
+func (p Params) LongestLease() time.Duration { return longestOnLocalClock(p.MaxHold) }
+
 // isUsable reports whether tasks may be started on the executor. An executor with orphaned runs is not usable, since
 // their resources are not accounted for.
 func (x *executor) isUsable(now tick.Time) bool {
--- a/internal/state/cell/executor_test.go
+++ b/internal/state/cell/executor_test.go
@@ -136,3 +136,26 @@
 	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 5000})
 	assert.Equal(t, len(h.planAndConfirm()), 1)
 }
+
+// TestLeaseEndsSoonAfterLastResponse checks that the lease of an executor that has crashed ends at about the same time
+// whether or not a start was ordered from it after that.
+func TestLeaseEndsSoonAfterLastResponse(t *testing.T) {
+	step := &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 5000}
+	for silent := time.Duration(0); silent <= idlePollInterval; silent += 100 * time.Millisecond {
+		h := newHarness(t, testExecutor("a"))
+		h.accept("j", "q", step)
+		h.planAndConfirm()
+		x := h.cell.execs["a"]
+		respondedAt := h.now
+		longest := h.cell.params.LongestLease()
+		assert.Equal(t, x.leaseExpiresBy, respondedAt.Add(longest))
+		h.accept("later", "q", step)
+		h.cell.Plan(h.now, testWallMS, unbounded)
+		h.commit()
+		h.advance(silent)
+		assert.Equal(t, len(h.cell.Plan(h.now, testWallMS, unbounded)), 1)
+		h.cell.Hold(h.now, "a")
+		assert.Assert(t, x.leaseExpiresBy <= respondedAt.Add(longest+fullLeaseAge+leaseExpiryMargin), "after %v", silent)
+		assert.Assert(t, x.leaseExpiresBy >= h.now.Add(longest/2), "after %v", silent)
+	}
+}
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -148,7 +148,11 @@
 		return false
 	}
 	x.sampleClock(now, reply.ClockMS)
-	return reply.Outcome == orders.Done
+	if reply.Outcome != orders.Done {
+		return false
+	}
+	x.aliveAt = now
+	return true
 }
 
 // handleRestart resets the tracked state of an executor that restarted under its id. The runs of the old process have
