Request advice for executors that take an overdue task

An overdue best-effort job on a queue with a policy service could wait for as long as its tickets were valid, if all executors that it had tickets for had a run over its target or a throttled one, while others took overdue tasks.

Cause: adviceCandidates requests further tickets if some executor without one tolerates the task, but an overdue task starts also where it is not tolerated.

Evidence: TestAdviceIsRequestedForOverdueTask fails without the change of readinessRank ("no task has started for 3s") and passes with it.

Why it works: readinessRank and mostHeadroom use the same condition. Placement is unchanged.

--- a/internal/state/cell/advice.go
+++ b/internal/state/cell/advice.go
@@ -127,7 +127,8 @@
 	if !s.pb.Fills {
 		return 1
 	}
-	if _, ok := toleratesBestEffort(now, x, s); ok {
+	_, isTolerated := toleratesBestEffort(now, x, s)
+	if isTolerated || s.job.isOverdue(now) && x.takesOverdue() {
 		return 1
 	}
 	return 0
--- a/internal/state/cell/overdue.go
+++ b/internal/state/cell/overdue.go
@@ -62,7 +62,7 @@
 	var best *executor
 	highest := math.Inf(-1)
 	for _, x := range p.pools[s.job.queue.Service] {
-		isCandidate := p.hasRoomFor(s, need, x) && !x.hasThrottledRun() && !x.hasRunOverTarget()
+		isCandidate := p.hasRoomFor(s, need, x) && x.takesOverdue()
 		if !isCandidate || avoids && t.hasFailedOn(x) {
 			continue
 		}
@@ -73,6 +73,9 @@
 	return best, max(paceStepPercent, int(highest*fullPacePercent)/paceStepPercent*paceStepPercent)
 }
 
+// takesOverdue reports whether an overdue task may start on the executor although its runs do not tolerate it.
+func (x *executor) takesOverdue() bool { return !x.hasThrottledRun() && !x.hasRunOverTarget() }
+
 // hasThrottledRun reports whether a best-effort run of the executor is below its full pace.
 func (x *executor) hasThrottledRun() bool {
 	for _, r := range x.bestEffort {
--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -389,3 +390,33 @@
 	started := h.waitForPermittedStart(longestWait, func(string) bool { return true })
 	assert.Assert(t, h.cell.execs[started.Target.ID].hasLabel("a"))
 }
+
+// TestAdviceIsRequestedForOverdueTask checks an overdue best-effort task whose tickets are for executors with
+// latency-critical runs that exceed their target.
+func TestAdviceIsRequestedForOverdueTask(t *testing.T) {
+	h := newPolicyHarness(t)
+	servers := latencyCriticalStep("web")
+	servers.Count, servers.MaxPerExecutor = uint32(len(h.cell.execs)), 1
+	h.accept("servers", "q", servers)
+	h.waitForPermittedStart(longestWait, func(string) bool { return true })
+	for _, x := range h.cell.execs {
+		for _, r := range x.latencyCritical {
+			r.isNearTarget = true
+		}
+	}
+	h.accept("best-effort", "q", &jobpb.Step{
+		Count: 1, MilliCpu: 8000, MemoryMb: 100, EstimateMs: 1000, Fills: true, Image: "batch",
+	})
+	q, ok := h.cell.NextAdviceRequest(h.now)
+	assert.Assert(t, ok)
+	a := orders.Advice{Tickets: map[string]string{}, Validity: testTicketValidity}
+	for _, id := range q.Executors {
+		a.Tickets[id] = "ticket"
+		for _, r := range h.cell.execs[id].latencyCritical {
+			r.usage = int64(servers.TargetMs) + 1
+		}
+	}
+	h.cell.HandleAdvice(h.now, h.now, q, a, nil)
+	started := h.waitForPermittedStart(longestWait, func(string) bool { return true })
+	assert.Assert(t, !slices.Contains(q.Executors, started.Target.ID))
+}
