--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -78,7 +78,11 @@
 	// leaseExpiresBy is when the executor's lease has certainly expired unless it is extended.
 	leaseExpiresBy tick.Time
 	lastResponseAt tick.Time
-	// isUnresponsive is true if the last hold got no response.
+	// aliveAt is when the executor last carried out an order, lastResponseAt when it last sent its lists.
+	aliveAt tick.Time
+	// heldAddress is the address for which the last hold was returned; empty before the first one.
+	heldAddress string
+	// isUnresponsive is true if the last hold got no response or was refused.
 	isUnresponsive bool
 
 	// Ended runs are numbered by cursors. appliedCursor is the last one applied from the executor's lists,
@@ -132,7 +136,7 @@
 		if next := latest[x.entry.Address]; next.ID != id && x.entry.StartedMS != 0 && next.StartedMS > x.entry.StartedMS {
 			c.markTerminated(x, "address taken over by "+next.ID)
 		}
-		if x.entry.Draining || !x.isListed {
+		if x.entry.Draining || x.isTerminated || !x.isListed {
 			c.retire(now, id, x)
 		}
 	}
@@ -140,8 +144,11 @@
 
 func (c *Cell) applyEntry(now tick.Time, e queue.Executor) {
 	x, ok := c.execs[e.ID]
-	if !ok {
-		x = newExecutor(e)
+	if !ok || x.isTerminated && x.isSucceededBy(e) {
+		next := newExecutor(e)
+		// A previous leader may have sent orders to the new incarnation.
+		next.isInherited = ok && x.isInherited
+		x = next
 		c.execs[e.ID] = x
 		c.emit(Event{Name: "executor-listed", Executor: e.ID, Detail: e.Address})
 	}
@@ -156,13 +163,18 @@
 	x.entry = e
 	x.isListed = true
 	x.total = resources{e.MilliCPU, e.MemoryMB, e.GPUs}
-	if !x.isRostered && !x.entry.Draining && !c.retired[e.ID] {
+	if !x.isRostered && !x.isTerminated && !x.entry.Draining && !c.retired[e.ID] {
 		c.pendingRosters[e.ID] = x
 	}
 }
 
-// retire removes a draining or unlisted executor from the roster once no run can exist on it, so that later leaders do
-// not wait for it.
+// isSucceededBy reports whether the entry belongs to a later incarnation of the executor.
+func (x *executor) isSucceededBy(e queue.Executor) bool {
+	return e.Address != x.entry.Address || e.StartedMS != 0 && e.StartedMS != x.entry.StartedMS
+}
+
+// retire removes a draining, terminated or unlisted executor from the roster once no run can exist on it, so that later
+// leaders do not wait for it.
 func (c *Cell) retire(now tick.Time, id string, x *executor) {
 	if len(x.runs) > 0 || len(x.orphaned) > 0 || c.isAwaited(now, x) {
 		return
@@ -190,7 +202,6 @@
 		return
 	}
 	x.isTerminated = true
-	x.isListed = false
 	c.emit(Event{Name: "executor-gone", Executor: x.entry.ID, Detail: reason})
 	for _, r := range x.runs {
 		c.releaseRun(r, orders.EndedLeaseExpired)
@@ -217,18 +228,37 @@
 
 func millis(t tick.Time) float64 { return float64(t) / float64(time.Millisecond) }
 
+const (
+	// fullLeaseAge is how long ago an executor may have carried out an order to be granted the longest lease.
+	fullLeaseAge = 300 * time.Millisecond
+	// minLeaseRatio is the shortest lease that is granted, as a ratio to the longest one.
+	minLeaseRatio = 0.5
+)
+
 // extendLease returns the deadline, on the executor's clock, of a lease that begins now. It records by when that lease
 // will have expired on the local clock.
 func (c *Cell) extendLease(now tick.Time, x *executor) int64 {
-	x.leaseExpiresBy = max(x.leaseExpiresBy, now.Add(c.params.LongestLease()))
-	return int64(millis(now)+x.clockOffset(now)) + c.params.MaxHold.Milliseconds()
+	d := c.leaseDuration(now, x)
+	x.leaseExpiresBy = max(x.leaseExpiresBy, now.Add(longestOnLocalClock(d)))
+	return int64(millis(now)+x.clockOffset(now)) + d.Milliseconds()
 }
 
-// LongestLease is the longest time on the local clock for which a lease granted now can last.
-func (p Params) LongestLease() time.Duration {
-	return time.Duration(float64(p.MaxHold)/(1-maxClockDrift)) + leaseExpiryMargin
+// leaseDuration returns the duration of a lease that begins now. It is shorter the longer the executor has not carried
+// out an order, so that a lease granted to one that has crashed meanwhile ends soon after the leases before.
+func (c *Cell) leaseDuration(now tick.Time, x *executor) time.Duration {
+	age := max(0, now.Sub(x.aliveAt)-fullLeaseAge)
+	shortest := time.Duration(minLeaseRatio * float64(c.params.MaxHold))
+	return max(shortest, c.params.MaxHold-age)
+}
+
+// longestOnLocalClock is the longest time on the local clock for which a lease of the duration can last.
+func longestOnLocalClock(d time.Duration) time.Duration {
+	return time.Duration(float64(d)/(1-maxClockDrift)) + leaseExpiryMargin
 }
 
+// LongestLease is the longest time on the local clock for which a lease granted now can last.
+func (p Params) LongestLease() time.Duration { return longestOnLocalClock(p.MaxHold) }
+
 // isUsable reports whether tasks may be started on the executor. An executor with orphaned runs is not usable, since
 // their resources are not accounted for.
 func (x *executor) isUsable(now tick.Time) bool {
