Let throttled runs keep an overdue job from an executor for 0.5 s at most

Every executor had a throttled best-effort run or a latency-critical one over its target. A job that has had no run for 2 s may now start beside throttled runs.

--- a/internal/state/cell/advice.go
+++ b/internal/state/cell/advice.go
@@ -128,7 +128,7 @@
 		return 1
 	}
 	_, isTolerated := toleratesBestEffort(now, x, s)
-	if isTolerated || s.job.isOverdue(now) && x.takesOverdue() {
+	if isTolerated || s.job.isOverdue(now) && x.takesOverdue(now, s.job) {
 		return 1
 	}
 	return 0
--- a/internal/state/cell/overdue.go
+++ b/internal/state/cell/overdue.go
@@ -7,9 +7,13 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// maxBestEffortDeferral is how long a forecast or a pause may keep a best-effort job without a run: half the time for
-// which a due task may have none.
-const maxBestEffortDeferral = 1500 * time.Millisecond
+const (
+	// maxBestEffortDeferral is how long a forecast or a pause may keep a best-effort job without a run: half the time for
+	// which a due task may have none.
+	maxBestEffortDeferral = 1500 * time.Millisecond
+	// maxThrottledDeferral is how long throttled runs may keep it from an executor in addition.
+	maxThrottledDeferral = 500 * time.Millisecond
+)
 
 // updateIdle records since when the job, which has a due task, has had no run.
 func (j *job) updateIdle(now tick.Time) {
@@ -55,14 +59,14 @@
 }
 
 // mostHeadroom returns the executor that can run a best-effort task at the highest pace, and that pace. It returns nil
-// if on every executor a latency-critical run exceeds its target or a best-effort run is throttled already.
+// if no executor takes an overdue task.
 func (p *placement) mostHeadroom(t *task) (*executor, int) {
 	s, need := t.step, resourcesOf(t.step.pb)
 	avoids := t.avoidsFailedOn(p)
 	var best *executor
 	highest := math.Inf(-1)
 	for _, x := range p.pools[s.job.queue.Service] {
-		isCandidate := p.hasRoomFor(s, need, x) && x.takesOverdue()
+		isCandidate := p.hasRoomFor(s, need, x) && x.takesOverdue(p.now, s.job)
 		if !isCandidate || avoids && t.hasFailedOn(x) {
 			continue
 		}
@@ -73,8 +77,12 @@
 	return best, max(paceStepPercent, int(highest*fullPacePercent)/paceStepPercent*paceStepPercent)
 }
 
-// takesOverdue reports whether an overdue task may start on the executor although its runs do not tolerate it.
-func (x *executor) takesOverdue() bool { return !x.hasThrottledRun() && !x.hasRunOverTarget() }
+// takesOverdue reports whether a task of the overdue job may start on the executor although its runs do not tolerate
+// it: no latency-critical run exceeds its target and, for some time, no best-effort run is throttled.
+func (x *executor) takesOverdue(now tick.Time, j *job) bool {
+	isUrgent := now.Sub(j.idleSince) >= maxBestEffortDeferral+maxThrottledDeferral
+	return !x.hasRunOverTarget() && (isUrgent || !x.hasThrottledRun())
+}
 
 // hasThrottledRun reports whether a best-effort run of the executor is below its full pace.
 func (x *executor) hasThrottledRun() bool {
