Count a job as overdue from when a task of it is due

Found in the read-through: the time without a run was only reset while a step of the job waited, so a step that became due after an earlier one had waited was overdue at once and started throttled without a look at the forecast. TestLaterStepIsOverdueAtOnce failed before.

--- a/internal/state/cell/overdue.go
+++ b/internal/state/cell/overdue.go
@@ -15,10 +15,10 @@
 	maxThrottledDeferral = 500 * time.Millisecond
 )
 
-// updateIdle records since when the job, which has a due task, has had no run.
-func (j *job) updateIdle(now tick.Time) {
+// updateIdle records since when the job has had a due task and no run.
+func (j *job) updateIdle(now tick.Time, isDue bool) {
 	switch {
-	case j.hasRuns():
+	case !isDue || j.hasRuns():
 		j.idleSince = 0
 	case j.idleSince == 0:
 		j.idleSince = now
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -141,8 +141,8 @@
 				}
 			}
 		}
+		j.updateIdle(now, len(steps) > 0)
 		if len(steps) > 0 {
-			j.updateIdle(now)
 			entries = append(entries, entry{c.urgencyOf(now, j), steps})
 		}
 	}
--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -442,3 +442,25 @@
 	started := h.waitForPermittedStart(longestWait, func(string) bool { return true })
 	assert.Assert(t, !slices.Contains(q.Executors, started.Target.ID))
 }
+
+// TestLaterStepIsOverdueAtOnce checks a best-effort job of which a step becomes due after an earlier one had waited.
+func TestLaterStepIsOverdueAtOnce(t *testing.T) {
+	h := newHarness(t, testExecutor("a"))
+	first, second := bestEffortStep("sum"), bestEffortStep("sum")
+	second.DependsOn = []uint32{0}
+	h.accept("j", "q", first, second)
+	h.cell.execs["a"].quarantine(h.now, 2*time.Second)
+	for range 2 {
+		h.planAndConfirm()
+		h.advance(time.Second)
+		h.reportRunning("a")
+	}
+	list := startOrders(h.planAndConfirm())
+	assert.Equal(t, len(list), 1)
+	h.advance(time.Second)
+	h.planAndConfirm()
+	h.reportEnd(list[0], 1, orders.EndedDone, "")
+	h.cell.execs["a"].quarantine(h.now, time.Second)
+	h.planAndConfirm()
+	assert.Assert(t, !h.cell.jobs["j"].isOverdue(h.now), "the second step has only just become due")
+}
