--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -133,28 +133,36 @@
 	h.waitForStart("retries", longestWait, "a", "b")
 }
 
-// TestOrphanedRunOfVanishedExecutorBlocksNoTask checks an executor that comes back after its lease has expired, lists
-// the run that has been replaced meanwhile, and is gone for good before its next list.
-func TestOrphanedRunOfVanishedExecutorBlocksNoTask(t *testing.T) {
-	h := newHarness(t, testExecutor("a"), testExecutor("b"))
-	h.accept("j", "q", latencyCriticalStep("web"))
-	first := h.waitForStart("j", longestWait, "a", "b")
+// replaceSilent lets the executor of the task's first run fall silent until the task starts on the other one of a and b.
+func (h *harness) replaceSilent(job string) (first, second Order) {
+	h.t.Helper()
+	first = h.waitForStart(job, longestWait, "a", "b")
 	lost, other := first.Target.ID, "a"
 	if lost == "a" {
 		other = "b"
 	}
-	var second Order
 	for range 10 {
 		h.advance(time.Second)
 		hold, _, _ := h.cell.Hold(h.now, lost)
 		h.cell.HandleHoldReply(h.now, h.now, lost, hold, orders.Lists{}, orders.Reply{Outcome: orders.NoResponse})
 		h.reportRunning(other)
 		if list := startOrders(h.planAndConfirm()); len(list) > 0 {
-			second = list[0]
-			break
+			assert.Equal(h.t, list[0].Target.ID, other)
+			return first, list[0]
 		}
 	}
-	assert.Equal(t, second.Target.ID, other)
+	h.t.Fatalf("job %s has not started on executor %s", job, other)
+	return Order{}, Order{}
+}
+
+// TestOrphanedRunOfVanishedExecutorBlocksNoTask checks an executor that comes back after its lease has expired, lists
+// the run that has been replaced meanwhile, and is gone for good before its next list.
+func TestOrphanedRunOfVanishedExecutorBlocksNoTask(t *testing.T) {
+	h := newHarness(t, testExecutor("a"), testExecutor("b"))
+	h.accept("j", "q", latencyCriticalStep("web"))
+	first, second := h.replaceSilent("j")
+	lost := first.Target.ID
+	other := second.Target.ID
 	h.reportRunning(lost, runningRow(first, 10, 100))
 	h.reportEnd(second, 1, orders.EndedFailed, "")
 	h.cell.Discover(h.now, []queue.Executor{testExecutor(other)})
@@ -263,22 +271,8 @@
 func TestOrphanedRunListedJustNowIsForgotten(t *testing.T) {
 	h := newHarness(t, testExecutor("a"), testExecutor("b"))
 	h.accept("j", "q", latencyCriticalStep("web"))
-	first := h.waitForStart("j", longestWait, "a", "b")
-	lost, other := first.Target.ID, "a"
-	if lost == "a" {
-		other = "b"
-	}
-	var second Order
-	for range 10 {
-		h.advance(time.Second)
-		hold, _, _ := h.cell.Hold(h.now, lost)
-		h.cell.HandleHoldReply(h.now, h.now, lost, hold, orders.Lists{}, orders.Reply{Outcome: orders.NoResponse})
-		h.reportRunning(other)
-		if list := startOrders(h.planAndConfirm()); len(list) > 0 {
-			second = list[0]
-			break
-		}
-	}
+	first, second := h.replaceSilent("j")
+	lost := first.Target.ID
 	h.reportEnd(second, 1, orders.EndedFailed, "")
 	h.reportRunning(lost, runningRow(first, 10, 100))
 	assert.Equal(t, len(startOrders(h.planAndConfirm())), 0, "the task runs on %s", lost)
