--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -133,7 +133,8 @@
 	h.waitForStart("retries", longestWait, "a", "b")
 }
 
-// replaceSilent lets the executor of the task's first run fall silent until the task starts on the other one of a and b.
+// replaceSilent lets the executor of the task's first run fall silent until the task starts on the other one of a and
+// b.
 func (h *harness) replaceSilent(job string) (first, second Order) {
 	h.t.Helper()
 	first = h.waitForStart(job, longestWait, "a", "b")
