Keep lost and overtaken start orders from closing the start window

The window that limits start orders in flight halved for each connection that broke within a millisecond, and for late answers of single executors.

Ruled out: the time of a plan (below 5 ms), store latency (no task waited for its start record), suspicion of executors.

Change: a call that fails fast, or that was overtaken by a later one with a fast answer, no longer lowers the limit. An overtaken call that is slow does not count as in flight.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -107,9 +106,8 @@
 	failed         chan error
 	holdSenders    map[string]*holdSender
 	orderSemaphore chan struct{}
-	// pendingStarts counts the start orders in flight, which startWindow limits.
-	pendingStarts atomic.Int64
-	startWindow   *aimd.Window
+	// startWindow limits the start orders in flight.
+	startWindow *aimd.Window
 	wg            sync.WaitGroup
 	// sequence is the sequence number of the next append of records. It is not advanced by fence, which appends none.
 	sequence uint64
@@ -329,6 +327,7 @@
 		}
 		t.cell.Diagnose(tick.Now())
 		usage := t.cell.Usage(tick.Now())
+		window, pending := t.startWindow.Limit(), t.startWindow.InFlight(tick.Now())
 		if round%modelSaveRounds == 0 {
 			t.cell.SaveModel()
 		}
@@ -336,6 +335,7 @@
 		t.mu.Unlock()
 		t.startHoldSenders(ctx, ids)
 		t.logUsage(usage)
+		t.logStartWindow(window, pending)
 		t.wakePlan()
 		t.wakeCommit()
 		tick.Pause(ctx, discoveryInterval)
@@ -354,6 +354,16 @@
 		Int("delayed", countDelayed(u)).Msg("cell-usage")
 }
 
+// logStartWindow reports the limit of the start orders in flight and their number. It logs them only if the limit is
+// below its highest value.
+func (t *term) logStartWindow(limit, inFlight int) {
+	t.opts.Meter.Gauge("start_window_limit", nil, float64(limit))
+	t.opts.Meter.Gauge("start_window_in_flight", nil, float64(inFlight))
+	if limit < maxStarts {
+		t.opts.Logger.Info().Uint64("epoch", t.epoch).Int("limit", limit).Int("in-flight", inFlight).Msg("start-window")
+	}
+}
+
 // countDelayed returns the number of delayed steps and runs of all causes.
 func countDelayed(u cell.Usage) int {
 	n := 0
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -61,7 +61,7 @@
 	t.mu.Lock()
 	now := tick.Now()
 	list := t.cell.Plan(now, tick.Wall().UnixMilli(), cell.PlanLimits{
-		MaxStarts: t.startWindow.Limit() - int(t.pendingStarts.Load()), IsSoleLeader: t.opts.IsSoleLeader(now),
+		MaxStarts: t.startWindow.Room(now), IsSoleLeader: t.opts.IsSoleLeader(now),
 	})
 	events := t.cell.Events()
 	isFenced := t.cell.IsFenced()
@@ -140,15 +140,16 @@
 		t.handleReply(o, orders.Reply{Outcome: orders.NotSent, Detail: "too many orders in flight"})
 		return
 	}
+	sent := tick.Now()
 	if o.Start != nil {
-		t.pendingStarts.Add(1)
+		t.mu.Lock()
+		t.startWindow.Sent(sent)
+		t.mu.Unlock()
 	}
 	t.spawn(ctx, func(ctx context.Context) {
 		defer func() { <-t.orderSemaphore }()
-		sent := tick.Now()
 		reply := t.executeOrder(ctx, o)
 		if o.Start != nil {
-			t.pendingStarts.Add(-1)
 			t.updateStartWindow(sent, reply)
 		}
 		t.handleReply(o, reply)
@@ -161,7 +162,7 @@
 	defer t.mu.Unlock()
 	now := tick.Now()
 	if r.Outcome == orders.NoResponse {
-		t.startWindow.TimedOut(now, sent)
+		t.startWindow.Failed(now, sent)
 		return
 	}
 	t.startWindow.Answered(now, sent)
--- a/internal/state/aimd/aimd.go
+++ b/internal/state/aimd/aimd.go
@@ -2,18 +2,23 @@
 // multiplicative decrease.
 //
 // It is designed for bursts that exceed the capacity of the caller's link or processor. Without a limit, every call of
-// the burst times out, and the calls that the timeouts cause keep the path saturated after the burst. Single lost calls
-// and single callees that do not respond are no sign of such a burst: other calls still get fast responses.
+// the burst times out, and the calls that the timeouts cause keep the path saturated after the burst. Lost calls and
+// callees that do not respond are no sign of such a burst: calls that were sent later still get fast responses. Such
+// overtaken calls neither lower the limit nor count as in flight once they are slow, as the path no longer carries them.
 //
 // # Usage
 //
 //	w := aimd.New(128, 400*time.Millisecond)
-//	if inFlight < w.Limit() { send() }
+//	if w.Room(now) > 0 {
+//		w.Sent(now)
+//		send()
+//	}
 //	w.Answered(now, sentAt) // for each response
-//	w.TimedOut(now, sentAt) // for each call without one
+//	w.Failed(now, sentAt)   // for each call without one
 package aimd
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -32,6 +37,8 @@
 	decreasedAt    tick.Time
 	// fastSentAt is when the latest call with a fast response was sent.
 	fastSentAt tick.Time
+	// inFlight has the times at which the calls without an outcome were sent, in ascending order.
+	inFlight []tick.Time
 }
 
 // New returns a Window with its limit at highest, which it never exceeds. Responses that take longer than slow indicate
@@ -43,29 +50,58 @@
 // Limit returns how many calls may be in flight.
 func (w *Window) Limit() int { return int(w.limit) }
 
+// Room returns how many calls may be sent now.
+func (w *Window) Room(now tick.Time) int { return max(0, w.Limit()-w.InFlight(now)) }
+
+// InFlight returns the number of calls that the path may still carry.
+func (w *Window) InFlight(now tick.Time) int {
+	n := 0
+	for _, sent := range w.inFlight {
+		if !w.isOvertaken(sent) || now.Sub(sent) <= w.slow {
+			n++
+		}
+	}
+	return n
+}
+
+// isOvertaken reports whether a call that was sent later than the given time has received a fast response.
+func (w *Window) isOvertaken(sent tick.Time) bool { return w.fastSentAt.After(sent) }
+
+// Sent counts a call that is sent now. Answered or Failed must be called once for it.
+func (w *Window) Sent(now tick.Time) { w.inFlight = append(w.inFlight, now) }
+
 // Answered adapts the limit to a response at now to a call sent at the time sent. Fast responses raise the limit by one
-// for each limit's worth of them, slow ones lower it.
+// for each limit's worth of them, slow ones lower it unless the call was overtaken.
 func (w *Window) Answered(now, sent tick.Time) {
+	w.remove(sent)
 	if now.Sub(sent) > w.slow {
-		w.decrease(now, sent)
+		w.decreaseUnlessOvertaken(now, sent)
 		return
 	}
 	w.fastSentAt = max(w.fastSentAt, sent)
 	w.limit = min(w.highest, w.limit+1/w.limit)
 }
 
-// TimedOut lowers the limit for a call that was sent at the time sent and got no response by now, unless a call sent
-// after it got a fast one.
-func (w *Window) TimedOut(now, sent tick.Time) {
-	if !w.fastSentAt.After(sent) {
-		w.decrease(now, sent)
+// Failed lowers the limit for a call that was sent at the time sent and got no response by now, unless it was overtaken
+// or failed fast: a broken connection says nothing about the capacity of the path.
+func (w *Window) Failed(now, sent tick.Time) {
+	w.remove(sent)
+	if now.Sub(sent) > w.slow {
+		w.decreaseUnlessOvertaken(now, sent)
+	}
+}
+
+// remove removes a call from those in flight.
+func (w *Window) remove(sent tick.Time) {
+	if i := slices.Index(w.inFlight, sent); i >= 0 {
+		w.inFlight = slices.Delete(w.inFlight, i, i+1)
 	}
 }
 
-// decrease lowers the limit. Calls that were sent before the limit was last lowered do not lower it again, as they
-// belong to the same overload.
-func (w *Window) decrease(now, sent tick.Time) {
-	if sent.Before(w.decreasedAt) {
+// decreaseUnlessOvertaken lowers the limit, unless a call that was sent later has received a fast response. Calls that
+// were sent before the limit was last lowered do not lower it again, as they belong to the same overload.
+func (w *Window) decreaseUnlessOvertaken(now, sent tick.Time) {
+	if w.isOvertaken(sent) || sent.Before(w.decreasedAt) {
 		return
 	}
 	w.decreasedAt = now
