--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -108,7 +108,7 @@
 	orderSemaphore chan struct{}
 	// startWindow limits the start orders in flight.
 	startWindow *aimd.Window
-	wg            sync.WaitGroup
+	wg          sync.WaitGroup
 	// sequence is the sequence number of the next append of records. It is not advanced by fence, which appends none.
 	sequence uint64
 }
