--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -34,7 +34,6 @@
 	isHolding     map[string]bool
 	nextHoldAt    map[string]tick.Time
 	startWindow   *aimd.Window
-	pendingStarts int
 }
 
 func (sim *simulation) currentLeader() *simLeader { return sim.leaders[len(sim.leaders)-1] }
@@ -77,7 +76,7 @@
 	}
 	list := l.cell.Plan(l.sim.now, l.sim.wallMS(),
 		PlanLimits{
-			MaxStarts: l.startWindow.Limit() - l.pendingStarts, IsSoleLeader: l.sim.now.Before(l.soleLeaderUntil),
+			MaxStarts: l.startWindow.Room(l.sim.now), IsSoleLeader: l.sim.now.Before(l.soleLeaderUntil),
 		})
 	slices.SortFunc(list, compareOrders)
 	for _, o := range list {
@@ -158,10 +157,10 @@
 	if o.Stop != nil {
 		l.sim.stopCalls++
 	}
+	sent := l.sim.now
 	if o.Start != nil {
-		l.pendingStarts++
+		l.startWindow.Sent(sent)
 	}
-	sent := l.sim.now
 	reply := func(r orders.Reply) func() {
 		return func() {
 			if o.Start != nil {
@@ -186,9 +185,8 @@
 }
 
 func (l *simLeader) endStart(sent tick.Time, r orders.Reply) {
-	l.pendingStarts--
 	if r.Outcome == orders.NoResponse {
-		l.startWindow.TimedOut(l.sim.now, sent)
+		l.startWindow.Failed(l.sim.now, sent)
 		return
 	}
 	l.startWindow.Answered(l.sim.now, sent)
