--- a/internal/state/aimd/aimd.go
+++ b/internal/state/aimd/aimd.go
@@ -4,7 +4,7 @@
 // It is designed for bursts that exceed the capacity of the caller's link or processor. Without a limit, every call of
 // the burst times out, and the calls that the timeouts cause keep the path saturated after the burst. Lost calls and
 // callees that do not respond are no sign of such a burst: calls that were sent later still get fast responses. Such
-// overtaken calls neither lower the limit nor count as in flight once they are slow, as the path no longer carries them.
+// overtaken calls do not lower the limit. Once they are slow, they no longer count as in flight.
 //
 // # Usage
 //
--- a/internal/state/aimd/aimd_test.go
+++ b/internal/state/aimd/aimd_test.go
@@ -104,7 +104,7 @@
 	assert.Equal(t, w.Limit(), 64)
 }
 
-// TestBrokenConnectionsDoNotDecrease checks calls whose connections break at once, as when answers are lost.
+// TestBrokenConnectionsDoNotDecrease checks calls whose connections break at once.
 func TestBrokenConnectionsDoNotDecrease(t *testing.T) {
 	w := aimd.New(64, slow)
 	for i := range 100 {
@@ -115,7 +115,7 @@
 	assert.Equal(t, w.Limit(), 64)
 }
 
-// TestSaturatedPathFillsWindow checks that calls on a path that answers none of them stay in flight until they time out.
+// TestSaturatedPathFillsWindow checks that unanswered calls stay in flight until they time out.
 func TestSaturatedPathFillsWindow(t *testing.T) {
 	w := aimd.New(4, slow)
 	for range 4 {
