--- a/internal/services/intake/peer.go
+++ b/internal/services/intake/peer.go
@@ -57,6 +57,11 @@
 	return &jobpb.RecordResponse{}, nil
 }
 
+// Yield implements jobpb.Jobs. The leader keeps the lead.
+func (p *PeerServer) Yield(_ context.Context, _ *jobpb.YieldRequest) (*jobpb.YieldResponse, error) {
+	return &jobpb.YieldResponse{}, nil
+}
+
 // translateLeaderError translates the error of a call to the leader into one that says whether the call has run.
 func translateLeaderError(err error) *fault.Error {
 	var te twirp.Error
