Settle overdue start orders by a query before they time out

Cause: where executors carry out 5 % of the orders late, a task waits for the order's timeout of 0.8 s, the end of the present hold, a stop and a further list before it starts again. That exceeds the slack of short jobs. An executor that had answered since then was also left out for 1.5 s.

Change: a start order whose response takes longer than the smoothed response time plus four deviations (100 ms at least, as a processor quota may suspend a process for that long) is settled by a query of the executor's lists besides its hold. Lists that overtake each other are ordered by the executor's clock. Only an executor that has not answered since the order was sent is left out.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -25,6 +25,7 @@
 	"github.com/ibischute/ibischute/internal/state/aimd"
 	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/internal/state/cell"
+	"github.com/ibischute/ibischute/internal/state/rtrip"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -93,7 +94,7 @@
 	return &Leader{opts: o}
 }
 
-// term is the state of one term. Its mutex guards cell, holdSenders and startWindow.
+// term is the state of one term. Its mutex guards cell, holdSenders, startWindow, startResponses and querying.
 type term struct {
 	*Leader
 	epoch      uint64
@@ -108,7 +109,11 @@
 	orderSemaphore chan struct{}
 	// startWindow limits the start orders in flight.
 	startWindow *aimd.Window
-	wg          sync.WaitGroup
+	// startResponses estimates when the response to a start order is overdue.
+	startResponses *rtrip.Estimator
+	// querying has the executors that a query is sent to.
+	querying map[string]bool
+	wg       sync.WaitGroup
 	// sequence is the sequence number of the next append of records. It is not advanced by fence, which appends none.
 	sequence uint64
 }
@@ -123,6 +128,7 @@
 		adviceWake: make(chan struct{}, 1),
 		failed:     make(chan error, 1), holdSenders: map[string]*holdSender{},
 		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts, slowOrder),
+		startResponses: rtrip.New(minOverdue, orderTimeout), querying: map[string]bool{},
 	}
 	if err := tm.takeOver(ctx, t); err != nil {
 		return err
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -20,6 +20,11 @@
 	orderTimeout    = 800 * time.Millisecond
 	// slowOrder is the response time of an order above which fewer start orders are sent.
 	slowOrder = orderTimeout / 2
+	// minOverdue is the shortest time after which the response to a start order counts as overdue. A processor quota may
+	// suspend this process or an executor for that long.
+	minOverdue = 100 * time.Millisecond
+	// maxQueries limits the queries in flight.
+	maxQueries = 64
 	// holdTimeoutMargin is added to the wait time of a hold for the timeout of the call.
 	holdTimeoutMargin = 600 * time.Millisecond
 	// commitPause is the pause after a commit, so that many changes share one record.
@@ -148,14 +153,80 @@
 	}
 	t.spawn(ctx, func(ctx context.Context) {
 		defer func() { <-t.orderSemaphore }()
-		reply := t.executeOrder(ctx, o)
-		if o.Start != nil {
-			t.updateStartWindow(sent, reply)
+		if o.Start == nil {
+			t.handleReply(o, t.executeOrder(ctx, o))
+			t.settleStop(ctx, o)
+			return
 		}
+		reply := t.executeStart(ctx, o)
+		t.updateStartWindow(sent, reply)
 		t.handleReply(o, reply)
 	})
 }
 
+// executeStart executes a start order. If the response is overdue, it queries the executor while it waits on.
+func (t *term) executeStart(ctx context.Context, o cell.Order) orders.Reply {
+	replies := make(chan orders.Reply, 1)
+	t.spawn(ctx, func(ctx context.Context) { replies <- t.executeOrder(ctx, o) })
+	t.mu.Lock()
+	overdue := time.NewTimer(t.startResponses.Timeout())
+	t.mu.Unlock()
+	defer overdue.Stop()
+	select {
+	case r := <-replies:
+		return r
+	case <-overdue.C:
+	}
+	t.mu.Lock()
+	isOpen := t.cell.DoubtStart(tick.Now(), o)
+	t.mu.Unlock()
+	if isOpen {
+		t.query(ctx, o.Target.ID)
+	}
+	return <-replies
+}
+
+// settleStop queries the executor after a stop if it is open whether a run has started, so that its task does not wait
+// for the response to the present hold.
+func (t *term) settleStop(ctx context.Context, o cell.Order) {
+	if o.Stop == nil {
+		return
+	}
+	t.mu.Lock()
+	isOpen := t.cell.HasUnsettledRun(o.Target.ID)
+	t.mu.Unlock()
+	if isOpen {
+		t.query(ctx, o.Target.ID)
+	}
+}
+
+// query requests the lists of an executor in the background, besides its hold. At most one query to an executor and
+// maxQueries in all are in flight; without a query, the next hold returns the lists.
+func (t *term) query(ctx context.Context, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, to, ok := t.cell.Query(id)
+	if !ok || t.querying[id] || len(t.querying) >= maxQueries {
+		return
+	}
+	t.querying[id] = true
+	t.spawn(ctx, func(ctx context.Context) { t.executeQuery(ctx, to, h) })
+}
+
+func (t *term) executeQuery(ctx context.Context, to orders.Target, h orders.Hold) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	sent := tick.Now()
+	lists, reply := t.opts.Executors.Hold(callCtx, to, h)
+	t.dropInvalidCheckpoints(to.ID, &lists)
+	t.mu.Lock()
+	delete(t.querying, to.ID)
+	t.cell.HandleQueryReply(tick.Now(), sent, to, lists, reply)
+	t.mu.Unlock()
+	t.wakePlan()
+	t.wakeCommit()
+}
+
 // updateStartWindow adapts the limit of start orders in flight to the outcome of one that was sent at the time sent.
 func (t *term) updateStartWindow(sent tick.Time, r orders.Reply) {
 	t.mu.Lock()
@@ -166,6 +237,9 @@
 		return
 	}
 	t.startWindow.Answered(now, sent)
+	if r.Outcome != orders.NotSent {
+		t.startResponses.Observe(now.Sub(sent))
+	}
 }
 
 func (t *term) executeOrder(ctx context.Context, o cell.Order) orders.Reply {
--- a/internal/services/leader/rig_test.go
+++ b/internal/services/leader/rig_test.go
@@ -189,13 +189,18 @@
 	address map[string]string
 	// lostStarts is the number of start orders that are lost on the way.
 	lostStarts int
+	// lostResponses is the number of start orders that are carried out without a response.
+	lostResponses int
+	// stopped counts the stop orders by job.
+	stopped map[string]int
 	// editLists changes the lists of an executor.
 	editLists func(id string, l *orders.Lists)
 }
 
 func newCalls(f *memex.Fleet) *calls {
 	return &calls{
-		Executors: f, started: map[string]int{}, checkpoints: map[string][]string{}, silent: map[string]bool{},
+		Executors: f, started: map[string]int{}, stopped: map[string]int{}, checkpoints: map[string][]string{},
+		silent:   map[string]bool{},
 		refusing: map[string]bool{}, address: map[string]string{}, editLists: func(string, *orders.Lists) {},
 	}
 }
@@ -213,6 +218,12 @@
 	return c.started[job]
 }
 
+func (c *calls) stops(job string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopped[job]
+}
+
 // startCheckpoints returns the checkpoints of the starts of a job.
 func (c *calls) startCheckpoints(job string) []string {
 	c.mu.Lock()
@@ -236,14 +247,14 @@
 	return orders.Reply{}, false
 }
 
-// losesStart reports whether the next start order is lost.
-func (c *calls) losesStart() bool {
+// takeOne decrements a counter and reports whether it was positive.
+func (c *calls) takeOne(counter *int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lostStarts == 0 {
+	if *counter == 0 {
 		return false
 	}
-	c.lostStarts--
+	*counter--
 	return true
 }
 
@@ -252,7 +263,7 @@
 	if r, isFailed := c.failure(ctx, t); isFailed {
 		return r
 	}
-	if c.losesStart() {
+	if c.takeOne(&c.lostStarts) {
 		<-ctx.Done()
 		return orders.Reply{Outcome: orders.NoResponse}
 	}
@@ -263,6 +274,10 @@
 			c.checkpoints[o.Run.Task.Job] = append(c.checkpoints[o.Run.Task.Job], o.Checkpoint)
 		})
 	}
+	if c.takeOne(&c.lostResponses) {
+		<-ctx.Done()
+		return orders.Reply{Outcome: orders.NoResponse}
+	}
 	return r
 }
 
@@ -271,6 +286,7 @@
 	if r, isFailed := c.failure(ctx, t); isFailed {
 		return r
 	}
+	c.edit(func() { c.stopped[o.Run.Task.Job]++ })
 	return c.Executors.Stop(ctx, t, o)
 }
 
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -60,6 +60,8 @@
 	// startedMS is the start time of the executor's process according to its last list; 0 before the first one.
 	// entry.StartedMS is the start time according to service discovery.
 	startedMS int64
+	// listedClockMS is the executor's clock as of its last list.
+	listedClockMS int64
 
 	total, used resources
 	runs        map[orders.Task]*run
@@ -90,8 +92,8 @@
 	// acknowledged to the executor.
 	appliedCursor, batchedCursor, storedCursor, ackSentCursor uint64
 
-	// quarantinedUntil is the time until which no runs are started on the executor, because it refused an order or did not
-	// respond to one.
+	// quarantinedUntil is the time until which no runs are started on the executor, because it refused an order or did
+	// not respond to one.
 	quarantinedUntil tick.Time
 	suspicion        suspicion
 	// pacesAdjustedAt is the lastResponseAt of the list for which paces were last adjusted. No best-effort task starts
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -52,8 +52,8 @@
 		return h, x.target(), max(0, idlePollInterval-now.Sub(x.lastResponseAt))
 	}
 	if x.isUnresponsive {
-		// The last hold may have extended the lease although no response or a refusal was received. Further holds only query
-		// the executor, so that the lease eventually expires.
+		// The last hold may have extended the lease although no response or a refusal was received. Further holds only
+		// query the executor, so that the lease eventually expires.
 		return h, x.target(), 0
 	}
 	h.DeadlineMS = c.extendLease(now, x)
@@ -98,7 +98,40 @@
 		return
 	}
 	x.isUnresponsive = reply.Outcome != orders.Done
-	if !c.applyReply(now, x, x.heldAddress, reply) {
+	c.applyLists(now, sent, x, h, l, reply)
+}
+
+// Query returns a hold that only requests the lists of the executor, and whether it can be sent.
+func (c *Cell) Query(id string) (orders.Hold, orders.Target, bool) {
+	x, ok := c.execs[id]
+	if !ok || x.isTerminated || !x.hasResponded || x.heldAddress != x.entry.Address {
+		return orders.Hold{}, orders.Target{}, false
+	}
+	return orders.Hold{Epoch: c.epoch}, x.target(), true
+}
+
+// HandleQueryReply applies the reply to a query that was sent at the time sent. A query without a response changes
+// nothing.
+func (c *Cell) HandleQueryReply(now, sent tick.Time, to orders.Target, l orders.Lists, reply orders.Reply) {
+	x, ok := c.execs[to.ID]
+	if !ok || x.entry.Address != to.Address || x.heldAddress != to.Address {
+		return
+	}
+	c.applyLists(now, sent, x, orders.Hold{}, l, reply)
+}
+
+// isOutdated reports whether the lists are older than those applied before. Responses on different connections may
+// overtake each other.
+func (x *executor) isOutdated(l orders.Lists, reply orders.Reply) bool {
+	if l.StartedMS != x.startedMS {
+		return l.StartedMS != 0 && l.StartedMS < x.startedMS
+	}
+	return reply.ClockMS < x.listedClockMS
+}
+
+// applyLists applies the lists in the reply to a hold or a query.
+func (c *Cell) applyLists(now, sent tick.Time, x *executor, h orders.Hold, l orders.Lists, reply orders.Reply) {
+	if !c.applyReply(now, x, x.heldAddress, reply) || x.isOutdated(l, reply) {
 		return
 	}
 	if x.startedMS != 0 && l.StartedMS != 0 && l.StartedMS != x.startedMS {
@@ -106,6 +139,7 @@
 		h.AckCursor = 0
 	}
 	x.startedMS = l.StartedMS
+	x.listedClockMS = reply.ClockMS
 	isFirst := !x.hasResponded
 	x.hasResponded = true
 	if isFirst {
--- a/internal/state/cell/replies.go
+++ b/internal/state/cell/replies.go
@@ -51,11 +51,13 @@
 		r.task.step.job.hasStarted = true
 		return
 	case orders.NoResponse, orders.Outdated:
-		// Run numbers increase, so an outdated one means that the executor has seen a later run of the task that this leader
-		// does not track.
-		r.isStartUnconfirmed, r.unconfirmedSince = true, now
-		c.stopping[r] = true
-		x.quarantine(now, quarantineAfterNoResponse)
+		// Run numbers increase, so an outdated one means that the executor has seen a later run of the task that this
+		// leader does not track.
+		c.doubtStart(now, r)
+		if reply.Outcome == orders.Outdated || !x.lastResponseAt.After(r.startedAt) {
+			// An executor that has responded since the start was sent has lost a single order or response.
+			x.quarantine(now, quarantineAfterNoResponse)
+		}
 		c.emit(Event{Name: "start-unanswered", Task: id.Task, Run: id.Number, Executor: x.entry.ID, Detail: reply.Detail})
 		return
 	case orders.NotSent:
@@ -73,6 +75,36 @@
 	c.releaseRun(r, orders.EndedNotStarted)
 }
 
+// DoubtStart records that the response to a start order is overdue, so that the next list of the executor settles
+// whether the run is there. It reports whether that is open.
+func (c *Cell) DoubtStart(now tick.Time, o Order) bool {
+	x, ok := c.execs[o.Target.ID]
+	if !ok || o.Start == nil {
+		return false
+	}
+	r, ok := x.runs[o.Start.Run.Task]
+	if !ok || r.id != o.Start.Run || r.confirmedAt != 0 {
+		return false
+	}
+	c.doubtStart(now, r)
+	c.emit(Event{Name: "start-overdue", Task: r.id.Task, Run: r.id.Number, Executor: x.entry.ID})
+	return true
+}
+
+func (c *Cell) doubtStart(now tick.Time, r *run) {
+	if r.isStartUnconfirmed {
+		return
+	}
+	r.isStartUnconfirmed, r.unconfirmedSince = true, now
+	c.stopping[r] = true
+}
+
+// HasUnsettledRun reports whether it is open if a run of the executor has started.
+func (c *Cell) HasUnsettledRun(id string) bool {
+	x, ok := c.execs[id]
+	return ok && x.hasUnsettledRun()
+}
+
 func (c *Cell) applyStopReply(now tick.Time, x *executor, id orders.Run, reply orders.Reply) {
 	r, ok := x.runs[id.Task]
 	if !ok || r.id != id || reply.Outcome != orders.Done || r.stoppedAt != 0 {
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -171,6 +171,13 @@
 			}
 		}
 	}
+	if o.Start != nil {
+		l.sim.after(simOverdue, func() {
+			if !l.isKilled {
+				l.cell.DoubtStart(l.sim.now, o)
+			}
+		})
+	}
 	l.sim.call(l, x, func() func() {
 		switch {
 		case l.sim.processAt(x) != x:
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -31,6 +31,7 @@
 	simStopTimeout        = 200 * time.Millisecond
 	simStartUnixMS        = int64(1_700_000_000_000)
 	simCallTimeout        = 800 * time.Millisecond
+	simOverdue            = 100 * time.Millisecond
 )
 
 type event struct {
