Start nothing in a failure domain that the operator has evacuated

Cause: the operator's request op/evacuate/DOMAIN was never read, and tasks went on being started in the domain.

The cell marks the executors of these domains, which are no longer usable for any placement. The leader passes the set to the cell before each plan and before each start order is sent, and a new leader before its first plan.

--- a/internal/services/config/config.go
+++ b/internal/services/config/config.go
@@ -1,4 +1,5 @@
-// Package config reads the operator's configuration and the entries of the executors from the platform's log.
+// Package config reads the operator's configuration, the failure domains that the operator has evacuated, and the
+// entries of the executors from the platform's log.
 //
 // # Usage
 //
@@ -9,6 +10,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,14 +32,24 @@
 // Decode decodes a configuration from a record of the operator topic. It returns nil for any other kind of record.
 type Decode func(key string, value []byte) (*queue.Configuration, error)
 
-// Follower keeps the newest configuration. It is safe for concurrent use.
+// DecodeEvacuation returns the failure domain whose evacuation a record with the key requests, and whether the key is
+// one of such a record.
+type DecodeEvacuation func(key string) (domain string, isEvacuation bool, err error)
+
+// Follower keeps the newest configuration and the set of evacuated failure domains. It is safe for concurrent use.
 type Follower struct {
-	tail   *tail.Tail
-	decode Decode
-	logger zerolog.Logger
+	tail             *tail.Tail
+	decode           Decode
+	decodeEvacuation DecodeEvacuation
+	logger           zerolog.Logger
 
 	mu      sync.Mutex
 	current *queue.Configuration
+	// evacuated is the sorted list of evacuated domains. It is replaced when it changes, never modified.
+	evacuated []string
+	// offsets are those of the newest records of evacuations by domain. Pages of a snapshot are read one after the other,
+	// so that records which the snapshot already reflects may follow it.
+	offsets map[string]logs.Offset
 	// lastReadAt is when a read last succeeded.
 	lastReadAt tick.Time
 	changed    chan struct{}
@@ -46,9 +59,16 @@
 func New(log logs.Log, decode Decode, logger zerolog.Logger) *Follower {
 	return &Follower{
 		tail: tail.New(log, logs.Operator, 0), decode: decode, logger: logger, changed: make(chan struct{}),
+		offsets: map[string]logs.Offset{},
 	}
 }
 
+// WithEvacuations makes the Follower read evacuations. It must be called before Serve.
+func (f *Follower) WithEvacuations(d DecodeEvacuation) *Follower {
+	f.decodeEvacuation = d
+	return f
+}
+
 // String names the service in logs.
 func (f *Follower) String() string { return "configuration" }
 
@@ -59,6 +79,13 @@
 	return f.current, f.current != nil
 }
 
+// Evacuated returns the evacuated failure domains in alphabetical order. The caller must not modify the list.
+func (f *Follower) Evacuated() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.evacuated
+}
+
 // LastReadAt returns when the log was last read successfully.
 func (f *Follower) LastReadAt() tick.Time {
 	f.mu.Lock()
@@ -66,7 +93,7 @@
 	return f.lastReadAt
 }
 
-// Changed returns a channel that is closed when the configuration changes next.
+// Changed returns a channel that is closed when the configuration or the set of evacuated domains changes next.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -91,12 +118,18 @@
 	if err != nil {
 		return err
 	}
-	f.apply(b.Records)
+	f.apply(b)
 	return nil
 }
 
-func (f *Follower) apply(records []logs.Record) {
-	for _, r := range records {
+// apply applies a batch of records. Evacuations come first, so that whoever sees a new configuration also sees the
+// evacuations that were read with it.
+func (f *Follower) apply(b tail.Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lastReadAt = tick.Now()
+	f.applyEvacuations(b)
+	for _, r := range b.Records {
 		c, err := f.decode(r.Key, r.Value)
 		if err != nil {
 			f.logger.Error().Err(err).Str("key", r.Key).Msg("operator-record-unreadable")
@@ -106,19 +139,54 @@
 			f.set(c)
 		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lastReadAt = tick.Now()
 }
 
+// applyEvacuations updates the evacuated domains. A snapshot replaces them: a domain that it lacks is not evacuated.
+func (f *Follower) applyEvacuations(b tail.Batch) {
+	if f.decodeEvacuation == nil {
+		return
+	}
+	next := map[string]bool{}
+	if b.IsSnapshot {
+		clear(f.offsets)
+	} else {
+		for _, d := range f.evacuated {
+			next[d] = true
+		}
+	}
+	for _, r := range b.Records {
+		domain, isEvacuation, err := f.decodeEvacuation(r.Key)
+		if err != nil {
+			f.logger.Error().Err(err).Str("key", r.Key).Msg("operator-record-unreadable")
+			continue
+		}
+		if isEvacuation && r.Offset >= f.offsets[domain] {
+			f.offsets[domain] = r.Offset
+			next[domain] = len(r.Value) > 0
+		}
+	}
+	maps.DeleteFunc(next, func(_ string, isRequested bool) bool { return !isRequested })
+	evacuated := slices.Sorted(maps.Keys(next))
+	if slices.Equal(evacuated, f.evacuated) {
+		return
+	}
+	f.evacuated = evacuated
+	f.notify()
+	f.logger.Info().Strs("domains", evacuated).Msg("evacuations-in-force")
+}
+
+// notify closes the channel of Changed. The caller must hold the mutex.
+func (f *Follower) notify() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// set replaces the configuration by a newer one. The caller must hold the mutex.
 func (f *Follower) set(c *queue.Configuration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	if f.current != nil && c.Version <= f.current.Version {
 		return
 	}
 	f.current = c
-	close(f.changed)
-	f.changed = make(chan struct{})
+	f.notify()
 	f.logger.Info().Uint64("version", uint64(c.Version)).Int("queues", len(c.Queues)).Msg("configuration-in-force")
 }
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -93,12 +93,14 @@
 	return &Leader{opts: o}
 }
 
-// term is the state of one term. Its mutex guards cell, holdSenders and startWindow.
+// term is the state of one term. Its mutex guards cell, evacuated, holdSenders and startWindow.
 type term struct {
 	*Leader
-	epoch      uint64
-	mu         sync.Mutex
-	cell       *cell.Cell
+	epoch uint64
+	mu    sync.Mutex
+	cell  *cell.Cell
+	// evacuated are the evacuated failure domains that the cell knows.
+	evacuated  []string
 	planWake   chan struct{}
 	commitWake chan struct{}
 	adviceWake chan struct{}
@@ -180,6 +182,8 @@
 	now := tick.Now()
 	c := cell.New(t.opts.Params, et.Epoch, et.ExecutorLeasesExpireAt)
 	c.Configure(cfg)
+	t.evacuated = t.opts.Config.Evacuated()
+	c.SetEvacuated(now, t.evacuated)
 	t.opts.Replica.Observe(t.acceptJob)
 	jobs := 0
 	t.opts.Replica.Visit(func(b *book.Book) {
@@ -295,13 +299,14 @@
 	return fault.New(fault.CodeNoOwner, fault.NotRun, "this instance does not lead the cell")
 }
 
-// configLoop passes each new configuration to the cell.
+// configLoop passes each new configuration and each change of the evacuated domains to the cell.
 func (t *term) configLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := t.opts.Config.Changed()
 		if cfg, ok := t.opts.Config.Current(); ok {
 			t.mu.Lock()
 			t.cell.Configure(cfg)
+			t.applyEvacuations(tick.Now())
 			t.mu.Unlock()
 			t.wakePlan()
 		}
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -60,6 +60,7 @@
 func (t *term) plan(ctx context.Context) {
 	t.mu.Lock()
 	now := tick.Now()
+	t.applyEvacuations(now)
 	list := t.cell.Plan(now, tick.Wall().UnixMilli(), cell.PlanLimits{
 		MaxStarts: t.startWindow.Room(now), IsSoleLeader: t.opts.IsSoleLeader(now),
 	})
@@ -174,6 +175,9 @@
 	if !t.opts.HoldsLease(tick.Now()) {
 		return orders.Reply{Outcome: orders.NotSent, Detail: "the leadership lease has expired"}
 	}
+	if o.Start != nil && !t.mayStartOn(o.Target.ID) {
+		return orders.Reply{Outcome: orders.NotSent, Detail: "the failure domain is evacuated"}
+	}
 	switch {
 	case o.Start != nil:
 		return t.opts.Executors.Start(ctx, o.Target, *o.Start)
--- a/internal/services/leader/rig_test.go
+++ b/internal/services/leader/rig_test.go
@@ -110,7 +110,7 @@
 	decode := func(string, []byte) (*queue.Configuration, error) {
 		return &queue.Configuration{Version: 1, Queues: r.queues}, nil
 	}
-	follower := config.New(log, decode, logger)
+	follower := config.New(log, decode, logger).WithEvacuations(decodeEvacuation)
 	n.replica = replic.New(replic.Options{Log: log, FollowsProgress: func() bool { return true }, Logger: logger})
 	n.leader = leader.New(leader.Options{
 		Log: log, Executors: r.calls, Advisor: r.advisor, Replica: n.replica, Config: follower, Decode: r.decode,
@@ -181,6 +181,8 @@
 	orders.Executors
 	mu      sync.Mutex
 	started map[string]int
+	// startedOn counts the start orders that have reached each executor.
+	startedOn map[string]int
 	// checkpoints are those of the start orders of each job.
 	checkpoints map[string][]string
 	// silent are the executors that do not respond, refusing those that refuse holds.
@@ -195,8 +197,9 @@
 
 func newCalls(f *memex.Fleet) *calls {
 	return &calls{
-		Executors: f, started: map[string]int{}, checkpoints: map[string][]string{}, silent: map[string]bool{},
-		refusing: map[string]bool{}, address: map[string]string{}, editLists: func(string, *orders.Lists) {},
+		Executors: f, started: map[string]int{}, startedOn: map[string]int{}, checkpoints: map[string][]string{},
+		silent: map[string]bool{}, refusing: map[string]bool{}, address: map[string]string{},
+		editLists: func(string, *orders.Lists) {},
 	}
 }
 
@@ -249,6 +252,7 @@
 
 // Start implements orders.Executors.
 func (c *calls) Start(ctx context.Context, t orders.Target, o orders.Start) orders.Reply {
+	c.edit(func() { c.startedOn[t.ID]++ })
 	if r, isFailed := c.failure(ctx, t); isFailed {
 		return r
 	}
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -55,6 +55,8 @@
 	jobs                   map[string]*job
 	active                 []*job
 	execs                  map[string]*executor
+	// evacuated has the evacuated failure domains.
+	evacuated map[string]bool
 	// dirty has the jobs whose progress is to be recorded with the next batch.
 	dirty map[string]*job
 	// pendingRosters has the executors whose roster records are to be stored. No run is started on an executor before
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -55,6 +55,8 @@
 	isInherited bool
 	// hasResponded is true if the executor has responded to this leader; it then rejects orders of previous leaders.
 	hasResponded bool
+	// isEvacuated is true if the operator has evacuated the executor's failure domain.
+	isEvacuated bool
 	// isTerminated is true if the incarnation of the executor is over.
 	isTerminated bool
 	// startedMS is the start time of the executor's process according to its last list; 0 before the first one.
@@ -162,6 +164,7 @@
 	}
 	x.entry = e
 	x.isListed = true
+	x.isEvacuated = c.evacuated[e.Domain]
 	x.total = resources{e.MilliCPU, e.MemoryMB, e.GPUs}
 	if !x.isRostered && !x.isTerminated && !x.entry.Draining && !c.retired[e.ID] {
 		c.pendingRosters[e.ID] = x
@@ -264,5 +267,5 @@
 func (x *executor) isUsable(now tick.Time) bool {
 	isRegistered := x.isListed && x.isRostered && x.hasResponded && x.hasClock
 	isAvailable := !x.isTerminated && !x.isUnresponsive && !x.entry.Draining && len(x.orphaned) == 0
-	return isRegistered && isAvailable && !now.Before(x.quarantinedUntil)
+	return isRegistered && isAvailable && !x.isEvacuated && !now.Before(x.quarantinedUntil)
 }
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -244,9 +244,10 @@
 
 // mayTryOn reports whether the task has not failed on the executor, which is large enough for it.
 func (t *task) mayTryOn(x *executor) bool {
-	isAvailable := x.isListed && !x.isTerminated && !x.entry.Draining && x.entry.Service == t.step.job.queue.Service
+	isAvailable := x.isListed && !x.isTerminated && !x.entry.Draining && !x.isEvacuated
+	isOfService := x.entry.Service == t.step.job.queue.Service
 	isRejected := t.step.advice != nil && t.step.advice.rejected[x.entry.ID]
-	if !isAvailable || isRejected || t.hasFailedOn(x) {
+	if !isAvailable || !isOfService || isRejected || t.hasFailedOn(x) {
 		return false
 	}
 	return x.satisfies(t.step.pb.RequiresLabel) && x.total.covers(resourcesOf(t.step.pb))
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -30,6 +30,7 @@
 	WaitNoRoom       WaitCause = "no-room"
 	WaitAntiAffinity WaitCause = "anti-affinity"
 	WaitUnreached    WaitCause = "unreached"
+	WaitEvacuated    WaitCause = "evacuated"
 	WaitOrphans      WaitCause = "orphaned-runs"
 	WaitQuarantine   WaitCause = "quarantined"
 	WaitSuspect      WaitCause = "suspect"
@@ -50,7 +51,7 @@
 }
 
 // hardCauses are the causes for which an executor cannot take a task.
-var hardCauses = []WaitCause{WaitNoLabel, WaitNoRoom, WaitAntiAffinity, WaitUnreached}
+var hardCauses = []WaitCause{WaitNoLabel, WaitNoRoom, WaitAntiAffinity, WaitUnreached, WaitEvacuated}
 
 const (
 	// waitReportDelay is how long a task may have no run before the cause is reported.
@@ -218,6 +219,8 @@
 		return WaitAntiAffinity
 	case !x.isRostered || !x.hasResponded || !x.hasClock || x.isUnresponsive:
 		return WaitUnreached
+	case x.isEvacuated:
+		return WaitEvacuated
 	case len(x.orphaned) > 0:
 		return WaitOrphans
 	case !x.isUsable(p.now):
