Send start orders only while the evacuated domains are known and permit them

Cause: a start order may wait in the process, for instance for one of three connections to its executor, and a leader that was paused or cannot read the operator's topic does not know the latest requests.

Change: orders.Start.MaySend is checked when the order has its connection, right before its body is written; the leader checks its lease, the evacuated domains and their age there. Package fresh decides on the age: where the bound evacuate_ms is set and the last read is older than 2.5 s, the topic is read again first, unless the store answers nothing to this instance. A withheld order does not count against its executor.

Tests: without the check at the connection, TestWaitingStartOrdersAreWithheld sees starts in the domain; without the age limit TestEvacuationRequestedWhileTopicIsUnreadable sees 140; without the exception for a silent store TestStoreOutageDuringEvacuation sees no starts.

--- a/internal/modules/orders/orders.go
+++ b/internal/modules/orders/orders.go
@@ -58,11 +58,13 @@
 	Unhealthy
 	// Malformed means that the executor could not parse the order.
 	Malformed
+	// Withheld means that the order was not sent, because it is no longer permitted. It says nothing about the executor.
+	Withheld
 )
 
 var outcomeNames = [...]string{
 	"unanswered", "not-sent", "done", "fenced", "outdated", "late", "no-room", "no-ticket", "other-incarnation",
-	"unhealthy", "malformed",
+	"unhealthy", "malformed", "withheld",
 }
 
 // String returns the outcome's name for logs.
@@ -77,6 +79,9 @@
 	// DeadlineMS is the end of the executor's lease on the executor's clock.
 	DeadlineMS int64
 	Epoch      uint64
+	// MaySend reports whether the order may still be sent; nil permits it. It is called right before the order is sent,
+	// because an order may wait for a connection.
+	MaySend func() bool
 }
 
 // Stop is the order to stop a run.
--- a/internal/services/config/config.go
+++ b/internal/services/config/config.go
@@ -19,6 +19,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/logs"
 	"github.com/ibischute/ibischute/internal/modules/tail"
+	"github.com/ibischute/ibischute/internal/state/fresh"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -52,6 +53,7 @@
 	offsets map[string]logs.Offset
 	// lastReadAt is when a read last succeeded.
 	lastReadAt tick.Time
+	reads      fresh.Reads
 	changed    chan struct{}
 }
 
@@ -112,14 +114,46 @@
 }
 
 func (f *Follower) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, maxReadWait+callTimeout)
+	sent := tick.Now()
+	wait := f.readWait(sent)
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	b, err := f.tail.Read(ctx, maxReadWait)
+	b, err := f.tail.Read(ctx, wait)
+	if err == nil {
+		f.apply(b)
+	}
+	f.recordRead(sent, wait, err)
+	return err
+}
+
+// readWait returns for how long the next read waits for records. It does not wait after a failure or a pause of the
+// process, because the content may have changed meanwhile.
+func (f *Follower) readWait(now tick.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.reads.ConfirmedAt) > maxReadWait {
+		return 0
+	}
+	return maxReadWait
+}
+
+// recordRead records the outcome of a read. What a read returns is up to date when its wait is over at the latest: if
+// it takes longer, its answer may have arrived long ago and the process may have been paused.
+func (f *Follower) recordRead(sent tick.Time, wait time.Duration, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if err != nil {
-		return err
+		f.reads.FailedSentAt = sent
+		return
 	}
-	f.apply(b)
-	return nil
+	f.reads.ConfirmedAt = min(tick.Now(), sent.Add(wait))
+}
+
+// Reads returns the state of the reads.
+func (f *Follower) Reads() fresh.Reads {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads
 }
 
 // apply applies a batch of records. Evacuations come first, so that whoever sees a new configuration also sees the
--- a/internal/services/leader/evacuation.go
+++ b/internal/services/leader/evacuation.go
@@ -1,11 +1,20 @@
 package leader
 
 import (
+	"context"
 	"slices"
+	"sync/atomic"
+	"time"
 
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/cell"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
+// maxEvacuationsAge is the age of the last successful read of the operator's topic from which the evacuated domains are
+// read again before anything starts.
+const maxEvacuationsAge = 2500 * time.Millisecond
+
 // applyEvacuations passes the evacuated domains to the cell if they have changed. It is called before each plan and
 // before each start order is sent, so that nothing starts in a domain once the request to evacuate it has been read.
 // The caller must hold the mutex.
@@ -18,10 +27,56 @@
 	t.cell.SetEvacuated(now, domains)
 }
 
-// mayStartOn reports whether a start order may be sent to the executor.
-func (t *term) mayStartOn(executor string) bool {
+// knowsEvacuations reports whether tasks may start as far as the evacuated domains are known (see package fresh). If
+// the store is down for all, no request can have been stored; if only this instance is cut off from it, the leadership
+// lease limits the starts. The caller must hold the mutex.
+func (t *term) knowsEvacuations(now tick.Time) bool {
+	wasClosed := t.evacuationGate.ClosedSince() != 0
+	reads := t.opts.Config.Reads()
+	permits := t.evacuationGate.Permits(now, reads, t.opts.IsSoleLeader(now))
+	if isClosed := t.evacuationGate.ClosedSince() != 0; isClosed != wasClosed {
+		t.opts.Logger.Warn().Uint64("epoch", t.epoch).Bool("known", !isClosed).Dur("age", now.Sub(reads.ConfirmedAt)).
+			Msg("evacuations-known")
+	}
+	return permits
+}
+
+// startBlockedBy returns why a start order must not be sent to the executor, or an empty string if it may.
+func (t *term) startBlockedBy(executor string) string {
+	now := tick.Now()
+	if !t.opts.HoldsLease(now) {
+		return "the leadership lease has expired"
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.applyEvacuations(tick.Now())
-	return t.cell.MayStartOn(executor)
+	t.applyEvacuations(now)
+	switch {
+	case !t.cell.MayStartOn(executor):
+		return "the failure domain is evacuated"
+	case !t.knowsEvacuations(now):
+		return "the evacuated domains are not known"
+	}
+	return ""
+}
+
+// sendStart sends a start order unless something blocks it when the order leaves the process.
+func (t *term) sendStart(ctx context.Context, o cell.Order) orders.Reply {
+	if blockedBy := t.startBlockedBy(o.Target.ID); blockedBy != "" {
+		return orders.Reply{Outcome: orders.Withheld, Detail: blockedBy}
+	}
+	start := *o.Start
+	// The check is repeated in a goroutine of the transport, which may still run when the call has ended.
+	var blockedBy atomic.Pointer[string]
+	start.MaySend = func() bool {
+		reason := t.startBlockedBy(o.Target.ID)
+		if reason != "" {
+			blockedBy.Store(&reason)
+		}
+		return reason == ""
+	}
+	reply := t.opts.Executors.Start(ctx, o.Target, start)
+	if reason := blockedBy.Load(); reason != nil && reply.Outcome == orders.NotSent {
+		return orders.Reply{Outcome: orders.Withheld, Detail: *reason}
+	}
+	return reply
 }
--- a/internal/services/leader/evacuation_test.go
+++ b/internal/services/leader/evacuation_test.go
@@ -56,6 +56,7 @@
 		}
 		return e, err
 	}
+	r.evacuateWithin = 5 * time.Second
 	return &evacuationRig{rig: r}
 }
 
@@ -263,3 +264,114 @@
 		r.finish()
 	})
 }
+
+// TestWaitingStartOrdersAreWithheld guards against start orders that wait in the process when the request is read, for
+// instance for a connection, and are sent afterwards.
+func TestWaitingStartOrdersAreWithheld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newEvacuationRig(t)
+		r.startNodes(1)
+		r.calls.edit(func() { r.calls.sendDelay = 500 * time.Millisecond })
+		r.load(time.Second)
+		r.evacuate("a")
+		// The request is read before the orders have waited.
+		time.Sleep(100 * time.Millisecond)
+		before := r.startsIn("a")
+		r.load(evacuationWatch)
+		assert.Equal(t, r.startsIn("a"), before)
+		r.calls.edit(func() { r.calls.sendDelay = 0 })
+		time.Sleep(5 * time.Second)
+		for id := 1; id <= r.jobs; id++ {
+			assert.Assert(t, r.calls.starts(jobID(id)) > 0, "job %d has not started", id)
+		}
+		// An order that was withheld is no reason to avoid its executor.
+		r.restore("a")
+		r.checkStarts("a", maxEvacuationDelay, true)
+		r.finish()
+	})
+}
+
+// TestEvacuationRequestedWhileTopicIsUnreadable guards against a leader that goes on starting tasks in a domain because
+// it alone cannot read the request: it starts nothing until it has read the topic again.
+func TestEvacuationRequestedWhileTopicIsUnreadable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newEvacuationRig(t)
+		var until tick.Time
+		r.wrapLog = func(l logs.Log) logs.Log { return operatorOutage{l, &until} }
+		r.startNodes(2)
+		r.load(time.Second)
+		const outage = 7 * time.Second
+		until = tick.Now().Add(outage)
+		// The read that waits for records when the outage begins ends.
+		const pendingRead = 1200 * time.Millisecond
+		r.load(pendingRead)
+		r.evacuate("a")
+		r.load(r.evacuateWithin)
+		r.checkStarts("a", outage-pendingRead-r.evacuateWithin+evacuationWatch, false)
+		r.checkStarts("b", time.Second, true)
+		r.finish()
+	})
+}
+
+// storeOutage is a log that answers no call of any instance while the outage lasts.
+type storeOutage struct {
+	logs.Log
+	until *tick.Time
+}
+
+func (l storeOutage) fail(ctx context.Context) bool {
+	if !tick.Now().Before(*l.until) {
+		return false
+	}
+	<-ctx.Done()
+	return true
+}
+
+// Append implements logs.Log.
+func (l storeOutage) Append(
+	ctx context.Context, t logs.Topic, p logs.Part, records []logs.Record, c logs.Condition,
+) (logs.Offset, error) {
+	if l.fail(ctx) {
+		return 0, ctx.Err()
+	}
+	return l.Log.Append(ctx, t, p, records, c)
+}
+
+// Read implements logs.Log.
+func (l storeOutage) Read(
+	ctx context.Context, t logs.Topic, p logs.Part, from logs.Offset, wait time.Duration,
+) (logs.Page, error) {
+	if l.fail(ctx) {
+		return logs.Page{}, ctx.Err()
+	}
+	return l.Log.Read(ctx, t, p, from, wait)
+}
+
+// TestStoreOutageDuringEvacuation checks a store that is down for all while a domain is evacuated: tasks of jobs that
+// have started go on being started in the other domain, for as long as the leadership lease permits.
+func TestStoreOutageDuringEvacuation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newEvacuationRig(t)
+		var until tick.Time
+		r.wrapLog = func(l logs.Log) logs.Log { return storeOutage{l, &until} }
+		r.startNodes(2)
+		r.evacuate("a")
+		r.load(maxEvacuationDelay)
+		// The tasks of this job occupy the other domain for longer than the outage.
+		r.submit(rigJob(1000, &jobpb.Step{Count: 600}))
+		time.Sleep(time.Second)
+		// The outage ends before the lease. Its last part is longer than maxEvacuationsAge after the last answer.
+		const outage, last = 4400 * time.Millisecond, 600 * time.Millisecond
+		until = tick.Now().Add(outage)
+		inA := r.startsIn("a")
+		time.Sleep(outage - last)
+		inB := r.startsIn("b")
+		time.Sleep(last)
+		assert.Assert(t, r.startsIn("b") > inB, "nothing starts while the store is down")
+		r.load(evacuationWatch)
+		assert.Equal(t, r.startsIn("a"), inA)
+		r.restore("a")
+		r.checkStarts("a", maxEvacuationDelay, true)
+		r.finish()
+	})
+}
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -25,6 +25,7 @@
 	"github.com/ibischute/ibischute/internal/state/aimd"
 	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/internal/state/cell"
+	"github.com/ibischute/ibischute/internal/state/fresh"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -67,6 +68,9 @@
 	HoldsLease func(now tick.Time) bool
 	// IsSoleLeader reports whether no other instance can have become the leader.
 	IsSoleLeader func(now tick.Time) bool
+	// EvacuateWithin is the longest time from an operator's request to evacuate a failure domain until nothing starts in
+	// it; 0 if there are no evacuations.
+	EvacuateWithin time.Duration
 	// MaxRecordBytes and MaxAppendBytes are the log's limits for a record and for the records of an append. The defaults
 	// apply if they are 0.
 	MaxRecordBytes, MaxAppendBytes int
@@ -93,17 +97,19 @@
 	return &Leader{opts: o}
 }
 
-// term is the state of one term. Its mutex guards cell, evacuated, holdSenders and startWindow.
+// term is the state of one term. Its mutex guards cell, evacuated, evacuationGate, holdSenders and startWindow.
 type term struct {
 	*Leader
 	epoch uint64
 	mu    sync.Mutex
 	cell  *cell.Cell
 	// evacuated are the evacuated failure domains that the cell knows.
-	evacuated  []string
-	planWake   chan struct{}
-	commitWake chan struct{}
-	adviceWake chan struct{}
+	evacuated []string
+	// evacuationGate is closed while the evacuated domains are not known.
+	evacuationGate *fresh.Gate
+	planWake       chan struct{}
+	commitWake     chan struct{}
+	adviceWake     chan struct{}
 	// failed receives the first error that ends the term.
 	failed         chan error
 	holdSenders    map[string]*holdSender
@@ -125,6 +131,7 @@
 		adviceWake: make(chan struct{}, 1),
 		failed:     make(chan error, 1), holdSenders: map[string]*holdSender{},
 		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts, slowOrder),
+		evacuationGate: fresh.New(maxEvacuationsAge, l.opts.EvacuateWithin),
 	}
 	if err := tm.takeOver(ctx, t); err != nil {
 		return err
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -61,8 +61,12 @@
 	t.mu.Lock()
 	now := tick.Now()
 	t.applyEvacuations(now)
+	room := 0
+	if t.knowsEvacuations(now) {
+		room = t.startWindow.Room(now)
+	}
 	list := t.cell.Plan(now, tick.Wall().UnixMilli(), cell.PlanLimits{
-		MaxStarts: t.startWindow.Room(now), IsSoleLeader: t.opts.IsSoleLeader(now),
+		MaxStarts: room, IsSoleLeader: t.opts.IsSoleLeader(now),
 	})
 	events := t.cell.Events()
 	isFenced := t.cell.IsFenced()
@@ -175,12 +179,9 @@
 	if !t.opts.HoldsLease(tick.Now()) {
 		return orders.Reply{Outcome: orders.NotSent, Detail: "the leadership lease has expired"}
 	}
-	if o.Start != nil && !t.mayStartOn(o.Target.ID) {
-		return orders.Reply{Outcome: orders.NotSent, Detail: "the failure domain is evacuated"}
-	}
 	switch {
 	case o.Start != nil:
-		return t.opts.Executors.Start(ctx, o.Target, *o.Start)
+		return t.sendStart(ctx, o)
 	case o.Stop != nil:
 		return t.opts.Executors.Stop(ctx, o.Target, *o.Stop)
 	}
--- a/internal/services/leader/rig_test.go
+++ b/internal/services/leader/rig_test.go
@@ -47,8 +47,10 @@
 	// decode decodes the entries of the executors.
 	decode config.DecodeExecutor
 	queues []queue.Queue
-	meter  *meter.Meter
-	nodes  []*rigNode
+	// evacuateWithin is the limit of the time for which a request to evacuate a domain may be without effect.
+	evacuateWithin time.Duration
+	meter          *meter.Meter
+	nodes          []*rigNode
 }
 
 // rigNode is one instance of a rig.
@@ -114,9 +116,10 @@
 	n.replica = replic.New(replic.Options{Log: log, FollowsProgress: func() bool { return true }, Logger: logger})
 	n.leader = leader.New(leader.Options{
 		Log: log, Executors: r.calls, Advisor: r.advisor, Replica: n.replica, Config: follower, Decode: r.decode,
-		Params:       params,
-		HoldsLease:   r.wrapLease(func(now tick.Time) bool { return n.elector.IsLeader(now) }),
-		IsSoleLeader: func(now tick.Time) bool { return n.elector.IsSoleLeader(now) }, Meter: r.meter, Logger: logger,
+		Params:         params,
+		HoldsLease:     r.wrapLease(func(now tick.Time) bool { return n.elector.IsLeader(now) }),
+		IsSoleLeader:   func(now tick.Time) bool { return n.elector.IsSoleLeader(now) },
+		EvacuateWithin: r.evacuateWithin, Meter: r.meter, Logger: logger,
 	})
 	n.elector = elect.New(elect.Options{
 		Log: log, Instance: name, Address: name, MaxExecutorLease: params.LongestLease(),
@@ -189,6 +192,8 @@
 	silent, refusing map[string]bool
 	// address is the address under which an executor can be reached; the others respond as another incarnation.
 	address map[string]string
+	// sendDelay is how long a start order waits before it is sent, as it does for a connection.
+	sendDelay time.Duration
 	// lostStarts is the number of start orders that are lost on the way.
 	lostStarts int
 	// editLists changes the lists of an executor.
@@ -252,6 +257,12 @@
 
 // Start implements orders.Executors.
 func (c *calls) Start(ctx context.Context, t orders.Target, o orders.Start) orders.Reply {
+	var sendDelay time.Duration
+	c.edit(func() { sendDelay = c.sendDelay })
+	tick.Pause(ctx, sendDelay)
+	if o.MaySend != nil && !o.MaySend() {
+		return orders.Reply{Outcome: orders.NotSent}
+	}
 	c.edit(func() { c.startedOn[t.ID]++ })
 	if r, isFailed := c.failure(ctx, t); isFailed {
 		return r
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -136,7 +136,7 @@
 // carried out by the executor's present incarnation.
 func (c *Cell) applyReply(now tick.Time, x *executor, address string, reply orders.Reply) bool {
 	switch {
-	case reply.Outcome == orders.NoResponse, reply.Outcome == orders.NotSent:
+	case reply.Outcome == orders.NoResponse, reply.Outcome == orders.NotSent, reply.Outcome == orders.Withheld:
 		return false
 	case reply.Outcome == orders.Fenced:
 		c.isFenced = true
--- a/internal/state/cell/replies.go
+++ b/internal/state/cell/replies.go
@@ -59,9 +59,7 @@
 		c.emit(Event{Name: "start-unanswered", Task: id.Task, Run: id.Number, Executor: x.entry.ID, Detail: reply.Detail})
 		return
 	case orders.NotSent:
-		if !x.isEvacuated {
-			x.quarantine(now, quarantineAfterNoResponse)
-		}
+		x.quarantine(now, quarantineAfterNoResponse)
 	case orders.NoTicket:
 		r.task.step.dropTicket(x)
 	case orders.Unhealthy, orders.InsufficientResources, orders.Malformed:
