Move runs out of evacuated domains and limit tasks on cold executors

Cause: an evacuated domain kept its long-running tasks for good, and an executor that had just started got as many tasks as a warm one.

Change: package evac selects the runs to move: those with checkpoints that run longer than their move takes, the tasks of long-running steps within may_miss, gangs as one. The cell keeps room for them elsewhere before it stops them, and starts them there. A task counts as away until a list shows it at 100 percent. Package ramp limits the tasks on cold executors where cold_overshoot is set; latency-critical tasks and those of priority 0 prefer warm ones.

The guard for takeovers has no test that fails without it.

--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/ramp"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -40,6 +41,13 @@
 	InterferenceBound time.Duration
 	// PaceDelay is the time until a pace order takes effect.
 	PaceDelay time.Duration
+	// Restore is how long a run takes to resume from a checkpoint, and CheckpointEvery the time between two checkpoints; 0
+	// if it is not known.
+	Restore, CheckpointEvery time.Duration
+	// Cold limits the tasks on executors that have just started.
+	Cold ramp.Bounds
+	// Notice is how long a long-running task may be out of work before it counts as away.
+	Notice time.Duration
 	// Retention is how long an ended job is shown.
 	Retention time.Duration
 }
@@ -55,8 +63,7 @@
 	jobs                   map[string]*job
 	active                 []*job
 	execs                  map[string]*executor
-	// evacuated has the evacuated failure domains.
-	evacuated map[string]bool
+	evacuation             evacuation
 	// dirty has the jobs whose progress is to be recorded with the next batch.
 	dirty map[string]*job
 	// pendingRosters has the executors whose roster records are to be stored. No run is started on an executor before
@@ -90,7 +97,7 @@
 		params: p, epoch: epoch, previousLeasesExpireAt: previousLeasesExpireAt, isTakingOver: true,
 		jobs: map[string]*job{}, execs: map[string]*executor{},
 		dirty: map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
-		stopping:  map[*run]bool{},
+		stopping: map[*run]bool{}, evacuation: evacuation{moved: map[string]int{}},
 		durations: newDurationModel(), interference: newInterferenceModel(),
 	}
 }
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -6,6 +6,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/ramp"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -57,6 +58,11 @@
 	hasResponded bool
 	// isEvacuated is true if the operator has evacuated the executor's failure domain.
 	isEvacuated bool
+	// warmUp is that of the executor's process. As of the last placement, coldLimit is the number of tasks that it may
+	// run, and isCold is false if there is no limit.
+	warmUp    ramp.Ramp
+	coldLimit int
+	isCold    bool
 	// isTerminated is true if the incarnation of the executor is over.
 	isTerminated bool
 	// startedMS is the start time of the executor's process according to its last list; 0 before the first one.
@@ -65,6 +71,8 @@
 
 	total, used resources
 	runs        map[orders.Task]*run
+	// reserved has the tasks for which resources are kept until they start here.
+	reserved map[*task]bool
 	// latencyCritical are the runs with a latency target, bestEffort the best-effort runs.
 	latencyCritical, bestEffort []*run
 	// latencyCriticalMilliCPU and bestEffortMilliCPU are the CPU requests of these runs.
@@ -162,9 +170,13 @@
 		// Nothing is started on a restarted executor until its lists show which runs it has.
 		x.hasResponded = false
 	}
+	if x.isSucceededBy(e) {
+		x.warmUp = ramp.Ramp{}
+	}
+	x.warmUp.Observe(now, time.Duration(e.ColdRemainingMS)*time.Millisecond)
 	x.entry = e
 	x.isListed = true
-	x.isEvacuated = c.evacuated[e.Domain]
+	x.isEvacuated = c.evacuation.domains[e.Domain]
 	x.total = resources{e.MilliCPU, e.MemoryMB, e.GPUs}
 	if !x.isRostered && !x.isTerminated && !x.entry.Draining && !c.retired[e.ID] {
 		c.pendingRosters[e.ID] = x
@@ -196,6 +208,7 @@
 	return &executor{
 		entry: e, total: resources{e.MilliCPU, e.MemoryMB, e.GPUs},
 		runs: map[orders.Task]*run{}, orphaned: map[orders.Run]bool{},
+		reserved: map[*task]bool{},
 	}
 }
 
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -219,6 +219,9 @@
 		r.task.step.job.hasStarted = true
 	}
 	if row.Checkpoint != "" {
+		if row.Checkpoint != r.checkpoint {
+			r.checkpointAt = now
+		}
 		r.checkpoint = row.Checkpoint
 	}
 	if r.firstListedAt == 0 || row.Percent != r.percent {
--- a/internal/state/cell/model_test.go
+++ b/internal/state/cell/model_test.go
@@ -29,6 +29,11 @@
 
 // runSchedule simulates the jobs and faults that the seed determines.
 func runSchedule(seed uint64) *simulation {
+	return runScheduleWith(seed, func(*simulation, time.Duration) {})
+}
+
+// runScheduleWith does the same after it has prepared the simulation, given the time for which there are faults.
+func runScheduleWith(seed uint64, prepare func(sim *simulation, length time.Duration)) *simulation {
 	sim := newSimulation(seed, faults{})
 	// Each bit of faultKinds enables one kind of fault.
 	faultKinds := sim.rnd.IntN(64)
@@ -44,6 +49,7 @@
 	}
 	f.runFailureRate = 0.02
 	const length = 30 * time.Second
+	prepare(sim, length)
 	for i := range 40 {
 		sim.after(sim.randomDuration(0, length), func() {
 			j := sim.randomJob(i)
@@ -142,3 +148,14 @@
 	}
 	assert.Assert(t, starts > *modelSeeds*50, "only %d starts", starts)
 }
+
+// TestModelWithEvacuations runs the same schedules with evacuated domains and cold executors.
+func TestModelWithEvacuations(t *testing.T) {
+	moves := 0
+	for seed := *modelFirst; seed < *modelFirst+uint64(*modelSeeds); seed++ {
+		sim := runScheduleWith(seed, func(sim *simulation, length time.Duration) { sim.addEvacuations(seed, length) })
+		moves += sim.moves
+		assert.Assert(t, len(sim.violations) == 0, "seed %d:\n%s", seed, strings.Join(sim.violations, "\n"))
+	}
+	assert.Assert(t, moves > *modelSeeds/2, "only %d moves", moves)
+}
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -49,6 +49,7 @@
 	p := &placement{now: now, pools: map[string][]*executor{}, unplaceable: map[string][]request{}}
 	for _, x := range c.execs {
 		p.executors = append(p.executors, x)
+		x.coldLimit, x.isCold = x.warmUp.Limit(now, c.params.Cold, float64(x.total.milliCPU)/milliCPUPerCore)
 		if x.isUsable(now) {
 			p.pools[x.entry.Service] = append(p.pools[x.entry.Service], x)
 		}
@@ -189,7 +190,11 @@
 	return slices.ContainsFunc(p.unplaceable[service], func(r request) bool { return r.rulesOut(req) })
 }
 
-// allows reports whether the executor meets the resource, label and anti-affinity requirements of a task of the step.
+// isColdFull reports whether the executor runs as many tasks as it may while it is cold.
+func (x *executor) isColdFull() bool { return x.isCold && len(x.runs)+len(x.reserved) >= x.coldLimit }
+
+// allows reports whether the executor meets the resource, label and anti-affinity requirements of a task of the step,
+// and may run one more task.
 func (x *executor) allows(s *step, need resources) bool {
 	if !x.free().covers(need) {
 		return false
@@ -197,6 +202,9 @@
 	if !x.satisfies(s.pb.RequiresLabel) {
 		return false
 	}
+	if x.isColdFull() {
+		return false
+	}
 	if s.pb.MaxPerExecutor > 0 && x.countTasks(s) >= int(s.pb.MaxPerExecutor) {
 		return false
 	}
@@ -265,9 +273,9 @@
 	maxTrialPauses = 4
 )
 
-// countTasks returns the number of runs of the step's tasks on the executor.
+// countTasks returns the number of runs of the step's tasks on the executor, with those that are about to move there.
 func (x *executor) countTasks(s *step) int {
-	n := 0
+	n := x.countReserved(s)
 	for _, r := range x.runs {
 		if r.task.step == s {
 			n++
@@ -298,6 +306,10 @@
 	// costPerOtherImage is the cost of each latency-critical run of another image on the executor. The fewer images it
 	// has, the more kinds of best-effort tasks can run there without interference.
 	costPerOtherImage = 2
+	// costCold is the cost of an executor that is cold for a latency-critical task or one of the highest priority. It
+	// exceeds every cost but those of remote data and of failures, so that such tasks start there only if no other has
+	// room.
+	costCold = 400
 	// costFailedOn is the cost of an executor on which the task has failed.
 	costFailedOn = 500
 	// costPerFailure is the cost of each failure since the executor's last successful run.
@@ -311,6 +323,9 @@
 		cost += costRemoteData
 	}
 	cost += costPerFailure * float64(x.suspicion.failures)
+	if x.isCold && (s.pb.TargetMs > 0 || s.job.queue.Priority == 0) {
+		cost += costCold
+	}
 	total := float64(max(1, x.total.milliCPU))
 	if s.pb.Fills {
 		return cost - float64(x.freeBestEffortMilliCPU())/total
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -34,7 +34,12 @@
 	c.stopDraining(now)
 	p := c.newPlacement(now)
 	out := c.adjustPaces(now, p, nil)
-	out = append(out, c.placeWaiting(now, p, limits.MaxStarts)...)
+	moved := c.finishMoves(now, p, limits.MaxStarts)
+	out = append(out, moved...)
+	out = append(out, c.placeWaiting(now, p, limits.MaxStarts-len(moved))...)
+	if limits.MaxStarts > len(moved) {
+		c.planMoves(now, p)
+	}
 	return c.appendStopOrders(now, out)
 }
 
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -36,6 +36,8 @@
 	checkpoint string
 	percent    int
 	usage      int64
+	// checkpointAt is when a list first had the checkpoint.
+	checkpointAt tick.Time
 	// firstListedAt and listedAt are when a list first and last contained the run, progressAt when percent last changed.
 	// firstPercent is percent in the first list.
 	firstListedAt, listedAt, progressAt tick.Time
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -34,6 +34,8 @@
 	isHolding     map[string]bool
 	nextHoldAt    map[string]tick.Time
 	startWindow   *aimd.Window
+	// evacuated are the evacuated domains that the leader has read.
+	evacuated []string
 }
 
 func (sim *simulation) currentLeader() *simLeader { return sim.leaders[len(sim.leaders)-1] }
@@ -46,6 +48,7 @@
 	}
 	l.cell = New(sim.params, l.epoch, previousLeasesExpireAt)
 	l.cell.Configure(sim.config)
+	l.readEvacuations()
 	sim.fenceEpoch = l.epoch
 	sim.book.Roster(l.cell.LoadRoster)
 	sim.book.Jobs(func(e *book.Entry) { l.cell.Load(sim.now, sim.wallMS(), e) })
@@ -68,6 +71,7 @@
 		if !l.sim.isStoreDown {
 			l.leaseUntil = l.sim.now.Add(simLeaseDuration)
 			l.soleLeaderUntil = l.sim.now.Add(simSoleLeaderDuration)
+			l.readEvacuations()
 		}
 		l.discover()
 	}
@@ -83,6 +87,7 @@
 		l.send(o)
 	}
 	for _, e := range l.cell.Events() {
+		l.sim.noteMove(e)
 		if *modelJob != "" && (e.Task.Job == *modelJob || e.Task.Job == "") {
 			fmt.Printf("%8.3f epoch %d %+v\n", float64(l.sim.now)/1e9, l.epoch, e)
 		}
@@ -130,8 +135,9 @@
 // entry returns the executor's entry in service discovery.
 func (x *simExecutor) entry() queue.Executor {
 	e := queue.Executor{
-		ID: x.id, Address: x.address, Service: "svc", Labels: x.labels,
-		MilliCPU: x.total.milliCPU, MemoryMB: x.total.memoryMB,
+		ID: x.id, Address: x.address, Service: "svc", Labels: x.labels, Domain: x.domain,
+		ColdRemainingMS: max(0, x.warmUp-x.sim.now.Sub(x.startedAt)).Milliseconds(),
+		MilliCPU:        x.total.milliCPU, MemoryMB: x.total.memoryMB,
 	}
 	if x.sim.hasDiscovery {
 		e.StartedMS = x.entryStartedMS
@@ -159,6 +165,10 @@
 	}
 	sent := l.sim.now
 	if o.Start != nil {
+		if slices.Contains(l.evacuated, x.domain) {
+			l.sim.recordViolation("epoch %d orders %v in the evacuated domain %s", l.epoch, o.Start.Run, x.domain)
+		}
+		l.checkRamp(x)
 		l.startWindow.Sent(sent)
 	}
 	reply := func(r orders.Reply) func() {
@@ -345,6 +355,7 @@
 		rnd: rand.New(rand.NewPCG(seed, 7)), faults: f, book: book.New(), jobs: map[string]*jobpb.Job{},
 		done: map[orders.Task]bool{}, acked: map[orders.Task]bool{}, cancelled: map[string]tick.Time{},
 		doneRuns: map[orders.Task]map[orders.Run]bool{}, lostEnds: map[orders.Task]bool{}, failingJobs: map[string]bool{},
+		evacuatedAt: map[string]tick.Time{}, movedAway: map[orders.Task]orders.Run{},
 		params: Params{
 			MaxHold: simMaxHold, StopTimeout: simStopTimeout, InterferenceBound: 4 * time.Second, Retention: time.Minute,
 		},
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -101,6 +101,13 @@
 	hasLongPolls bool
 	// hasDiscovery is true if entries of service discovery state the start of their process and outlive it for a while.
 	hasDiscovery bool
+	// evacuatedAt is since when each failure domain is evacuated.
+	evacuatedAt map[string]tick.Time
+	// movedAway has the runs of long-running tasks that were stopped to move them, until their tasks are at work again.
+	movedAway map[orders.Task]orders.Run
+	moves     int
+	// serveDelay is how long a long-running task takes to be at work after its start.
+	serveDelay time.Duration
 }
 
 // crossLink returns how long a message waits for and takes on the leader's link.
@@ -146,6 +153,9 @@
 type simExecutor struct {
 	sim    *simulation
 	id     string
+	domain string
+	// warmUp is how long the executor is cold after its start.
+	warmUp time.Duration
 	labels []string
 	total  resources
 	// enforcesCapacity is true if the executor rejects starts that exceed its free resources.
@@ -389,6 +399,9 @@
 	for _, t := range x.sortedTasks() {
 		r := x.runs[t]
 		progress := 100
+		if r.step.LongRunning && x.sim.serveDelay > 0 {
+			progress = int(min(100, 100*x.sim.now.Sub(r.startedAt)/x.sim.serveDelay))
+		}
 		if !r.step.LongRunning && !x.stalledUntil.After(x.sim.now) {
 			progress = int(min(99, 100*x.sim.now.Sub(r.startedAt)/max(1, r.total)))
 		} else if !r.step.LongRunning {
@@ -519,6 +532,9 @@
 	if step.RequiresLabel != "" && x.labels[0] != step.RequiresLabel {
 		sim.recordViolation("task %v starts on an executor without the required label %s", t, step.RequiresLabel)
 	}
+	if at, ok := sim.evacuatedAt[x.domain]; ok && sim.now.Sub(at) > evacuateWithin+longestLateRequest {
+		sim.recordViolation("task %v starts on %s %v after the evacuation of its domain", t, x.id, sim.now.Sub(at))
+	}
 	for _, d := range step.DependsOn {
 		for i := range sim.jobs[t.Job].Steps[d].Count {
 			if !sim.done[orders.Task{Job: t.Job, Occurrence: t.Occurrence, Step: d, Index: i}] {
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -31,6 +31,7 @@
 	WaitAntiAffinity WaitCause = "anti-affinity"
 	WaitUnreached    WaitCause = "unreached"
 	WaitEvacuated    WaitCause = "evacuated"
+	WaitCold         WaitCause = "cold"
 	WaitOrphans      WaitCause = "orphaned-runs"
 	WaitQuarantine   WaitCause = "quarantined"
 	WaitSuspect      WaitCause = "suspect"
@@ -51,7 +52,7 @@
 }
 
 // hardCauses are the causes for which an executor cannot take a task.
-var hardCauses = []WaitCause{WaitNoLabel, WaitNoRoom, WaitAntiAffinity, WaitUnreached, WaitEvacuated}
+var hardCauses = []WaitCause{WaitNoLabel, WaitNoRoom, WaitAntiAffinity, WaitUnreached, WaitEvacuated, WaitCold}
 
 const (
 	// waitReportDelay is how long a task may have no run before the cause is reported.
@@ -215,6 +216,8 @@
 		return WaitNoLabel
 	case !x.free().covers(need), !x.hasBestEffortCPU(s):
 		return WaitNoRoom
+	case x.isColdFull():
+		return WaitCold
 	case !x.allows(s, need):
 		return WaitAntiAffinity
 	case !x.isRostered || !x.hasResponded || !x.hasClock || x.isUnresponsive:
