Add the operator's commands and the progress of evacuations

The leader logs evacuation-progress with the tasks left and moved and sets gauges for them. The follower no longer compares offsets: those of a read are counted from its start and are too low where the log has been compacted, so that a withdrawal could have been ignored.

--- a/cmd/ibischute/main.go
+++ b/cmd/ibischute/main.go
@@ -60,6 +60,7 @@
 		{"job", "submit and watch batch jobs", "Manages batch jobs.", &jobCommand{}},
 		{"status", "show an instance's state", "Shows members, peers, executors and versions.", &statusCommand{}},
 		{"drain", "stop an instance gracefully", "Asks an instance to stop gracefully.", &drainCommand{}},
+		{"domain", "evacuate and restore failure domains", "Manages the failure domains of the platform.", &domainCommand{}},
 		{"member", "manage the members of a domain", "Manages the members of a failure domain.", &memberCommand{}},
 	}
 }
--- a/internal/services/config/config.go
+++ b/internal/services/config/config.go
@@ -48,9 +48,6 @@
 	current *queue.Configuration
 	// evacuated is the sorted list of evacuated domains. It is replaced when it changes, never modified.
 	evacuated []string
-	// offsets are those of the newest records of evacuations by domain. Pages of a snapshot are read one after the other,
-	// so that records which the snapshot already reflects may follow it.
-	offsets map[string]logs.Offset
 	// lastReadAt is when a read last succeeded.
 	lastReadAt tick.Time
 	reads      fresh.Reads
@@ -61,7 +58,6 @@
 func New(log logs.Log, decode Decode, logger zerolog.Logger) *Follower {
 	return &Follower{
 		tail: tail.New(log, logs.Operator, 0), decode: decode, logger: logger, changed: make(chan struct{}),
-		offsets: map[string]logs.Offset{},
 	}
 }
 
@@ -181,9 +177,7 @@
 		return
 	}
 	next := map[string]bool{}
-	if b.IsSnapshot {
-		clear(f.offsets)
-	} else {
+	if !b.IsSnapshot {
 		for _, d := range f.evacuated {
 			next[d] = true
 		}
@@ -194,8 +188,7 @@
 			f.logger.Error().Err(err).Str("key", r.Key).Msg("operator-record-unreadable")
 			continue
 		}
-		if isEvacuation && r.Offset >= f.offsets[domain] {
-			f.offsets[domain] = r.Offset
+		if isEvacuation {
 			next[domain] = len(r.Value) > 0
 		}
 	}
--- a/internal/services/leader/evacuation.go
+++ b/internal/services/leader/evacuation.go
@@ -80,3 +80,31 @@
 	}
 	return reply
 }
+
+// logEvacuations reports the progress of the evacuations in the log, if it has changed, and in the metrics. Only
+// discoverLoop calls it.
+func (t *term) logEvacuations(list []cell.EvacuationProgress) {
+	t.opts.Meter.Gauge("evacuated_domains", nil, float64(len(list)))
+	last := map[string]cell.EvacuationProgress{}
+	for _, p := range t.loggedEvacuations {
+		last[p.Domain] = p
+	}
+	for _, p := range list {
+		t.setEvacuationGauges(p)
+		if p != last[p.Domain] {
+			t.opts.Logger.Info().Uint64("epoch", t.epoch).Str("domain", p.Domain).Int("tasks-left", p.Left).
+				Int("moved", p.Moved).Msg("evacuation-progress")
+		}
+		delete(last, p.Domain)
+	}
+	for domain := range last {
+		t.setEvacuationGauges(cell.EvacuationProgress{Domain: domain})
+	}
+	t.loggedEvacuations = list
+}
+
+func (t *term) setEvacuationGauges(p cell.EvacuationProgress) {
+	labels := map[string]string{"domain": p.Domain}
+	t.opts.Meter.Gauge("evacuation_tasks_left", labels, float64(p.Left))
+	t.opts.Meter.Gauge("evacuation_tasks_moved", labels, float64(p.Moved))
+}
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -105,6 +105,8 @@
 	cell  *cell.Cell
 	// evacuated are the evacuated failure domains that the cell knows.
 	evacuated []string
+	// loggedEvacuations is the last progress that was logged. Only discoverLoop uses it.
+	loggedEvacuations []cell.EvacuationProgress
 	// evacuationGate is closed while the evacuated domains are not known.
 	evacuationGate *fresh.Gate
 	planWake       chan struct{}
@@ -339,6 +341,7 @@
 		}
 		t.cell.Diagnose(tick.Now())
 		usage := t.cell.Usage(tick.Now())
+		evacuations := t.cell.Evacuations()
 		window, pending := t.startWindow.Limit(), t.startWindow.InFlight(tick.Now())
 		if round%modelSaveRounds == 0 {
 			t.cell.SaveModel()
@@ -347,6 +350,7 @@
 		t.mu.Unlock()
 		t.startHoldSenders(ctx, ids)
 		t.logUsage(usage)
+		t.logEvacuations(evacuations)
 		t.logStartWindow(window, pending)
 		t.wakePlan()
 		t.wakeCommit()
