--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -25,6 +25,7 @@
 	"github.com/ibischute/ibischute/internal/state/aimd"
 	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/internal/state/cell"
+	"github.com/ibischute/ibischute/internal/state/fresh"
 	"github.com/ibischute/ibischute/internal/state/rtrip"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/queue"
@@ -68,6 +69,9 @@
 	HoldsLease func(now tick.Time) bool
 	// IsSoleLeader reports whether no other instance can have become the leader.
 	IsSoleLeader func(now tick.Time) bool
+	// EvacuateWithin is the longest time from an operator's request to evacuate a failure domain until nothing starts in
+	// it; 0 if there are no evacuations.
+	EvacuateWithin time.Duration
 	// MaxRecordBytes and MaxAppendBytes are the log's limits for a record and for the records of an append. The defaults
 	// apply if they are 0.
 	MaxRecordBytes, MaxAppendBytes int
@@ -94,15 +98,22 @@
 	return &Leader{opts: o}
 }
 
-// term is the state of one term. Its mutex guards cell, holdSenders, startWindow, startResponses and querying.
+// term is the state of one term. Its mutex guards cell, evacuated, evacuationGate, holdSenders, startWindow,
+// startResponses and querying.
 type term struct {
 	*Leader
-	epoch      uint64
-	mu         sync.Mutex
-	cell       *cell.Cell
-	planWake   chan struct{}
-	commitWake chan struct{}
-	adviceWake chan struct{}
+	epoch uint64
+	mu    sync.Mutex
+	cell  *cell.Cell
+	// evacuated are the evacuated failure domains that the cell knows.
+	evacuated []string
+	// loggedEvacuations is the last progress that was logged. Only discoverLoop uses it.
+	loggedEvacuations []cell.EvacuationProgress
+	// evacuationGate is closed while the evacuated domains are not known.
+	evacuationGate *fresh.Gate
+	planWake       chan struct{}
+	commitWake     chan struct{}
+	adviceWake     chan struct{}
 	// failed receives the first error that ends the term.
 	failed         chan error
 	holdSenders    map[string]*holdSender
@@ -129,6 +140,7 @@
 		failed:     make(chan error, 1), holdSenders: map[string]*holdSender{},
 		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts, slowOrder),
 		startResponses: rtrip.New(minOverdue, orderTimeout), querying: map[string]bool{},
+		evacuationGate: fresh.New(maxEvacuationsAge, l.opts.EvacuateWithin),
 	}
 	if err := tm.takeOver(ctx, t); err != nil {
 		return err
@@ -186,6 +198,8 @@
 	now := tick.Now()
 	c := cell.New(t.opts.Params, et.Epoch, et.ExecutorLeasesExpireAt)
 	c.Configure(cfg)
+	t.evacuated = t.opts.Config.Evacuated()
+	c.SetEvacuated(now, t.evacuated)
 	t.opts.Replica.Observe(t.acceptJob)
 	jobs := 0
 	t.opts.Replica.Visit(func(b *book.Book) {
@@ -301,13 +315,14 @@
 	return fault.New(fault.CodeNoOwner, fault.NotRun, "this instance does not lead the cell")
 }
 
-// configLoop passes each new configuration to the cell.
+// configLoop passes each new configuration and each change of the evacuated domains to the cell.
 func (t *term) configLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		changed := t.opts.Config.Changed()
 		if cfg, ok := t.opts.Config.Current(); ok {
 			t.mu.Lock()
 			t.cell.Configure(cfg)
+			t.applyEvacuations(tick.Now())
 			t.mu.Unlock()
 			t.wakePlan()
 		}
@@ -333,6 +348,7 @@
 		}
 		t.cell.Diagnose(tick.Now())
 		usage := t.cell.Usage(tick.Now())
+		evacuations := t.cell.Evacuations()
 		window, pending := t.startWindow.Limit(), t.startWindow.InFlight(tick.Now())
 		if round%modelSaveRounds == 0 {
 			t.cell.SaveModel()
@@ -341,6 +357,7 @@
 		t.mu.Unlock()
 		t.startHoldSenders(ctx, ids)
 		t.logUsage(usage)
+		t.logEvacuations(evacuations)
 		t.logStartWindow(window, pending)
 		t.wakePlan()
 		t.wakeCommit()
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -65,8 +65,13 @@
 func (t *term) plan(ctx context.Context) {
 	t.mu.Lock()
 	now := tick.Now()
+	t.applyEvacuations(now)
+	room := 0
+	if t.knowsEvacuations(now) {
+		room = t.startWindow.Room(now)
+	}
 	list := t.cell.Plan(now, tick.Wall().UnixMilli(), cell.PlanLimits{
-		MaxStarts: t.startWindow.Room(now), IsSoleLeader: t.opts.IsSoleLeader(now),
+		MaxStarts: room, IsSoleLeader: t.opts.IsSoleLeader(now),
 	})
 	events := t.cell.Events()
 	isFenced := t.cell.IsFenced()
@@ -250,7 +255,7 @@
 	}
 	switch {
 	case o.Start != nil:
-		return t.opts.Executors.Start(ctx, o.Target, *o.Start)
+		return t.sendStart(ctx, o)
 	case o.Stop != nil:
 		return t.opts.Executors.Stop(ctx, o.Target, *o.Stop)
 	}
--- a/internal/services/leader/rig_test.go
+++ b/internal/services/leader/rig_test.go
@@ -47,8 +47,10 @@
 	// decode decodes the entries of the executors.
 	decode config.DecodeExecutor
 	queues []queue.Queue
-	meter  *meter.Meter
-	nodes  []*rigNode
+	// evacuateWithin is the limit of the time for which a request to evacuate a domain may be without effect.
+	evacuateWithin time.Duration
+	meter          *meter.Meter
+	nodes          []*rigNode
 }
 
 // rigNode is one instance of a rig.
@@ -110,13 +112,14 @@
 	decode := func(string, []byte) (*queue.Configuration, error) {
 		return &queue.Configuration{Version: 1, Queues: r.queues}, nil
 	}
-	follower := config.New(log, decode, logger)
+	follower := config.New(log, decode, logger).WithEvacuations(decodeEvacuation)
 	n.replica = replic.New(replic.Options{Log: log, FollowsProgress: func() bool { return true }, Logger: logger})
 	n.leader = leader.New(leader.Options{
 		Log: log, Executors: r.calls, Advisor: r.advisor, Replica: n.replica, Config: follower, Decode: r.decode,
-		Params:       params,
-		HoldsLease:   r.wrapLease(func(now tick.Time) bool { return n.elector.IsLeader(now) }),
-		IsSoleLeader: func(now tick.Time) bool { return n.elector.IsSoleLeader(now) }, Meter: r.meter, Logger: logger,
+		Params:         params,
+		HoldsLease:     r.wrapLease(func(now tick.Time) bool { return n.elector.IsLeader(now) }),
+		IsSoleLeader:   func(now tick.Time) bool { return n.elector.IsSoleLeader(now) },
+		EvacuateWithin: r.evacuateWithin, Meter: r.meter, Logger: logger,
 	})
 	n.elector = elect.New(elect.Options{
 		Log: log, Instance: name, Address: name, MaxExecutorLease: params.LongestLease(),
@@ -181,12 +184,16 @@
 	orders.Executors
 	mu      sync.Mutex
 	started map[string]int
+	// startedOn counts the start orders that have reached each executor.
+	startedOn map[string]int
 	// checkpoints are those of the start orders of each job.
 	checkpoints map[string][]string
 	// silent are the executors that do not respond, refusing those that refuse holds.
 	silent, refusing map[string]bool
 	// address is the address under which an executor can be reached; the others respond as another incarnation.
 	address map[string]string
+	// sendDelay is how long a start order waits before it is sent, as it does for a connection.
+	sendDelay time.Duration
 	// lostStarts is the number of start orders that are lost on the way.
 	lostStarts int
 	// lostResponses is the number of start orders that are carried out without a response.
@@ -199,9 +206,9 @@
 
 func newCalls(f *memex.Fleet) *calls {
 	return &calls{
-		Executors: f, started: map[string]int{}, stopped: map[string]int{}, checkpoints: map[string][]string{},
-		silent:   map[string]bool{},
-		refusing: map[string]bool{}, address: map[string]string{}, editLists: func(string, *orders.Lists) {},
+		Executors: f, started: map[string]int{}, startedOn: map[string]int{}, stopped: map[string]int{},
+		checkpoints: map[string][]string{}, silent: map[string]bool{}, refusing: map[string]bool{},
+		address: map[string]string{}, editLists: func(string, *orders.Lists) {},
 	}
 }
 
@@ -260,6 +267,13 @@
 
 // Start implements orders.Executors.
 func (c *calls) Start(ctx context.Context, t orders.Target, o orders.Start) orders.Reply {
+	var sendDelay time.Duration
+	c.edit(func() { sendDelay = c.sendDelay })
+	tick.Pause(ctx, sendDelay)
+	if o.MaySend != nil && !o.MaySend() {
+		return orders.Reply{Outcome: orders.NotSent}
+	}
+	c.edit(func() { c.startedOn[t.ID]++ })
 	if r, isFailed := c.failure(ctx, t); isFailed {
 		return r
 	}
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -170,7 +170,7 @@
 // carried out by the executor's present incarnation.
 func (c *Cell) applyReply(now tick.Time, x *executor, address string, reply orders.Reply) bool {
 	switch {
-	case reply.Outcome == orders.NoResponse, reply.Outcome == orders.NotSent:
+	case reply.Outcome == orders.NoResponse, reply.Outcome == orders.NotSent, reply.Outcome == orders.Withheld:
 		return false
 	case reply.Outcome == orders.Fenced:
 		c.isFenced = true
@@ -253,6 +253,9 @@
 		r.task.step.job.hasStarted = true
 	}
 	if row.Checkpoint != "" {
+		if row.Checkpoint != r.checkpoint {
+			r.checkpointAt = now
+		}
 		r.checkpoint = row.Checkpoint
 	}
 	if r.firstListedAt == 0 || row.Percent != r.percent {
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -30,6 +30,8 @@
 	WaitNoRoom       WaitCause = "no-room"
 	WaitAntiAffinity WaitCause = "anti-affinity"
 	WaitUnreached    WaitCause = "unreached"
+	WaitEvacuated    WaitCause = "evacuated"
+	WaitCold         WaitCause = "cold"
 	WaitOrphans      WaitCause = "orphaned-runs"
 	WaitQuarantine   WaitCause = "quarantined"
 	WaitSuspect      WaitCause = "suspect"
@@ -50,7 +52,7 @@
 }
 
 // hardCauses are the causes for which an executor cannot take a task.
-var hardCauses = []WaitCause{WaitNoLabel, WaitNoRoom, WaitAntiAffinity, WaitUnreached}
+var hardCauses = []WaitCause{WaitNoLabel, WaitNoRoom, WaitAntiAffinity, WaitUnreached, WaitEvacuated, WaitCold}
 
 const (
 	// waitReportDelay is how long a task may have no run before the cause is reported.
@@ -214,10 +216,14 @@
 		return WaitNoLabel
 	case !x.free().covers(need), !x.hasBestEffortCPU(s):
 		return WaitNoRoom
+	case x.isColdFull():
+		return WaitCold
 	case !x.allows(s, need):
 		return WaitAntiAffinity
 	case !x.isRostered || !x.hasResponded || !x.hasClock || x.isUnresponsive:
 		return WaitUnreached
+	case x.isEvacuated:
+		return WaitEvacuated
 	case len(x.orphaned) > 0:
 		return WaitOrphans
 	case !x.isUsable(p.now):
