Open the store's circuit breaker with any unanswered call and admit no probe

While the store reset connections for some seconds, the circuit breaker of each instance admitted one submission in 250 ms as its probe. An instance gets less than one request a second, so that nearly every submission was sent, reset and answered with 504.

A call that breaks opens the circuit, a call that times out opens it if nothing was answered for 0.7 s, and the first answer to any call closes it. While it is open, a submission is refused with a known outcome. The leader's circuit breaker has its probe in the service of the intake. After a failed read, the replica reads without waiting for records, so that the circuit closes soon after the outage.

--- a/internal/services/group/group.go
+++ b/internal/services/group/group.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	c := group.New(group.Options{Log: log, Topic: logs.Intake, Part: part, LastStoreResponseAt: lastResponseAt})
+//	c := group.New(group.Options{Log: log, Topic: logs.Intake, Part: part, ReportSilence: log.ReportSilence, ...})
 //	go c.Serve(ctx)
 //	err := c.Append(ctx, record)
 package group
@@ -48,6 +48,8 @@
 	Part  logs.Part
 	// LastStoreResponseAt returns when the store last responded to any call of this instance.
 	LastStoreResponseAt func() tick.Time
+	// ReportSilence is called if the store has not responded to any call since the given time.
+	ReportSilence func(since tick.Time)
 }
 
 // Committer groups the appends of one instance.
@@ -153,6 +155,7 @@
 		case <-check.C:
 			waited := tick.Now().Sub(started)
 			if waited > noResponseTimeout && c.opts.LastStoreResponseAt().Before(started) {
+				c.opts.ReportSilence(started)
 				return fault.New(fault.CodeUnavailable, fault.Unknown, "the store answers nothing").WithRetry(retryAfter)
 			}
 			if attempts < maxAttempts && waited > c.retryDelay()*time.Duration(attempts) {
--- a/internal/services/group/group_test.go
+++ b/internal/services/group/group_test.go
@@ -30,7 +30,9 @@
 		defer tick.SetSource(func() tick.Time { return tick.Time(time.Now().UnixNano()) })()
 		s := setup{log: memlog.New(rand.New(rand.NewPCG(3, 4)))}
 		s.view = s.log.View()
-		s.committer = group.New(group.Options{Log: s.view, Topic: logs.Intake, LastStoreResponseAt: s.view.LastResponseAt})
+		s.committer = group.New(group.Options{
+			Log: s.view, Topic: logs.Intake, LastStoreResponseAt: s.view.LastResponseAt, ReportSilence: func(tick.Time) {},
+		})
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
--- a/internal/services/intake/intake.go
+++ b/internal/services/intake/intake.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
@@ -36,8 +37,10 @@
 	// forwardTimeout is long enough for the leader to make its own attempt to append.
 	forwardTimeout = 900 * time.Millisecond
 	queryTimeout   = 500 * time.Millisecond
-	// probeInterval is the interval between calls to a dependency that does not respond.
-	probeInterval = 250 * time.Millisecond
+	// probeInterval is the interval between calls to a leader that does not respond. The leader serves them without
+	// calls of its own, so that silence for minLeaderSilence shows that it is not reachable.
+	probeInterval    = 250 * time.Millisecond
+	minLeaderSilence = 200 * time.Millisecond
 	// retryAfter is the delay after which a caller may repeat a failed request.
 	retryAfter = time.Second
 	// freshnessMargin is subtracted from Options.VisibleWithin to get the age up to which the replica counts as fresh.
@@ -52,9 +55,9 @@
 	Elector     *elect.Elector
 	Leader      *leader.Leader
 	Replica     *replic.Replica
-	// LastStoreResponseAt returns when the store last responded to any call of this instance.
-	LastStoreResponseAt func() tick.Time
-	Client              *http.Client
+	// StoreCircuit is the circuit breaker of the store, which all calls of this instance to the store keep up to date.
+	StoreCircuit *circ.Circuit
+	Client       *http.Client
 	// VisibleWithin is the time within which an accepted job must be known to every instance.
 	VisibleWithin time.Duration
 	Logger        zerolog.Logger
@@ -62,14 +65,41 @@
 
 // Intake serves callers on one instance.
 type Intake struct {
-	opts Options
-	// storeCircuit and leaderCircuit are the circuit breakers for calls to the store and to the leader.
-	storeCircuit, leaderCircuit *circ.Circuit
+	opts          Options
+	leaderCircuit *circ.Circuit
 }
 
-// New returns an Intake.
-func New(o Options) *Intake {
-	return &Intake{opts: o, storeCircuit: circ.New(probeInterval), leaderCircuit: circ.New(probeInterval)}
+// New returns an Intake. Serve must run for it to use a leader again that did not respond.
+func New(o Options) *Intake { return &Intake{opts: o, leaderCircuit: circ.New(minLeaderSilence)} }
+
+// String names the service in logs.
+func (i *Intake) String() string { return "intake" }
+
+// Serve calls a leader that does not respond until it responds again, so that no request of a caller is the probe.
+func (i *Intake) Serve(ctx context.Context) error {
+	for {
+		tick.Pause(ctx, probeInterval)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if i.leaderCircuit.IsOpen() {
+			i.probeLeader(ctx)
+		}
+	}
+}
+
+// probeLeader calls the leader, whose response closes the circuit. If this instance leads or no leader is known, there
+// is no leader to call, and the circuit is closed for the next one.
+func (i *Intake) probeLeader(ctx context.Context) {
+	address, ok := i.leaderAddress()
+	if !ok {
+		i.leaderCircuit.RecordResponse(tick.Now())
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	_, err := i.clientFor(address).CountWaiting(ctx, &jobpb.CountWaitingRequest{})
+	_ = i.recordLeaderResult(ctx, err)
 }
 
 // Accept records a job. An error marked as not run means that the job will never run.
@@ -142,19 +172,13 @@
 	return fault.Unknown
 }
 
-// append appends a record from this instance. It fails fast while the circuit is open, that is after an append during
-// which the store did not respond to any call.
+// append appends a record from this instance. It fails at once while the circuit of the store is open: a submission is
+// never the probe, because its outcome would be unknown.
 func (i *Intake) append(ctx context.Context, rec logs.Record) error {
-	started := tick.Now()
-	i.storeCircuit.RecordResponse(i.opts.LastStoreResponseAt())
-	if !i.storeCircuit.Allows(started) {
+	if i.opts.StoreCircuit.IsOpen() {
 		return fault.New(fault.CodeUnavailable, fault.NotRun, "the store does not answer")
 	}
-	err := i.opts.Committer.Append(ctx, rec)
-	if err != nil && !fault.IsErrNotRun(err) && i.opts.LastStoreResponseAt().Before(started) {
-		i.storeCircuit.RecordNoResponse(tick.Now())
-	}
-	return err
+	return i.opts.Committer.Append(ctx, rec)
 }
 
 // forward sends a record to the leader, which appends it.
@@ -166,7 +190,7 @@
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
 	_, err := client.Record(ctx, &jobpb.RecordRequest{Cell: uint32(i.opts.Part), Key: rec.Key, Intake: rec.Value})
-	if err = i.recordLeaderResult(err); err != nil {
+	if err = i.recordLeaderResult(ctx, err); err != nil {
 		return err
 	}
 	i.opts.Logger.Info().Str("key", rec.Key).Msg("intake-forwarded")
@@ -176,23 +200,35 @@
 // leaderClient returns a client for the leader. It returns false if no leader is known, if this instance is the leader,
 // or while the circuit is open.
 func (i *Intake) leaderClient() (jobpb.Jobs, bool) {
-	address, ok := i.opts.Elector.LeaderAddress()
-	if !ok || address == i.opts.SelfAddress || !i.leaderCircuit.Allows(tick.Now()) {
+	address, ok := i.leaderAddress()
+	if !ok || i.leaderCircuit.IsOpen() {
 		return nil, false
 	}
-	return jobpb.NewJobsProtobufClient("http://"+address, i.opts.Client), true
+	return i.clientFor(address), true
+}
+
+// leaderAddress returns the address of the leader if that is another instance.
+func (i *Intake) leaderAddress() (string, bool) {
+	address, ok := i.opts.Elector.LeaderAddress()
+	return address, ok && address != i.opts.SelfAddress
 }
 
-// recordLeaderResult updates the circuit after a call to the leader and translates the error of the call.
-func (i *Intake) recordLeaderResult(err error) error {
+func (i *Intake) clientFor(address string) jobpb.Jobs {
+	return jobpb.NewJobsProtobufClient("http://"+address, i.opts.Client)
+}
+
+// recordLeaderResult updates the circuit after a call to the leader and translates the error of the call. A call that
+// the caller of this instance gave up says nothing about the leader.
+func (i *Intake) recordLeaderResult(ctx context.Context, err error) error {
 	if err == nil {
 		i.leaderCircuit.RecordResponse(tick.Now())
 		return nil
 	}
 	fe := translateLeaderError(err)
-	if fe.Code == fault.CodeNoOwner || fe.Code == fault.CodeUnavailable {
+	switch {
+	case fe.Code == fault.CodeUnavailable:
 		i.leaderCircuit.RecordResponse(tick.Now())
-	} else {
+	case !errors.Is(ctx.Err(), context.Canceled):
 		i.leaderCircuit.RecordNoResponse(tick.Now())
 	}
 	return fe.WithRetry(retryAfter)
@@ -243,7 +279,7 @@
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	res, err := client.Show(ctx, &jobpb.ShowRequest{Job: id})
-	if err = i.recordLeaderResult(err); err != nil {
+	if err = i.recordLeaderResult(ctx, err); err != nil {
 		return jobpb.State_STATE_UNKNOWN, false, err
 	}
 	return res.State, res.Known, nil
@@ -274,7 +310,7 @@
 		ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 		defer cancel()
 		res, err := client.CountWaiting(ctx, &jobpb.CountWaitingRequest{Queue: string(q)})
-		if err = i.recordLeaderResult(err); err == nil {
+		if err = i.recordLeaderResult(ctx, err); err == nil {
 			return int(res.Waiting), nil
 		}
 		i.opts.Logger.Warn().Err(err).Str("queue", string(q)).Msg("leader-unreachable")
--- a/internal/services/leader/system_test.go
+++ b/internal/services/leader/system_test.go
@@ -19,12 +19,14 @@
 	"github.com/ibischute/ibischute/internal/services/config"
 	"github.com/ibischute/ibischute/internal/services/elect"
 	"github.com/ibischute/ibischute/internal/services/group"
+	"github.com/ibischute/ibischute/internal/services/health"
 	"github.com/ibischute/ibischute/internal/services/intake"
 	"github.com/ibischute/ibischute/internal/services/leader"
 	"github.com/ibischute/ibischute/internal/services/replic"
 	"github.com/ibischute/ibischute/internal/stand/memex"
 	"github.com/ibischute/ibischute/internal/stand/memlog"
 	"github.com/ibischute/ibischute/internal/state/cell"
+	"github.com/ibischute/ibischute/internal/state/circ"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -119,28 +121,30 @@
 func (s *system) start(name string) *instance {
 	n := &instance{name: name, view: s.log.View(), ended: make(chan struct{})}
 	logger := zerolog.Nop()
-	follower := config.New(n.view, decodeConfig, logger)
+	log := health.New(n.view, circ.New(health.MinSilence), logger)
+	follower := config.New(log, decodeConfig, logger)
 	replica := replic.New(replic.Options{
-		Log: n.view, FollowsProgress: func() bool { return n.elector.IsAsCapable() }, Logger: logger,
+		Log: log, FollowsProgress: func() bool { return n.elector.IsAsCapable() }, Logger: logger,
 	})
 	n.leader = leader.New(leader.Options{
-		Log: n.view, Executors: s.fleet, Replica: replica, Config: follower, Decode: decodeExecutor, Params: params,
+		Log: log, Executors: s.fleet, Replica: replica, Config: follower, Decode: decodeExecutor, Params: params,
 		HoldsLease:   func(now tick.Time) bool { return n.elector.IsLeader(now) },
 		IsSoleLeader: func(now tick.Time) bool { return n.elector.IsSoleLeader(now) }, Meter: s.meter, Logger: logger,
 	})
 	n.elector = elect.New(elect.Options{
-		Log: n.view, Instance: name, Address: name, MaxExecutorLease: params.LongestLease(),
+		Log: log, Instance: name, Address: name, MaxExecutorLease: params.LongestLease(),
 		IsEligible: func() bool {
 			_, ok := follower.Current()
 			return ok
 		},
 		RunTerm: n.leader.Run, Logger: logger,
 	})
-	committer := group.New(group.Options{Log: n.view, Topic: logs.Intake, LastStoreResponseAt: n.view.LastResponseAt})
+	committer := group.New(group.Options{
+		Log: log, Topic: logs.Intake, LastStoreResponseAt: log.Circuit().LastResponseAt, ReportSilence: log.ReportSilence,
+	})
 	n.intake = intake.New(intake.Options{
 		Committer: committer, SelfAddress: name, Elector: n.elector, Leader: n.leader, Replica: replica,
-		LastStoreResponseAt: n.view.LastResponseAt,
-		Client:              &http.Client{Transport: s}, VisibleWithin: 3 * time.Second, Logger: logger,
+		StoreCircuit: log.Circuit(), Client: &http.Client{Transport: s}, VisibleWithin: 3 * time.Second, Logger: logger,
 	})
 	s.peers[name] = jobpb.NewJobsServer(intake.NewPeerServer(n.intake))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -148,8 +152,11 @@
 		delete(s.peers, name)
 		cancel()
 	}
-	done := make(chan struct{}, 4)
-	for _, serve := range []func(context.Context) error{follower.Serve, replica.Serve, n.elector.Serve, committer.Serve} {
+	services := []func(context.Context) error{
+		follower.Serve, replica.Serve, n.elector.Serve, committer.Serve, n.intake.Serve,
+	}
+	done := make(chan struct{}, len(services))
+	for _, serve := range services {
 		go func() {
 			_ = serve(ctx)
 			done <- struct{}{}
--- a/internal/services/replic/replic.go
+++ b/internal/services/replic/replic.go
@@ -119,12 +119,19 @@
 
 // Serve reads the topics until the context ends.
 func (r *Replica) Serve(ctx context.Context) error {
+	hasFailed := false
 	for ctx.Err() == nil {
 		wait, pause := time.Duration(0), followInterval
 		if r.observer() != nil {
 			wait, pause = leaderWait, 0
 		}
-		if err := r.read(ctx, wait); err != nil && ctx.Err() == nil {
+		if hasFailed {
+			// The first response after an outage closes the circuit breaker of the store, so it must not wait for records.
+			wait = 0
+		}
+		err := r.read(ctx, wait)
+		hasFailed = err != nil
+		if hasFailed && ctx.Err() == nil {
 			r.opts.Logger.Warn().Err(err).Msg("replica-read-failed")
 			pause = retryDelay
 		}
--- a/internal/stand/memlog/memlog.go
+++ b/internal/stand/memlog/memlog.go
@@ -31,6 +31,9 @@
 type Faults struct {
 	// Down makes every call fail without effect.
 	Down bool
+	// Broken makes every call, also those that wait for records, end without effect and without a response, as if the
+	// connections were reset.
+	Broken bool
 	// Unresponsive makes every call hang without effect until its context ends.
 	Unresponsive bool
 	// LoseAnswers is the share of appends that take effect but get no response.
@@ -123,6 +126,9 @@
 		return f, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "no answer")
 	}
 	tick.Pause(ctx, minLatency*time.Duration(max(1, f.LatencyFactor)))
+	if f.Broken {
+		return f, errBroken()
+	}
 	if ctx.Err() != nil {
 		return f, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "no answer in time")
 	}
@@ -135,6 +141,16 @@
 	return f, nil
 }
 
+func errBroken() error {
+	return fault.New(fault.CodeUnknownOutcome, fault.Unknown, "the connection was reset")
+}
+
+func (v *View) isBroken() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.faults.Broken
+}
+
 func (l *Log) part(t logs.Topic, p logs.Part) *partition {
 	k := partitionKey{t, p}
 	if l.parts[k] == nil {
@@ -241,6 +257,9 @@
 		if ctx.Err() != nil {
 			return logs.Page{}, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "no answer in time")
 		}
+		if v.isBroken() {
+			return logs.Page{}, errBroken()
+		}
 	}
 }
 
--- a/internal/state/circ/circ.go
+++ b/internal/state/circ/circ.go
@@ -1,14 +1,15 @@
 // Package circ implements a circuit breaker for calls to a dependency.
 //
-// A circuit opens when a call gets no response and closes at the next response. While it is open, one probe call per
-// interval is allowed.
+// A circuit opens when a call gets no response and closes at the next response to any call. It admits no probe calls of
+// its own: the caller needs other calls, such as periodic reads, whose responses close the circuit.
 //
 // # Usage
 //
-//	c := circ.New(200 * time.Millisecond)
-//	if !c.Allows(now) { /* reject the call */ }
-//	c.RecordNoResponse(now)
-//	c.RecordResponse(now)
+//	c := circ.New(700 * time.Millisecond)
+//	c.RecordNoResponse(now)      // a call broke
+//	c.RecordSilence(since, now)  // a call timed out
+//	c.RecordResponse(now)        // a call got a response
+//	if c.IsOpen() { /* reject the call */ }
 package circ
 
 import (
@@ -20,56 +21,97 @@
 
 // Circuit is the circuit breaker of one dependency. It is safe for concurrent use.
 type Circuit struct {
-	interval time.Duration
+	minSilence time.Duration
 
-	mu sync.Mutex
-	// openSince is the time of the first call without a response; 0 while the circuit is closed.
-	openSince tick.Time
-	// probedAt is the time of the last probe call or failure.
-	probedAt tick.Time
+	mu     sync.Mutex
+	isOpen bool
+	// downSince is the time of the first call that was not served since the last served one; 0 if there is none.
+	downSince tick.Time
+	// lastResponseAt is the time of the last response.
+	lastResponseAt tick.Time
 }
 
-// New returns a closed Circuit that allows one probe call per interval while it is open.
-func New(interval time.Duration) *Circuit { return &Circuit{interval: interval} }
+// New returns a closed Circuit. A call that times out opens it only if the dependency was silent for minSilence, so
+// that calls with short deadlines of their own do not open it.
+func New(minSilence time.Duration) *Circuit { return &Circuit{minSilence: minSilence} }
 
-// Allows reports whether a call may be made now. While the circuit is open, an allowed call counts as the probe of the
-// interval.
-func (c *Circuit) Allows(now tick.Time) bool {
+// IsOpen reports whether a call got no response and no response to any call has arrived since.
+func (c *Circuit) IsOpen() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.openSince == 0 {
-		return true
-	}
-	if now.Sub(c.probedAt) < c.interval {
-		return false
+	return c.isOpen
+}
+
+// DownFor returns the time since the first call that was not served, 0 if the last call was served.
+func (c *Circuit) DownFor(now tick.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.downSince == 0 {
+		return 0
 	}
-	c.probedAt = now
-	return true
+	return max(0, now.Sub(c.downSince))
 }
 
-// IsOpen reports whether calls have failed since the last response.
-func (c *Circuit) IsOpen() bool {
+// LastResponseAt returns the time of the last response to any call.
+func (c *Circuit) LastResponseAt() tick.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastResponseAt
+}
+
+// RecordNoResponse records a call that broke at the given time, for example because its connection was reset. It
+// reports whether this opened the circuit.
+func (c *Circuit) RecordNoResponse(now tick.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.openSince != 0
+	return c.open(now)
 }
 
-// RecordNoResponse records a call without a response.
-func (c *Circuit) RecordNoResponse(now tick.Time) {
+// RecordSilence records a call whose response was due since the given time and had not arrived when the call was given
+// up. It opens the circuit unless the silence was too short or another call got a response meanwhile: then the
+// dependency is reachable, and this call was lost or is slow. It reports whether this opened the circuit.
+func (c *Circuit) RecordSilence(since, now tick.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.openSince == 0 {
-		c.openSince = now
+	if now.Sub(since) < c.minSilence || !c.lastResponseAt.Before(since) {
+		return false
+	}
+	return c.open(now)
+}
+
+// open opens the circuit and reports whether it was closed. The caller must hold the mutex.
+func (c *Circuit) open(now tick.Time) bool {
+	if c.downSince == 0 {
+		c.downSince = now
 	}
-	c.probedAt = now
+	wasOpen := c.isOpen
+	c.isOpen = true
+	return !wasOpen
 }
 
-// RecordResponse records a response that was received at the given time. A response from before the circuit opened does
-// not close it.
-func (c *Circuit) RecordResponse(at tick.Time) {
+// RecordResponse records a response of a dependency that serves calls. It reports whether this closed the circuit.
+func (c *Circuit) RecordResponse(now tick.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if at >= c.openSince {
-		c.openSince = 0
+	c.downSince = 0
+	return c.close(now)
+}
+
+// RecordRefusal records a response of a dependency that refuses calls. The dependency is reachable, so the circuit
+// closes, but it counts as down. It reports whether this closed the circuit.
+func (c *Circuit) RecordRefusal(now tick.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.downSince == 0 {
+		c.downSince = now
 	}
+	return c.close(now)
+}
+
+// close closes the circuit and reports whether it was open. The caller must hold the mutex.
+func (c *Circuit) close(now tick.Time) bool {
+	wasOpen := c.isOpen
+	c.isOpen = false
+	c.lastResponseAt = max(c.lastResponseAt, now)
+	return wasOpen
 }
--- a/internal/state/circ/circ_test.go
+++ b/internal/state/circ/circ_test.go
@@ -9,17 +9,44 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-func TestCircuit(t *testing.T) {
+const minSilence = 700 * time.Millisecond
+
+func TestOpensWithFirstBrokenCallAndClosesWithFirstResponse(t *testing.T) {
+	now := tick.Time(time.Hour)
+	c := New(minSilence)
+	assert.Assert(t, !c.IsOpen())
+	assert.Assert(t, c.RecordNoResponse(now))
+	assert.Assert(t, !c.RecordNoResponse(now.Add(time.Second)), "the circuit was open")
+	assert.Assert(t, c.IsOpen(), "an open circuit admits no probe, however long it is open")
+	assert.Equal(t, c.DownFor(now.Add(2*time.Second)), 2*time.Second)
+	assert.Assert(t, c.RecordResponse(now.Add(3*time.Second)))
+	assert.Assert(t, !c.IsOpen())
+	assert.Equal(t, c.DownFor(now.Add(4*time.Second)), time.Duration(0))
+}
+
+// TestRefusalClosesButCountsAsDown guards against a short Retry-After during a long outage in which the store refuses
+// every call.
+func TestRefusalClosesButCountsAsDown(t *testing.T) {
 	now := tick.Time(time.Hour)
-	c := New(200 * time.Millisecond)
-	assert.Assert(t, c.Allows(now))
+	c := New(minSilence)
 	c.RecordNoResponse(now)
-	assert.Assert(t, !c.Allows(now.Add(100*time.Millisecond)))
-	assert.Assert(t, c.Allows(now.Add(200*time.Millisecond)), "one probe call per interval is allowed")
-	assert.Assert(t, !c.Allows(now.Add(250*time.Millisecond)))
-	c.RecordResponse(now.Add(-time.Second))
-	assert.Assert(t, c.IsOpen(), "a response from before the circuit opened does not close it")
-	c.RecordResponse(now.Add(300 * time.Millisecond))
-	assert.Assert(t, c.Allows(now.Add(310*time.Millisecond)))
+	assert.Assert(t, c.RecordRefusal(now.Add(time.Second)))
+	assert.Assert(t, !c.IsOpen())
+	assert.Equal(t, c.DownFor(now.Add(5*time.Second)), 5*time.Second)
+	c.RecordResponse(now.Add(5 * time.Second))
+	c.RecordRefusal(now.Add(6 * time.Second))
+	assert.Equal(t, c.DownFor(now.Add(7*time.Second)), time.Second)
+}
+
+// TestSilence guards against a circuit that opens because a single answer was lost, the store is slow, or a caller
+// stated a short deadline, while other calls are answered.
+func TestSilence(t *testing.T) {
+	now := tick.Time(time.Hour)
+	c := New(minSilence)
+	c.RecordResponse(now)
+	assert.Assert(t, !c.RecordSilence(now.Add(-time.Second), now.Add(time.Second)), "another call was answered")
+	assert.Assert(t, !c.RecordSilence(now.Add(time.Millisecond), now.Add(500*time.Millisecond)), "too short")
 	assert.Assert(t, !c.IsOpen())
+	assert.Assert(t, c.RecordSilence(now.Add(time.Millisecond), now.Add(time.Second)))
+	assert.Assert(t, c.IsOpen())
 }
