Repeat appends with an unknown outcome up to the caller's deadline, and spread Retry-After

A submission or cancel whose append was reset got 504 at once, although the record is idempotent and the store often answers again before the caller's deadline. The outcome stays unknown when later appends are refused, because the lost one may be carried out seconds later.

TestLostAppendIsRepeatedUntilStoreAnswers, TestCancelIsRepeatedUntilStoreAnswers and TestRefusedAppendsAreKnown failed before the change; TestLostAppendStaysUnknown guards what held before.

--- a/internal/services/intake/intake.go
+++ b/internal/services/intake/intake.go
@@ -1,8 +1,10 @@
 // Package intake handles job submissions, cancellations and status queries of callers on any instance.
 //
 // A job is accepted once a record of it is in the log. Any instance may append that record, and appending it again is
-// harmless. An instance whose appends the store rejects forwards the record to the leader. Queries go to the leader; if
-// it is not reachable, they are answered from the local replica.
+// harmless. An instance whose appends the store rejects forwards the record to the leader. While the store responds to
+// no call, a submission is refused at once; one whose append got no response is repeated until the store responds or
+// the caller's deadline has come. Queries go to the leader; if it is not reachable, they are answered from the local
+// replica.
 //
 // # Usage
 //
@@ -14,6 +16,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,6 +25,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/modules/meter"
 	"github.com/ibischute/ibischute/internal/services/elect"
 	"github.com/ibischute/ibischute/internal/services/group"
 	"github.com/ibischute/ibischute/internal/services/leader"
@@ -34,15 +38,13 @@
 )
 
 const (
-	// forwardTimeout is long enough for the leader to make its own attempt to append.
-	forwardTimeout = 900 * time.Millisecond
-	queryTimeout   = 500 * time.Millisecond
+	queryTimeout = 500 * time.Millisecond
 	// probeInterval is the interval between calls to a leader that does not respond. The leader serves them without
-	// calls of its own, so that silence for minLeaderSilence shows that it is not reachable.
+	// calls of its own, so that silence for minLeaderSilence, less than queryTimeout, shows that it is not reachable.
 	probeInterval    = 250 * time.Millisecond
-	minLeaderSilence = 200 * time.Millisecond
-	// retryAfter is the delay after which a caller may repeat a failed request.
-	retryAfter = time.Second
+	minLeaderSilence = 400 * time.Millisecond
+	// queryRetryAfter is the delay after which a caller may repeat a failed query.
+	queryRetryAfter = time.Second
 	// freshnessMargin is subtracted from Options.VisibleWithin to get the age up to which the replica counts as fresh.
 	freshnessMargin = 500 * time.Millisecond
 )
@@ -60,6 +62,7 @@
 	Client       *http.Client
 	// VisibleWithin is the time within which an accepted job must be known to every instance.
 	VisibleWithin time.Duration
+	Meter         *meter.Meter
 	Logger        zerolog.Logger
 }
 
@@ -67,6 +70,8 @@
 type Intake struct {
 	opts          Options
 	leaderCircuit *circ.Circuit
+	// repeating is the number of records whose appending is being repeated.
+	repeating atomic.Int64
 }
 
 // New returns an Intake. Serve must run for it to use a leader again that did not respond.
@@ -85,6 +90,7 @@
 		if i.leaderCircuit.IsOpen() {
 			i.probeLeader(ctx)
 		}
+		i.setGauges(tick.Now())
 	}
 }
 
@@ -98,8 +104,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
+	started := tick.Now()
 	_, err := i.clientFor(address).CountWaiting(ctx, &jobpb.CountWaitingRequest{})
-	_ = i.recordLeaderResult(ctx, err)
+	_ = i.recordLeaderResult(ctx, started, err)
 }
 
 // Accept records a job. An error marked as not run means that the job will never run.
@@ -112,7 +119,10 @@
 	if err != nil {
 		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode job")
 	}
-	return i.storeAndApply(ctx, logs.Record{Key: book.JobKey(j.Id), Value: v})
+	return i.storeAndApply(ctx, logs.Record{Key: book.JobKey(j.Id), Value: v}, func() bool {
+		_, isKnown := i.opts.Replica.Job(j.Id)
+		return isKnown
+	})
 }
 
 // Cancel records the cancellation of a job, whether or not the job is known to this instance.
@@ -121,80 +131,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode cancel")
 	}
-	return i.storeAndApply(ctx, logs.Record{Key: book.CancelKey(id), Value: v})
-}
-
-// storeAndApply stores a record and applies it to the local replica.
-func (i *Intake) storeAndApply(ctx context.Context, rec logs.Record) error {
-	if err := i.appendOrForward(ctx, rec); err != nil {
-		return err
-	}
-	i.opts.Replica.Add(rec)
-	return nil
-}
-
-// appendOrForward appends a record, or forwards it to the leader if that fails. If no call could be made, it returns at
-// once with an error marked as not run.
-func (i *Intake) appendOrForward(ctx context.Context, rec logs.Record) error {
-	err := i.append(ctx, rec)
-	if err == nil {
-		return nil
-	}
-	ran := ranOf(err)
-	if ctx.Err() != nil {
-		return storeError(err, ran)
-	}
-	if err = i.forward(ctx, rec); err == nil {
-		return nil
-	}
-	ran = mergeRan(ran, err)
-	i.opts.Logger.Warn().Err(err).Str("key", rec.Key).Str("ran", string(ran)).Msg("intake-store-failed")
-	return storeError(err, ran)
-}
-
-// storeError returns the error for a record that was not stored or whose outcome is unknown.
-func storeError(err error, ran fault.Ran) error {
-	code := fault.CodeUnavailable
-	if ran != fault.NotRun {
-		code = fault.CodeUnknownOutcome
-	}
-	return fault.Wrap(err, code, ran, "the record was not stored").WithRetry(retryAfter)
-}
-
-func ranOf(err error) fault.Ran { return mergeRan(fault.NotRun, err) }
-
-// mergeRan combines the outcome of the attempts so far with that of a further failed one: the record is known not to be
-// stored only if that holds for every attempt.
-func mergeRan(ran fault.Ran, err error) fault.Ran {
-	if fault.IsErrNotRun(err) {
-		return ran
-	}
-	return fault.Unknown
-}
-
-// append appends a record from this instance. It fails at once while the circuit of the store is open: a submission is
-// never the probe, because its outcome would be unknown.
-func (i *Intake) append(ctx context.Context, rec logs.Record) error {
-	if i.opts.StoreCircuit.IsOpen() {
-		return fault.New(fault.CodeUnavailable, fault.NotRun, "the store does not answer")
-	}
-	return i.opts.Committer.Append(ctx, rec)
-}
-
-// forward sends a record to the leader, which appends it.
-func (i *Intake) forward(ctx context.Context, rec logs.Record) error {
-	client, ok := i.leaderClient()
-	if !ok {
-		return fault.New(fault.CodeNoOwner, fault.NotRun, "no other instance to append")
-	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-	defer cancel()
-	_, err := client.Record(ctx, &jobpb.RecordRequest{Cell: uint32(i.opts.Part), Key: rec.Key, Intake: rec.Value})
-	if err = i.recordLeaderResult(ctx, err); err != nil {
-		return err
-	}
-	i.opts.Logger.Info().Str("key", rec.Key).Msg("intake-forwarded")
-	return nil
+	return i.storeAndApply(ctx, logs.Record{Key: book.CancelKey(id), Value: v}, func() bool { return false })
 }
 
 // leaderClient returns a client for the leader. It returns false if no leader is known, if this instance is the leader,
@@ -218,20 +155,24 @@
 }
 
 // recordLeaderResult updates the circuit after a call to the leader and translates the error of the call. A call that
-// the caller of this instance gave up says nothing about the leader.
-func (i *Intake) recordLeaderResult(ctx context.Context, err error) error {
+// this instance or its caller gave up says nothing about the leader, nor does one that was too short.
+func (i *Intake) recordLeaderResult(ctx context.Context, started tick.Time, err error) error {
+	now := tick.Now()
 	if err == nil {
-		i.leaderCircuit.RecordResponse(tick.Now())
+		i.leaderCircuit.RecordResponse(now)
 		return nil
 	}
 	fe := translateLeaderError(err)
 	switch {
-	case fe.Code == fault.CodeUnavailable:
-		i.leaderCircuit.RecordResponse(tick.Now())
-	case !errors.Is(ctx.Err(), context.Canceled):
-		i.leaderCircuit.RecordNoResponse(tick.Now())
+	case isResponse(err):
+		i.leaderCircuit.RecordResponse(now)
+	case errors.Is(ctx.Err(), context.Canceled):
+	case ctx.Err() != nil:
+		i.leaderCircuit.RecordSilence(started, now)
+	default:
+		i.leaderCircuit.RecordNoResponse(now)
 	}
-	return fe.WithRetry(retryAfter)
+	return fe.WithRetry(queryRetryAfter)
 }
 
 // State returns the state of a job and whether the job is known.
@@ -278,8 +219,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
+	started := tick.Now()
 	res, err := client.Show(ctx, &jobpb.ShowRequest{Job: id})
-	if err = i.recordLeaderResult(ctx, err); err != nil {
+	if err = i.recordLeaderResult(ctx, started, err); err != nil {
 		return jobpb.State_STATE_UNKNOWN, false, err
 	}
 	return res.State, res.Known, nil
@@ -290,7 +232,8 @@
 func (i *Intake) Show(now tick.Time, id string) (jobpb.State, bool, error) {
 	state, known, err := i.opts.Leader.Show(now, id)
 	if err == nil && !known && !i.IsFresh(now) {
-		err = fault.New(fault.CodeUnavailable, fault.NotRun, "the intake has not been read for long").WithRetry(retryAfter)
+		err = fault.New(fault.CodeUnavailable, fault.NotRun, "the intake has not been read for long").
+			WithRetry(queryRetryAfter)
 	}
 	return state, known, err
 }
@@ -309,8 +252,9 @@
 	if client, ok := i.leaderClient(); ok {
 		ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 		defer cancel()
+		started := tick.Now()
 		res, err := client.CountWaiting(ctx, &jobpb.CountWaitingRequest{Queue: string(q)})
-		if err = i.recordLeaderResult(ctx, err); err == nil {
+		if err = i.recordLeaderResult(ctx, started, err); err == nil {
 			return int(res.Waiting), nil
 		}
 		i.opts.Logger.Warn().Err(err).Str("queue", string(q)).Msg("leader-unreachable")
--- a/internal/services/intake/peer.go
+++ b/internal/services/intake/peer.go
@@ -62,6 +62,16 @@
 	return &jobpb.YieldResponse{}, nil
 }
 
+// isResponse reports whether the error of a call to the leader is a response of an instance. That includes a response
+// that the outcome of an append is unknown.
+func isResponse(err error) bool {
+	var te twirp.Error
+	if !errors.As(err, &te) || te.Meta("http_error_from_intermediary") != "" {
+		return false
+	}
+	return te.Code() == twirp.Unavailable || te.Code() == twirp.Unknown || te.Code() == twirp.InvalidArgument
+}
+
 // translateLeaderError translates the error of a call to the leader into one that says whether the call has run.
 func translateLeaderError(err error) *fault.Error {
 	var te twirp.Error
--- a/internal/services/leader/outage_test.go
+++ b/internal/services/leader/outage_test.go
@@ -57,3 +57,79 @@
 		}
 	})
 }
+
+// TestLostAppendIsRepeatedUntilStoreAnswers guards against the answer 504 for a submission whose append was reset: its
+// caller cannot repeat it.
+func TestLostAppendIsRepeatedUntilStoreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, first := newSystemWithLeader(t)
+		results := make(chan error, len(s.instances))
+		s.setFaults(memlog.Faults{Broken: true})
+		for id, n := range s.instances {
+			go func() { results <- s.submit(n, id) }()
+		}
+		time.Sleep(2 * time.Second)
+		s.setFaults(memlog.Faults{})
+		for range s.instances {
+			assert.NilError(t, <-results)
+		}
+		time.Sleep(3 * time.Second)
+		s.checkCompleted(first, len(s.instances))
+	})
+}
+
+// TestCancelIsRepeatedUntilStoreAnswers guards against a cancel that is lost or refused differently from a submission.
+func TestCancelIsRepeatedUntilStoreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, first := newSystemWithLeader(t)
+		ctx, cancel := context.WithTimeout(t.Context(), callerPatience)
+		defer cancel()
+		result := make(chan error, 1)
+		s.setFaults(memlog.Faults{Broken: true})
+		go func() { result <- first.intake.Cancel(ctx, "5c0e7a21d94b36f8") }()
+		time.Sleep(time.Second)
+		err := first.intake.Cancel(ctx, "5c0e7a21d94b36f9")
+		assert.Assert(t, fault.IsErrNotRun(err), "%v", err)
+		s.setFaults(memlog.Faults{})
+		assert.NilError(t, <-result)
+	})
+}
+
+// TestLostAppendStaysUnknown guards against a caller that is told that its job will not run, because later appends are
+// refused or an answer of the store shows that the record is not there, while the lost append is carried out seconds
+// later.
+func TestLostAppendStaysUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, first := newSystemWithLeader(t)
+		result := make(chan error, 1)
+		s.setFaults(memlog.Faults{Broken: true, LateAppends: 5 * time.Second})
+		started := time.Now()
+		go func() { result <- s.submit(first, 0) }()
+		time.Sleep(100 * time.Millisecond)
+		s.setFaults(memlog.Faults{Down: true})
+		err := <-result
+		assert.Assert(t, err != nil && !fault.IsErrNotRun(err), "%v", err)
+		assert.Assert(t, time.Since(started) <= callerPatience, "took %v", time.Since(started))
+		s.setFaults(memlog.Faults{})
+		time.Sleep(7 * time.Second)
+		_, known := s.state(first, 0)
+		assert.Assert(t, known)
+	})
+}
+
+// TestRefusedAppendsAreKnown guards against the answer 504 while the store answers each call with 503 or 429: nothing
+// was done, so that the caller may repeat the request.
+func TestRefusedAppendsAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _ := newSystemWithLeader(t)
+		s.setFaults(memlog.Faults{Down: true})
+		longest := time.Duration(0)
+		for id := range 12 {
+			err := s.submit(s.instances[id%3], id)
+			assert.Assert(t, fault.IsErrNotRun(err), "%v", err)
+			longest = max(longest, fault.From(err).RetryAfter)
+			time.Sleep(300 * time.Millisecond)
+		}
+		assert.Equal(t, longest, 2*time.Second, "the delay grows with the time for which the store is down")
+	})
+}
--- a/internal/stand/memlog/memlog.go
+++ b/internal/stand/memlog/memlog.go
@@ -34,6 +34,8 @@
 	// Broken makes every call, also those that wait for records, end without effect and without a response, as if the
 	// connections were reset.
 	Broken bool
+	// LateAppends, if not 0, is the time after which the appends that Broken ends take effect nevertheless.
+	LateAppends time.Duration
 	// Unresponsive makes every call hang without effect until its context ends.
 	Unresponsive bool
 	// LoseAnswers is the share of appends that take effect but get no response.
@@ -169,6 +171,13 @@
 	ctx context.Context, t logs.Topic, p logs.Part, records []logs.Record, c logs.Condition,
 ) (logs.Offset, error) {
 	f, err := v.beginCall(ctx)
+	if f.Broken && f.LateAppends > 0 {
+		time.AfterFunc(f.LateAppends, func() {
+			v.log.mu.Lock()
+			defer v.log.mu.Unlock()
+			_, _ = v.log.part(t, p).append(t, records, c)
+		})
+	}
 	if err != nil {
 		return 0, err
 	}
