Append through the leader while the store is slow

35 instances each appended groups of their own to a partition that makes 16 appends a second and repeated those without a response, so that the store's queue grew beyond the callers' deadlines.

An instance whose own append takes longer than 150 ms sends the record to the leader as well, whose groups hold the records of all instances, and sends further records to the leader first. If the leader has not answered in two thirds of the time left, the instance appends the record itself. Records that no group has taken when their caller leaves are withdrawn, so that their outcome is known. An instance that is cut off from the store forwards only to a leader that has responded to its probes.

TestInstanceCutOffFromStoreAndLeader fails without the check of the leader's responses.

--- a/internal/services/group/group.go
+++ b/internal/services/group/group.go
@@ -13,9 +13,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/state/slow"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -33,6 +35,11 @@
 	// before minRetryDelay.
 	minRetryDelay    = 300 * time.Millisecond
 	retryDelayFactor = 3
+	// otherPathRetryDelay replaces minRetryDelay if there is another path. It leaves time for one further attempt within
+	// groupTimeout.
+	otherPathRetryDelay = groupTimeout / 2
+	// slowAppend is the duration of an append above which the store counts as slow.
+	slowAppend = 150 * time.Millisecond
 	// noResponseTimeout is how long a group waits if the store does not respond to any call of this instance.
 	noResponseTimeout = 700 * time.Millisecond
 	checkInterval     = 100 * time.Millisecond
@@ -48,6 +55,11 @@
 	Part  logs.Part
 	// LastStoreResponseAt returns when the store last responded to any call of this instance.
 	LastStoreResponseAt func() tick.Time
+	// HasOtherPath reports whether the callers can have their records appended by another instance. Then an append without
+	// a response is sent again much later, because repeats from many instances keep a slow store busy.
+	HasOtherPath func() bool
+	// Spread is in [0, 1) and differs between instances; see slow.New.
+	Spread float64
 	// ReportSilence is called if the store has not responded to any call since the given time.
 	ReportSilence func(since tick.Time)
 }
@@ -55,7 +67,9 @@
 // Committer groups the appends of one instance.
 type Committer struct {
 	opts    Options
-	pending chan entry
+	pending chan *entry
+	// speed observes the groups.
+	speed *slow.Detector
 	// meanLatency is the moving average of the append latency. Only Serve uses it.
 	meanLatency time.Duration
 }
@@ -63,18 +77,28 @@
 type entry struct {
 	record logs.Record
 	result chan error
+	// isTaken is set by whoever comes first: the group that appends the record or the caller that withdraws it.
+	isTaken atomic.Bool
 }
 
+// take reports whether the record was neither taken by a group nor withdrawn.
+func (e *entry) take() bool { return e.isTaken.CompareAndSwap(false, true) }
+
 // New returns a Committer. It appends nothing until Serve runs.
-func New(o Options) *Committer { return &Committer{opts: o, pending: make(chan entry, maxPending)} }
+func New(o Options) *Committer {
+	return &Committer{opts: o, pending: make(chan *entry, maxPending), speed: slow.New(slowAppend, o.Spread)}
+}
+
+// IsSlow reports whether the appends of this instance take long.
+func (c *Committer) IsSlow(now tick.Time) bool { return c.speed.IsSlow(now) }
 
 // String names the service in logs.
 func (c *Committer) String() string { return "gather" }
 
-// Append queues a record and waits until its group is appended. An error marked as not run means that the record will
-// never be stored.
+// Append queues a record and waits until its group is appended or the context ends. An error marked as not run means
+// that the record will never be stored. A record that no group has taken when the context ends is withdrawn.
 func (c *Committer) Append(ctx context.Context, r logs.Record) error {
-	e := entry{record: r, result: make(chan error, 1)}
+	e := &entry{record: r, result: make(chan error, 1)}
 	select {
 	case c.pending <- e:
 	default:
@@ -84,6 +108,9 @@
 	case err := <-e.result:
 		return err
 	case <-ctx.Done():
+		if e.take() {
+			return fault.FromContext(ctx, fault.NotRun)
+		}
 		return fault.FromContext(ctx, fault.Unknown)
 	}
 }
@@ -95,33 +122,41 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case e := <-c.pending:
-			c.commit(ctx, c.collectGroup(e))
+			if group := c.collectGroup(e); len(group) > 0 {
+				c.commit(ctx, group)
+			}
 		}
 	}
 }
 
-// collectGroup takes the queued records, up to the limits of a group.
-func (c *Committer) collectGroup(first entry) []entry {
-	group := []entry{first}
-	size := len(first.record.Value)
-	for len(group) < maxGroup && size < maxGroupBytes {
-		select {
-		case e := <-c.pending:
+// collectGroup takes the queued records that were not withdrawn, up to the limits of a group.
+func (c *Committer) collectGroup(first *entry) []*entry {
+	var group []*entry
+	size := 0
+	for e := first; ; {
+		if e.take() {
 			group = append(group, e)
 			size += len(e.record.Value)
+		}
+		if len(group) == maxGroup || size >= maxGroupBytes {
+			return group
+		}
+		select {
+		case e = <-c.pending:
 		default:
 			return group
 		}
 	}
-	return group
 }
 
-func (c *Committer) commit(ctx context.Context, group []entry) {
+func (c *Committer) commit(ctx context.Context, group []*entry) {
 	records := make([]logs.Record, len(group))
 	for i, e := range group {
 		records[i] = e.record
 	}
+	c.speed.Began(tick.Now())
 	err := c.append(ctx, records)
+	c.speed.Ended(tick.Now(), err == nil)
 	for _, e := range group {
 		e.result <- err
 	}
@@ -186,7 +221,11 @@
 }
 
 func (c *Committer) retryDelay() time.Duration {
-	return max(minRetryDelay, retryDelayFactor*c.meanLatency)
+	shortest := minRetryDelay
+	if c.opts.HasOtherPath() {
+		shortest = otherPathRetryDelay
+	}
+	return max(shortest, retryDelayFactor*c.meanLatency)
 }
 
 func (c *Committer) observeLatency(took time.Duration) {
--- a/internal/services/group/group_test.go
+++ b/internal/services/group/group_test.go
@@ -32,6 +32,7 @@
 		s.view = s.log.View()
 		s.committer = group.New(group.Options{
 			Log: s.view, Topic: logs.Intake, LastStoreResponseAt: s.view.LastResponseAt, ReportSilence: func(tick.Time) {},
+			HasOtherPath: func() bool { return false },
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
--- a/internal/services/intake/append.go
+++ b/internal/services/intake/append.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
@@ -14,6 +15,14 @@
 const (
 	// forwardTimeout is long enough for the leader to make its own attempt to append.
 	forwardTimeout = 900 * time.Millisecond
+	// forwardDelay is the time after which the leader gets a record that this instance has not stored. It is at least the
+	// time above which an append counts as slow.
+	forwardDelay = 150 * time.Millisecond
+	// slowForwardShare is the share of the remaining time that the leader has while the store is slow, before this
+	// instance appends the record itself. The groups of the leader may wait for appends of other instances.
+	slowForwardShare = 2.0 / 3
+	// forwardLimit limits a call to the leader while the store is slow; the deadline of the caller is mostly shorter.
+	forwardLimit = 10 * time.Second
 	// repeatInterval is the pause before a record whose outcome is unknown is appended again.
 	repeatInterval = 200 * time.Millisecond
 	// maxRepeating limits the records whose appending is repeated, and with them the requests that wait for it.
@@ -72,21 +81,70 @@
 	return i.opts.Committer.Append(ctx, rec)
 }
 
-// store appends a record, or forwards it to the leader if that fails.
+// store makes one attempt to have a record appended by this instance and by the leader, in the order that the state of
+// the store suggests. The second one gets the record if the first one has failed or takes long.
 func (i *Intake) store(ctx context.Context, rec logs.Record) error {
-	err := i.append(ctx, rec)
-	if err == nil || ctx.Err() != nil {
-		return err
+	own := func(ctx context.Context) error { return i.append(ctx, rec) }
+	now := tick.Now()
+	if !i.CanForward() {
+		return own(ctx)
+	}
+	if i.opts.StoreCircuit.IsOpen() || !i.opts.Committer.IsSlow(now) {
+		return race(ctx, forwardDelay, own, func(ctx context.Context) error {
+			return i.forward(ctx, rec, forwardTimeout, causeOwnFailed)
+		})
+	}
+	timeout := forwardTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = time.Duration(slowForwardShare * float64(deadline.Sub(tick.Wall())))
 	}
-	return mergeErrors(err, i.forward(ctx, rec))
+	return race(ctx, timeout, func(ctx context.Context) error {
+		return i.forward(ctx, rec, forwardLimit, causeSlow)
+	}, own)
 }
 
-// mergeErrors returns the error of two attempts, or nil if the second one succeeded. The record is known not to be
-// stored only if that holds for both.
-func mergeErrors(first, second error) error {
-	if second == nil {
-		return nil
+// race calls first, and second after the delay or as soon as first has failed. It returns when one of them has
+// succeeded or both have failed.
+func race(ctx context.Context, delay time.Duration, first, second func(ctx context.Context) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	results := make(chan error, 2)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { results <- first(ctx) })
+	running := 1
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	var failed error
+	select {
+	case err := <-results:
+		running--
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		failed = err
+	case <-timer.C:
+	}
+	running++
+	wg.Go(func() { results <- second(ctx) })
+	for running > 0 {
+		err := <-results
+		running--
+		if err == nil {
+			return nil
+		}
+		if failed == nil {
+			failed = err
+			continue
+		}
+		failed = mergeErrors(failed, err)
 	}
+	return failed
+}
+
+// mergeErrors returns the error of two failed attempts. The record is known not to be stored only if that holds for
+// both.
+func mergeErrors(first, second error) error {
 	e := *fault.From(first)
 	if !fault.IsErrNotRun(second) {
 		e.Ran = fault.Unknown
@@ -157,20 +215,37 @@
 	return i.opts.Committer.Append(ctx, rec)
 }
 
+// The causes of forwarding a record, for the metrics.
+const (
+	causeOwnFailed = "own-append-failed"
+	causeSlow      = "store-slow"
+)
+
+// CanForward reports whether another instance leads and may get records. While the store responds to no call of this
+// instance, the leader must have responded lately: an instance that is cut off from both would send it records whose
+// outcome is unknown then.
+func (i *Intake) CanForward() bool {
+	if i.opts.StoreCircuit.IsOpen() && tick.Now().Sub(i.leaderCircuit.LastResponseAt()) > maxLeaderResponseAge {
+		return false
+	}
+	_, ok := i.leaderClient()
+	return ok
+}
+
 // forward sends a record to the leader, which appends it.
-func (i *Intake) forward(ctx context.Context, rec logs.Record) error {
+func (i *Intake) forward(ctx context.Context, rec logs.Record, timeout time.Duration, cause string) error {
 	client, ok := i.leaderClient()
-	if !ok {
+	if !ok || !i.CanForward() {
 		return fault.New(fault.CodeNoOwner, fault.NotRun, "no other instance to append")
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	started := tick.Now()
 	_, err := client.Record(ctx, &jobpb.RecordRequest{Cell: uint32(i.opts.Part), Key: rec.Key, Intake: rec.Value})
 	if err = i.recordLeaderResult(ctx, started, err); err != nil {
 		return err
 	}
-	i.opts.Meter.Count("intake_forwarded", nil, 1)
-	i.opts.Logger.Info().Str("key", rec.Key).Msg("intake-forwarded")
+	i.opts.Meter.Count("intake_forwarded", map[string]string{"cause": cause}, 1)
+	i.opts.Logger.Info().Str("key", rec.Key).Str("cause", cause).Msg("intake-forwarded")
 	return nil
 }
--- a/internal/services/intake/intake.go
+++ b/internal/services/intake/intake.go
@@ -39,10 +39,12 @@
 
 const (
 	queryTimeout = 500 * time.Millisecond
-	// probeInterval is the interval between calls to a leader that does not respond. The leader serves them without
-	// calls of its own, so that silence for minLeaderSilence, less than queryTimeout, shows that it is not reachable.
+	// probeInterval is the pause between the calls that probe the leader. The leader serves them without calls of its
+	// own, so that silence for minLeaderSilence, less than queryTimeout, shows that it is not reachable.
 	probeInterval    = 250 * time.Millisecond
 	minLeaderSilence = 400 * time.Millisecond
+	// maxLeaderResponseAge covers a probe that takes as long as it may and the pause before it.
+	maxLeaderResponseAge = probeInterval + queryTimeout
 	// queryRetryAfter is the delay after which a caller may repeat a failed query.
 	queryRetryAfter = time.Second
 	// freshnessMargin is subtracted from Options.VisibleWithin to get the age up to which the replica counts as fresh.
@@ -80,14 +82,14 @@
 // String names the service in logs.
 func (i *Intake) String() string { return "intake" }
 
-// Serve calls a leader that does not respond until it responds again, so that no request of a caller is the probe.
+// Serve calls the leader while the leader or the store does not respond, so that no request of a caller is the probe.
 func (i *Intake) Serve(ctx context.Context) error {
 	for {
 		tick.Pause(ctx, probeInterval)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		if i.leaderCircuit.IsOpen() {
+		if i.leaderCircuit.IsOpen() || i.opts.StoreCircuit.DownFor(tick.Now()) > 0 {
 			i.probeLeader(ctx)
 		}
 		i.setGauges(tick.Now())
@@ -105,7 +107,7 @@
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	started := tick.Now()
-	_, err := i.clientFor(address).CountWaiting(ctx, &jobpb.CountWaitingRequest{})
+	_, err := i.clientFor(address).Show(ctx, &jobpb.ShowRequest{})
 	_ = i.recordLeaderResult(ctx, started, err)
 }
 
--- a/internal/services/leader/outage_test.go
+++ b/internal/services/leader/outage_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/stand/memlog"
 	"github.com/ibischute/ibischute/pkg/fault"
 )
@@ -23,10 +24,12 @@
 }
 
 // submit submits a job with the deadline of a caller.
-func (s *system) submit(n *instance, id int) error {
+func (s *system) submit(n *instance, id int) error { return s.acceptInTime(n, s.job(id)) }
+
+func (s *system) acceptInTime(n *instance, j *jobpb.Job) error {
 	ctx, cancel := context.WithTimeout(s.t.Context(), callerPatience)
 	defer cancel()
-	return n.intake.Accept(ctx, s.job(id))
+	return n.intake.Accept(ctx, j)
 }
 
 // TestSubmissionsDuringOutageAreRefusedAtOnce guards against submissions as probes of a store that resets connections:
@@ -133,3 +136,38 @@
 		assert.Equal(t, longest, 2*time.Second, "the delay grows with the time for which the store is down")
 	})
 }
+
+// TestInstanceCutOffFromStoreAndLeader guards against records that an instance sends to a leader that it does not
+// reach: their outcome would be unknown.
+func TestInstanceCutOffFromStoreAndLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, first := newSystemWithLeader(t)
+		n := s.others(first)[0]
+		n.view.SetFaults(memlog.Faults{Broken: true})
+		s.setSilent(first.name, true)
+		time.Sleep(100 * time.Millisecond)
+		for id := range 20 {
+			started := time.Now()
+			err := s.submit(n, id)
+			assert.Assert(t, fault.IsErrNotRun(err), "job %d: %v", id, err)
+			assert.Assert(t, time.Since(started) < 20*time.Millisecond, "a refusal took %v", time.Since(started))
+			time.Sleep(150 * time.Millisecond)
+		}
+	})
+}
+
+// TestInstanceCutOffFromStoreForwards guards against refusals by an instance that reaches the leader.
+func TestInstanceCutOffFromStoreForwards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, first := newSystemWithLeader(t)
+		n := s.others(first)[0]
+		n.view.SetFaults(memlog.Faults{Broken: true})
+		time.Sleep(500 * time.Millisecond)
+		for id := range 10 {
+			s.accept(n, id)
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		s.checkCompleted(first, 10)
+	})
+}
--- a/internal/services/leader/system_test.go
+++ b/internal/services/leader/system_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,8 +39,19 @@
 	log       *memlog.Log
 	fleet     *memex.Fleet
 	instances []*instance
-	peers     map[string]http.Handler
 	meter     *meter.Meter
+
+	// mu guards peers and silent. Calls to the instances in silent get no response.
+	mu     sync.Mutex
+	peers  map[string]http.Handler
+	silent map[string]bool
+}
+
+// setSilent sets whether calls between instances to the given one get no response.
+func (s *system) setSilent(name string, isSilent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[name] = isSilent
 }
 
 type instance struct {
@@ -63,7 +75,8 @@
 	restore := tick.SetSource(func() tick.Time { return tick.Time(time.Now().UnixNano()) })
 	s := &system{
 		t: t, log: memlog.New(rand.New(rand.NewPCG(1, 2))), fleet: memex.New(), peers: map[string]http.Handler{},
-		meter: meter.New(),
+		silent: map[string]bool{},
+		meter:  meter.New(),
 	}
 	operator := s.log.View()
 	ctx := t.Context()
@@ -99,10 +112,17 @@
 
 // RoundTrip implements http.RoundTripper for calls between instances.
 func (s *system) RoundTrip(r *http.Request) (*http.Response, error) {
+	s.mu.Lock()
 	h, ok := s.peers[r.URL.Host]
+	isSilent := s.silent[r.URL.Host]
+	s.mu.Unlock()
 	if !ok {
 		return nil, fault.New(fault.CodeNotSent, fault.NotRun, "no such instance")
 	}
+	if isSilent {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, r)
 	return w.Result(), nil
@@ -141,16 +161,21 @@
 	})
 	committer := group.New(group.Options{
 		Log: log, Topic: logs.Intake, LastStoreResponseAt: log.Circuit().LastResponseAt, ReportSilence: log.ReportSilence,
+		HasOtherPath: func() bool { return n.intake.CanForward() }, Spread: float64(len(s.instances)%10) / 10,
 	})
 	n.intake = intake.New(intake.Options{
 		Committer: committer, SelfAddress: name, Elector: n.elector, Leader: n.leader, Replica: replica,
 		StoreCircuit: log.Circuit(), Client: &http.Client{Transport: s}, VisibleWithin: 3 * time.Second,
 		Meter: s.meter, Logger: logger,
 	})
+	s.mu.Lock()
 	s.peers[name] = jobpb.NewJobsServer(intake.NewPeerServer(n.intake))
+	s.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	n.kill = func() {
+		s.mu.Lock()
 		delete(s.peers, name)
+		s.mu.Unlock()
 		cancel()
 	}
 	services := []func(context.Context) error{
--- a/internal/stand/memlog/memlog.go
+++ b/internal/stand/memlog/memlog.go
@@ -44,6 +44,8 @@
 	LatencyFactor int
 	// AppendTime is how long an append takes. Appends are processed one at a time, over all partitions.
 	AppendTime time.Duration
+	// PartitionAppendTime is how long an append takes where each partition processes its appends one at a time.
+	PartitionAppendTime time.Duration
 }
 
 type partition struct {
@@ -55,6 +57,9 @@
 	epochs        map[string]uint64
 	nextSequences map[string]uint64
 	lastOffsets   map[string]logs.Offset
+	// busyUntil is when all appends so far with a PartitionAppendTime will have completed; appends is their number.
+	busyUntil tick.Time
+	appends   int
 }
 
 type partitionKey struct {
@@ -72,6 +77,24 @@
 	tick.Pause(ctx, until.Sub(tick.Now()))
 }
 
+// awaitPartition waits until earlier appends to the partition have completed and for the duration of this one.
+func (l *Log) awaitPartition(ctx context.Context, t logs.Topic, p logs.Part, d time.Duration) {
+	l.mu.Lock()
+	q := l.part(t, p)
+	q.busyUntil = max(q.busyUntil, tick.Now()).Add(d)
+	until := q.busyUntil
+	q.appends++
+	l.mu.Unlock()
+	tick.Pause(ctx, until.Sub(tick.Now()))
+}
+
+// PartitionAppends returns the number of appends made to a partition with a PartitionAppendTime.
+func (l *Log) PartitionAppends(t logs.Topic, p logs.Part) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.part(t, p).appends
+}
+
 // Appends returns the number of appends made with an AppendTime.
 func (l *Log) Appends() int {
 	l.mu.Lock()
@@ -184,6 +207,9 @@
 	if f.AppendTime > 0 {
 		v.log.awaitAppend(ctx, f.AppendTime)
 	}
+	if f.PartitionAppendTime > 0 {
+		v.log.awaitPartition(ctx, t, p, f.PartitionAppendTime)
+	}
 	v.log.mu.Lock()
 	offset, err := v.log.part(t, p).append(t, records, c)
 	isLost := v.log.rng.Float64() < f.LoseAnswers
