Refuse malformed jobs and records, and keep unknown outcomes of the store unknown

A message of another instance with an empty value removed an accepted job.

Package valid checks jobs at the submission and, with limits that lose no job that a leader can hold, when they are read from the log. Instances refuse forwarded records that are no submission. If the store finds fault with a group, its records are appended singly; records larger than the store's limit are refused.

TestMalformedRecords fails if the check of the records is taken out; it also checks that jobs submitted after such records complete. The tests of group cover withdrawn records and a group with one faulty record.

--- a/internal/services/group/group.go
+++ b/internal/services/group/group.go
@@ -26,8 +26,8 @@
 	// maxPending limits the records that wait for a group, maxGroup those of one append.
 	maxPending = 4096
 	maxGroup   = 128
-	// maxGroupBytes is the total size of the values after which no further record is added to a group.
-	maxGroupBytes = 1 << 20
+	// defaultMaxBytes is the default of Options.MaxBytes.
+	defaultMaxBytes = 1 << 20
 	// groupTimeout limits the time for one group, maxAttempts the number of its appends.
 	groupTimeout = 2600 * time.Millisecond
 	maxAttempts  = 3
@@ -60,6 +60,8 @@
 	HasOtherPath func() bool
 	// Spread is in [0, 1) and differs between instances; see slow.New.
 	Spread float64
+	// MaxBytes is the total size of the values after which no further record is added to a group; 0 means 1 MiB.
+	MaxBytes int
 	// ReportSilence is called if the store has not responded to any call since the given time.
 	ReportSilence func(since tick.Time)
 }
@@ -86,6 +88,9 @@
 
 // New returns a Committer. It appends nothing until Serve runs.
 func New(o Options) *Committer {
+	if o.MaxBytes == 0 {
+		o.MaxBytes = defaultMaxBytes
+	}
 	return &Committer{opts: o, pending: make(chan *entry, maxPending), speed: slow.New(slowAppend, o.Spread)}
 }
 
@@ -138,7 +143,7 @@
 			group = append(group, e)
 			size += len(e.record.Value)
 		}
-		if len(group) == maxGroup || size >= maxGroupBytes {
+		if len(group) == maxGroup || size >= c.opts.MaxBytes {
 			return group
 		}
 		select {
@@ -149,7 +154,33 @@
 	}
 }
 
+// commit appends a group. If the store finds fault with the records, each one is appended alone, so that one of them
+// does not have the others refused.
 func (c *Committer) commit(ctx context.Context, group []*entry) {
+	err := c.appendGroup(ctx, group)
+	if len(group) > 1 && fault.IsErrCode(err, fault.CodeBadRequest) {
+		c.commitSingly(ctx, group)
+		return
+	}
+	for _, e := range group {
+		e.result <- err
+	}
+}
+
+// commitSingly appends each record of a group alone, until an append fails for another reason than its record.
+func (c *Committer) commitSingly(ctx context.Context, group []*entry) {
+	isServing := true
+	for _, e := range group {
+		err := error(fault.New(fault.CodeUnavailable, fault.NotRun, "the store serves no more appends").WithRetry(retryAfter))
+		if isServing {
+			err = c.appendGroup(ctx, []*entry{e})
+			isServing = err == nil || fault.IsErrCode(err, fault.CodeBadRequest)
+		}
+		e.result <- err
+	}
+}
+
+func (c *Committer) appendGroup(ctx context.Context, group []*entry) error {
 	records := make([]logs.Record, len(group))
 	for i, e := range group {
 		records[i] = e.record
@@ -157,9 +188,7 @@
 	c.speed.Began(tick.Now())
 	err := c.append(ctx, records)
 	c.speed.Ended(tick.Now(), err == nil)
-	for _, e := range group {
-		e.result <- err
-	}
+	return err
 }
 
 // append sends the records in up to maxAttempts parallel attempts, until one succeeds or all have failed.
@@ -217,7 +246,11 @@
 }
 
 func (f *failures) err() error {
-	return fault.Wrap(f.last, fault.CodeUnavailable, f.ran, "the store did not take the record").WithRetry(retryAfter)
+	code := fault.CodeUnavailable
+	if f.ran == fault.NotRun && fault.IsErrCode(f.last, fault.CodeBadRequest) {
+		code = fault.CodeBadRequest
+	}
+	return fault.Wrap(f.last, code, f.ran, "the store did not take the record").WithRetry(retryAfter)
 }
 
 func (c *Committer) retryDelay() time.Duration {
--- a/internal/services/group/group_test.go
+++ b/internal/services/group/group_test.go
@@ -113,6 +113,73 @@
 	})
 }
 
+// TestWithdrawnRecordIsNeverStored guards against a caller that is told that its record will not be stored, although it
+// still waits for its group, and against an unknown outcome of a record that was never sent.
+func TestWithdrawnRecordIsNeverStored(t *testing.T) {
+	run(t, func(t *testing.T, s setup) {
+		s.view.SetFaults(memlog.Faults{AppendTime: 2 * time.Second})
+		first := make(chan error, 1)
+		go func() { first <- s.submit(t, 0) }()
+		time.Sleep(100 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		err := s.committer.Append(ctx, logs.Record{Key: "j/1", Value: []byte("x")})
+		assert.Assert(t, fault.IsErrNotRun(err), "%v", err)
+		assert.NilError(t, <-first)
+		time.Sleep(10 * time.Second)
+		page, err := s.view.Read(t.Context(), logs.Intake, 0, 0, 0)
+		assert.NilError(t, err)
+		for _, r := range page.Records {
+			assert.Equal(t, r.Key, "j/0")
+		}
+	})
+}
+
+// faultyLog finds fault with appends that have a record with the key "bad".
+type faultyLog struct{ logs.Log }
+
+func (l faultyLog) Append(
+	ctx context.Context, t logs.Topic, p logs.Part, records []logs.Record, c logs.Condition,
+) (logs.Offset, error) {
+	tick.Pause(ctx, 50*time.Millisecond)
+	for _, r := range records {
+		if r.Key == "bad" {
+			return 0, fault.New(fault.CodeBadRequest, fault.NotRun, "bad record")
+		}
+	}
+	return l.Log.Append(ctx, t, p, records, c)
+}
+
+// TestMalformedRecordIsRefusedAlone guards against one record with which the store finds fault and that has the records
+// of all other callers of its group refused.
+func TestMalformedRecordIsRefusedAlone(t *testing.T) {
+	run(t, func(t *testing.T, s setup) {
+		c := group.New(group.Options{
+			Log: faultyLog{s.view}, Topic: logs.Intake, LastStoreResponseAt: s.view.LastResponseAt,
+			ReportSilence: func(tick.Time) {}, HasOtherPath: func() bool { return false },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			_ = c.Serve(ctx)
+			close(ended)
+		}()
+		results := map[string]chan error{}
+		for _, key := range []string{"j/0", "j/1", "bad", "j/2"} {
+			results[key] = make(chan error, 1)
+			go func() { results[key] <- c.Append(ctx, logs.Record{Key: key, Value: []byte("x")}) }()
+			synctest.Wait()
+		}
+		for key, result := range results {
+			err := <-result
+			assert.Equal(t, fault.IsErrCode(err, fault.CodeBadRequest), key == "bad", "%s: %v", key, err)
+			assert.Equal(t, err == nil, key != "bad", "%s: %v", key, err)
+		}
+		cancel()
+		<-ended
+	})
+}
+
 func TestRejectedAppendIsNotRun(t *testing.T) {
 	run(t, func(t *testing.T, s setup) {
 		s.view.SetFaults(memlog.Faults{Down: true})
--- a/internal/services/health/health.go
+++ b/internal/services/health/health.go
@@ -98,7 +98,7 @@
 
 // isRefused reports whether the error is a response other than those of isServed: an HTTP error or a malformed body.
 func isRefused(err error) bool {
-	return fault.IsErrCode(err, fault.CodeUnavailable) ||
+	return fault.IsErrCode(err, fault.CodeUnavailable) || fault.IsErrCode(err, fault.CodeBadRequest) ||
 		fault.IsErrCode(err, fault.CodeUnknownOutcome) && fault.IsErrNotRun(err)
 }
 
--- a/internal/services/intake/append.go
+++ b/internal/services/intake/append.go
@@ -27,6 +27,8 @@
 	repeatInterval = 200 * time.Millisecond
 	// maxRepeating limits the records whose appending is repeated, and with them the requests that wait for it.
 	maxRepeating = 1024
+	// framingBytes is the size of the length prefixes of a record and of its key.
+	framingBytes = 5
 	// With these delays, the four repeats of a caller reach over an outage of 7 s.
 	firstRetryAfter   = time.Second
 	longestRetryAfter = 2 * time.Second
@@ -38,6 +40,9 @@
 // returns at once with an error marked as not run. If the outcome is unknown, it repeats the append until it succeeds,
 // isStored reports that the record is in the log, or the context ends.
 func (i *Intake) storeAndApply(ctx context.Context, rec logs.Record, isStored func() bool) error {
+	if limit := i.opts.MaxRecordBytes; limit > 0 && len(rec.Key)+len(rec.Value)+framingBytes > limit {
+		return fault.New(fault.CodeBadRequest, fault.NotRun, "the job is larger than a record of the store may be")
+	}
 	err := i.store(ctx, rec)
 	if err != nil && !fault.IsErrNotRun(err) {
 		err = i.repeat(ctx, rec, isStored, err)
@@ -158,6 +163,7 @@
 	refusedStore       = "store-refused"
 	refusedOverloaded  = "queue-full"
 	refusedDeadline    = "deadline"
+	refusedMalformed   = "malformed"
 	refusedOther       = "other"
 )
 
@@ -165,6 +171,9 @@
 func (i *Intake) refuse(now tick.Time, rec logs.Record, err error) error {
 	fe := fault.From(err)
 	code := fault.CodeUnavailable
+	if fe.Ran == fault.NotRun && fe.Code == fault.CodeBadRequest {
+		code = fe.Code
+	}
 	if fe.Ran == fault.NotRun {
 		i.opts.Meter.Count("intake_refused", map[string]string{"reason": i.refusalReason(now, fe)}, 1)
 	} else {
@@ -181,6 +190,8 @@
 	switch {
 	case fe.Code == fault.CodeOverloaded:
 		return refusedOverloaded
+	case fe.Code == fault.CodeBadRequest:
+		return refusedMalformed
 	case fe.Code == fault.CodeDeadline || fe.Code == fault.CodeCancelled:
 		return refusedDeadline
 	case i.opts.StoreCircuit.IsOpen():
--- a/internal/services/intake/intake.go
+++ b/internal/services/intake/intake.go
@@ -64,8 +64,10 @@
 	Client       *http.Client
 	// VisibleWithin is the time within which an accepted job must be known to every instance.
 	VisibleWithin time.Duration
-	Meter         *meter.Meter
-	Logger        zerolog.Logger
+	// MaxRecordBytes is the store's limit for a record; 0 if unknown.
+	MaxRecordBytes int
+	Meter          *meter.Meter
+	Logger         zerolog.Logger
 }
 
 // Intake serves callers on one instance.
--- a/internal/services/intake/peer.go
+++ b/internal/services/intake/peer.go
@@ -9,6 +9,7 @@
 	"github.com/ibischute/ibischute/internal/modules/httpj"
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -42,10 +43,13 @@
 	return &jobpb.CountWaitingResponse{Waiting: uint32(n)}, nil
 }
 
-// Record implements jobpb.Jobs. The code Unavailable guarantees that the record was not stored. With any other
-// code the outcome is unknown.
+// Record implements jobpb.Jobs. The codes Unavailable and InvalidArgument guarantee that the record was not stored.
+// With any other code the outcome is unknown.
 func (p *PeerServer) Record(ctx context.Context, r *jobpb.RecordRequest) (*jobpb.RecordResponse, error) {
 	rec := logs.Record{Key: r.Key, Value: r.Intake}
+	if err := book.CheckSubmission(rec); err != nil {
+		return nil, twirp.WrapError(twirp.NewError(twirp.InvalidArgument, err.Error()), err)
+	}
 	if err := p.intake.append(ctx, rec); err != nil {
 		code := twirp.Unknown
 		if fault.IsErrNotRun(err) {
@@ -76,7 +80,8 @@
 func translateLeaderError(err error) *fault.Error {
 	var te twirp.Error
 	// Twirp also gives this code to HTTP errors of intermediaries, which do not tell whether the call has run.
-	if errors.As(err, &te) && te.Code() == twirp.Unavailable && te.Meta("http_error_from_intermediary") == "" {
+	if errors.As(err, &te) && te.Meta("http_error_from_intermediary") == "" &&
+		(te.Code() == twirp.Unavailable || te.Code() == twirp.InvalidArgument) {
 		return fault.Wrap(err, fault.CodeUnavailable, fault.NotRun, "the lead could not")
 	}
 	if httpj.IsDialError(err) {
--- a/internal/services/leader/outage_test.go
+++ b/internal/services/leader/outage_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"math"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/logs"
 	"github.com/ibischute/ibischute/internal/stand/memlog"
+	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/pkg/fault"
 )
 
@@ -171,3 +176,52 @@
 		s.checkCompleted(first, 10)
 	})
 }
+
+// TestMalformedRecords guards against a malformed message of an instance, or a malformed record, that removes an
+// accepted job or takes down the leader.
+func TestMalformedRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, first := newSystemWithLeader(t)
+		s.accept(first, 0)
+		huge := s.job(1)
+		huge.RepeatCount = math.MaxUint32
+		cyclic := s.job(2)
+		cyclic.Steps[0].DependsOn = []uint32{1}
+		large := s.job(3)
+		large.Steps[0].Count = math.MaxUint32
+		records := []logs.Record{
+			{Key: "j/" + s.job(4).Id, Value: []byte{0xff}},
+			{Key: "unknown", Value: []byte{1}},
+			{},
+			{Key: "c/x", Value: []byte{9}},
+			intakeRecord(t, s.job(5).Id, s.job(6)),
+		}
+		for _, j := range []*jobpb.Job{huge, cyclic, large} {
+			records = append(records, intakeRecord(t, j.Id, j))
+		}
+		client := jobpb.NewJobsProtobufClient("http://"+first.name, &http.Client{Transport: s})
+		forwarded := append([]logs.Record{{Key: "j/" + s.job(0).Id}, {Key: "c/" + s.job(0).Id}}, records...)
+		for _, r := range forwarded {
+			_, err := client.Record(t.Context(), &jobpb.RecordRequest{Key: r.Key, Intake: r.Value})
+			assert.ErrorContains(t, err, "invalid_argument", "%q", r.Key)
+		}
+		_, err := first.view.Append(t.Context(), logs.Intake, 0, records, logs.Condition{})
+		assert.NilError(t, err)
+		for id := 7; id < 10; id++ {
+			s.accept(s.instances[id%3], id)
+		}
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, s.leader() == first)
+		for _, id := range []int{0, 7, 8, 9} {
+			state, known := s.state(first, id)
+			assert.Assert(t, known && state == jobpb.State_STATE_COMPLETED, "job %d: %v", id, state)
+		}
+	})
+}
+
+func intakeRecord(t *testing.T, id string, j *jobpb.Job) logs.Record {
+	t.Helper()
+	value, err := proto.Marshal(&jobpb.Intake{Job: j})
+	assert.NilError(t, err)
+	return logs.Record{Key: book.JobKey(id), Value: value}
+}
--- a/internal/state/book/book.go
+++ b/internal/state/book/book.go
@@ -20,6 +20,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/state/valid"
 	"github.com/ibischute/ibischute/pkg/fault"
 )
 
@@ -103,18 +104,47 @@
 		b.removeJob(id)
 		return id, nil
 	}
-	e := b.entry(id)
-	if e.Job != nil {
+	if _, isKnown := b.Job(id); isKnown {
 		return id, nil
 	}
-	in := &jobpb.Intake{}
-	if err := proto.Unmarshal(r.Value, in); err != nil || in.Job == nil {
-		return id, fault.Wrap(err, fault.CodeBadRequest, fault.NotRun, "decode intake record of job "+id)
+	j, err := decodeJob(id, r.Value)
+	if err != nil {
+		return id, err
 	}
-	e.Job = in.Job
+	b.entry(id).Job = j
 	return id, nil
 }
 
+// decodeJob decodes the value of the intake record of a job. It rejects a job that would take down the leader.
+func decodeJob(id string, value []byte) (*jobpb.Job, error) {
+	in := &jobpb.Intake{}
+	if err := proto.Unmarshal(value, in); err != nil || in.Job == nil {
+		return nil, fault.Wrap(err, fault.CodeBadRequest, fault.NotRun, "decode intake record of job "+id)
+	}
+	if in.Job.Id != id {
+		return nil, fault.New(fault.CodeBadRequest, fault.NotRun, "intake record of job "+id+" has job "+in.Job.Id)
+	}
+	if err := valid.Recorded.Check(in.Job); err != nil {
+		return nil, fault.Wrap(err, fault.CodeBadRequest, fault.NotRun, "intake record of job "+id)
+	}
+	return in.Job, nil
+}
+
+// CheckSubmission returns an error unless the record is one that an instance appends for a caller: a job, or the cancel
+// of a job. A record without a value would remove the job.
+func CheckSubmission(r logs.Record) error {
+	if id, ok := strings.CutPrefix(r.Key, prefixJob); ok {
+		_, err := decodeJob(id, r.Value)
+		return err
+	}
+	in := &jobpb.Intake{}
+	err := proto.Unmarshal(r.Value, in)
+	if !strings.HasPrefix(r.Key, prefixCancel) || err != nil || !in.Cancel {
+		return fault.Wrap(err, fault.CodeBadRequest, fault.NotRun, "intake record with key "+r.Key)
+	}
+	return nil
+}
+
 // Progress folds a record of the progress topic. A job or roster record without a value removes the job or executor.
 func (b *Book) Progress(r logs.Record) error {
 	if id, ok := strings.CutPrefix(r.Key, prefixRoster); ok {
