Send appends only to a store that has answered lately, and count outages from the last served call

While the store hangs, the instances sent and lost submissions until the silence had opened their circuits. An instance whose last answer is older than 0.3 s now reads the operator's topic from its end first, and refuses the submission if that gets no answer. Retry-After began anew at 1 s on each instance, because the time down was counted from the instance's own first refusal and ended by reads that had waited since before the outage; it is counted from the last served call now.

--- a/internal/services/health/health.go
+++ b/internal/services/health/health.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,11 +27,28 @@
 // calls that run all the time.
 const MinSilence = 700 * time.Millisecond
 
+const (
+	// maxResponseAge is the age of the last response above which Confirm makes a call of its own. The reads that run all
+	// the time are answered a few times a second, so that most submissions need no such call.
+	maxResponseAge = 300 * time.Millisecond
+	// probeTimeout is long enough for the silence of the log to open the circuit.
+	probeTimeout = MinSilence + 50*time.Millisecond
+)
+
 // Log is a logs.Log that reports the outcome of each call to a circuit breaker.
 type Log struct {
 	log     logs.Log
 	circuit *circ.Circuit
 	logger  zerolog.Logger
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// operatorPart and operatorNext are where the operator's topic was last read to, if isOperatorRead.
+	operatorPart   logs.Part
+	operatorNext   logs.Offset
+	isOperatorRead bool
+	// probe is closed at the end of the probe under way; nil if there is none.
+	probe chan struct{}
 }
 
 // New returns a Log that passes calls to the given log.
@@ -47,7 +65,7 @@
 ) (logs.Offset, error) {
 	started := tick.Now()
 	offset, err := l.log.Append(ctx, t, p, records, c)
-	l.record(ctx, "append", started, err)
+	l.record(ctx, "append", started, started, err)
 	return offset, err
 }
 
@@ -57,24 +75,76 @@
 ) (logs.Page, error) {
 	started := tick.Now()
 	page, err := l.log.Read(ctx, t, p, from, wait)
-	l.record(ctx, "read", started.Add(wait), err)
+	l.record(ctx, "read", started, started.Add(wait), err)
+	if err == nil && t == logs.Operator {
+		l.mu.Lock()
+		l.operatorPart, l.operatorNext, l.isOperatorRead = p, page.Next(from), true
+		l.mu.Unlock()
+	}
 	return page, err
 }
 
+// Confirm returns an error marked as not run unless the log has responded lately. If the last response is too old, it
+// reads the operator's topic, which seldom has new records, and waits for the response. A call with an effect that is
+// made after it is unlikely to be lost in an outage that nobody has noticed yet.
+func (l *Log) Confirm(ctx context.Context) error {
+	now := tick.Now()
+	if now.Sub(l.circuit.LastResponseAt()) <= maxResponseAge {
+		return nil
+	}
+	probe, ok := l.startProbe(ctx)
+	if !ok {
+		return nil
+	}
+	select {
+	case <-probe:
+	case <-ctx.Done():
+		return fault.FromContext(ctx, fault.NotRun)
+	}
+	if l.circuit.LastResponseAt().Before(now) {
+		return fault.New(fault.CodeUnavailable, fault.NotRun, "the store does not answer")
+	}
+	return nil
+}
+
+// startProbe starts a read unless one is under way, and returns a channel that is closed at its end. It returns false
+// if there is nothing to read.
+func (l *Log) startProbe(ctx context.Context) (<-chan struct{}, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.probe != nil || !l.isOperatorRead {
+		return l.probe, l.probe != nil
+	}
+	probe := make(chan struct{})
+	l.probe = probe
+	part, next := l.operatorPart, l.operatorNext
+	go func() {
+		// The caller that started the probe may leave before the others that wait for it.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+		defer cancel()
+		_, _ = l.Read(ctx, logs.Operator, part, next, 0)
+		l.mu.Lock()
+		l.probe = nil
+		l.mu.Unlock()
+		close(probe)
+	}()
+	return probe, true
+}
+
 // Newest implements logs.Log.
 func (l *Log) Newest(ctx context.Context, t logs.Topic, p logs.Part) ([]logs.Record, logs.Offset, error) {
 	started := tick.Now()
 	records, next, err := l.log.Newest(ctx, t, p)
-	l.record(ctx, "newest", started, err)
+	l.record(ctx, "newest", started, started, err)
 	return records, next, err
 }
 
-// record reports a call whose response was due since the given time.
-func (l *Log) record(ctx context.Context, call string, dueSince tick.Time, err error) {
+// record reports a call that was sent at the given time and whose response was due since dueSince.
+func (l *Log) record(ctx context.Context, call string, sent, dueSince tick.Time, err error) {
 	now := tick.Now()
 	switch {
 	case isServed(err):
-		l.logClosed(call, l.circuit.RecordResponse(now))
+		l.logClosed(call, l.circuit.RecordResponse(sent, now))
 	case isRefused(err):
 		l.logClosed(call, l.circuit.RecordRefusal(now))
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/internal/services/health/health_test.go
+++ b/internal/services/health/health_test.go
@@ -14,6 +14,7 @@
 	"github.com/ibischute/ibischute/internal/services/health"
 	"github.com/ibischute/ibischute/internal/stand/memlog"
 	"github.com/ibischute/ibischute/internal/state/circ"
+	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
@@ -92,3 +93,34 @@
 		assert.Assert(t, !l.Circuit().IsOpen())
 	})
 }
+
+// TestConfirm guards against appends that are sent to a log that has stopped responding a moment ago.
+func TestConfirm(t *testing.T) {
+	run(t, func(t *testing.T, v *memlog.View, l *health.Log) {
+		assert.NilError(t, l.Confirm(t.Context()), "before the first read, there is nothing to confirm with")
+		read(t, l, 0, time.Second)
+		time.Sleep(time.Minute)
+		assert.NilError(t, l.Confirm(t.Context()))
+		v.SetFaults(memlog.Faults{Frozen: true})
+		assert.NilError(t, l.Confirm(t.Context()), "the last response is recent")
+		time.Sleep(time.Second)
+		results := make(chan error, 2)
+		for range cap(results) {
+			go func() { results <- l.Confirm(t.Context()) }()
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		err := l.Confirm(ctx)
+		assert.Assert(t, fault.IsErrNotRun(err), "%v", err)
+		for range cap(results) {
+			err := <-results
+			assert.Assert(t, fault.IsErrNotRun(err), "%v", err)
+		}
+		assert.Assert(t, l.Circuit().IsOpen())
+		v.SetFaults(memlog.Faults{Broken: true})
+		err = l.Confirm(t.Context())
+		assert.Assert(t, fault.IsErrNotRun(err), "%v", err)
+		v.SetFaults(memlog.Faults{})
+		assert.NilError(t, l.Confirm(t.Context()))
+	})
+}
--- a/internal/services/intake/append.go
+++ b/internal/services/intake/append.go
@@ -223,6 +223,9 @@
 	if i.opts.StoreCircuit.IsOpen() {
 		return fault.New(fault.CodeUnavailable, fault.NotRun, "the store does not answer")
 	}
+	if err := i.opts.ConfirmStore(ctx); err != nil {
+		return err
+	}
 	return i.opts.Committer.Append(ctx, rec)
 }
 
--- a/internal/services/intake/intake.go
+++ b/internal/services/intake/intake.go
@@ -61,6 +61,8 @@
 	Replica     *replic.Replica
 	// StoreCircuit is the circuit breaker of the store, which all calls of this instance to the store keep up to date.
 	StoreCircuit *circ.Circuit
+	// ConfirmStore returns an error marked as not run unless the store has responded lately or responds now.
+	ConfirmStore func(ctx context.Context) error
 	Client       *http.Client
 	// VisibleWithin is the time within which an accepted job must be known to every instance.
 	VisibleWithin time.Duration
@@ -103,7 +105,7 @@
 func (i *Intake) probeLeader(ctx context.Context) {
 	address, ok := i.leaderAddress()
 	if !ok {
-		i.leaderCircuit.RecordResponse(tick.Now())
+		i.leaderCircuit.RecordResponse(tick.Now(), tick.Now())
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
@@ -163,13 +165,13 @@
 func (i *Intake) recordLeaderResult(ctx context.Context, started tick.Time, err error) error {
 	now := tick.Now()
 	if err == nil {
-		i.leaderCircuit.RecordResponse(now)
+		i.leaderCircuit.RecordResponse(started, now)
 		return nil
 	}
 	fe := translateLeaderError(err)
 	switch {
 	case isResponse(err):
-		i.leaderCircuit.RecordResponse(now)
+		i.leaderCircuit.RecordResponse(started, now)
 	case errors.Is(ctx.Err(), context.Canceled):
 	case ctx.Err() != nil:
 		i.leaderCircuit.RecordSilence(started, now)
--- a/internal/stand/memlog/memlog.go
+++ b/internal/stand/memlog/memlog.go
@@ -34,6 +34,8 @@
 	// Broken makes every call, also those that wait for records, end without effect and without a response, as if the
 	// connections were reset.
 	Broken bool
+	// Frozen is like Unresponsive, but calls that wait for records hang as well.
+	Frozen bool
 	// LateAppends, if not 0, is the time after which the appends that Broken ends take effect nevertheless.
 	LateAppends time.Duration
 	// Unresponsive makes every call hang without effect until its context ends.
@@ -146,9 +148,8 @@
 	v.mu.Lock()
 	f := v.faults
 	v.mu.Unlock()
-	if f.Unresponsive {
-		<-ctx.Done()
-		return f, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "no answer")
+	if f.Unresponsive || f.Frozen {
+		return f, hang(ctx)
 	}
 	tick.Pause(ctx, minLatency*time.Duration(max(1, f.LatencyFactor)))
 	if f.Broken {
@@ -170,10 +171,26 @@
 	return fault.New(fault.CodeUnknownOutcome, fault.Unknown, "the connection was reset")
 }
 
-func (v *View) isBroken() bool {
+// hang waits until the context ends.
+func hang(ctx context.Context) error {
+	<-ctx.Done()
+	return fault.New(fault.CodeUnknownOutcome, fault.Unknown, "no answer")
+}
+
+// failWaiting returns the error of a call that waits for records, if there is one.
+func (v *View) failWaiting(ctx context.Context) error {
 	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.faults.Broken
+	f := v.faults
+	v.mu.Unlock()
+	switch {
+	case ctx.Err() != nil:
+		return fault.New(fault.CodeUnknownOutcome, fault.Unknown, "no answer in time")
+	case f.Broken:
+		return errBroken()
+	case f.Frozen:
+		return hang(ctx)
+	}
+	return nil
 }
 
 func (l *Log) part(t logs.Topic, p logs.Part) *partition {
@@ -289,11 +306,8 @@
 			return page, err
 		}
 		tick.Pause(ctx, pollInterval)
-		if ctx.Err() != nil {
-			return logs.Page{}, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "no answer in time")
-		}
-		if v.isBroken() {
-			return logs.Page{}, errBroken()
+		if err := v.failWaiting(ctx); err != nil {
+			return logs.Page{}, err
 		}
 	}
 }
--- a/internal/state/circ/circ.go
+++ b/internal/state/circ/circ.go
@@ -8,7 +8,7 @@
 //	c := circ.New(700 * time.Millisecond)
 //	c.RecordNoResponse(now)      // a call broke
 //	c.RecordSilence(since, now)  // a call timed out
-//	c.RecordResponse(now)        // a call got a response
+//	c.RecordResponse(sent, now)  // a call got a response
 //	if c.IsOpen() { /* reject the call */ }
 package circ
 
@@ -25,10 +25,14 @@
 
 	mu     sync.Mutex
 	isOpen bool
-	// downSince is the time of the first call that was not served since the last served one; 0 if there is none.
+	// isDown is set while calls are not served. Then downSince is the time of the last call that was served, or of the
+	// first one that was not, if none was.
+	isDown    bool
 	downSince tick.Time
-	// lastResponseAt is the time of the last response.
-	lastResponseAt tick.Time
+	// notServedAt is the time of the first call that was not served.
+	notServedAt tick.Time
+	// lastResponseAt is the time of the last response, lastServedAt that of the last one that was no refusal.
+	lastResponseAt, lastServedAt tick.Time
 }
 
 // New returns a closed Circuit. A call that times out opens it only if the dependency was silent for minSilence, so
@@ -42,11 +46,12 @@
 	return c.isOpen
 }
 
-// DownFor returns the time since the first call that was not served, 0 if the last call was served.
+// DownFor returns for how long at most the dependency has been down: the time since the last call that was served. It
+// is 0 if no call has failed since.
 func (c *Circuit) DownFor(now tick.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.downSince == 0 {
+	if !c.isDown {
 		return 0
 	}
 	return max(0, now.Sub(c.downSince))
@@ -81,19 +86,22 @@
 
 // open opens the circuit and reports whether it was closed. The caller must hold the mutex.
 func (c *Circuit) open(now tick.Time) bool {
-	if c.downSince == 0 {
-		c.downSince = now
-	}
+	c.setDown(now)
 	wasOpen := c.isOpen
 	c.isOpen = true
 	return !wasOpen
 }
 
-// RecordResponse records a response of a dependency that serves calls. It reports whether this closed the circuit.
-func (c *Circuit) RecordResponse(now tick.Time) bool {
+// RecordResponse records a response of a dependency that served a call sent at the given time. It reports whether this
+// closed the circuit. A call that was sent before another one was not served, such as a read that waits for records,
+// does not show that calls are served again.
+func (c *Circuit) RecordResponse(sent, now tick.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.downSince = 0
+	if !c.isDown || !sent.Before(c.notServedAt) {
+		c.isDown = false
+		c.lastServedAt = max(c.lastServedAt, now)
+	}
 	return c.close(now)
 }
 
@@ -102,12 +110,21 @@
 func (c *Circuit) RecordRefusal(now tick.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.downSince == 0 {
-		c.downSince = now
-	}
+	c.setDown(now)
 	return c.close(now)
 }
 
+// setDown records that a call was not served. The caller must hold the mutex.
+func (c *Circuit) setDown(now tick.Time) {
+	if c.isDown {
+		return
+	}
+	c.isDown, c.downSince, c.notServedAt = true, now, now
+	if c.lastServedAt != 0 {
+		c.downSince = c.lastServedAt
+	}
+}
+
 // close closes the circuit and reports whether it was open. The caller must hold the mutex.
 func (c *Circuit) close(now tick.Time) bool {
 	wasOpen := c.isOpen
--- a/internal/state/retry/retry.go
+++ b/internal/state/retry/retry.go
@@ -1,8 +1,8 @@
 // Package retry decides after which time a caller may repeat a refused request.
 //
 // The delays are whole seconds, because that is what the header Retry-After carries. They grow with the time for which
-// the dependency has been down, so that few repeats reach over an outage. Callers are spread by a hash of their key:
-// while the delay grows from one second to the next, the share of callers with the longer delay grows.
+// the dependency has been down, so that few repeats reach over an outage. Callers are spread by a hash of their key: at
+// first half of them get a second more, and the share grows with the delay.
 //
 // # Usage
 //
@@ -28,11 +28,14 @@
 // spreadSteps is the number of groups into which the hash divides the callers.
 const spreadSteps = 1 << 16
 
-// After returns the delay for the caller with the key when the dependency has been down for the given time. It is first
-// at the beginning, first plus the time down after that, rounded down at a different point for each key, and at most
-// longest.
+// initialShare is the part of a second by which the delays exceed first on average at the beginning, which spreads
+// callers that are refused at the same time.
+const initialShare = time.Second / 2
+
+// After returns the delay for the caller with the key when the dependency has been down for the given time. It is the
+// sum of first, initialShare and the time down, rounded down or up depending on the key, and at most longest.
 func (s Schedule) After(down time.Duration, key string) time.Duration {
 	offset := time.Second * time.Duration(xxhash.Sum64String(key)%spreadSteps) / spreadSteps
 	grown := min(max(0, down), s.longest-s.first)
-	return min(s.longest, (s.first + grown + offset).Truncate(time.Second))
+	return min(s.longest, (s.first + initialShare + grown + offset).Truncate(time.Second))
 }
