Remember records of unknown outcome, so that a second submission is not refused as not run

A caller that got 504 and submitted the job again at the same instance got 503, which says that the job never runs, while the lost append of the first submission could still store it. Instances remember such records for a minute and answer with 504 until one is stored. TestSecondSubmissionOfLostJob failed before the change. Other instances don't know of the record.

--- a/internal/services/intake/append.go
+++ b/internal/services/intake/append.go
@@ -27,6 +27,10 @@
 	repeatInterval = 200 * time.Millisecond
 	// maxRepeating limits the records whose appending is repeated, and with them the requests that wait for it.
 	maxRepeating = 1024
+	// doubtLifetime is how long a lost append may still be carried out, with a margin: the platform speaks of seconds.
+	// maxInDoubt limits the keys that are remembered.
+	doubtLifetime = time.Minute
+	maxInDoubt    = 4096
 	// framingBytes is the size of the length prefixes of a record and of its key.
 	framingBytes = 5
 	// With these delays, the four repeats of a caller reach over an outage of 7 s.
@@ -36,24 +40,44 @@
 
 var refusalDelays = retry.NewSchedule(firstRetryAfter, longestRetryAfter)
 
-// storeAndApply stores a record and applies it to the local replica. If no append was sent or each was refused, it
-// returns at once with an error marked as not run. If the outcome is unknown, it repeats the append until it succeeds,
-// isStored reports that the record is in the log, or the context ends.
+// storeAndApply stores a record and applies it to the local replica. If no append was sent or each was refused, also
+// for former submissions of the record, it returns at once with an error marked as not run. If the outcome is unknown,
+// it repeats the append until it succeeds, isStored reports that the record is in the log, or the context ends.
 func (i *Intake) storeAndApply(ctx context.Context, rec logs.Record, isStored func() bool) error {
 	if limit := i.opts.MaxRecordBytes; limit > 0 && len(rec.Key)+len(rec.Value)+framingBytes > limit {
 		return fault.New(fault.CodeBadRequest, fault.NotRun, "the job is larger than a record of the store may be")
 	}
-	err := i.store(ctx, rec)
+	err := i.inDoubtError(rec, i.store(ctx, rec))
 	if err != nil && !fault.IsErrNotRun(err) {
 		err = i.repeat(ctx, rec, isStored, err)
 	}
 	if err != nil {
 		return i.refuse(tick.Now(), rec, err)
 	}
+	i.inDoubt.Remove(rec.Key)
 	i.opts.Replica.Add(rec)
 	return nil
 }
 
+// inDoubtError returns the error of a record with the outcome of all its appends from this instance: it is unknown if
+// that of this append or of a former one is. It remembers the record then.
+func (i *Intake) inDoubtError(rec logs.Record, err error) error {
+	if err == nil {
+		return nil
+	}
+	now := tick.Now()
+	fe := *fault.From(err)
+	if fe.Ran != fault.NotRun {
+		i.inDoubt.Add(now, rec.Key)
+		return err
+	}
+	if !i.inDoubt.Has(now, rec.Key) {
+		return err
+	}
+	fe.Ran = fault.Unknown
+	return &fe
+}
+
 // repeat appends a record again whose first append failed with an unknown outcome. No refusal of a later append shows
 // that the first one was not carried out or will not be, so that the outcome stays unknown until an append succeeds.
 func (i *Intake) repeat(ctx context.Context, rec logs.Record, isStored func() bool, err error) error {
--- a/internal/services/intake/intake.go
+++ b/internal/services/intake/intake.go
@@ -32,6 +32,7 @@
 	"github.com/ibischute/ibischute/internal/services/replic"
 	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/internal/state/circ"
+	"github.com/ibischute/ibischute/internal/state/doubt"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -78,10 +79,16 @@
 	leaderCircuit *circ.Circuit
 	// repeating is the number of records whose appending is being repeated.
 	repeating atomic.Int64
+	// inDoubt has the keys of the records whose append from this instance had an unknown outcome.
+	inDoubt *doubt.Set
 }
 
 // New returns an Intake. Serve must run for it to use a leader again that did not respond.
-func New(o Options) *Intake { return &Intake{opts: o, leaderCircuit: circ.New(minLeaderSilence)} }
+func New(o Options) *Intake {
+	return &Intake{
+		opts: o, leaderCircuit: circ.New(minLeaderSilence), inDoubt: doubt.New(maxInDoubt, doubtLifetime),
+	}
+}
 
 // String names the service in logs.
 func (i *Intake) String() string { return "intake" }
--- a/internal/services/intake/peer.go
+++ b/internal/services/intake/peer.go
@@ -50,13 +50,14 @@
 	if err := book.CheckSubmission(rec); err != nil {
 		return nil, twirp.WrapError(twirp.NewError(twirp.InvalidArgument, err.Error()), err)
 	}
-	if err := p.intake.append(ctx, rec); err != nil {
+	if err := p.intake.inDoubtError(rec, p.intake.append(ctx, rec)); err != nil {
 		code := twirp.Unknown
 		if fault.IsErrNotRun(err) {
 			code = twirp.Unavailable
 		}
 		return nil, twirp.WrapError(twirp.NewError(code, err.Error()), err)
 	}
+	p.intake.inDoubt.Remove(rec.Key)
 	p.intake.opts.Replica.Add(rec)
 	return &jobpb.RecordResponse{}, nil
 }
--- a/internal/services/leader/outage_test.go
+++ b/internal/services/leader/outage_test.go
@@ -225,3 +225,27 @@
 	assert.NilError(t, err)
 	return logs.Record{Key: book.JobKey(id), Value: value}
 }
+
+// TestSecondSubmissionOfLostJob guards against a caller that is told that its job will not run, because it has
+// submitted it again while the append of the first submission is lost and will be carried out later.
+func TestSecondSubmissionOfLostJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, first := newSystemWithLeader(t)
+		s.setFaults(memlog.Faults{Broken: true, LateAppends: 6 * time.Second})
+		result := make(chan error, 1)
+		go func() { result <- s.submit(first, 0) }()
+		time.Sleep(500 * time.Millisecond)
+		err := s.submit(first, 0)
+		assert.Assert(t, err != nil && !fault.IsErrNotRun(err), "while the first submission is repeated: %v", err)
+		err = <-result
+		assert.Assert(t, err != nil && !fault.IsErrNotRun(err), "%v", err)
+		err = s.submit(first, 0)
+		assert.Assert(t, err != nil && !fault.IsErrNotRun(err), "after the first submission: %v", err)
+		err = s.submit(first, 1)
+		assert.Assert(t, fault.IsErrNotRun(err), "another job: %v", err)
+		s.setFaults(memlog.Faults{})
+		time.Sleep(8 * time.Second)
+		_, known := s.state(first, 0)
+		assert.Assert(t, known)
+	})
+}
