--- a/internal/services/leader/system_test.go
+++ b/internal/services/leader/system_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,12 +20,14 @@
 	"github.com/ibischute/ibischute/internal/services/config"
 	"github.com/ibischute/ibischute/internal/services/elect"
 	"github.com/ibischute/ibischute/internal/services/group"
+	"github.com/ibischute/ibischute/internal/services/health"
 	"github.com/ibischute/ibischute/internal/services/intake"
 	"github.com/ibischute/ibischute/internal/services/leader"
 	"github.com/ibischute/ibischute/internal/services/replic"
 	"github.com/ibischute/ibischute/internal/stand/memex"
 	"github.com/ibischute/ibischute/internal/stand/memlog"
 	"github.com/ibischute/ibischute/internal/state/cell"
+	"github.com/ibischute/ibischute/internal/state/circ"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -36,8 +39,19 @@
 	log       *memlog.Log
 	fleet     *memex.Fleet
 	instances []*instance
-	peers     map[string]http.Handler
 	meter     *meter.Meter
+
+	// mu guards peers and silent. Calls to the instances in silent get no response.
+	mu     sync.Mutex
+	peers  map[string]http.Handler
+	silent map[string]bool
+}
+
+// setSilent sets whether calls between instances to the given one get no response.
+func (s *system) setSilent(name string, isSilent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[name] = isSilent
 }
 
 type instance struct {
@@ -61,7 +75,8 @@
 	restore := tick.SetSource(func() tick.Time { return tick.Time(time.Now().UnixNano()) })
 	s := &system{
 		t: t, log: memlog.New(rand.New(rand.NewPCG(1, 2))), fleet: memex.New(), peers: map[string]http.Handler{},
-		meter: meter.New(),
+		silent: map[string]bool{},
+		meter:  meter.New(),
 	}
 	operator := s.log.View()
 	ctx := t.Context()
@@ -97,10 +112,17 @@
 
 // RoundTrip implements http.RoundTripper for calls between instances.
 func (s *system) RoundTrip(r *http.Request) (*http.Response, error) {
+	s.mu.Lock()
 	h, ok := s.peers[r.URL.Host]
+	isSilent := s.silent[r.URL.Host]
+	s.mu.Unlock()
 	if !ok {
 		return nil, fault.New(fault.CodeNotSent, fault.NotRun, "no such instance")
 	}
+	if isSilent {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, r)
 	return w.Result(), nil
@@ -119,37 +141,49 @@
 func (s *system) start(name string) *instance {
 	n := &instance{name: name, view: s.log.View(), ended: make(chan struct{})}
 	logger := zerolog.Nop()
-	follower := config.New(n.view, decodeConfig, logger)
+	log := health.New(n.view, circ.New(health.MinSilence), logger)
+	follower := config.New(log, decodeConfig, logger)
 	replica := replic.New(replic.Options{
-		Log: n.view, FollowsProgress: func() bool { return n.elector.IsAsCapable() }, Logger: logger,
+		Log: log, FollowsProgress: func() bool { return n.elector.IsAsCapable() }, Logger: logger,
 	})
 	n.leader = leader.New(leader.Options{
-		Log: n.view, Executors: s.fleet, Replica: replica, Config: follower, Decode: decodeExecutor, Params: params,
+		Log: log, Executors: s.fleet, Replica: replica, Config: follower, Decode: decodeExecutor, Params: params,
 		HoldsLease:   func(now tick.Time) bool { return n.elector.IsLeader(now) },
 		IsSoleLeader: func(now tick.Time) bool { return n.elector.IsSoleLeader(now) }, Meter: s.meter, Logger: logger,
 	})
 	n.elector = elect.New(elect.Options{
-		Log: n.view, Instance: name, Address: name, MaxExecutorLease: params.LongestLease(),
+		Log: log, Instance: name, Address: name, MaxExecutorLease: params.LongestLease(),
 		IsEligible: func() bool {
 			_, ok := follower.Current()
 			return ok
 		},
 		RunTerm: n.leader.Run, Logger: logger,
 	})
-	committer := group.New(group.Options{Log: n.view, Topic: logs.Intake, LastStoreResponseAt: n.view.LastResponseAt})
+	committer := group.New(group.Options{
+		Log: log, Topic: logs.Intake, LastStoreResponseAt: log.Circuit().LastResponseAt, ReportSilence: log.ReportSilence,
+		HasOtherPath: func() bool { return n.intake.CanForward() }, Spread: float64(len(s.instances)%10) / 10,
+	})
 	n.intake = intake.New(intake.Options{
 		Committer: committer, SelfAddress: name, Elector: n.elector, Leader: n.leader, Replica: replica,
-		LastStoreResponseAt: n.view.LastResponseAt,
-		Client:              &http.Client{Transport: s}, VisibleWithin: 3 * time.Second, Logger: logger,
+		StoreCircuit: log.Circuit(), ConfirmStore: log.Confirm, Client: &http.Client{Transport: s},
+		VisibleWithin: 3 * time.Second,
+		Meter:         s.meter, Logger: logger,
 	})
+	s.mu.Lock()
 	s.peers[name] = jobpb.NewJobsServer(intake.NewPeerServer(n.intake))
+	s.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	n.kill = func() {
+		s.mu.Lock()
 		delete(s.peers, name)
+		s.mu.Unlock()
 		cancel()
 	}
-	done := make(chan struct{}, 4)
-	for _, serve := range []func(context.Context) error{follower.Serve, replica.Serve, n.elector.Serve, committer.Serve} {
+	services := []func(context.Context) error{
+		follower.Serve, replica.Serve, n.elector.Serve, committer.Serve, n.intake.Serve,
+	}
+	done := make(chan struct{}, len(services))
+	for _, serve := range services {
 		go func() {
 			_ = serve(ctx)
 			done <- struct{}{}
