--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -60,6 +60,8 @@
 // Term is a period in which this instance is the leader.
 type Term struct {
 	Epoch uint64
+	// PreviousEpoch is the epoch of the leader before in the election log; 0 if there was none or it is unknown.
+	PreviousEpoch uint64
 	// ExecutorLeasesExpireAt is when all leases that former leaders have granted to executors have expired.
 	ExecutorLeasesExpireAt tick.Time
 }
@@ -91,7 +93,9 @@
 	// lastRecord is the newest record and lastRecordAt the time it was read.
 	lastRecord   *jobpb.Lead
 	lastRecordAt tick.Time
-	isLeader     bool
+	// isLastUnknown is true if newer records than lastRecord were unreadable or are no longer retained.
+	isLastUnknown bool
+	isLeader      bool
 	// leaseUntil is when the leadership lease of this instance expires.
 	leaseUntil tick.Time
 
@@ -207,6 +211,7 @@
 		e.mu.Lock()
 		// The missing records may include heartbeats, so the election timeout starts anew.
 		e.lastRecordAt = tick.Now()
+		e.isLastUnknown = true
 		e.mu.Unlock()
 		return
 	}
@@ -223,12 +228,13 @@
 		l := &jobpb.Lead{}
 		if err := proto.Unmarshal(r.Value, l); err != nil {
 			e.opts.Logger.Error().Err(err).Uint64("offset", uint64(r.Offset)).Msg("election-record-unreadable")
+			e.isLastUnknown = true
 			continue
 		}
 		if e.lastRecord == nil || e.lastRecord.Epoch != l.Epoch {
 			e.opts.Logger.Info().Str("leader", l.Instance).Uint64("epoch", l.Epoch).Msg("leader-changed")
 		}
-		e.lastRecord, e.lastRecordAt = l, now
+		e.lastRecord, e.lastRecordAt, e.isLastUnknown = l, now, false
 	}
 	e.next = page.Next(e.next)
 }
@@ -260,11 +266,15 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	t := Term{Epoch: epoch, ExecutorLeasesExpireAt: e.formerLeaseUntil(sent).Add(e.opts.MaxExecutorLease)}
+	t := Term{
+		Epoch: epoch, PreviousEpoch: e.previousEpoch(),
+		ExecutorLeasesExpireAt: e.formerLeaseUntil(sent).Add(e.opts.MaxExecutorLease),
+	}
 	e.isLeader = true
 	e.leaseUntil = sent.Add(LeaseDuration)
 	e.lastRecord = e.record(epoch)
 	e.lastRecordAt = sent
+	e.isLastUnknown = false
 	e.opts.Logger.Info().Uint64("epoch", epoch).
 		Dur("former-leases-expire-in", t.ExecutorLeasesExpireAt.Sub(sent)).Msg("election-won")
 	return t, true
@@ -290,6 +300,14 @@
 	return e.lastRecordAt.Add(LeaseDuration)
 }
 
+// previousEpoch returns the epoch of the newest record, or 0 if it is unknown. The caller must hold the mutex.
+func (e *Elector) previousEpoch() uint64 {
+	if e.lastRecord == nil || e.isLastUnknown {
+		return 0
+	}
+	return e.lastRecord.Epoch
+}
+
 // append adds a record if the partition still ends at the offset that this instance has read up to.
 func (e *Elector) append(ctx context.Context, timeout time.Duration, l *jobpb.Lead) error {
 	b, err := proto.Marshal(l)
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -101,7 +101,9 @@
 	cell       *cell.Cell
 	planWake   chan struct{}
 	commitWake chan struct{}
-	adviceWake chan struct{}
+	// placementWake ends the pause after a commit, because reserved runs wait for a record.
+	placementWake chan struct{}
+	adviceWake    chan struct{}
 	// failed receives the first error that ends the term.
 	failed         chan error
 	holdSenders    map[string]*holdSender
@@ -120,8 +122,8 @@
 	defer cancel()
 	tm := &term{
 		Leader: l, epoch: t.Epoch, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
-		adviceWake: make(chan struct{}, 1),
-		failed:     make(chan error, 1), holdSenders: map[string]*holdSender{},
+		adviceWake: make(chan struct{}, 1), placementWake: make(chan struct{}, 1),
+		failed: make(chan error, 1), holdSenders: map[string]*holdSender{},
 		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts, slowOrder),
 	}
 	if err := tm.takeOver(ctx, t); err != nil {
@@ -183,6 +185,7 @@
 	t.opts.Replica.Observe(t.acceptJob)
 	jobs := 0
 	t.opts.Replica.Visit(func(b *book.Book) {
+		c.LoadTerm(b.Term(), et.PreviousEpoch)
 		b.Roster(c.LoadRoster)
 		c.LoadModel(b.Model())
 		b.Jobs(func(e *book.Entry) {
@@ -351,7 +354,7 @@
 		Int("waiting-short", u.WaitingShort).Int("waiting-lasting", u.WaitingLongRunning).
 		Int("waiting-filling", u.WaitingBestEffort).Int("serving", u.LatencyCritical).Int("over-target", u.OverTarget).
 		Int("filling", u.BestEffort).Int("slowed", u.Throttled).Int("awaited-executors", u.AwaitedExecutors).
-		Int("delayed", countDelayed(u)).Msg("cell-usage")
+		Int("reserved", u.Reserved).Int("delayed", countDelayed(u)).Msg("cell-usage")
 }
 
 // logStartWindow reports the limit of the start orders in flight and their number. It logs them only if the limit is
@@ -382,7 +385,8 @@
 		"cores_filling": u.BestEffortCores, "waiting_short": int64(u.WaitingShort),
 		"waiting_lasting": int64(u.WaitingLongRunning), "waiting_filling": int64(u.WaitingBestEffort),
 		"serving": int64(u.LatencyCritical), "over_target": int64(u.OverTarget),
-		"filling": int64(u.BestEffort), "slowed": int64(u.Throttled), "awaited_executors": int64(u.AwaitedExecutors),
+		"reserved": int64(u.Reserved), "filling": int64(u.BestEffort), "slowed": int64(u.Throttled),
+		"awaited_executors": int64(u.AwaitedExecutors),
 	} {
 		t.opts.Meter.Gauge("cell_"+name, nil, float64(v))
 	}
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -22,7 +22,8 @@
 	slowOrder = orderTimeout / 2
 	// holdTimeoutMargin is added to the wait time of a hold for the timeout of the call.
 	holdTimeoutMargin = 600 * time.Millisecond
-	// commitPause is the pause after a commit, so that many changes share one record.
+	// commitPause is the pause after a commit, so that many changes share one record. It ends early if reserved runs wait
+	// for their record. The next plan then collects what has become startable, so it lasts minPlanPause at least.
 	commitPause = 20 * time.Millisecond
 	// commitFailurePause is the pause after a term that a failed commit has ended. It limits the rate of terms, and the
 	// replica completes its last waiting read within it.
@@ -66,6 +67,7 @@
 	events := t.cell.Events()
 	isFenced := t.cell.IsFenced()
 	hasChanges := t.cell.HasChanges()
+	hasUnrecordedRuns := t.cell.HasUnrecordedRuns()
 	t.mu.Unlock()
 	t.logEvents(events)
 	if isFenced {
@@ -74,6 +76,9 @@
 	if hasChanges {
 		t.wakeCommit()
 	}
+	if hasUnrecordedRuns {
+		wake.Send(t.placementWake)
+	}
 	for _, o := range list {
 		t.sendOrder(ctx, o)
 	}
@@ -214,7 +219,8 @@
 			t.fail(err)
 			return
 		}
-		tick.Pause(ctx, commitPause)
+		tick.Pause(ctx, minPlanPause)
+		wake.Wait(ctx, t.placementWake, commitPause-minPlanPause)
 	}
 }
 
--- a/internal/services/leader/rig_test.go
+++ b/internal/services/leader/rig_test.go
@@ -191,12 +191,15 @@
 	lostStarts int
 	// editLists changes the lists of an executor.
 	editLists func(id string, l *orders.Lists)
+	// onStart is called for each start order that was carried out.
+	onStart func(t orders.Target, o orders.Start)
 }
 
 func newCalls(f *memex.Fleet) *calls {
 	return &calls{
 		Executors: f, started: map[string]int{}, checkpoints: map[string][]string{}, silent: map[string]bool{},
 		refusing: map[string]bool{}, address: map[string]string{}, editLists: func(string, *orders.Lists) {},
+		onStart: func(orders.Target, orders.Start) {},
 	}
 }
 
@@ -259,6 +262,7 @@
 	r := c.Executors.Start(ctx, t, o)
 	if r.Outcome == orders.Done {
 		c.edit(func() {
+			c.onStart(t, o)
 			c.started[o.Run.Task.Job]++
 			c.checkpoints[o.Run.Task.Job] = append(c.checkpoints[o.Run.Task.Job], o.Checkpoint)
 		})
--- a/internal/state/book/book.go
+++ b/internal/state/book/book.go
@@ -31,6 +31,7 @@
 	prefixProgress = "p/"
 	prefixRoster   = "x/"
 	keyModel       = "model"
+	keyTerm        = "term"
 )
 
 // JobKey returns the key of a job's intake record.
@@ -48,6 +49,9 @@
 // ModelKey returns the key of the interference and duration model that the leaders have learned.
 func ModelKey() string { return keyModel }
 
+// TermKey returns the key of the record that states since when leaders have kept placement records.
+func TermKey() string { return keyTerm }
+
 // Entry holds the recorded state of one job.
 type Entry struct {
 	Job       *jobpb.Job
@@ -74,11 +78,12 @@
 }
 
 // Book holds the folded state of the jobs, of the roster, which lists the executors that a leader may have sent orders
-// to, and of the model.
+// to, of the model, and of the last leader's term.
 type Book struct {
 	entries map[string]*Entry
 	roster  map[string]*jobpb.Roster
 	model   *jobpb.Model
+	term    *jobpb.Term
 }
 
 // New returns an empty Book.
@@ -120,8 +125,11 @@
 	if id, ok := strings.CutPrefix(r.Key, prefixRoster); ok {
 		return b.foldRoster(id, r.Value)
 	}
-	if r.Key == keyModel {
+	switch r.Key {
+	case keyModel:
 		return b.foldModel(r.Value)
+	case keyTerm:
+		return b.foldTerm(r.Value)
 	}
 	id, ok := strings.CutPrefix(r.Key, prefixProgress)
 	if !ok {
@@ -133,12 +141,37 @@
 	}
 	p := &jobpb.Progress{}
 	if err := proto.Unmarshal(r.Value, p); err != nil {
+		b.forgetPlacement(id)
 		return fault.Wrap(err, fault.CodeBadRequest, fault.NotRun, "decode progress record of job "+id)
 	}
 	b.entry(id).Progress = p
 	return nil
 }
 
+// forgetPlacement handles an unreadable progress record, whose writer may have started tasks of the job on any
+// executor. The rest of the previous record still holds.
+func (b *Book) forgetPlacement(id string) {
+	p := &jobpb.Progress{Job: id, State: jobpb.State_STATE_QUEUED}
+	if previous := b.entry(id).Progress; previous != nil {
+		p.State, p.Tasks = previous.State, previous.Tasks
+	}
+	b.entry(id).Progress = p
+}
+
+func (b *Book) foldTerm(value []byte) error {
+	// An unreadable record replaces the previous one, because it is newer.
+	b.term = nil
+	t := &jobpb.Term{}
+	if err := proto.Unmarshal(value, t); err != nil {
+		return fault.Wrap(err, fault.CodeBadRequest, fault.NotRun, "decode term record")
+	}
+	b.term = t
+	return nil
+}
+
+// Term returns the last term record, or nil if there is none that can be read.
+func (b *Book) Term() *jobpb.Term { return b.term }
+
 func (b *Book) foldRoster(id string, value []byte) error {
 	if len(value) == 0 {
 		delete(b.roster, id)
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -10,9 +10,11 @@
 //     its executor is known to have restarted, or the executor's lease has certainly expired (runs.go, lists.go).
 //   - An end is acknowledged to its executor, and a job is shown as ended, only after the record of it is stored
 //     (record.go).
-//   - A job starts only after a record of its start is stored, which the log accepts from the newest leader alone. So a
-//     new leader starts jobs without that record at once, but tasks of the other jobs only when every executor that may
-//     have orders of a previous leader has responded, or its lease has certainly expired (takeover.go).
+//   - The order to start a task is sent only after a record that names its executor is stored, which the log accepts
+//     from the newest leader alone. Until then the run is reserved: it holds its resources, but its executor does not
+//     know of it (reserve.go). So a new leader holds back only the tasks that may run on an executor that has not
+//     responded and whose lease may last. Jobs whose record does not name the executors wait for all executors
+//     (takeover.go).
 //
 // # Usage
 //
@@ -79,6 +81,8 @@
 	nextAdviceAt    tick.Time
 	// isModelRecordDue is true if the next batch is to have a record of the learned model.
 	isModelRecordDue bool
+	// placements are the records that name the executors of the tasks.
+	placements placements
 }
 
 // New returns the Cell of the leader with the epoch. Until previousLeasesExpireAt, executors that have not responded to
@@ -90,6 +94,7 @@
 		dirty: map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
 		stopping:  map[*run]bool{},
 		durations: newDurationModel(), interference: newInterferenceModel(),
+		placements: placements{held: map[uint32][]*task{}},
 	}
 }
 
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -6,6 +6,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/chain"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -47,6 +48,8 @@
 // executor is the tracked state of one executor.
 type executor struct {
 	entry queue.Executor
+	// hash names the executor in the records of jobs.
+	hash uint32
 	// isListed is true while service discovery lists the executor.
 	isListed bool
 	// isRostered is true if a stored record shows that this leader may send orders to the executor.
@@ -90,8 +93,8 @@
 	// acknowledged to the executor.
 	appliedCursor, batchedCursor, storedCursor, ackSentCursor uint64
 
-	// quarantinedUntil is the time until which no runs are started on the executor, because it refused an order or did not
-	// respond to one.
+	// quarantinedUntil is the time until which no runs are started on the executor, because it refused an order or did
+	// not respond to one.
 	quarantinedUntil tick.Time
 	suspicion        suspicion
 	// pacesAdjustedAt is the lastResponseAt of the list for which paces were last adjusted. No best-effort task starts
@@ -191,7 +194,7 @@
 
 func newExecutor(e queue.Executor) *executor {
 	return &executor{
-		entry: e, total: resources{e.MilliCPU, e.MemoryMB, e.GPUs},
+		entry: e, hash: chain.Hash(e.ID), total: resources{e.MilliCPU, e.MemoryMB, e.GPUs},
 		runs: map[orders.Task]*run{}, orphaned: map[orders.Run]bool{},
 	}
 }
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -33,7 +33,7 @@
 	startRecord startRecordState
 	// idleSince is since when a job with a due task has had no run; 0 if it has one.
 	idleSince tick.Time
-	// isInherited is true if a previous leader may have started tasks of the job.
+	// isInherited is true if a previous leader may have started tasks of the job on executors that are not recorded.
 	isInherited bool
 }
 
@@ -80,6 +80,10 @@
 	checkpoint string
 	run        *run
 	startCount uint64
+	// heldFor is the hash of the executor on which a previous leader may have started the task and that has not responded
+	// yet; 0 if there is none. recordedOn and batchedOn are the hashes of the executors that the last stored and the last
+	// batched record name for the task; 0 for none.
+	heldFor, recordedOn, batchedOn uint32
 	// retryAt is the earliest time for the next start. It delays the retry of a task whose start was refused.
 	retryAt tick.Time
 	// orphanedOn is the executor that listed an orphaned run of the task, if any.
@@ -127,7 +131,7 @@
 	age := time.Duration(max(0, wallMS-e.Job.AcceptedMs)) * time.Millisecond
 	j := c.addJob(now.Add(-age), e.Job)
 	if e.Progress != nil {
-		j.startRecord, j.isInherited = startRecorded, true
+		j.startRecord, j.isInherited = startRecorded, !c.placements.chain.Trusts(e.Progress)
 	}
 	if s := e.State(); book.IsFinal(s) {
 		c.endJob(now, j, s)
@@ -140,16 +144,18 @@
 	}
 	j.hasStarted = e.Progress.State == jobpb.State_STATE_RUNNING
 	for _, tp := range e.Progress.Tasks {
-		j.restoreProgress(tp)
+		if t := j.restoreProgress(tp); t != nil && !j.isInherited {
+			c.holdBack(t, tp.Executor)
+		}
 	}
 }
 
-// restoreProgress applies the recorded progress of a task.
-func (j *job) restoreProgress(tp *jobpb.TaskProgress) {
+// restoreProgress applies the recorded progress of a task and returns the task, or nil if there is no such task.
+func (j *job) restoreProgress(tp *jobpb.TaskProgress) *task {
 	j.materialize(tp.Occurrence)
 	t := j.task(orders.Task{Job: j.id, Occurrence: tp.Occurrence, Step: tp.Step, Index: tp.Index})
 	if t == nil {
-		return
+		return nil
 	}
 	t.checkpoint = tp.Checkpoint
 	t.failedRuns = tp.FailedRuns
@@ -159,6 +165,7 @@
 	if tp.Done && !t.done {
 		t.markDone()
 	}
+	return t
 }
 
 func (c *Cell) addJob(acceptedAt tick.Time, pb *jobpb.Job) *job {
@@ -257,7 +264,7 @@
 // isStartable reports whether the task may be started at now: its retry delay is over and no executor is known to run
 // it.
 func (t *task) isStartable(now tick.Time) bool {
-	if t.done || t.run != nil || now.Before(t.retryAt) {
+	if t.done || t.run != nil || t.heldFor != 0 || now.Before(t.retryAt) {
 		return false
 	}
 	if t.orphanedOn != nil && !t.orphanedOn.hasOrphanedRun(t.id) {
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -44,7 +44,7 @@
 	if !x.hasResponded || !x.hasClock {
 		return h, x.target(), 0
 	}
-	hasRuns := len(x.runs) > 0 || len(x.orphaned) > 0
+	hasRuns := x.hasOrderedRun() || len(x.orphaned) > 0
 	if x.appliedCursor > x.storedCursor && now.Sub(x.lastResponseAt) < pendingRecordPause {
 		return h, x.target(), pendingRecordPause
 	}
@@ -52,8 +52,8 @@
 		return h, x.target(), max(0, idlePollInterval-now.Sub(x.lastResponseAt))
 	}
 	if x.isUnresponsive {
-		// The last hold may have extended the lease although no response or a refusal was received. Further holds only query
-		// the executor, so that the lease eventually expires.
+		// The last hold may have extended the lease although no response or a refusal was received. Further holds only
+		// query the executor, so that the lease eventually expires.
 		return h, x.target(), 0
 	}
 	h.DeadlineMS = c.extendLease(now, x)
@@ -195,6 +195,9 @@
 		return
 	}
 	t := c.task(row.Run.Task)
+	if t != nil && t.run != nil && t.run.isReserved {
+		c.withdrawRun(t.run)
+	}
 	if isFirst && t != nil && !t.done && t.run == nil {
 		r := &run{
 			id: row.Run, task: t, exec: x, resources: resourcesOf(t.step.pb), startedAt: now, confirmedAt: now,
@@ -240,7 +243,7 @@
 // after the deadline of their start order, which executors reject from then on.
 func (c *Cell) releaseMissing(sent tick.Time, x *executor, listed map[orders.Run]bool) {
 	for _, r := range x.runs {
-		if listed[r.id] {
+		if listed[r.id] || r.isReserved {
 			continue
 		}
 		isConfirmed := r.confirmedAt != 0 && r.confirmedAt.Before(sent)
@@ -264,7 +267,7 @@
 			continue
 		}
 		for _, r := range x.runs {
-			if !x.isListed || !c.mayBeDone(r) {
+			if !r.isReserved && (!x.isListed || !c.mayBeDone(r)) {
 				c.releaseRun(r, orders.EndedLeaseExpired)
 			}
 		}
--- a/internal/state/cell/liveness_schedule_test.go
+++ b/internal/state/cell/liveness_schedule_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/pkg/queue"
@@ -328,3 +330,12 @@
 		t.Errorf("only %d starts", starts)
 	}
 }
+
+// TestDueTasksStartOnSuspectExecutors runs schedules in which tasks of a job that always fails have room on two suspect
+// executors only. Each trial waits for its record, which takes up to 600 ms in one of five commits of the simulation.
+func TestDueTasksStartOnSuspectExecutors(t *testing.T) {
+	for _, seed := range []uint64{296, 3208} {
+		sim := runDueSchedule(seed)
+		assert.Check(t, len(sim.violations) == 0, "seed %d:\n%s", seed, strings.Join(sim.violations, "\n"))
+	}
+}
--- a/internal/state/cell/liveness_test.go
+++ b/internal/state/cell/liveness_test.go
@@ -9,6 +9,7 @@
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/internal/state/book"
+	"github.com/ibischute/ibischute/internal/state/chain"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
@@ -196,9 +197,28 @@
 	if sim.stepOf(t).LongRunning && w.lastRunAt != 0 && sim.now.Sub(w.lastRunAt) < restartGrace {
 		return false
 	}
+	if sim.mayRunOnLostExecutor(t) {
+		return false
+	}
 	return sim.isDue(t) && len(sim.fittingExecutors(t)) >= minFittingExecutors
 }
 
+// mayRunOnLostExecutor reports whether the stored record names an executor for the task that the leader cannot reach
+// and whose lease, granted by a former leader, may last. Only the end of that lease proves that the task does not run
+// there.
+func (sim *simulation) mayRunOnLostExecutor(t orders.Task) bool {
+	l := sim.currentLeader()
+	e, ok := sim.book.Job(t.Job)
+	if !ok || e.Progress == nil || !sim.now.Before(l.formerLeasesExpireAt) {
+		return false
+	}
+	return slices.ContainsFunc(e.Progress.Tasks, func(p *jobpb.TaskProgress) bool {
+		return p.Step == t.Step && p.Index == t.Index && slices.ContainsFunc(sim.execs, func(x *simExecutor) bool {
+			return p.Executor == chain.Hash(x.id) && !sim.isReachable(l, x)
+		})
+	})
+}
+
 // fittingExecutors returns the executors on which the task can start.
 func (sim *simulation) fittingExecutors(t orders.Task) []*simExecutor {
 	var list []*simExecutor
@@ -277,6 +297,8 @@
 		x := t.orphanedOn
 		return fmt.Sprintf("cause=orphaned-run on %s listed %t, last response at %.3f", x.entry.ID, x.isListed,
 			float64(x.lastResponseAt)/1e9)
+	case t.heldFor != 0:
+		return fmt.Sprintf("cause=held-task, until %.3f", float64(l.cell.previousLeasesExpireAt)/1e9)
 	case l.cell.isTakingOver && j.isInherited:
 		return fmt.Sprintf("cause=takeover, %d executors awaited", l.cell.Usage(l.sim.now).AwaitedExecutors)
 	}
--- a/internal/state/cell/model_test.go
+++ b/internal/state/cell/model_test.go
@@ -28,8 +28,12 @@
 }
 
 // runSchedule simulates the jobs and faults that the seed determines.
-func runSchedule(seed uint64) *simulation {
+func runSchedule(seed uint64) *simulation { return runScheduleWith(seed, nil) }
+
+// runScheduleWith is runSchedule with some leaders of the former version.
+func runScheduleWith(seed uint64, formerVersions map[int]bool) *simulation {
 	sim := newSimulation(seed, faults{})
+	sim.formerVersions = formerVersions
 	// Each bit of faultKinds enables one kind of fault.
 	faultKinds := sim.rnd.IntN(64)
 	f := &sim.faults
@@ -129,7 +133,7 @@
 // TestScheduleWithUnreachedExecutor runs a schedule in which a new leader has not reached an executor when the leases
 // of the former leader expire. A run that was done there is started again.
 func TestScheduleWithUnreachedExecutor(t *testing.T) {
-	sim := runSchedule(6230)
+	sim := runDueSchedule(167)
 	assert.Assert(t, len(sim.violations) == 0, strings.Join(sim.violations, "\n"))
 }
 
--- a/internal/state/cell/pacing.go
+++ b/internal/state/cell/pacing.go
@@ -29,8 +29,8 @@
 	// cost best-effort runs more than latency-critical ones would gain.
 	nearTargetThrottleShare = 0.1
 	overTargetThrottleShare = 0.4
-	// tailObservationDelay is the time from a change of pace until tail latencies show most of its effect: they cover half
-	// a second.
+	// tailObservationDelay is the time from a change of pace until tail latencies show most of its effect: they cover
+	// half a second.
 	tailObservationDelay = 400 * time.Millisecond
 	// tailGrowthFactor is the growth of the tail ratio since the last throttling that justifies another one before the
 	// effect of the last one can be observed.
@@ -97,8 +97,8 @@
 		if len(x.bestEffort) == 0 {
 			continue
 		}
-		out = c.adjustExecutorPaces(now, x, x.latencyCritical, slices.Clone(x.bestEffort), out)
-		for _, be := range x.bestEffort {
+		out = c.adjustExecutorPaces(now, x, x.latencyCritical, x.orderedBestEffort(), out)
+		for _, be := range x.orderedBestEffort() {
 			if searches < maxMoveSearches && c.isMoveDue(now, be) {
 				searches++
 				c.move(p, be)
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -5,13 +5,12 @@
 	"slices"
 	"time"
 
-	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
 // PlanLimits limits what a plan may do.
 type PlanLimits struct {
-	// MaxStarts bounds the number of starts.
+	// MaxStarts bounds the number of start orders.
 	MaxStarts int
 	// IsSoleLeader is true if no other leader can have taken over. Otherwise another leader may know the outcome of a run
 	// whose lease has expired here, so that its task must not be started again.
@@ -31,10 +30,12 @@
 	if c.isFenced {
 		return nil
 	}
+	c.withdrawUnfit(now)
 	c.stopDraining(now)
 	p := c.newPlacement(now)
 	out := c.adjustPaces(now, p, nil)
-	out = append(out, c.placeWaiting(now, p, limits.MaxStarts)...)
+	c.placeWaiting(now, p, max(limits.MaxStarts, maxReserved)-len(c.placements.reserved))
+	out = append(out, c.startRecorded(now, limits.MaxStarts)...)
 	return c.appendStopOrders(now, out)
 }
 
@@ -154,33 +155,30 @@
 	return out
 }
 
-// placeWaiting places waiting tasks and returns the orders to start them.
-func (c *Cell) placeWaiting(now tick.Time, p *placement, maxStarts int) []Order {
-	steps := c.waitingSteps(now)
-	var out []Order
-	for _, s := range steps {
-		remaining := maxStarts - len(out)
-		if remaining <= 0 {
-			break
+// placeWaiting reserves runs for waiting tasks, at most the limit and the rest of a gang.
+func (c *Cell) placeWaiting(now tick.Time, p *placement, limit int) {
+	for _, s := range c.waitingSteps(now) {
+		if limit <= 0 {
+			return
 		}
 		if s.pb.Gang {
-			out = append(out, c.startGang(now, p, s)...)
+			limit -= c.reserveGang(now, p, s)
 			continue
 		}
-		started := c.startTasks(now, p, s, remaining)
-		if len(started) == 0 && s.pb.Fills && s.job.isOverdue(now) {
-			started = c.startOverdue(now, p, s)
+		reserved := c.reserveTasks(now, p, s, limit)
+		if reserved == 0 && s.pb.Fills && s.job.isOverdue(now) {
+			reserved = c.reserveOverdue(now, p, s)
 		}
-		out = append(out, started...)
+		limit -= reserved
 	}
-	return out
 }
 
-func (c *Cell) startTasks(now tick.Time, p *placement, s *step, maxStarts int) []Order {
-	var out []Order
+// reserveTasks reserves runs for tasks of the step and returns their number.
+func (c *Cell) reserveTasks(now tick.Time, p *placement, s *step, limit int) int {
+	n := 0
 	cands := p.candidates(s)
 	for _, t := range s.tasks {
-		if len(out) == maxStarts || len(cands.list) == 0 {
+		if n == limit || len(cands.list) == 0 {
 			break
 		}
 		if !t.isStartable(now) {
@@ -190,32 +188,17 @@
 		if x == nil {
 			continue
 		}
-		if !c.ensureStartRecorded(s.job) {
-			break
-		}
-		out = append(out, c.startRun(now, t, x, c.nextRunNumber(t)))
+		c.reserveRun(now, t, x, c.nextRunNumber(t))
+		n++
 		cands.update(x)
 	}
-	return out
+	return n
 }
 
-// startRun creates a run and returns the order to start it.
-func (c *Cell) startRun(now tick.Time, t *task, x *executor, number uint64) Order {
-	r := c.createRun(now, t, x, number)
-	if t.step.pb.Fills {
-		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
-	}
-	c.emit(Event{Name: "start", Task: t.id, Run: number, Executor: x.entry.ID})
-	return Order{Target: x.target(), Start: &orders.Start{
-		Run: r.id, Spec: t.step.job.pb.Spec, Checkpoint: t.checkpoint, DeadlineMS: c.extendLease(now, x), Epoch: c.epoch,
-		Ticket: t.step.ticketFor(x),
-	}}
-}
-
-// startGang starts all tasks of a gang together, or none.
-func (c *Cell) startGang(now tick.Time, p *placement, s *step) []Order {
+// reserveGang reserves runs for all tasks of a gang, or for none, and returns their number.
+func (c *Cell) reserveGang(now tick.Time, p *placement, s *step) int {
 	if s.waiting < s.unfinished {
-		return nil
+		return 0
 	}
 	var placed []*executor
 	cands := p.candidates(s)
@@ -233,25 +216,17 @@
 		placed = append(placed, x)
 	}
 	for _, t := range s.tasks[:len(placed)] {
-		c.withdrawRun(t.run)
+		c.detachRun(t.run)
 	}
-	if len(placed) < len(s.tasks) || !c.ensureStartRecorded(s.job) {
-		return nil
+	if len(placed) < len(s.tasks) {
+		return 0
 	}
 	number := uint64(0)
 	for _, t := range s.tasks {
 		number = max(number, c.nextRunNumber(t))
 	}
-	var out []Order
 	for i, t := range s.tasks {
-		out = append(out, c.startRun(now, t, placed[i], number))
+		c.reserveRun(now, t, placed[i], number)
 	}
-	return out
-}
-
-// withdrawRun removes a run for which no order was sent.
-func (c *Cell) withdrawRun(r *run) {
-	r.exec.removeRun(r)
-	r.task.run = nil
-	r.task.step.waiting++
+	return len(placed)
 }
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -17,6 +17,9 @@
 type Batch struct {
 	Records []logs.Record
 	states  map[*job]jobpb.State
+	// placed has the reserved runs whose executor the records name.
+	placed  []*run
+	hasTerm bool
 	rosters []*executor
 	cursors map[*executor]uint64
 	retired []string
@@ -25,7 +28,7 @@
 // HasChanges reports whether there is something to store.
 func (c *Cell) HasChanges() bool {
 	return len(c.dirty) > 0 || len(c.pendingRosters) > 0 || len(c.retired) > 0 || c.isModelRecordDue ||
-		c.hasUnbatchedEnds()
+		c.placements.isTermDue() || c.hasUnbatchedEnds()
 }
 
 // hasUnbatchedEnds reports whether an executor has listed ends that are in no batch yet. Such ends may have changed no
@@ -42,8 +45,15 @@
 // NextBatch returns a batch of everything that has changed since the last one, which must have been committed.
 func (c *Cell) NextBatch() (*Batch, error) {
 	b := &Batch{states: map[*job]jobpb.State{}, cursors: map[*executor]uint64{}}
+	if c.placements.isTermDue() {
+		if err := b.addRecord(book.TermKey(), c.placements.chain.Record()); err != nil {
+			return nil, err
+		}
+		b.hasTerm, c.placements.isTermBatched = true, true
+	}
 	for id, j := range c.dirty {
-		p := j.progress()
+		p := c.progress(j)
+		b.place(j)
 		if err := b.addRecord(book.ProgressKey(id), p); err != nil {
 			return nil, err
 		}
@@ -86,9 +96,10 @@
 }
 
 // Fit makes the records of the batch fit the log's limit for a record. It omits the checkpoints of a job whose record
-// is too large. A record that is still too large is removed from the batch, so that it does not count as stored: no end
-// is acknowledged until the job's record fits again, an executor without a roster record gets no run, and the model is
-// recorded later. Fit returns the keys of the records without checkpoints and those of the removed ones.
+// is too large, and its placement if that does not suffice. A record that is still too large is removed from the batch,
+// so that it does not count as stored: no end is acknowledged until the job's record fits again, an executor without a
+// roster record gets no run, and the model is recorded later. Fit returns the keys of the reduced records and those of
+// the removed ones.
 func (c *Cell) Fit(b *Batch, maxBytes int) (reduced, removed []string) {
 	kept := b.Records[:0]
 	for _, r := range b.Records {
@@ -96,7 +107,11 @@
 			kept = append(kept, r)
 			continue
 		}
-		r = withoutCheckpoints(r)
+		r = reduceRecord(r, false)
+		if recordBytes(r) > maxBytes {
+			r = reduceRecord(r, true)
+			b.forgetPlacement(r.Key)
+		}
 		if recordBytes(r) > maxBytes {
 			c.removeRecord(b, r.Key)
 			removed = append(removed, r.Key)
@@ -112,17 +127,24 @@
 // recordBytes returns the size of a record in the log, which has one byte for the length of the key.
 func recordBytes(r logs.Record) int { return 1 + len(r.Key) + len(r.Value) }
 
-// withoutCheckpoints returns the progress record of a job without checkpoints, and any other record unchanged. After a
-// change of leader, the tasks start from the beginning.
-func withoutCheckpoints(r logs.Record) logs.Record {
+// reduceRecord returns the progress record of a job without checkpoints, or also without the placement of its tasks,
+// and any other record unchanged. After a change of leader, the tasks start from the beginning. If there is no
+// placement, a new leader waits for all executors.
+func reduceRecord(r logs.Record, withoutPlacement bool) logs.Record {
 	p := &jobpb.Progress{}
 	if !strings.HasPrefix(r.Key, book.ProgressKey("")) || proto.Unmarshal(r.Value, p) != nil {
 		return r
 	}
+	if withoutPlacement {
+		p.PlacementEpoch = 0
+	}
 	tasks := p.Tasks[:0]
 	for _, t := range p.Tasks {
 		t.Checkpoint = ""
-		if t.Done || len(t.FailedRuns) > 0 {
+		if withoutPlacement {
+			t.Executor = 0
+		}
+		if t.Done || len(t.FailedRuns) > 0 || t.Executor != 0 {
 			tasks = append(tasks, t)
 		}
 	}
@@ -141,6 +163,7 @@
 			continue
 		}
 		delete(b.states, j)
+		b.placed = slices.DeleteFunc(b.placed, func(r *run) bool { return r.task.step.job == j })
 		// The next batches contain the job and the ends again.
 		c.dirty[j.id] = j
 		for x := range b.cursors {
@@ -152,6 +175,7 @@
 
 // Commit records that the batch is stored.
 func (c *Cell) Commit(now tick.Time, b *Batch) {
+	c.commitPlacements(b)
 	for j, s := range b.states {
 		j.startRecord = startRecorded
 		if book.IsFinal(s) {
@@ -173,8 +197,8 @@
 	}
 }
 
-// progress returns what later leaders need to know of the job.
-func (j *job) progress() *jobpb.Progress {
+// progress returns what later leaders need to know of the job. It notes the executors that the record names.
+func (c *Cell) progress(j *job) *jobpb.Progress {
 	p := &jobpb.Progress{Job: j.id, State: j.state}
 	if book.IsFinal(j.state) {
 		return p
@@ -182,10 +206,18 @@
 	if j.hasStarted {
 		p.State = jobpb.State_STATE_RUNNING
 	}
+	isPlacementKnown := !j.isInherited
+	if isPlacementKnown {
+		p.PlacementEpoch = c.epoch
+	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if t.done || len(t.failedRuns) > 0 || t.checkpoint != "" {
+				t.batchedOn = 0
+				if isPlacementKnown {
+					t.batchedOn = t.possibleExecutor()
+				}
+				if t.done || len(t.failedRuns) > 0 || t.checkpoint != "" || t.batchedOn != 0 {
 					p.Tasks = append(p.Tasks, t.progress())
 				}
 			}
@@ -197,6 +229,7 @@
 func (t *task) progress() *jobpb.TaskProgress {
 	tp := &jobpb.TaskProgress{
 		Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index, Done: t.done, FailedRuns: t.failedRuns,
+		Executor: t.batchedOn,
 	}
 	if !t.done {
 		tp.Checkpoint = t.checkpoint
--- /dev/null
+++ b/internal/state/cell/reserve.go
@@ -0,0 +1,245 @@
+package cell
+
+import (
+	"slices"
+
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/book"
+	"github.com/ibischute/ibischute/internal/state/chain"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// maxReserved bounds the reserved runs if fewer start orders may be sent. It is the highest limit of the start orders
+// in flight, so that a stored batch can fill the start window.
+const maxReserved = 128
+
+// placements is what the cell keeps about the records that name the executors of tasks.
+type placements struct {
+	chain chain.Chain
+	// needsTerm is true if the leader writes a term record, which no start order precedes.
+	needsTerm, isTermBatched, isTermStored bool
+	// reserved has the reserved runs in the order of their reservation.
+	reserved []*run
+	// held has the tasks that may run on executors that have not responded, by the hash of the executor.
+	held map[uint32][]*task
+}
+
+func (p *placements) isTermDue() bool { return p.needsTerm && !p.isTermBatched }
+
+// reserveRun creates a run whose start order is made once a stored record names its executor.
+func (c *Cell) reserveRun(now tick.Time, t *task, x *executor, number uint64) {
+	j := t.step.job
+	idleSince := j.idleSince
+	r := c.createRun(now, t, x, number)
+	r.isReserved, r.idleSince = true, idleSince
+	if t.step.pb.Fills {
+		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
+	}
+	c.placements.reserved = append(c.placements.reserved, r)
+	r.isRecorded = t.recordedOn == x.hash && t.batchedOn == x.hash
+	if !r.isRecorded {
+		c.dirty[j.id] = j
+	}
+	if j.startRecord == startUnrecorded {
+		j.startRecord = startRecordPending
+	}
+}
+
+// withdrawRun removes a run for which no order was made. Its number may be assigned again.
+func (c *Cell) withdrawRun(r *run) {
+	c.placements.reserved = slices.DeleteFunc(c.placements.reserved, func(o *run) bool { return o == r })
+	c.detachRun(r)
+	r.isReserved = false
+	r.task.startCount--
+	if j := r.task.step.job; j.idleSince == 0 {
+		j.idleSince = r.idleSince
+	}
+}
+
+// detachRun removes a run from its executor and its task.
+func (c *Cell) detachRun(r *run) {
+	r.exec.removeRun(r)
+	r.task.run = nil
+	if !r.task.done {
+		r.task.step.waiting++
+	}
+}
+
+// withdrawUnfit withdraws the reserved runs that may no longer start on their executor, and with one member of a gang
+// all others.
+func (c *Cell) withdrawUnfit(now tick.Time) {
+	for _, r := range slices.Clone(c.placements.reserved) {
+		if !r.isReserved || r.isFit(now) {
+			continue
+		}
+		for _, t := range r.startGroup() {
+			if t.run != nil && t.run.isReserved {
+				c.emit(Event{
+					Name: "reservation-withdrawn", Task: t.id, Run: t.run.id.Number, Executor: t.run.exec.entry.ID,
+				})
+				c.withdrawRun(t.run)
+			}
+		}
+	}
+}
+
+// startGroup returns the tasks that start together with the run's: its gang or itself.
+func (r *run) startGroup() []*task {
+	if r.task.step.pb.Gang {
+		return r.task.step.tasks
+	}
+	return []*task{r.task}
+}
+
+// isFit reports whether the reserved run may still start on its executor.
+func (r *run) isFit(now tick.Time) bool {
+	x, s := r.exec, r.task.step
+	if !x.isUsable(now) || !x.free().covers(resources{}) || !x.satisfies(s.pb.RequiresLabel) {
+		return false
+	}
+	if !s.isPermittedOn(now, x) || s.pb.Fills && x.hasRunOverTarget() || !x.suspicion.permitsReserved(r) {
+		return false
+	}
+	if on := r.task.orphanedOn; on != nil && on.hasOrphanedRun(r.task.id) {
+		return false
+	}
+	if s.pb.Gang && s.waiting > 0 {
+		// Another member was withdrawn.
+		return false
+	}
+	return r.task.heldFor == 0
+}
+
+// permitsReserved reports whether a reserved run may start although the executor has become suspect since.
+func (s *suspicion) permitsReserved(r *run) bool {
+	if !s.isActive() || s.trial == r {
+		return true
+	}
+	return s.trial != nil && r.task.step.pb.Gang && s.trial.task.step == r.task.step
+}
+
+// startRecorded returns the orders to start reserved runs whose executor is recorded, in the order of their
+// reservation. A gang starts as one, which may exceed the limit.
+func (c *Cell) startRecorded(now tick.Time, maxStarts int) []Order {
+	if c.placements.needsTerm && !c.placements.isTermStored {
+		return nil
+	}
+	var out []Order
+	for _, r := range c.placements.reserved {
+		if len(out) >= maxStarts {
+			break
+		}
+		if !r.isReserved || !isGroupReady(now, r) {
+			continue
+		}
+		for _, t := range r.startGroup() {
+			if t.run != nil && t.run.isReserved {
+				out = append(out, c.startRun(now, t.run))
+			}
+		}
+	}
+	c.placements.reserved = slices.DeleteFunc(c.placements.reserved, func(r *run) bool { return !r.isReserved })
+	return out
+}
+
+// isGroupReady reports whether the executors of the reserved run and of its gang are recorded and no pause after
+// failures keeps them from starting.
+func isGroupReady(now tick.Time, r *run) bool {
+	for _, t := range r.startGroup() {
+		isWaiting := t.run != nil && t.run.isReserved
+		if isWaiting && (!t.run.isRecorded || t.run.exec.suspicion.isPausing(now)) {
+			return false
+		}
+	}
+	return true
+}
+
+// startRun returns the order to start a reserved run.
+func (c *Cell) startRun(now tick.Time, r *run) Order {
+	t, x := r.task, r.exec
+	r.isReserved = false
+	r.startedAt, r.progressAt, r.checkpoint = now, now, t.checkpoint
+	if t.step.pb.Fills {
+		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
+	}
+	c.emit(Event{Name: "start", Task: t.id, Run: r.id.Number, Executor: x.entry.ID})
+	return Order{Target: x.target(), Start: &orders.Start{
+		Run: r.id, Spec: t.step.job.pb.Spec, Checkpoint: t.checkpoint, DeadlineMS: c.extendLease(now, x), Epoch: c.epoch,
+		Ticket: t.step.ticketFor(x),
+	}}
+}
+
+// HasUnrecordedRuns reports whether runs are reserved that wait for the next batch to be stored.
+func (c *Cell) HasUnrecordedRuns() bool {
+	return slices.ContainsFunc(c.placements.reserved, func(r *run) bool { return !r.isRecorded })
+}
+
+// hasOrderedRun reports whether the executor has a run that is not only reserved.
+func (x *executor) hasOrderedRun() bool {
+	for _, r := range x.runs {
+		if !r.isReserved {
+			return true
+		}
+	}
+	return false
+}
+
+// orderedBestEffort returns the best-effort runs that are not only reserved.
+func (x *executor) orderedBestEffort() []*run {
+	return slices.DeleteFunc(slices.Clone(x.bestEffort), func(r *run) bool { return r.isReserved })
+}
+
+// possibleExecutor returns the hash of the executor on which the task may run, or may be started next; 0 if there is
+// none.
+func (t *task) possibleExecutor() uint32 {
+	switch {
+	case t.done:
+		return 0
+	case t.run != nil:
+		return t.run.exec.hash
+	case t.heldFor != 0:
+		return t.heldFor
+	case t.orphanedOn != nil && t.orphanedOn.hasOrphanedRun(t.id):
+		return t.orphanedOn.hash
+	}
+	return 0
+}
+
+// place notes the reserved runs of the job, whose executors the batch names.
+func (b *Batch) place(j *job) {
+	j.forEachTask(func(t *task) {
+		if t.run != nil && t.run.isReserved {
+			b.placed = append(b.placed, t.run)
+		}
+	})
+}
+
+// forgetPlacement notes that the record of the job with the key names no executors.
+func (b *Batch) forgetPlacement(key string) {
+	for j := range b.states {
+		if book.ProgressKey(j.id) == key {
+			j.forEachTask(func(t *task) { t.batchedOn = 0 })
+		}
+	}
+}
+
+// commitPlacements applies that the batch is stored to the placement of tasks.
+func (c *Cell) commitPlacements(b *Batch) {
+	c.placements.isTermStored = c.placements.isTermStored || b.hasTerm
+	for j := range b.states {
+		j.forEachTask(func(t *task) { t.recordedOn = t.batchedOn })
+	}
+	for _, r := range b.placed {
+		r.isRecorded = true
+	}
+}
+
+func (j *job) forEachTask(f func(t *task)) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				f(t)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/cell/reserve_test.go
@@ -0,0 +1,315 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/book"
+	"github.com/ibischute/ibischute/internal/state/chain"
+	"github.com/ibischute/ibischute/pkg/queue"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// newChainHarness returns the harness of a new leader of epoch 7 with a term record. Neither of its executors x and y
+// has responded.
+func newChainHarness(t *testing.T, previousEpoch uint64, term *jobpb.Term, entries ...*book.Entry) *harness {
+	t.Helper()
+	h := &harness{t: t, now: tick.Time(time.Hour), ends: map[string]uint64{}}
+	h.cell = New(Params{
+		MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, Retention: time.Minute,
+	}, 7, h.now.Add(10*time.Second))
+	h.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{{Name: "q", Service: "svc", MaxAttempts: 3}}})
+	h.cell.LoadTerm(term, previousEpoch)
+	for _, id := range []string{"x", "y"} {
+		h.cell.LoadRoster(&jobpb.Roster{Executor: id, Address: id})
+	}
+	for _, e := range entries {
+		h.cell.Load(h.now, testWallMS, e)
+	}
+	h.cell.Discover(h.now, []queue.Executor{testExecutor("x"), testExecutor("y")})
+	return h
+}
+
+// placedEntry is a job whose record by the leader of the epoch names the executor of its task.
+func placedEntry(id string, epoch uint64, executor string) *book.Entry {
+	p := &jobpb.Progress{Job: id, State: jobpb.State_STATE_RUNNING, PlacementEpoch: epoch}
+	if executor != "" {
+		p.Tasks = []*jobpb.TaskProgress{{Executor: chain.Hash(executor)}}
+	}
+	return bookEntry(id, p)
+}
+
+// TestTakeoverHoldsBackOnlyTasksOfSilentExecutors checks that one silent executor does not delay tasks that cannot run
+// on it, and delays those that may until its lease has expired.
+func TestTakeoverHoldsBackOnlyTasksOfSilentExecutors(t *testing.T) {
+	h := newChainHarness(t, 5, &jobpb.Term{Epoch: 5, Since: 3},
+		placedEntry("on-x", 5, "x"), placedEntry("on-y", 4, "y"), placedEntry("on-none", 3, ""), placedEntry("old", 2, ""))
+	h.reportRunning("x")
+	assert.DeepEqual(t, startedSet(h.planAndConfirm()), map[string]bool{"on-x": true, "on-none": true})
+	h.advance(10*time.Second - time.Millisecond)
+	assert.Equal(t, len(startedJobs(h.planAndConfirm())), 0)
+	h.advance(time.Millisecond)
+	assert.DeepEqual(t, startedSet(h.planAndConfirm()), map[string]bool{"on-y": true, "old": true})
+}
+
+// TestTakeoverAfterBrokenChainWaitsForAllExecutors checks that placement is not relied on if a leader without such
+// records may have started tasks since.
+func TestTakeoverAfterBrokenChainWaitsForAllExecutors(t *testing.T) {
+	for name, h := range map[string]*harness{
+		"former version last": newChainHarness(t, 6, &jobpb.Term{Epoch: 5, Since: 3}, placedEntry("j", 5, "x")),
+		"no term":             newChainHarness(t, 5, nil, placedEntry("j", 5, "x")),
+		"unknown predecessor": newChainHarness(t, 0, &jobpb.Term{Epoch: 5, Since: 3}, placedEntry("j", 5, "x")),
+		"record before chain": newChainHarness(t, 5, &jobpb.Term{Epoch: 5, Since: 5}, placedEntry("j", 4, "x")),
+		"former version":      newChainHarness(t, 5, &jobpb.Term{Epoch: 5, Since: 3}, placedEntry("j", 0, "")),
+	} {
+		h.reportRunning("x")
+		assert.Equal(t, len(startedJobs(h.planAndConfirm())), 0, name)
+		h.reportRunning("y")
+		assert.Equal(t, len(startedJobs(h.planAndConfirm())), 1, name)
+	}
+}
+
+func startedSet(list []Order) map[string]bool {
+	set := map[string]bool{}
+	for _, id := range startedJobs(list) {
+		set[id] = true
+	}
+	return set
+}
+
+// TestRecordOfNewLeaderKeepsHeldTasks checks that a second change of leader does not lose where a task may run.
+func TestRecordOfNewLeaderKeepsHeldTasks(t *testing.T) {
+	e := placedEntry("j", 5, "y")
+	e.Job.Steps[0].Count = 2
+	h := newChainHarness(t, 5, &jobpb.Term{Epoch: 5, Since: 3}, e)
+	h.reportRunning("x")
+	h.cell.Plan(h.now, testWallMS, unbounded)
+	log := h.store()
+	next, _ := log.Job("j")
+	assert.Equal(t, next.Progress.PlacementEpoch, uint64(7))
+	assert.Equal(t, len(next.Progress.Tasks), 2)
+	assert.Equal(t, next.Progress.Tasks[0].Executor, chain.Hash("y"))
+	assert.Equal(t, next.Progress.Tasks[1].Executor, chain.Hash("x"))
+	assert.Equal(t, log.Term().Epoch, uint64(7))
+	assert.Equal(t, log.Term().Since, uint64(3))
+}
+
+// TestRecordOfJobWithUnknownPlacementNamesNone checks that a new leader does not vouch for runs that it does not know
+// yet.
+func TestRecordOfJobWithUnknownPlacementNamesNone(t *testing.T) {
+	h := newChainHarness(t, 5, nil, placedEntry("j", 5, "y"))
+	h.cell.dirty["j"] = h.cell.jobs["j"]
+	log := h.store()
+	next, _ := log.Job("j")
+	assert.Equal(t, next.Progress.PlacementEpoch, uint64(0))
+}
+
+// store commits a batch and returns its records, together with the jobs.
+func (h *harness) store() *book.Book {
+	h.t.Helper()
+	batch, err := h.cell.NextBatch()
+	assert.NilError(h.t, err)
+	log := book.New()
+	for _, r := range batch.Records {
+		assert.NilError(h.t, log.Progress(r))
+	}
+	for _, j := range h.cell.jobs {
+		rec, err := intakeRecord(book.JobKey(j.id), &jobpb.Intake{Job: j.pb})
+		assert.NilError(h.t, err)
+		_, err = log.Intake(rec)
+		assert.NilError(h.t, err)
+	}
+	h.cell.Commit(h.now, batch)
+	return log
+}
+
+// TestNoStartBeforeTermIsStored checks that a successor that finds no term record of a leader can rely on its having
+// started nothing, also where the executor of a task is recorded already.
+func TestNoStartBeforeTermIsStored(t *testing.T) {
+	h := newChainHarness(t, 5, &jobpb.Term{Epoch: 5, Since: 3}, placedEntry("j", 5, "x"))
+	h.reportRunning("x")
+	h.reportRunning("y")
+	assert.Equal(t, len(startedJobs(h.cell.Plan(h.now, testWallMS, unbounded))), 0)
+	h.commit()
+	assert.Equal(t, len(startedJobs(h.cell.Plan(h.now, testWallMS, unbounded))), 1)
+}
+
+// reserveTask returns a harness with a reserved run of the job j on the executor x.
+func reserveTask(t *testing.T, s *jobpb.Step) (*harness, *run) {
+	t.Helper()
+	h := newHarness(t, testExecutor("x"))
+	h.accept("j", "q", s)
+	assert.Equal(t, len(h.cell.Plan(h.now, testWallMS, unbounded)), 0)
+	r := h.cell.jobs["j"].occurrences[0].steps[0].tasks[0].run
+	assert.Assert(t, r != nil && r.isReserved)
+	return h, r
+}
+
+// TestReservedRunGetsNoOrders checks that no lease, stop or pace order refers to a run whose executor does not know it,
+// and that neither an expired lease nor a list without it ends the reservation.
+func TestReservedRunGetsNoOrders(t *testing.T) {
+	h, r := reserveTask(t, bestEffortStep("sum"))
+	for range 5 {
+		h.advance(3 * time.Second)
+		hold, _, _ := h.cell.Hold(h.now, "x")
+		assert.Equal(t, hold.DeadlineMS, int64(0), "an executor without runs needs no lease")
+		h.reportRunning("x")
+		assert.Equal(t, len(h.cell.Plan(h.now, testWallMS, unbounded)), 0)
+		assert.Assert(t, r.isReserved && r.task.run == r)
+	}
+	assert.Equal(t, h.cell.Usage(h.now).Reserved, 1)
+	assert.Equal(t, h.cell.Usage(h.now).BestEffort, 0)
+	h.commit()
+	list := h.cell.Plan(h.now, testWallMS, unbounded)
+	assert.Equal(t, len(startedJobs(list)), 1)
+}
+
+// TestReservedRunIsWithdrawn checks the events after which a reserved run must not start. None of them may leave an
+// order or occupied resources behind.
+func TestReservedRunIsWithdrawn(t *testing.T) {
+	for name, withdraw := range map[string]func(h *harness){
+		"cancelled": func(h *harness) { h.cell.Cancel(h.now, "j") },
+		"draining": func(h *harness) {
+			e := testExecutor("x")
+			e.Draining, e.RemainingMS = true, 8000
+			h.cell.Discover(h.now, []queue.Executor{e})
+		},
+		"unlisted":   func(h *harness) { h.cell.Discover(h.now, nil) },
+		"terminated": func(h *harness) { h.cell.markTerminated(h.cell.execs["x"], "test") },
+		"unresponsive": func(h *harness) {
+			hold, _, _ := h.cell.Hold(h.now, "x")
+			h.cell.HandleHoldReply(h.now, h.now, "x", hold, orders.Lists{}, orders.Reply{Outcome: orders.NoResponse})
+		},
+		"too small": func(h *harness) {
+			e := testExecutor("x")
+			e.MilliCPU = 100
+			h.cell.Discover(h.now, []queue.Executor{e})
+		},
+		"run elsewhere": func(h *harness) {
+			h.reportRunning("x", orders.Running{Run: orders.Run{Task: orders.Task{Job: "j"}, Number: 99}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, r := reserveTask(t, &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
+			x := r.exec
+			batch, err := h.cell.NextBatch()
+			assert.NilError(t, err)
+			withdraw(h)
+			h.cell.Commit(h.now, batch)
+			for _, o := range h.cell.Plan(h.now, testWallMS, unbounded) {
+				assert.Assert(t, o.Start == nil, "a start order for a withdrawn run")
+				assert.Assert(t, o.Stop == nil || o.Stop.Run != r.id, "a stop order for a run that was never started")
+			}
+			assert.Assert(t, !r.isReserved)
+			assert.Equal(t, x.used, resources{})
+		})
+	}
+}
+
+// TestGangStartsTogetherOnceRecorded checks that a gang of which one member can no longer start is withdrawn as one.
+func TestGangStartsTogetherOnceRecorded(t *testing.T) {
+	h := newHarness(t, testExecutor("x"), testExecutor("y"))
+	gang := &jobpb.Step{Count: 2, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000, Gang: true, MaxPerExecutor: 1}
+	h.accept("j", "q", gang)
+	h.cell.Plan(h.now, testWallMS, unbounded)
+	batch, err := h.cell.NextBatch()
+	assert.NilError(t, err)
+	h.cell.execs["y"].quarantine(h.now, time.Second)
+	h.cell.Commit(h.now, batch)
+	assert.Equal(t, len(h.cell.Plan(h.now, testWallMS, unbounded)), 0)
+	assert.Equal(t, h.cell.execs["x"].used, resources{})
+	h.advance(time.Second)
+	h.reportRunning("x")
+	h.reportRunning("y")
+	list := h.planAndConfirm()
+	assert.Equal(t, len(startedJobs(list)), 2)
+	assert.Equal(t, list[0].Start.Run.Number, list[1].Start.Run.Number)
+}
+
+// TestTaskMovedAfterBatchIsRecordedAgain checks a batch that names an executor on which the task no longer starts. Only
+// the record that names its new executor permits the start.
+func TestTaskMovedAfterBatchIsRecordedAgain(t *testing.T) {
+	h := newHarness(t, testExecutor("x"), testExecutor("y"))
+	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
+	h.cell.Plan(h.now, testWallMS, unbounded)
+	first := h.cell.jobs["j"].occurrences[0].steps[0].tasks[0].run.exec
+	batch, err := h.cell.NextBatch()
+	assert.NilError(t, err)
+	first.quarantine(h.now, time.Second)
+	assert.Equal(t, len(h.cell.Plan(h.now, testWallMS, unbounded)), 0)
+	h.cell.Commit(h.now, batch)
+	assert.Equal(t, len(h.cell.Plan(h.now, testWallMS, unbounded)), 0, "the stored record names the other executor")
+	h.commit()
+	list := startOrders(h.cell.Plan(h.now, testWallMS, unbounded))
+	assert.Equal(t, len(list), 1)
+	assert.Assert(t, list[0].Target.ID != first.entry.ID)
+}
+
+// TestTaskStartsAtOnceOnRecordedExecutor checks that the restart of a task on the executor that the record names needs
+// no other record.
+func TestTaskStartsAtOnceOnRecordedExecutor(t *testing.T) {
+	h := newHarness(t, testExecutor("x"))
+	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
+	first := h.planAndConfirm()
+	h.reportEnd(first[0], 1, orders.EndedLeaseExpired, "")
+	second := h.confirm(h.cell.Plan(h.now, testWallMS, unbounded))
+	assert.Equal(t, len(startedJobs(second)), 1)
+	h.reportEnd(second[0], 2, orders.EndedFailed, "")
+	h.commit()
+	assert.Equal(t, len(startedJobs(h.cell.Plan(h.now, testWallMS, unbounded))), 0, "the last record names no executor")
+}
+
+// TestTooLargePlacementIsLeftOut checks a job whose record fits only without the executors of its tasks. The tasks
+// start, and a new leader waits for all executors.
+func TestTooLargePlacementIsLeftOut(t *testing.T) {
+	h := newHarness(t, testExecutor("x"))
+	h.accept("j", "q", &jobpb.Step{Count: 8, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
+	h.cell.Plan(h.now, testWallMS, unbounded)
+	b, err := h.cell.NextBatch()
+	assert.NilError(t, err)
+	reduced, removed := h.cell.Fit(b, 20)
+	assert.DeepEqual(t, reduced, []string{"p/j"})
+	assert.Equal(t, len(removed), 0)
+	p := &jobpb.Progress{}
+	assert.NilError(t, proto.Unmarshal(b.Records[0].Value, p))
+	assert.Equal(t, p.PlacementEpoch, uint64(0))
+	h.cell.Commit(h.now, b)
+	assert.Equal(t, len(startedJobs(h.cell.Plan(h.now, testWallMS, unbounded))), 8)
+}
+
+// TestUnreadableRecords checks that records that cannot be read make a new leader wait, instead of relying on the
+// records before them.
+func TestUnreadableRecords(t *testing.T) {
+	log := book.New()
+	h := newHarness(t, testExecutor("x"))
+	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
+	h.cell.LoadTerm(nil, 0)
+	h.cell.Plan(h.now, testWallMS, unbounded)
+	b, err := h.cell.NextBatch()
+	assert.NilError(t, err)
+	for _, r := range b.Records {
+		assert.NilError(t, log.Progress(r))
+	}
+	rec, err := intakeRecord(book.JobKey("j"), &jobpb.Intake{Job: h.cell.jobs["j"].pb})
+	assert.NilError(t, err)
+	_, err = log.Intake(rec)
+	assert.NilError(t, err)
+	assert.Assert(t, log.Term() != nil)
+	malformed := []byte{0xff}
+	assert.Assert(t, log.Progress(logs.Record{Key: book.TermKey(), Value: malformed}) != nil)
+	assert.Assert(t, log.Term() == nil)
+	for _, id := range []string{"j", "other"} {
+		assert.Assert(t, log.Progress(logs.Record{Key: book.ProgressKey(id), Value: malformed}) != nil)
+	}
+	e, ok := log.Job("j")
+	assert.Assert(t, ok)
+	assert.Assert(t, e.Progress != nil)
+	assert.Equal(t, e.Progress.PlacementEpoch, uint64(0))
+	assert.Equal(t, e.State(), jobpb.State_STATE_QUEUED)
+}
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -19,7 +19,14 @@
 	exec      *executor
 	resources resources
 
+	// startedAt is when the order to start the run was made, or the run was reserved.
 	startedAt tick.Time
+	// isReserved is true until the order to start the run is made. isRecorded is true once a stored record names its
+	// executor. idleSince is that of the job before the reservation.
+	isReserved, isRecorded bool
+	idleSince              tick.Time
+	// createdAt is when the run was reserved or adopted.
+	createdAt tick.Time
 	// confirmedAt is when the executor confirmed that it has the run; 0 before.
 	confirmedAt tick.Time
 	// isStartUnconfirmed is true if the outcome of the start order is unknown, as it has been since unconfirmedSince.
@@ -31,8 +38,8 @@
 	// stoppedAt is when the executor first confirmed the order to stop; the run cannot begin after that.
 	stoppedAt tick.Time
 
-	// checkpoint, percent and usage are as of the last list. percent is the progress of the run. usage is the tail latency
-	// in milliseconds of a latency-critical run, or the thousandths of a core that another run uses.
+	// checkpoint, percent and usage are as of the last list. percent is the progress of the run. usage is the tail
+	// latency in milliseconds of a latency-critical run, or the thousandths of a core that another run uses.
 	checkpoint string
 	percent    int
 	usage      int64
@@ -65,7 +72,7 @@
 func (c *Cell) createRun(now tick.Time, t *task, x *executor, number uint64) *run {
 	r := &run{
 		id: orders.Run{Task: t.id, Number: number}, task: t, exec: x, resources: resourcesOf(t.step.pb),
-		startedAt: now, progressAt: now, checkpoint: t.checkpoint, pace: fullPacePercent,
+		startedAt: now, createdAt: now, progressAt: now, checkpoint: t.checkpoint, pace: fullPacePercent,
 	}
 	c.attachRun(r)
 	x.suspicion.begin(r)
@@ -111,7 +118,12 @@
 	}
 }
 
+// markForStopping has the run stopped. A reserved run is withdrawn.
 func (c *Cell) markForStopping(r *run) {
+	if r.isReserved {
+		c.withdrawRun(r)
+		return
+	}
 	r.isMarkedForStopping = true
 	c.stopping[r] = true
 }
@@ -128,6 +140,10 @@
 	if x.runs[r.id.Task] != r {
 		return
 	}
+	if r.isReserved {
+		c.withdrawRun(r)
+		return
+	}
 	x.removeRun(r)
 	delete(c.stopping, r)
 	t := r.task
@@ -179,7 +195,8 @@
 	case e.Reason == orders.EndedFailed && !t.done:
 		c.recordFailure(now, t, e.Run.Number, x, nil)
 	}
-	if t.run == nil && !t.done && e.Checkpoint != "" && t.step.pb.Checkpointing {
+	hasStarted := t.run != nil && !t.run.isReserved
+	if !hasStarted && !t.done && e.Checkpoint != "" && t.step.pb.Checkpointing {
 		t.keepCheckpoint(e.Checkpoint)
 	}
 }
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -25,7 +25,9 @@
 	leaseUntil tick.Time
 	// soleLeaderUntil is the time from which another leader may have taken over.
 	soleLeaderUntil tick.Time
-	isKilled        bool
+	// formerLeasesExpireAt is when the leases that former leaders have granted have expired.
+	formerLeasesExpireAt tick.Time
+	isKilled             bool
 	// isIsolated is true if the leader reaches neither the store nor service discovery.
 	isIsolated bool
 	// isPartitioned is true if the leader reaches only the partitioned executors.
@@ -42,11 +44,18 @@
 	l := &simLeader{
 		sim: sim, epoch: uint64(len(sim.leaders)*3 + 1), leaseUntil: sim.now.Add(simLeaseDuration),
 		isHolding: map[string]bool{}, nextHoldAt: map[string]tick.Time{},
-		startWindow: aimd.New(simMaxStarts, simCallTimeout/2),
+		startWindow: aimd.New(simMaxStarts, simCallTimeout/2), formerLeasesExpireAt: previousLeasesExpireAt,
 	}
 	l.cell = New(sim.params, l.epoch, previousLeasesExpireAt)
 	l.cell.Configure(sim.config)
 	sim.fenceEpoch = l.epoch
+	previousEpoch := uint64(0)
+	if len(sim.leaders) > 0 {
+		previousEpoch = sim.currentLeader().epoch
+	}
+	if !sim.isFormerVersion(l.epoch) {
+		l.cell.LoadTerm(sim.book.Term(), previousEpoch)
+	}
 	sim.book.Roster(l.cell.LoadRoster)
 	sim.book.Jobs(func(e *book.Entry) { l.cell.Load(sim.now, sim.wallMS(), e) })
 	sim.leaders = append(sim.leaders, l)
@@ -251,7 +260,7 @@
 		if l.sim.fenceEpoch > l.epoch {
 			return
 		}
-		for _, r := range b.Records {
+		for _, r := range l.storable(b.Records) {
 			if err := l.sim.book.Progress(r); err != nil {
 				l.sim.recordViolation("apply progress record: %v", err)
 			}
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -101,6 +101,8 @@
 	hasLongPolls bool
 	// hasDiscovery is true if entries of service discovery state the start of their process and outlive it for a while.
 	hasDiscovery bool
+	// formerVersions has the leaders, counted from 0, that are of a version without placement records.
+	formerVersions map[int]bool
 }
 
 // crossLink returns how long a message waits for and takes on the leader's link.
--- a/internal/state/cell/suspicion.go
+++ b/internal/state/cell/suspicion.go
@@ -28,8 +28,12 @@
 	// suspicionPause is a third of the time for which a due task may have no run, so that two trials fit into the rest. It
 	// is shorter than failedOnPause, so that tasks that have just failed do not take all trials.
 	suspicionPause = time.Second
-	// trialTimeout is how long a trial that neither fails nor shows progress keeps others from starting.
+	// trialTimeout is how long a trial that neither fails nor shows progress keeps others from starting. It includes the
+	// time for which the run waits for its record after the pause.
 	trialTimeout = 1500 * time.Millisecond
+	// trialReserveLead is how long before the end of the pause the trial is reserved, so that its record is stored by
+	// then.
+	trialReserveLead = 400 * time.Millisecond
 	// provenAfter is how long a run must have made progress on an executor to show that the executor works.
 	provenAfter = time.Second
 )
@@ -58,19 +62,25 @@
 
 func (s *suspicion) isActive() bool { return s.failures >= failuresBeforeSuspicion }
 
-// admits reports whether a run of the step may be started on the executor. The members of a gang are one trial.
+// admits reports whether a run of the step may be reserved on the executor. The members of a gang are one trial.
 func (s *suspicion) admits(now tick.Time, st *step) bool {
 	switch {
 	case !s.isActive():
 		return true
 	case s.trial != nil && st.pb.Gang && s.trial.task.step == st:
 		return true
-	case s.trial != nil && now.Sub(s.trial.startedAt) < trialTimeout:
+	case s.trial != nil && now.Sub(max(s.trial.createdAt, s.pauseEnd())) < trialTimeout:
 		return false
 	}
-	return now.Sub(s.lastFailedAt) >= suspicionPause
+	return !now.Before(s.pauseEnd().Add(-trialReserveLead))
 }
 
+// pauseEnd returns the time until which nothing starts on the executor.
+func (s *suspicion) pauseEnd() tick.Time { return s.lastFailedAt.Add(suspicionPause) }
+
+// isPausing reports whether the executor is under suspicion and its pause is not over.
+func (s *suspicion) isPausing(now tick.Time) bool { return s.isActive() && now.Before(s.pauseEnd()) }
+
 // begin puts a new run on trial if the executor is under suspicion.
 func (s *suspicion) begin(r *run) {
 	if s.isActive() {
--- a/internal/state/cell/usage.go
+++ b/internal/state/cell/usage.go
@@ -17,10 +17,13 @@
 	LatencyCritical, OverTarget int
 	// BestEffort counts the best-effort runs, Throttled those of them below their full pace.
 	BestEffort, Throttled int
+	// Reserved counts the tasks whose executor is chosen and whose start order is not made yet. Their cores are used, but
+	// they are in no other figure.
+	Reserved int
 	// Jobs is the number of jobs that have not ended.
 	Jobs int
 	// AwaitedExecutors counts the executors that have not responded to this leader and may run tasks of a former one.
-	// Until there are none, jobs that a former leader may have started start nothing.
+	// Until there are none, tasks that may run on one of them, and jobs whose record does not tell, do not start.
 	AwaitedExecutors int
 	// Delayed counts the steps that wait although an executor has the room, and the runs that no list shows, by cause, as
 	// of the last call of Diagnose.
@@ -40,6 +43,10 @@
 		u.Cores += x.total.milliCPU / milliCPUPerCore
 		u.UsedCores += x.used.milliCPU / milliCPUPerCore
 		for _, r := range x.runs {
+			if r.isReserved {
+				u.Reserved++
+				continue
+			}
 			u.countRun(r)
 		}
 	}
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -16,7 +16,7 @@
 const (
 	// WaitTakeover means that a former leader may have started the task on an executor that has not responded yet.
 	WaitTakeover WaitCause = "takeover"
-	// WaitStartRecord means that the record of the job's start is not stored yet.
+	// WaitStartRecord means that the record that names the executor of the task is not stored yet.
 	WaitStartRecord WaitCause = "start-record"
 	// WaitOrphan means that an executor may still run the task although this leader does not track that run.
 	WaitOrphan WaitCause = "orphaned-run"
@@ -163,12 +163,10 @@
 // causeOf returns why a task without a run does not start, and the number of executors by cause.
 func (c *Cell) causeOf(p *placement, t *task) (WaitCause, string) {
 	switch {
-	case c.isTakingOver && t.step.job.isInherited:
+	case c.isTakingOver && t.step.job.isInherited, t.heldFor != 0:
 		return WaitTakeover, ""
 	case t.orphanedOn != nil && t.orphanedOn.hasOrphanedRun(t.id):
 		return WaitOrphan, fmt.Sprintf("last response %v ago", inMillis(p.now.Sub(t.orphanedOn.lastResponseAt)))
-	case t.step.job.startRecord == startRecordPending:
-		return WaitStartRecord, ""
 	}
 	counts := c.countCauses(p, t)
 	cause := WaitNoRoom
@@ -251,7 +249,11 @@
 	if now.Sub(max(r.startedAt, r.listedAt)) < waitReportDelay {
 		return false
 	}
-	c.delayed[WaitRun]++
+	cause := WaitRun
+	if r.isReserved && !r.isRecorded {
+		cause = WaitStartRecord
+	}
+	c.delayed[cause]++
 	return r.waitReportedAt == 0 || now.Sub(r.waitReportedAt) >= waitReportInterval
 }
 
@@ -261,9 +263,10 @@
 	c.emit(Event{
 		Name: "run-unlisted", Task: r.id.Task, Run: r.id.Number, Executor: x.entry.ID,
 		Detail: fmt.Sprintf(
-			"for %v; confirmed %t, marked for stopping %t, stop confirmed %t; executor listed %t, last response %v ago, "+
-				"lease expires in %v",
-			inMillis(now.Sub(max(r.startedAt, r.listedAt))), r.confirmedAt != 0, r.isMarkedForStopping, r.stoppedAt != 0,
+			"for %v; reserved %t, recorded %t, confirmed %t, marked for stopping %t, stop confirmed %t; executor listed %t, "+
+				"last response %v ago, lease expires in %v",
+			inMillis(now.Sub(max(r.startedAt, r.listedAt))), r.isReserved, r.isRecorded, r.confirmedAt != 0,
+			r.isMarkedForStopping, r.stoppedAt != 0,
 			x.isListed, inMillis(now.Sub(x.lastResponseAt)), inMillis(x.leaseExpiresBy.Sub(now)),
 		),
 	})
--- /dev/null
+++ b/internal/state/chain/chain.go
@@ -0,0 +1,46 @@
+// Package chain decides which placement records of former leaders a new leader may rely on.
+//
+// A leader that keeps placement records stores, before it sends the start order of a task, a record that names the
+// executor. The record of a job therefore names every executor on which a task of it may run, but only if every leader
+// since the one that wrote it kept such records. A leader of a version without them writes no term record, which breaks
+// the chain.
+//
+// # Usage
+//
+//	c := chain.New(epoch, previousEpoch, lastTermRecord)
+//	if c.Trusts(progress) { ... }
+//	store(c.Record())
+package chain
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+)
+
+// Chain is the sequence of successive leaders, up to the one with the epoch, that have all kept placement records.
+type Chain struct {
+	epoch, previous, since uint64
+}
+
+// New returns the chain that ends with the leader of the epoch. The previous epoch is that of the leader before in the
+// election log, or 0 if it is unknown. The term is the last stored term record, or nil. It is used only if the previous
+// leader wrote it and its contents are consistent.
+func New(epoch, previous uint64, t *jobpb.Term) Chain {
+	if t == nil || t.Epoch != previous || t.Since == 0 || t.Since > t.Epoch || t.Epoch >= epoch {
+		return Chain{epoch: epoch, since: epoch}
+	}
+	return Chain{epoch: epoch, previous: previous, since: t.Since}
+}
+
+// Trusts reports whether the record of a job names every executor on which a former leader may have started a task of
+// it.
+func (c Chain) Trusts(p *jobpb.Progress) bool {
+	return p.PlacementEpoch != 0 && c.since <= p.PlacementEpoch && p.PlacementEpoch <= c.previous
+}
+
+// Record returns the term record that the leader has to store before its first start.
+func (c Chain) Record() *jobpb.Term { return &jobpb.Term{Epoch: c.epoch, Since: c.since} }
+
+// Hash returns the hash by which a record names an executor. It is never 0, which stands for no executor.
+func Hash(executor string) uint32 { return max(1, uint32(xxhash.Sum64String(executor))) }
