Hand over the lead of an instance that the store refuses

Cause: a leader that alone did not reach the store kept the lead until the election timeout, and the next one counted the leases of executors from the end of its leadership lease, 5 s later.

Change: an instance that has read no heartbeat for 0.8 s, and whose append of no records the store answers, asks the leader to yield (call Yield). The leader yields if its last stored heartbeat is older than 0.8 s: its lease ends before it answers. The candidate claims at once and counts the executors' leases from the answer. Where the store answers nobody, nobody asks. The leases of leaders before the one that resigned or yielded are now awaited as well; a resignation soon after an election shortened that wait before.

Tests: a leader that is refused or gets no answer is replaced within 1.3 s and executor leases are awaited for at most their own length; the leader keeps the lead while the store answers nobody or takes no appends; requests with another epoch, lost answers and heartbeats under way (internal/services/elect); the same with jobs in TestTasksStartSoonAfterStoreRefusesLeader.

Not done: a leader whose commits alone fail, while its heartbeats are stored, keeps the lead.

--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -21,7 +21,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
@@ -80,6 +79,9 @@
 	IsEligible func() bool
 	// MaxExecutorLease is the longest time for which an executor keeps running tasks without a leader.
 	MaxExecutorLease time.Duration
+	// AskYield asks the instance at the address to give up the lead of the epoch. It returns true if that instance no
+	// longer acts as its leader. If it is nil, this instance waits for the election timeout.
+	AskYield func(ctx context.Context, address string, epoch uint64) (bool, error)
 	// RunTerm runs while this instance is the leader. Its context ends with the term.
 	RunTerm func(ctx context.Context, t Term) error
 	Logger  zerolog.Logger
@@ -93,11 +95,22 @@
 	// lastRecord is the newest record and lastRecordAt the time it was read.
 	lastRecord   *jobpb.Lead
 	lastRecordAt tick.Time
+	// earlierLeasesUntil is when the leadership leases of the leaders before that of lastRecord have expired.
+	earlierLeasesUntil tick.Time
 	// isLastUnknown is true if newer records than lastRecord were unreadable or are no longer retained.
 	isLastUnknown bool
 	isLeader      bool
 	// leaseUntil is when the leadership lease of this instance expires.
 	leaseUntil tick.Time
+	// ownEpoch is the epoch of the last term of this instance, and yielding is closed when that is yielded. yieldedEpoch
+	// is the epoch of the last term that this instance has yielded; it claims nothing before noClaimBefore.
+	ownEpoch, yieldedEpoch uint64
+	yielding               chan struct{}
+	noClaimBefore          tick.Time
+	// yieldedByOther is the last epoch that another instance has yielded to this one, at yieldedAt. askedAt is when this
+	// instance last asked.
+	yieldedByOther     uint64
+	yieldedAt, askedAt tick.Time
 
 	// next is the offset after the last record read. Only Serve uses next, lastReadAt and readableSince.
 	next logs.Offset
@@ -181,7 +194,14 @@
 	}
 	e.lastReadAt = now
 	e.apply(now, page)
-	if e.next < page.End || now.Before(e.claimAt()) || !e.mayClaim() {
+	if e.next < page.End || !e.mayClaim() {
+		return Term{}, false
+	}
+	if askAt, ok := e.askAt(); ok && !now.Before(askAt) && now.Before(e.claimAt()) {
+		e.requestYield(ctx)
+		now = tick.Now()
+	}
+	if now.Before(e.claimAt()) {
 		return Term{}, false
 	}
 	return e.claim(ctx)
@@ -194,7 +214,11 @@
 	if !e.mayClaim() {
 		return ineligibleReadWait
 	}
-	return min(maxReadWait, max(0, e.claimAt().Sub(now)))
+	next := e.claimAt()
+	if askAt, ok := e.askAt(); ok {
+		next = min(next, askAt)
+	}
+	return min(maxReadWait, max(0, next.Sub(now)))
 }
 
 func (e *Elector) read(ctx context.Context, wait time.Duration) (logs.Page, error) {
@@ -212,6 +236,8 @@
 		// The missing records may include heartbeats, so the election timeout starts anew.
 		e.lastRecordAt = tick.Now()
 		e.isLastUnknown = true
+		// They may also include other leaders.
+		e.earlierLeasesUntil = max(e.earlierLeasesUntil, tick.Now().Add(LeaseDuration))
 		e.mu.Unlock()
 		return
 	}
@@ -232,6 +258,7 @@
 			continue
 		}
 		if e.lastRecord == nil || e.lastRecord.Epoch != l.Epoch {
+			e.earlierLeasesUntil = e.formerLeaseUntil(now)
 			e.opts.Logger.Info().Str("leader", l.Instance).Uint64("epoch", l.Epoch).Msg("leader-changed")
 		}
 		e.lastRecord, e.lastRecordAt, e.isLastUnknown = l, now, false
@@ -243,16 +270,17 @@
 func (e *Elector) claimAt() tick.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	rank := xxhash.Sum64String(e.opts.Instance) % claimRanks
-	stagger := time.Duration(rank)*claimStagger + e.opts.ClaimDelay
 	if e.lastRecord == nil || e.lastRecord.Resigned {
-		return max(e.lastRecordAt, e.readableSince).Add(stagger)
+		return max(e.lastRecordAt, e.readableSince).Add(e.stagger())
 	}
 	if e.lastRecord.Instance == e.opts.Instance {
 		// The record is of an earlier process or term of this instance, or of a claim whose response was lost.
-		return e.readableSince
+		return max(e.readableSince, e.noClaimBefore)
+	}
+	if e.isYielded() {
+		return e.yieldedAt
 	}
-	return max(e.lastRecordAt, e.readableSince).Add(electionTimeout + stagger)
+	return max(e.lastRecordAt, e.readableSince).Add(electionTimeout + e.stagger())
 }
 
 // claim tries to become the leader.
@@ -266,12 +294,14 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.earlierLeasesUntil = e.formerLeaseUntil(sent)
 	t := Term{
 		Epoch: epoch, PreviousEpoch: e.previousEpoch(),
-		ExecutorLeasesExpireAt: e.formerLeaseUntil(sent).Add(e.opts.MaxExecutorLease),
+		ExecutorLeasesExpireAt: e.earlierLeasesUntil.Add(e.opts.MaxExecutorLease),
 	}
 	e.isLeader = true
 	e.leaseUntil = sent.Add(LeaseDuration)
+	e.beginTerm(epoch)
 	e.lastRecord = e.record(epoch)
 	e.lastRecordAt = sent
 	e.isLastUnknown = false
@@ -285,19 +315,22 @@
 	return &jobpb.Lead{Instance: e.opts.Instance, Address: e.opts.Address, Epoch: epoch, Cores: e.opts.Cores}
 }
 
-// formerLeaseUntil returns when the lease of the former leader expires. The caller must hold the mutex.
+// formerLeaseUntil returns when the leases of all leaders up to that of the newest record have expired. A leader that
+// has resigned or yielded may have taken over from one whose lease lasts longer. The caller must hold the mutex.
 func (e *Elector) formerLeaseUntil(now tick.Time) tick.Time {
 	switch {
-	case e.next == 0:
+	case e.lastRecord == nil && !e.isLastUnknown && e.next == 0:
 		// There was no leader yet.
 		return now
-	case e.lastRecord == nil:
+	case e.lastRecord == nil || e.isLastUnknown:
 		// The last record is no longer retained or is unreadable.
-		return now.Add(LeaseDuration)
+		return max(e.earlierLeasesUntil, now.Add(LeaseDuration))
 	case e.lastRecord.Resigned:
-		return e.lastRecordAt
+		return max(e.earlierLeasesUntil, e.lastRecordAt)
+	case e.isYielded():
+		return max(e.earlierLeasesUntil, e.yieldedAt)
 	}
-	return e.lastRecordAt.Add(LeaseDuration)
+	return max(e.earlierLeasesUntil, e.lastRecordAt.Add(LeaseDuration))
 }
 
 // previousEpoch returns the epoch of the newest record, or 0 if it is unknown. The caller must hold the mutex.
@@ -347,6 +380,7 @@
 func (e *Elector) heartbeatLoop(ctx context.Context, t Term, ended <-chan error) error {
 	timer := time.NewTimer(heartbeatInterval)
 	defer timer.Stop()
+	yielding := e.yieldSignal()
 	for {
 		select {
 		case err := <-ended:
@@ -358,6 +392,8 @@
 			return nil
 		case <-e.resigning:
 			return nil
+		case <-yielding:
+			return nil
 		case <-timer.C:
 		}
 		if !e.sendHeartbeat(ctx, t) {
@@ -374,11 +410,7 @@
 	var conflict *logs.ConflictError
 	switch {
 	case err == nil:
-		e.mu.Lock()
-		e.leaseUntil = sent.Add(LeaseDuration)
-		e.lastRecordAt = tick.Now()
-		e.mu.Unlock()
-		return true
+		return e.extendLease(sent)
 	case errors.As(err, &conflict):
 		return e.isStillLeader(ctx, t)
 	}
@@ -386,6 +418,19 @@
 	return true
 }
 
+// extendLease extends the leadership lease after a heartbeat was stored. It returns false if the term was yielded
+// meanwhile.
+func (e *Elector) extendLease(sent tick.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lastRecordAt = tick.Now()
+	if !e.isLeader {
+		return false
+	}
+	e.leaseUntil = sent.Add(LeaseDuration)
+	return true
+}
+
 // isStillLeader reads the records that conflicted with a heartbeat. They are either earlier heartbeats of this leader
 // whose responses were lost, or the claim of another instance. If the read fails, it returns true: the leadership lease
 // limits how long this leader may act.
--- a/internal/services/elect/elect_test.go
+++ b/internal/services/elect/elect_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,8 +12,10 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/ibischute/ibischute/internal/modules/logs"
 	"github.com/ibischute/ibischute/internal/services/elect"
 	"github.com/ibischute/ibischute/internal/stand/memlog"
+	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
@@ -23,13 +26,44 @@
 	*elect.Elector
 	terms chan elect.Term
 	stop  func()
+	view  *memlog.View
+	// refusesAppends makes the store refuse the appends of the process.
+	refusesAppends atomic.Bool
 }
 
+// storeOf is the access of a process to the log.
+type storeOf struct {
+	*memlog.View
+	process *process
+}
+
+// Append implements logs.Log.
+func (s storeOf) Append(
+	ctx context.Context, t logs.Topic, part logs.Part, records []logs.Record, c logs.Condition,
+) (logs.Offset, error) {
+	if s.process.refusesAppends.Load() {
+		return 0, fault.New(fault.CodeUnavailable, fault.NotRun, "the log refuses appends")
+	}
+	return s.View.Append(ctx, t, part, records, c)
+}
+
+// network has the processes by their address, for requests to yield.
+type network map[string]*process
+
 func start(t *testing.T, log *memlog.Log, name string, cores float64, claimDelay time.Duration) *process {
 	t.Helper()
-	p := &process{terms: make(chan elect.Term, 1)}
+	return network{}.start(t, log, name, cores, claimDelay)
+}
+
+func (n network) start(
+	t *testing.T, log *memlog.Log, name string, cores float64, claimDelay time.Duration,
+) *process {
+	t.Helper()
+	p := &process{terms: make(chan elect.Term, 8), view: log.View()}
+	n[name] = p
 	p.Elector = elect.New(elect.Options{
-		Log: log.View(), Instance: name, Address: name, Cores: cores, ClaimDelay: claimDelay,
+		AskYield: n.askYield,
+		Log:      storeOf{p.view, p}, Instance: name, Address: name, Cores: cores, ClaimDelay: claimDelay,
 		MaxExecutorLease: maxExecutorLease, IsEligible: func() bool { return true },
 		RunTerm: func(ctx context.Context, term elect.Term) error {
 			p.terms <- term
--- /dev/null
+++ b/internal/services/elect/yield_test.go
@@ -0,0 +1,178 @@
+package elect_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/services/elect"
+	"github.com/ibischute/ibischute/internal/stand/memlog"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+const (
+	// maxHandover is the time from the first refused heartbeat until another instance leads. The last stored one may be
+	// half a second older.
+	maxHandover = 1300 * time.Millisecond
+	// callTime is how long a request to yield takes each way.
+	callTime = time.Millisecond
+)
+
+func (n network) askYield(ctx context.Context, address string, epoch uint64) (bool, error) {
+	tick.Pause(ctx, callTime)
+	p, ok := n[address]
+	if !ok {
+		return false, fault.New(fault.CodeNotSent, fault.NotRun, "no such process")
+	}
+	hasYielded := p.Yield(tick.Now(), epoch)
+	tick.Pause(ctx, callTime)
+	return hasYielded, nil
+}
+
+// startPair starts a leader a and another instance b.
+func startPair(t *testing.T, n network) (first, second *process, term elect.Term) {
+	t.Helper()
+	log := newLog(t)
+	first = n.start(t, log, "a", 1, 0)
+	term = <-first.terms
+	second = n.start(t, log, "b", 1, 0)
+	time.Sleep(2 * time.Second)
+	return first, second, term
+}
+
+// TestLeaderRefusedByStoreYields checks a leader that alone does not reach the store, which refuses it or does not
+// answer. Without a handover, the others wait for the election timeout and for its leadership lease.
+func TestLeaderRefusedByStoreYields(t *testing.T) {
+	for name, f := range map[string]memlog.Faults{"refused": {Down: true}, "unanswered": {Unresponsive: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first, second, former := startPair(t, network{})
+				first.view.SetFaults(f)
+				began := tick.Now()
+				term := <-second.terms
+				took := tick.Now().Sub(began)
+				assert.Assert(t, took <= maxHandover, "took %v", took)
+				assert.Assert(t, !first.IsLeader(tick.Now()), "two leaders act")
+				assert.Equal(t, term.PreviousEpoch, former.Epoch)
+				left := term.ExecutorLeasesExpireAt.Sub(tick.Now())
+				assert.Assert(t, left <= maxExecutorLease, "executor leases are awaited for %v", left)
+				first.view.SetFaults(memlog.Faults{})
+				time.Sleep(5 * time.Second)
+				assert.Assert(t, second.IsLeader(tick.Now()))
+				assert.Assert(t, !first.IsLeader(tick.Now()))
+			})
+		})
+	}
+}
+
+// TestLeaderKeepsLeadWhileStoreIsDown checks that nobody takes the lead while the store answers nobody.
+func TestLeaderKeepsLeadWhileStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second, _ := startPair(t, network{})
+		for _, f := range []memlog.Faults{{Down: true}, {Unresponsive: true}} {
+			for _, p := range []*process{first, second} {
+				p.view.SetFaults(f)
+			}
+			for range 40 {
+				time.Sleep(100 * time.Millisecond)
+				assert.Assert(t, first.IsLeader(tick.Now()))
+			}
+			for _, p := range []*process{first, second} {
+				p.view.SetFaults(memlog.Faults{})
+			}
+			time.Sleep(3 * time.Second)
+			assert.Assert(t, first.IsLeader(tick.Now()))
+		}
+		assert.Equal(t, len(second.terms), 0)
+	})
+}
+
+// TestLeaderYieldsOnlyItsOwnTermWithoutHeartbeats checks requests that are wrong or late.
+func TestLeaderYieldsOnlyItsOwnTermWithoutHeartbeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := network{}
+		first, second, term := startPair(t, n)
+		delete(n, "a")
+		assert.Assert(t, !first.Yield(tick.Now(), term.Epoch), "heartbeats are stored")
+		first.view.SetFaults(memlog.Faults{Down: true})
+		time.Sleep(1350 * time.Millisecond)
+		assert.Assert(t, !first.Yield(tick.Now(), term.Epoch+1))
+		assert.Assert(t, !first.Yield(tick.Now(), 0))
+		assert.Assert(t, !second.Yield(tick.Now(), term.Epoch), "another instance cannot answer for the leader")
+		assert.Assert(t, first.IsLeader(tick.Now()))
+		assert.Assert(t, first.Yield(tick.Now(), term.Epoch))
+		assert.Assert(t, !first.IsLeader(tick.Now()))
+		assert.Assert(t, !first.IsSoleLeader(tick.Now()))
+		assert.Assert(t, first.Yield(tick.Now(), term.Epoch), "a repeated request gets the same answer")
+		next := <-second.terms
+		assert.Assert(t, next.ExecutorLeasesExpireAt.Sub(tick.Now()) > maxExecutorLease,
+			"an instance that got no answer waits for the leadership lease")
+	})
+}
+
+// TestLostAnswerOfYieldIsAskedAgain checks that the handover survives the loss of one answer.
+func TestLostAnswerOfYieldIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := network{}
+		first, second, term := startPair(t, n)
+		first.view.SetFaults(memlog.Faults{Down: true})
+		time.Sleep(820 * time.Millisecond)
+		// The leader has yielded to a request whose answer was lost.
+		assert.Assert(t, first.Yield(tick.Now(), term.Epoch) || !first.IsLeader(tick.Now()))
+		next := <-second.terms
+		assert.Assert(t, next.ExecutorLeasesExpireAt.Sub(tick.Now()) <= maxExecutorLease)
+	})
+}
+
+// TestInstanceThatCannotAppendDoesNotAsk checks that the leader keeps the lead if the store answers reads only.
+func TestInstanceThatCannotAppendDoesNotAsk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second, _ := startPair(t, network{})
+		for _, p := range []*process{first, second} {
+			p.refusesAppends.Store(true)
+		}
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, first.IsLeader(tick.Now()))
+	})
+}
+
+// TestHeartbeatStoredAfterYieldRenewsNoLease checks a heartbeat that is under way when the leader yields.
+func TestHeartbeatStoredAfterYieldRenewsNoLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := network{}
+		first, second, term := startPair(t, n)
+		second.stop()
+		first.view.SetFaults(memlog.Faults{AppendTime: 850 * time.Millisecond})
+		for !first.Yield(tick.Now(), term.Epoch) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		for range 100 {
+			time.Sleep(10 * time.Millisecond)
+			assert.Assert(t, !first.IsLeader(tick.Now()))
+		}
+	})
+}
+
+// TestLeasesOfEarlierLeadersAreAwaited checks three leaders in short succession: the second one hands over while the
+// leadership lease of the first, which did not answer, may still last.
+func TestLeasesOfEarlierLeadersAreAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newLog(t)
+		first := start(t, log, "a", 1, 0)
+		<-first.terms
+		second := start(t, log, "b", 1, 0)
+		third := start(t, log, "c", 1, 500*time.Millisecond)
+		time.Sleep(2 * time.Second)
+		first.stop()
+		stoppedAt := tick.Now()
+		<-second.terms
+		second.Resign()
+		term := <-third.terms
+		wait := term.ExecutorLeasesExpireAt.Sub(stoppedAt)
+		assert.Assert(t, wait > elect.LeaseDuration+maxExecutorLease-time.Second, "waits %v", wait)
+	})
+}
--- a/internal/services/intake/peer.go
+++ b/internal/services/intake/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/go-faster/errors"
 	"github.com/twitchtv/twirp"
@@ -57,9 +58,20 @@
 	return &jobpb.RecordResponse{}, nil
 }
 
-// Yield implements jobpb.Jobs. The leader keeps the lead.
-func (p *PeerServer) Yield(_ context.Context, _ *jobpb.YieldRequest) (*jobpb.YieldResponse, error) {
-	return &jobpb.YieldResponse{}, nil
+// Yield implements jobpb.Jobs.
+func (p *PeerServer) Yield(_ context.Context, r *jobpb.YieldRequest) (*jobpb.YieldResponse, error) {
+	return &jobpb.YieldResponse{Yielded: p.intake.opts.Elector.Yield(tick.Now(), r.Epoch)}, nil
+}
+
+// AskYield returns a function that asks the instance at an address to give up the lead of an epoch.
+func AskYield(client *http.Client) func(ctx context.Context, address string, epoch uint64) (bool, error) {
+	return func(ctx context.Context, address string, epoch uint64) (bool, error) {
+		res, err := jobpb.NewJobsProtobufClient("http://"+address, client).Yield(ctx, &jobpb.YieldRequest{Epoch: epoch})
+		if err != nil {
+			return false, translateLeaderError(err)
+		}
+		return res.Yielded, nil
+	}
 }
 
 // translateLeaderError translates the error of a call to the leader into one that says whether the call has run.
--- a/internal/services/leader/system_test.go
+++ b/internal/services/leader/system_test.go
@@ -134,7 +134,7 @@
 			_, ok := follower.Current()
 			return ok
 		},
-		RunTerm: n.leader.Run, Logger: logger,
+		AskYield: intake.AskYield(&http.Client{Transport: s}), RunTerm: n.leader.Run, Logger: logger,
 	})
 	committer := group.New(group.Options{Log: n.view, Topic: logs.Intake, LastStoreResponseAt: n.view.LastResponseAt})
 	n.intake = intake.New(intake.Options{
@@ -313,6 +313,35 @@
 	})
 }
 
+// TestTasksStartSoonAfterStoreRefusesLeader checks a leader that alone does not reach the store, with jobs that have
+// started. It must give up the lead to an instance that does, and no task may run twice.
+func TestTasksStartSoonAfterStoreRefusesLeader(t *testing.T) {
+	const maxReplacement = 1500 * time.Millisecond
+	for name, f := range map[string]memlog.Faults{"refused": {Down: true}, "unanswered": {Unresponsive: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, first := newSystemWithLeader(t)
+				other := s.instances[0]
+				if other == first {
+					other = s.instances[1]
+				}
+				for id := range 5 {
+					s.accept(other, id)
+				}
+				first.view.SetFaults(f)
+				began := time.Now()
+				s.awaitOtherLeader(first)
+				assert.Assert(t, time.Since(began) < maxReplacement, "took %v", time.Since(began))
+				for id := range 5 {
+					s.accept(other, 5+id)
+				}
+				time.Sleep(3 * time.Second)
+				s.checkCompleted(s.leader(), 10)
+			})
+		})
+	}
+}
+
 func TestUnresponsiveStoreFailsFastAfterFirstRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSystem(t, 3)
--- a/internal/state/cell/starve_test.go
+++ b/internal/state/cell/starve_test.go
@@ -101,8 +101,8 @@
 	fewestUsable    int
 	longestHarm     time.Duration
 	moved, halted   int
-	// overAfterMove counts the waits beyond the bound that began with the stop of a moved run, mostMoves the most moves
-	// of one job.
+	// overAfterMove counts the waits beyond the bound that began with the stop of a moved run, mostMoves the most moves of
+	// one job.
 	overAfterMove, mostMoves int
 	// refusedByForecast counts the executors that refused a wait over the bound by the forecast, overestimated those of
 	// them that the true weights would have permitted.
