Start tasks on recorded executors while the store is stalled

Cause: while the store takes no records, reserved runs hold the room of tasks that need no record, because their stored record names an executor already.

Change: if a batch has been under way for 400 ms without any of it being stored, the plan withdraws the reserved runs that are in no batch and places only tasks on the executors that their records name. Reserved runs of the batch under way remain, so that a store that is slow for every batch still lets tasks start. Tasks that wait are not recorded in advance: a new leader would hold them back for up to 11.2 s for an executor on which they never ran.

Tests: three in internal/state/cell/reserve_test.go; the model's leaders use the rule.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -111,6 +111,9 @@
 	// startWindow limits the start orders in flight.
 	startWindow *aimd.Window
 	wg          sync.WaitGroup
+	// storeSince is when the store was given the records under way, or last took some of them; 0 if none are under way.
+	// The mutex guards it.
+	storeSince tick.Time
 	// sequence is the sequence number of the next append of records. It is not advanced by fence, which appends none.
 	sequence uint64
 }
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -25,6 +25,8 @@
 	// commitPause is the pause after a commit, so that many changes share one record. It ends early if reserved runs wait
 	// for their record. The next plan then collects what has become startable, so it lasts minPlanPause at least.
 	commitPause = 20 * time.Millisecond
+	// storeStallTimeout is how long the store may take for records until only tasks start that need none.
+	storeStallTimeout = 400 * time.Millisecond
 	// commitFailurePause is the pause after a term that a failed commit has ended. It limits the rate of terms, and the
 	// replica completes its last waiting read within it.
 	commitFailurePause = 1100 * time.Millisecond
@@ -63,6 +65,7 @@
 	now := tick.Now()
 	list := t.cell.Plan(now, tick.Wall().UnixMilli(), cell.PlanLimits{
 		MaxStarts: t.startWindow.Room(now), IsSoleLeader: t.opts.IsSoleLeader(now),
+		IsStoreStalled: t.storeSince != 0 && now.Sub(t.storeSince) >= storeStallTimeout,
 	})
 	events := t.cell.Events()
 	isFenced := t.cell.IsFenced()
@@ -269,7 +272,9 @@
 
 // store appends the records of a batch in order, with as few appends as the limit of the log permits.
 func (t *term) store(ctx context.Context, b *cell.Batch) error {
+	defer t.setStoreSince(0)
 	for rest := b.Records; len(rest) > 0; {
+		t.setStoreSince(tick.Now())
 		n := countFitting(rest, t.opts.MaxAppendBytes)
 		if err := t.storeRecords(ctx, rest[:n]); err != nil {
 			return err
@@ -279,6 +284,12 @@
 	return nil
 }
 
+func (t *term) setStoreSince(at tick.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.storeSince = at
+}
+
 // framingBytes is the size of the length prefixes of a record and of its key.
 const framingBytes = 5
 
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -15,6 +15,8 @@
 	// IsSoleLeader is true if no other leader can have taken over. Otherwise another leader may know the outcome of a run
 	// whose lease has expired here, so that its task must not be started again.
 	IsSoleLeader bool
+	// IsStoreStalled is true while the store takes no records. Then only tasks start whose executor is recorded already.
+	IsStoreStalled bool
 }
 
 // Plan returns the orders to send now. It assumes that the starts, stops and pace changes will be carried out until a
@@ -31,10 +33,18 @@
 		return nil
 	}
 	c.withdrawUnfit(now)
+	if limits.IsStoreStalled {
+		c.withdrawUnbatched()
+	}
 	c.stopDraining(now)
 	p := c.newPlacement(now)
 	out := c.adjustPaces(now, p, nil)
-	c.placeWaiting(now, p, max(limits.MaxStarts, maxReserved)-len(c.placements.reserved))
+	limit := max(limits.MaxStarts, maxReserved) - len(c.placements.reserved)
+	if limits.IsStoreStalled {
+		c.placeRecorded(now, p, limit)
+	} else {
+		c.placeWaiting(now, p, limit)
+	}
 	out = append(out, c.startRecorded(now, limits.MaxStarts)...)
 	return c.appendStopOrders(now, out)
 }
--- a/internal/state/cell/reserve.go
+++ b/internal/state/cell/reserve.go
@@ -45,6 +45,52 @@
 	}
 }
 
+// placeRecorded reserves runs for waiting tasks on the executors that their records name, at most the limit.
+func (c *Cell) placeRecorded(now tick.Time, p *placement, limit int) {
+	for _, s := range c.waitingSteps(now) {
+		if s.pb.Gang {
+			continue
+		}
+		cands := p.candidates(s)
+		for _, t := range s.tasks {
+			if limit <= 0 {
+				return
+			}
+			x := cands.recorded(t)
+			if x == nil || !t.isStartable(now) {
+				continue
+			}
+			c.reserveRun(now, t, x, c.nextRunNumber(t))
+			limit--
+			cands.update(x)
+		}
+	}
+}
+
+// recorded returns the executor that the record of the task names, or nil if it is no candidate or the record may be
+// replaced by one under way.
+func (c *candidates) recorded(t *task) *executor {
+	if t.recordedOn == 0 || t.recordedOn != t.batchedOn || len(t.failedOn) > 0 {
+		return nil
+	}
+	i := slices.IndexFunc(c.list, func(k candidate) bool { return k.exec.hash == t.recordedOn })
+	if i < 0 {
+		return nil
+	}
+	return c.list[i].exec
+}
+
+// withdrawUnbatched withdraws the reserved runs that are in no batch yet, so that they keep no resources from tasks
+// that need no record. Those in the batch under way remain: a store that takes long for every batch would otherwise let
+// nothing start.
+func (c *Cell) withdrawUnbatched() {
+	for _, r := range slices.Clone(c.placements.reserved) {
+		if r.isReserved && !r.isBatched && !r.isRecorded {
+			c.withdrawRun(r)
+		}
+	}
+}
+
 // withdrawRun removes a run for which no order was made. Its number may be assigned again.
 func (c *Cell) withdrawRun(r *run) {
 	c.placements.reserved = slices.DeleteFunc(c.placements.reserved, func(o *run) bool { return o == r })
@@ -209,6 +255,7 @@
 func (b *Batch) place(j *job) {
 	j.forEachTask(func(t *task) {
 		if t.run != nil && t.run.isReserved {
+			t.run.isBatched = true
 			b.placed = append(b.placed, t.run)
 		}
 	})
--- a/internal/state/cell/reserve_test.go
+++ b/internal/state/cell/reserve_test.go
@@ -313,3 +313,65 @@
 	assert.Equal(t, e.Progress.PlacementEpoch, uint64(0))
 	assert.Equal(t, e.State(), jobpb.State_STATE_QUEUED)
 }
+
+// TestOnlyRecordedTasksStartWhileStoreIsStalled checks that tasks whose record names an executor with room start
+// without the store, and that reserved runs that need a record do not keep that room from them.
+func TestOnlyRecordedTasksStartWhileStoreIsStalled(t *testing.T) {
+	stalled := unbounded
+	stalled.IsStoreStalled = true
+	large := &jobpb.Step{Count: 1, MilliCpu: 64000, MemoryMb: 100, EstimateMs: 1000}
+	h := newHarness(t, testExecutor("x"))
+	h.accept("recorded", "low", large)
+	first := h.planAndConfirm()
+	h.reportEnd(first[0], 1, orders.EndedLeaseExpired, "")
+	h.accept("new", "q", large)
+	assert.Equal(t, len(h.cell.Plan(h.now, testWallMS, unbounded)), 0)
+	assert.Assert(t, h.cell.jobs["new"].occurrences[0].steps[0].tasks[0].run.isReserved)
+	list := h.confirm(h.cell.Plan(h.now, testWallMS, stalled))
+	assert.DeepEqual(t, startedJobs(list), []string{"recorded"})
+	h.reportEnd(list[0], 2, orders.EndedDone, "")
+	assert.Equal(t, len(h.cell.Plan(h.now, testWallMS, stalled)), 0)
+	assert.DeepEqual(t, startedJobs(h.planAndConfirm()), []string{"new"})
+}
+
+// TestTaskWithRecordUnderWayDoesNotStartWhileStoreIsStalled checks a batch that names another executor than the stored
+// record and whose outcome is open.
+func TestTaskWithRecordUnderWayDoesNotStartWhileStoreIsStalled(t *testing.T) {
+	stalled := unbounded
+	stalled.IsStoreStalled = true
+	h := newHarness(t, testExecutor("x"), testExecutor("y"))
+	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
+	first := h.planAndConfirm()[0]
+	h.reportEnd(first, 1, orders.EndedLeaseExpired, "")
+	used := h.cell.execs[first.Target.ID]
+	used.quarantine(h.now, time.Second)
+	assert.Equal(t, len(h.cell.Plan(h.now, testWallMS, unbounded)), 0, "the other executor is not recorded")
+	batch, err := h.cell.NextBatch()
+	assert.NilError(t, err)
+	h.advance(time.Second)
+	h.reportRunning("x")
+	h.reportRunning("y")
+	assert.Equal(t, len(h.cell.Plan(h.now, testWallMS, stalled)), 0)
+	h.cell.Commit(h.now, batch)
+	assert.Equal(t, len(startedJobs(h.cell.Plan(h.now, testWallMS, stalled))), 1, "the stored record names the other one")
+}
+
+// TestTasksStartThoughStoreIsAlwaysSlow checks a store that takes longer for each batch than the time after which it
+// counts as stalled. Reservations that are given up and made again would let nothing start.
+func TestTasksStartThoughStoreIsAlwaysSlow(t *testing.T) {
+	stalled := unbounded
+	stalled.IsStoreStalled = true
+	h := newHarness(t, testExecutor("x"))
+	started := 0
+	for i := range 5 {
+		h.accept(string(rune('a'+i)), "q", &jobpb.Step{Count: 2, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
+		started += len(startedJobs(h.cell.Plan(h.now, testWallMS, unbounded)))
+		batch, err := h.cell.NextBatch()
+		assert.NilError(t, err)
+		h.advance(500 * time.Millisecond)
+		started += len(startedJobs(h.cell.Plan(h.now, testWallMS, stalled)))
+		h.cell.Commit(h.now, batch)
+		started += len(startedJobs(h.cell.Plan(h.now, testWallMS, unbounded)))
+	}
+	assert.Equal(t, started, 10)
+}
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -21,10 +21,10 @@
 
 	// startedAt is when the order to start the run was made, or the run was reserved.
 	startedAt tick.Time
-	// isReserved is true until the order to start the run is made. isRecorded is true once a stored record names its
-	// executor. idleSince is that of the job before the reservation.
-	isReserved, isRecorded bool
-	idleSince              tick.Time
+	// isReserved is true until the order to start the run is made. isBatched is true once a batch names its executor,
+	// isRecorded once a stored record does. idleSince is that of the job before the reservation.
+	isReserved, isBatched, isRecorded bool
+	idleSince                         tick.Time
 	// createdAt is when the run was reserved or adopted.
 	createdAt tick.Time
 	// confirmedAt is when the executor confirmed that it has the run; 0 before.
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -33,6 +33,8 @@
 	// isPartitioned is true if the leader reaches only the partitioned executors.
 	isPartitioned bool
 	isCommitting  bool
+	// unstoredSince is when the store last took records or there were none.
+	unstoredSince tick.Time
 	isHolding     map[string]bool
 	nextHoldAt    map[string]tick.Time
 	startWindow   *aimd.Window
@@ -86,6 +88,7 @@
 	list := l.cell.Plan(l.sim.now, l.sim.wallMS(),
 		PlanLimits{
 			MaxStarts: l.startWindow.Room(l.sim.now), IsSoleLeader: l.sim.now.Before(l.soleLeaderUntil),
+			IsStoreStalled: l.isStoreStalled(),
 		})
 	slices.SortFunc(list, compareOrders)
 	for _, o := range list {
@@ -102,6 +105,17 @@
 	l.commit()
 }
 
+// simStallTimeout is how long the store may take for records until the leader treats it as stalled.
+const simStallTimeout = 400 * time.Millisecond
+
+// isStoreStalled reports whether records have been waiting for the store for simStallTimeout.
+func (l *simLeader) isStoreStalled() bool {
+	if !l.cell.HasChanges() && !l.isCommitting {
+		l.unstoredSince = l.sim.now
+	}
+	return l.sim.now.Sub(l.unstoredSince) >= simStallTimeout
+}
+
 // compareOrders sorts the orders of a plan, whose sequence is random, so that schedules are reproducible.
 func compareOrders(a, b Order) int {
 	return strings.Compare(orderKey(a), orderKey(b))
@@ -265,6 +279,7 @@
 				l.sim.recordViolation("apply progress record: %v", err)
 			}
 		}
+		l.unstoredSince = l.sim.now
 		if !l.isKilled {
 			l.cell.Commit(l.sim.now, b)
 		}
