Guard the peers of the test networks against concurrent use

Cause: instances of the tests now call each other while others end, which the race detector reports; a counter of TestNoStartBeforeAppendIsKnownToBeStored was read without its mutex.

Tests: go test -race of internal/services/elect and internal/services/leader passes.

--- a/internal/services/elect/elect_test.go
+++ b/internal/services/elect/elect_test.go
@@ -48,19 +48,37 @@
 }
 
 // network has the processes by their address, for requests to yield.
-type network map[string]*process
+type network struct {
+	mu        sync.Mutex
+	processes map[string]*process
+}
+
+func newNetwork() *network { return &network{processes: map[string]*process{}} }
+
+// set sets the process at an address, or removes it.
+func (n *network) set(address string, p *process) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.processes[address] = p
+}
+
+func (n *network) process(address string) *process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.processes[address]
+}
 
 func start(t *testing.T, log *memlog.Log, name string, cores float64, claimDelay time.Duration) *process {
 	t.Helper()
-	return network{}.start(t, log, name, cores, claimDelay)
+	return newNetwork().start(t, log, name, cores, claimDelay)
 }
 
-func (n network) start(
+func (n *network) start(
 	t *testing.T, log *memlog.Log, name string, cores float64, claimDelay time.Duration,
 ) *process {
 	t.Helper()
 	p := &process{terms: make(chan elect.Term, 8), view: log.View()}
-	n[name] = p
+	n.set(name, p)
 	p.Elector = elect.New(elect.Options{
 		AskYield: n.askYield,
 		Log:      storeOf{p.view, p}, Instance: name, Address: name, Cores: cores, ClaimDelay: claimDelay,
--- a/internal/services/elect/yield_test.go
+++ b/internal/services/elect/yield_test.go
@@ -22,10 +22,10 @@
 	callTime = time.Millisecond
 )
 
-func (n network) askYield(ctx context.Context, address string, epoch uint64) (bool, error) {
+func (n *network) askYield(ctx context.Context, address string, epoch uint64) (bool, error) {
 	tick.Pause(ctx, callTime)
-	p, ok := n[address]
-	if !ok {
+	p := n.process(address)
+	if p == nil {
 		return false, fault.New(fault.CodeNotSent, fault.NotRun, "no such process")
 	}
 	hasYielded := p.Yield(tick.Now(), epoch)
@@ -34,7 +34,7 @@
 }
 
 // startPair starts a leader a and another instance b.
-func startPair(t *testing.T, n network) (first, second *process, term elect.Term) {
+func startPair(t *testing.T, n *network) (first, second *process, term elect.Term) {
 	t.Helper()
 	log := newLog(t)
 	first = n.start(t, log, "a", 1, 0)
@@ -50,7 +50,7 @@
 	for name, f := range map[string]memlog.Faults{"refused": {Down: true}, "unanswered": {Unresponsive: true}} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				first, second, former := startPair(t, network{})
+				first, second, former := startPair(t, newNetwork())
 				first.view.SetFaults(f)
 				began := tick.Now()
 				term := <-second.terms
@@ -72,7 +72,7 @@
 // TestLeaderKeepsLeadWhileStoreIsDown checks that nobody takes the lead while the store answers nobody.
 func TestLeaderKeepsLeadWhileStoreIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		first, second, _ := startPair(t, network{})
+		first, second, _ := startPair(t, newNetwork())
 		for _, f := range []memlog.Faults{{Down: true}, {Unresponsive: true}} {
 			for _, p := range []*process{first, second} {
 				p.view.SetFaults(f)
@@ -94,9 +94,9 @@
 // TestLeaderYieldsOnlyItsOwnTermWithoutHeartbeats checks requests that are wrong or late.
 func TestLeaderYieldsOnlyItsOwnTermWithoutHeartbeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := network{}
+		n := newNetwork()
 		first, second, term := startPair(t, n)
-		delete(n, "a")
+		n.set("a", nil)
 		assert.Assert(t, !first.Yield(tick.Now(), term.Epoch), "heartbeats are stored")
 		first.view.SetFaults(memlog.Faults{Down: true})
 		time.Sleep(1350 * time.Millisecond)
@@ -117,7 +117,7 @@
 // TestLostAnswerOfYieldIsAskedAgain checks that the handover survives the loss of one answer.
 func TestLostAnswerOfYieldIsAskedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := network{}
+		n := newNetwork()
 		first, second, term := startPair(t, n)
 		first.view.SetFaults(memlog.Faults{Down: true})
 		time.Sleep(820 * time.Millisecond)
@@ -131,7 +131,7 @@
 // TestInstanceThatCannotAppendDoesNotAsk checks that the leader keeps the lead if the store answers reads only.
 func TestInstanceThatCannotAppendDoesNotAsk(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		first, second, _ := startPair(t, network{})
+		first, second, _ := startPair(t, newNetwork())
 		for _, p := range []*process{first, second} {
 			p.refusesAppends.Store(true)
 		}
@@ -143,7 +143,7 @@
 // TestHeartbeatStoredAfterYieldRenewsNoLease checks a heartbeat that is under way when the leader yields.
 func TestHeartbeatStoredAfterYieldRenewsNoLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := network{}
+		n := newNetwork()
 		first, second, term := startPair(t, n)
 		second.stop()
 		first.view.SetFaults(memlog.Faults{AppendTime: 850 * time.Millisecond})
--- a/internal/services/leader/loss_test.go
+++ b/internal/services/leader/loss_test.go
@@ -75,6 +75,8 @@
 // omits jobs that had tasks on lost executors.
 func (w *lossWatch) waits(lostAt time.Time) (list []time.Duration) {
 	w.t.Helper()
+	w.calls.mu.Lock()
+	defer w.calls.mu.Unlock()
 	for job, due := range w.submittedAt {
 		if w.touched[job] {
 			continue
--- a/internal/services/leader/pause_test.go
+++ b/internal/services/leader/pause_test.go
@@ -116,6 +116,12 @@
 	l.isLossy = isLossy
 }
 
+func (l *answerlessLog) lostAnswers() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lost
+}
+
 // Append implements logs.Log.
 func (l *answerlessLog) Append(
 	ctx context.Context, t logs.Topic, p logs.Part, records []logs.Record, c logs.Condition,
@@ -144,7 +150,7 @@
 		log.setLossy(true)
 		r.submit(rigJob(1, &jobpb.Step{Count: 2}))
 		time.Sleep(3 * time.Second)
-		assert.Assert(t, log.lost > 0)
+		assert.Assert(t, log.lostAnswers() > 0)
 		assert.Equal(t, r.calls.starts(jobID(1)), 0)
 		log.setLossy(false)
 		took := r.awaitStart(jobID(1))
--- a/internal/services/leader/system_test.go
+++ b/internal/services/leader/system_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,7 +37,9 @@
 	log       *memlog.Log
 	fleet     *memex.Fleet
 	instances []*instance
-	peers     map[string]http.Handler
+	// peersMu guards peers, which instances call that start and end.
+	peersMu sync.Mutex
+	peers   map[string]http.Handler
 	meter     *meter.Meter
 }
 
@@ -97,7 +100,9 @@
 
 // RoundTrip implements http.RoundTripper for calls between instances.
 func (s *system) RoundTrip(r *http.Request) (*http.Response, error) {
+	s.peersMu.Lock()
 	h, ok := s.peers[r.URL.Host]
+	s.peersMu.Unlock()
 	if !ok {
 		return nil, fault.New(fault.CodeNotSent, fault.NotRun, "no such instance")
 	}
@@ -106,6 +111,17 @@
 	return w.Result(), nil
 }
 
+// setPeer sets the server of an instance, or removes it.
+func (s *system) setPeer(name string, h http.Handler) {
+	s.peersMu.Lock()
+	defer s.peersMu.Unlock()
+	if h == nil {
+		delete(s.peers, name)
+		return
+	}
+	s.peers[name] = h
+}
+
 func decodeConfig(string, []byte) (*queue.Configuration, error) {
 	return &queue.Configuration{Version: 1, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000},
@@ -142,10 +158,10 @@
 		LastStoreResponseAt: n.view.LastResponseAt,
 		Client:              &http.Client{Transport: s}, VisibleWithin: 3 * time.Second, Logger: logger,
 	})
-	s.peers[name] = jobpb.NewJobsServer(intake.NewPeerServer(n.intake))
+	s.setPeer(name, jobpb.NewJobsServer(intake.NewPeerServer(n.intake)))
 	ctx, cancel := context.WithCancel(context.Background())
 	n.kill = func() {
-		delete(s.peers, name)
+		s.setPeer(name, nil)
 		cancel()
 	}
 	done := make(chan struct{}, 4)
