--- a/internal/services/leader/system_test.go
+++ b/internal/services/leader/system_test.go
@@ -40,7 +40,7 @@
 	// peersMu guards peers, which instances call that start and end.
 	peersMu sync.Mutex
 	peers   map[string]http.Handler
-	meter     *meter.Meter
+	meter   *meter.Meter
 }
 
 type instance struct {
