--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -27,8 +27,11 @@
 	maxQueries = 64
 	// holdTimeoutMargin is added to the wait time of a hold for the timeout of the call.
 	holdTimeoutMargin = 600 * time.Millisecond
-	// commitPause is the pause after a commit, so that many changes share one record.
+	// commitPause is the pause after a commit, so that many changes share one record. It ends early if reserved runs wait
+	// for their record. The next plan then collects what has become startable, so it lasts minPlanPause at least.
 	commitPause = 20 * time.Millisecond
+	// storeStallTimeout is how long the store may take for records until only tasks start that need none.
+	storeStallTimeout = 400 * time.Millisecond
 	// commitFailurePause is the pause after a term that a failed commit has ended. It limits the rate of terms, and the
 	// replica completes its last waiting read within it.
 	commitFailurePause = 1100 * time.Millisecond
@@ -72,10 +75,12 @@
 	}
 	list := t.cell.Plan(now, tick.Wall().UnixMilli(), cell.PlanLimits{
 		MaxStarts: room, IsSoleLeader: t.opts.IsSoleLeader(now),
+		IsStoreStalled: t.storeSince != 0 && now.Sub(t.storeSince) >= storeStallTimeout,
 	})
 	events := t.cell.Events()
 	isFenced := t.cell.IsFenced()
 	hasChanges := t.cell.HasChanges()
+	hasUnrecordedRuns := t.cell.HasUnrecordedRuns()
 	t.mu.Unlock()
 	t.logEvents(events)
 	if isFenced {
@@ -84,6 +89,9 @@
 	if hasChanges {
 		t.wakeCommit()
 	}
+	if hasUnrecordedRuns {
+		wake.Send(t.placementWake)
+	}
 	for _, o := range list {
 		t.sendOrder(ctx, o)
 	}
@@ -293,7 +301,8 @@
 			t.fail(err)
 			return
 		}
-		tick.Pause(ctx, commitPause)
+		tick.Pause(ctx, minPlanPause)
+		wake.Wait(ctx, t.placementWake, commitPause-minPlanPause)
 	}
 }
 
@@ -342,7 +351,9 @@
 
 // store appends the records of a batch in order, with as few appends as the limit of the log permits.
 func (t *term) store(ctx context.Context, b *cell.Batch) error {
+	defer t.setStoreSince(0)
 	for rest := b.Records; len(rest) > 0; {
+		t.setStoreSince(tick.Now())
 		n := countFitting(rest, t.opts.MaxAppendBytes)
 		if err := t.storeRecords(ctx, rest[:n]); err != nil {
 			return err
@@ -352,6 +363,12 @@
 	return nil
 }
 
+func (t *term) setStoreSince(at tick.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.storeSince = at
+}
+
 // framingBytes is the size of the length prefixes of a record and of its key.
 const framingBytes = 5
 
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -6,6 +6,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/chain"
 	"github.com/ibischute/ibischute/internal/state/ramp"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -48,6 +49,8 @@
 // executor is the tracked state of one executor.
 type executor struct {
 	entry queue.Executor
+	// hash names the executor in the records of jobs.
+	hash uint32
 	// isListed is true while service discovery lists the executor.
 	isListed bool
 	// isRostered is true if a stored record shows that this leader may send orders to the executor.
@@ -208,7 +211,7 @@
 
 func newExecutor(e queue.Executor) *executor {
 	return &executor{
-		entry: e, total: resources{e.MilliCPU, e.MemoryMB, e.GPUs},
+		entry: e, hash: chain.Hash(e.ID), total: resources{e.MilliCPU, e.MemoryMB, e.GPUs},
 		runs: map[orders.Task]*run{}, orphaned: map[orders.Run]bool{},
 		reserved: map[*task]bool{},
 	}
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -109,6 +109,8 @@
 	moves     int
 	// serveDelay is how long a long-running task takes to be at work after its start.
 	serveDelay time.Duration
+	// formerVersions has the leaders, counted from 0, that are of a version without placement records.
+	formerVersions map[int]bool
 }
 
 // crossLink returns how long a message waits for and takes on the leader's link.
