Repeat the leader's appends soon after their connection was lost

Cause: a heartbeat or a batch on a connection that has gone silent waited for 0.9 s and 1.2 s. Since starts wait for their record and another instance asks for the lead after 0.8 s, one lost connection stopped all starts for about 1 s. Change: their timeouts follow the response times of the store, 0.2 s at least, and double while calls are given up. Tests: rtrip, elect, leader.

--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -27,6 +27,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/state/rtrip"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -50,8 +51,12 @@
 
 	callTimeout            = 1200 * time.Millisecond
 	heartbeatAppendTimeout = 900 * time.Millisecond
-	retryDelay             = 150 * time.Millisecond
-	maxReadWait            = time.Second
+	// minHeartbeatTimeout is the shortest timeout of a heartbeat, so that one that is lost with its connection is repeated
+	// before another instance asks for the lead. heartbeatRetryDelay is the pause before that.
+	minHeartbeatTimeout = 200 * time.Millisecond
+	heartbeatRetryDelay = 20 * time.Millisecond
+	retryDelay          = 150 * time.Millisecond
+	maxReadWait         = time.Second
 	// ineligibleReadWait is how long a read waits for records on an instance that may not claim.
 	ineligibleReadWait = 200 * time.Millisecond
 )
@@ -116,12 +121,18 @@
 	next logs.Offset
 	// lastReadAt is when a read last succeeded, and readableSince the start of the current series of successful reads.
 	lastReadAt, readableSince tick.Time
-	resigning                 chan struct{}
-	resignOnce                sync.Once
+	// heartbeatTimeout is the timeout of a heartbeat. Only heartbeatLoop uses it.
+	heartbeatTimeout *rtrip.Estimator
+	resigning        chan struct{}
+	resignOnce       sync.Once
 }
 
 // New returns an Elector.
-func New(o Options) *Elector { return &Elector{opts: o, resigning: make(chan struct{})} }
+func New(o Options) *Elector {
+	return &Elector{
+		opts: o, heartbeatTimeout: rtrip.New(minHeartbeatTimeout, heartbeatAppendTimeout), resigning: make(chan struct{}),
+	}
+}
 
 // String names the service in logs.
 func (e *Elector) String() string { return "elect" }
@@ -396,26 +407,33 @@
 			return nil
 		case <-timer.C:
 		}
-		if !e.sendHeartbeat(ctx, t) {
+		isLeader, pause := e.sendHeartbeat(ctx, t)
+		if !isLeader {
 			return nil
 		}
-		timer.Reset(heartbeatInterval)
+		timer.Reset(pause)
 	}
 }
 
-// sendHeartbeat appends one heartbeat. It returns false if another instance has claimed leadership.
-func (e *Elector) sendHeartbeat(ctx context.Context, t Term) bool {
-	sent := tick.Now()
-	err := e.append(ctx, heartbeatAppendTimeout, e.record(t.Epoch))
+// sendHeartbeat appends one heartbeat. It returns false if another instance has claimed leadership, and the pause before
+// the next heartbeat.
+func (e *Elector) sendHeartbeat(ctx context.Context, t Term) (bool, time.Duration) {
+	sent, timeout := tick.Now(), e.heartbeatTimeout.Timeout()
+	err := e.append(ctx, timeout, e.record(t.Epoch))
 	var conflict *logs.ConflictError
 	switch {
 	case err == nil:
-		return e.extendLease(sent)
+		e.heartbeatTimeout.Observe(tick.Now().Sub(sent))
+		return e.extendLease(sent), heartbeatInterval
 	case errors.As(err, &conflict):
-		return e.isStillLeader(ctx, t)
+		return e.isStillLeader(ctx, t), heartbeatRetryDelay
 	}
 	e.opts.Logger.Warn().Err(err).Uint64("epoch", t.Epoch).Msg("heartbeat-append-failed")
-	return true
+	if tick.Now().Sub(sent) >= timeout {
+		e.heartbeatTimeout.BackOff()
+		return true, heartbeatRetryDelay
+	}
+	return true, retryDelay
 }
 
 // extendLease extends the leadership lease after a heartbeat was stored. It returns false if the term was yielded
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -124,6 +124,8 @@
 	startWindow *aimd.Window
 	// startResponses estimates when the response to a start order is overdue.
 	startResponses *rtrip.Estimator
+	// appendTimeout is the timeout of an append of records. Only takeOver and commitLoop use it.
+	appendTimeout *rtrip.Estimator
 	// querying has the executors that a query is sent to.
 	querying map[string]bool
 	wg       sync.WaitGroup
@@ -144,7 +146,7 @@
 		adviceWake: make(chan struct{}, 1), placementWake: make(chan struct{}, 1),
 		failed: make(chan error, 1), holdSenders: map[string]*holdSender{},
 		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts, slowOrder),
-		startResponses: rtrip.New(minOverdue, orderTimeout), querying: map[string]bool{},
+		startResponses: rtrip.New(minOverdue, orderTimeout), appendTimeout: rtrip.New(minAppendTimeout, callTimeout), querying: map[string]bool{},
 		evacuationGate: fresh.New(maxEvacuationsAge, l.opts.EvacuateWithin),
 	}
 	if err := tm.takeOver(ctx, t); err != nil {
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -23,6 +23,9 @@
 	// minOverdue is the shortest time after which the response to a start order counts as overdue. A processor quota may
 	// suspend this process or an executor for that long.
 	minOverdue = 100 * time.Millisecond
+	// minAppendTimeout is the shortest timeout of an append of records, so that one that is lost with its connection is
+	// repeated soon. Reserved runs wait for it.
+	minAppendTimeout = 200 * time.Millisecond
 	// maxQueries limits the queries in flight.
 	maxQueries = 64
 	// holdTimeoutMargin is added to the wait time of a hold for the timeout of the call.
@@ -403,11 +406,18 @@
 
 // append makes one attempt with the next sequence number, by which the log recognizes a repeated append.
 func (t *term) append(ctx context.Context, records []logs.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, t.appendTimeout.Timeout())
 	defer cancel()
-	_, err := t.opts.Log.Append(ctx, logs.Progress, t.opts.Part, records, logs.Condition{
+	sent := tick.Now()
+	_, err := t.opts.Log.Append(callCtx, logs.Progress, t.opts.Part, records, logs.Condition{
 		Producer: producer, Epoch: t.epoch, Sequence: t.sequence,
 	})
+	switch {
+	case err == nil:
+		t.appendTimeout.Observe(tick.Now().Sub(sent))
+	case callCtx.Err() != nil:
+		t.appendTimeout.BackOff()
+	}
 	var sequence *logs.SequenceError
 	if errors.As(err, &sequence) && sequence.Expected > t.sequence {
 		t.opts.Logger.Warn().Uint64("expected", sequence.Expected).Uint64("sequence", t.sequence).Msg("sequence-corrected")
--- a/internal/state/rtrip/rtrip.go
+++ b/internal/state/rtrip/rtrip.go
@@ -8,6 +8,7 @@
 //	e := rtrip.New(100*time.Millisecond, 800*time.Millisecond)
 //	e.Observe(took) // for each response
 //	if now.Sub(sentAt) > e.Timeout() { /* the response is overdue */ }
+//	e.BackOff() // after a call that is given up at the timeout
 package rtrip
 
 import "time"
@@ -25,16 +26,19 @@
 	lowest, highest time.Duration
 	mean, deviation float64
 	hasSample       bool
+	// backOff is the factor by which calls that were given up have raised the timeout since the last response.
+	backOff float64
 }
 
 // New returns an Estimator whose timeout lies between the bounds. It is the highest one until a response was observed.
 func New(lowest, highest time.Duration) *Estimator {
-	return &Estimator{lowest: lowest, highest: highest}
+	return &Estimator{lowest: lowest, highest: highest, backOff: 1}
 }
 
 // Observe applies the time that a response took.
 func (e *Estimator) Observe(took time.Duration) {
 	sample := float64(max(0, took))
+	e.backOff = 1
 	if !e.hasSample {
 		e.mean, e.deviation, e.hasSample = sample, sample/2, true
 		return
@@ -48,5 +52,13 @@
 	if !e.hasSample {
 		return e.highest
 	}
-	return min(e.highest, max(e.lowest, time.Duration(e.mean+deviations*e.deviation)))
+	timeout := max(float64(e.lowest), e.mean+deviations*e.deviation)
+	return min(e.highest, time.Duration(timeout*e.backOff))
+}
+
+// BackOff doubles the timeout until the next response, as the callee may only have become slower.
+func (e *Estimator) BackOff() {
+	if e.Timeout() < e.highest {
+		e.backOff *= 2
+	}
 }
--- a/internal/state/rtrip/rtrip_test.go
+++ b/internal/state/rtrip/rtrip_test.go
@@ -39,3 +39,22 @@
 	}
 	assert.Equal(t, e.Timeout(), highest)
 }
+
+// TestBackOffReachesSlowCallee checks a callee that becomes slower than the timeout. Without a longer timeout, every
+// further call would be given up.
+func TestBackOffReachesSlowCallee(t *testing.T) {
+	e := rtrip.New(lowest, highest)
+	for range 50 {
+		e.Observe(5 * time.Millisecond)
+	}
+	for range 2 {
+		e.BackOff()
+	}
+	assert.Equal(t, e.Timeout(), 4*lowest)
+	for range 10 {
+		e.BackOff()
+	}
+	assert.Equal(t, e.Timeout(), highest)
+	e.Observe(5 * time.Millisecond)
+	assert.Equal(t, e.Timeout(), lowest)
+}
