--- a/internal/stand/memlog/memlog.go
+++ b/internal/stand/memlog/memlog.go
@@ -31,6 +31,13 @@
 type Faults struct {
 	// Down makes every call fail without effect.
 	Down bool
+	// Broken makes every call, also those that wait for records, end without effect and without a response, as if the
+	// connections were reset.
+	Broken bool
+	// Frozen is like Unresponsive, but calls that wait for records hang as well.
+	Frozen bool
+	// LateAppends, if not 0, is the time after which the appends that Broken ends take effect nevertheless.
+	LateAppends time.Duration
 	// Unresponsive makes every call hang without effect until its context ends.
 	Unresponsive bool
 	// LoseAnswers is the share of appends that take effect but get no response.
@@ -39,6 +46,8 @@
 	LatencyFactor int
 	// AppendTime is how long an append takes. Appends are processed one at a time, over all partitions.
 	AppendTime time.Duration
+	// PartitionAppendTime is how long an append takes where each partition processes its appends one at a time.
+	PartitionAppendTime time.Duration
 }
 
 type partition struct {
@@ -50,6 +59,9 @@
 	epochs        map[string]uint64
 	nextSequences map[string]uint64
 	lastOffsets   map[string]logs.Offset
+	// busyUntil is when all appends so far with a PartitionAppendTime will have completed; appends is their number.
+	busyUntil tick.Time
+	appends   int
 }
 
 type partitionKey struct {
@@ -67,6 +79,24 @@
 	tick.Pause(ctx, until.Sub(tick.Now()))
 }
 
+// awaitPartition waits until earlier appends to the partition have completed and for the duration of this one.
+func (l *Log) awaitPartition(ctx context.Context, t logs.Topic, p logs.Part, d time.Duration) {
+	l.mu.Lock()
+	q := l.part(t, p)
+	q.busyUntil = max(q.busyUntil, tick.Now()).Add(d)
+	until := q.busyUntil
+	q.appends++
+	l.mu.Unlock()
+	tick.Pause(ctx, until.Sub(tick.Now()))
+}
+
+// PartitionAppends returns the number of appends made to a partition with a PartitionAppendTime.
+func (l *Log) PartitionAppends(t logs.Topic, p logs.Part) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.part(t, p).appends
+}
+
 // Appends returns the number of appends made with an AppendTime.
 func (l *Log) Appends() int {
 	l.mu.Lock()
@@ -118,11 +148,13 @@
 	v.mu.Lock()
 	f := v.faults
 	v.mu.Unlock()
-	if f.Unresponsive {
-		<-ctx.Done()
-		return f, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "no answer")
+	if f.Unresponsive || f.Frozen {
+		return f, hang(ctx)
 	}
 	tick.Pause(ctx, minLatency*time.Duration(max(1, f.LatencyFactor)))
+	if f.Broken {
+		return f, errBroken()
+	}
 	if ctx.Err() != nil {
 		return f, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "no answer in time")
 	}
@@ -135,6 +167,32 @@
 	return f, nil
 }
 
+func errBroken() error {
+	return fault.New(fault.CodeUnknownOutcome, fault.Unknown, "the connection was reset")
+}
+
+// hang waits until the context ends.
+func hang(ctx context.Context) error {
+	<-ctx.Done()
+	return fault.New(fault.CodeUnknownOutcome, fault.Unknown, "no answer")
+}
+
+// failWaiting returns the error of a call that waits for records, if there is one.
+func (v *View) failWaiting(ctx context.Context) error {
+	v.mu.Lock()
+	f := v.faults
+	v.mu.Unlock()
+	switch {
+	case ctx.Err() != nil:
+		return fault.New(fault.CodeUnknownOutcome, fault.Unknown, "no answer in time")
+	case f.Broken:
+		return errBroken()
+	case f.Frozen:
+		return hang(ctx)
+	}
+	return nil
+}
+
 func (l *Log) part(t logs.Topic, p logs.Part) *partition {
 	k := partitionKey{t, p}
 	if l.parts[k] == nil {
@@ -153,12 +211,22 @@
 	ctx context.Context, t logs.Topic, p logs.Part, records []logs.Record, c logs.Condition,
 ) (logs.Offset, error) {
 	f, err := v.beginCall(ctx)
+	if f.Broken && f.LateAppends > 0 {
+		time.AfterFunc(f.LateAppends, func() {
+			v.log.mu.Lock()
+			defer v.log.mu.Unlock()
+			_, _ = v.log.part(t, p).append(t, records, c)
+		})
+	}
 	if err != nil {
 		return 0, err
 	}
 	if f.AppendTime > 0 {
 		v.log.awaitAppend(ctx, f.AppendTime)
 	}
+	if f.PartitionAppendTime > 0 {
+		v.log.awaitPartition(ctx, t, p, f.PartitionAppendTime)
+	}
 	v.log.mu.Lock()
 	offset, err := v.log.part(t, p).append(t, records, c)
 	isLost := v.log.rng.Float64() < f.LoseAnswers
@@ -238,8 +306,8 @@
 			return page, err
 		}
 		tick.Pause(ctx, pollInterval)
-		if ctx.Err() != nil {
-			return logs.Page{}, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "no answer in time")
+		if err := v.failWaiting(ctx); err != nil {
+			return logs.Page{}, err
 		}
 	}
 }
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -43,9 +43,14 @@
 	if limits.IsStoreStalled {
 		c.placeRecorded(now, p, limit)
 	} else {
+		limit -= c.finishMoves(now, p, limit)
 		c.placeWaiting(now, p, limit)
 	}
-	out = append(out, c.startRecorded(now, limits.MaxStarts)...)
+	started := c.startRecorded(now, limits.MaxStarts)
+	out = append(out, started...)
+	if limits.MaxStarts > len(started) && !limits.IsStoreStalled {
+		c.planMoves(now, p)
+	}
 	return c.appendStopOrders(now, out)
 }
 
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -207,16 +207,19 @@
 		p.State = jobpb.State_STATE_RUNNING
 	}
 	isPlacementKnown := !j.isInherited
+	j.forEachTask(func(t *task) {
+		t.batchedOn = 0
+		if isPlacementKnown {
+			t.batchedOn = t.possibleExecutor()
+		}
+	})
 	if isPlacementKnown {
 		p.PlacementEpoch = c.epoch
+		j.recordInAdvance()
 	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				t.batchedOn = 0
-				if isPlacementKnown {
-					t.batchedOn = t.possibleExecutor()
-				}
 				if t.done || len(t.failedRuns) > 0 || t.checkpoint != "" || t.batchedOn != 0 {
 					p.Tasks = append(p.Tasks, t.progress())
 				}
--- a/internal/state/cell/reserve.go
+++ b/internal/state/cell/reserve.go
@@ -70,7 +70,7 @@
 // recorded returns the executor that the record of the task names, or nil if it is no candidate or the record may be
 // replaced by one under way.
 func (c *candidates) recorded(t *task) *executor {
-	if t.recordedOn == 0 || t.recordedOn != t.batchedOn || len(t.failedOn) > 0 {
+	if t.run != nil || t.recordedOn == 0 || t.recordedOn != t.batchedOn || len(t.failedOn) > 0 {
 		return nil
 	}
 	i := slices.IndexFunc(c.list, func(k candidate) bool { return k.exec.hash == t.recordedOn })
@@ -251,6 +251,57 @@
 	return 0
 }
 
+// maxAdvance bounds the waiting tasks of a job that are recorded in advance, for the size of its record.
+const maxAdvance = 1024
+
+// recordInAdvance names executors for waiting tasks, so that these can start there while the store takes no records:
+// for a ready step the executors of its own runs in turn, where places become free next, and for a later one that of
+// the task of the same index of the step before.
+func (j *job) recordInAdvance() {
+	left := maxAdvance
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.waiting == 0 || s.pb.Gang {
+				continue
+			}
+			next := s.expectedExecutors()
+			for i, t := range s.tasks {
+				isNamed := t.done || t.run != nil || t.batchedOn != 0
+				if isNamed || len(next) == 0 || left == 0 {
+					continue
+				}
+				t.batchedOn = next[i%len(next)]
+				left--
+			}
+		}
+	}
+}
+
+// expectedExecutors returns the hashes of the executors on which tasks of the step may find room next, by the index of
+// the task.
+func (s *step) expectedExecutors() []uint32 {
+	var out []uint32
+	if s.isReady() {
+		for _, t := range s.tasks {
+			if t.run != nil && !t.run.isReserved {
+				out = append(out, t.run.exec.hash)
+			}
+		}
+		return out
+	}
+	for _, d := range s.pb.DependsOn {
+		if int(d) >= len(s.occurrence.steps) || len(out) > 0 {
+			continue
+		}
+		for _, t := range s.occurrence.steps[d].tasks {
+			if t.run != nil {
+				out = append(out, t.run.exec.hash)
+			}
+		}
+	}
+	return out
+}
+
 // place notes the reserved runs of the job, whose executors the batch names.
 func (b *Batch) place(j *job) {
 	j.forEachTask(func(t *task) {
