--- a/internal/services/leader/system_test.go
+++ b/internal/services/leader/system_test.go
@@ -128,17 +128,6 @@
 	return w.Result(), nil
 }
 
-// setPeer sets the server of an instance, or removes it.
-func (s *system) setPeer(name string, h http.Handler) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if h == nil {
-		delete(s.peers, name)
-		return
-	}
-	s.peers[name] = h
-}
-
 func decodeConfig(string, []byte) (*queue.Configuration, error) {
 	return &queue.Configuration{Version: 1, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000},
@@ -180,10 +169,14 @@
 		VisibleWithin: 3 * time.Second,
 		Meter:         s.meter, Logger: logger,
 	})
-	s.setPeer(name, jobpb.NewJobsServer(intake.NewPeerServer(n.intake)))
+	s.mu.Lock()
+	s.peers[name] = jobpb.NewJobsServer(intake.NewPeerServer(n.intake))
+	s.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	n.kill = func() {
-		s.setPeer(name, nil)
+		s.mu.Lock()
+		delete(s.peers, name)
+		s.mu.Unlock()
 		cancel()
 	}
 	services := []func(context.Context) error{
--- a/internal/state/cell/evacuation.go
+++ b/internal/state/cell/evacuation.go
@@ -271,8 +271,7 @@
 	return n
 }
 
-// finishMoves reserves runs for the tasks of moved runs that have stopped, where room is kept for them, at most the
-// limit and the rest of a gang. It returns the number of these runs.
+// finishMoves reserves the runs of moved tasks that have stopped where room is kept for them. It returns their number.
 func (c *Cell) finishMoves(now tick.Time, p *placement, limit int) int {
 	n := 0
 	c.evacuation.moves = slices.DeleteFunc(c.evacuation.moves, func(m *move) bool {
@@ -305,12 +304,11 @@
 	return false
 }
 
-// finishMove reserves runs for the tasks of a move unless a target no longer takes its task, and returns their number.
-// Without a run, the tasks wait like any others.
+// finishMove reserves the runs of a move unless a target no longer takes its task. Then the tasks wait like any others.
+// It returns the number of reserved runs.
 func (c *Cell) finishMove(now tick.Time, p *placement, m *move) int {
 	s := m.runs[0].task.step
-	targets, number := m.targets, uint64(0)
-	isPermitted := true
+	targets, number, isPermitted := m.targets, uint64(0), true
 	for i, r := range m.runs {
 		// The room that is kept for the other members of a gang stays taken.
 		targets[i].unreserve(r.task)
--- a/internal/state/cell/reserve_test.go
+++ b/internal/state/cell/reserve_test.go
@@ -375,3 +375,30 @@
 	}
 	assert.Equal(t, started, 10)
 }
+
+// TestWaitingTasksAreRecordedInAdvance checks a step with more tasks than there is room for: while the store takes no
+// records, its waiting tasks start where others of the step end.
+func TestWaitingTasksAreRecordedInAdvance(t *testing.T) {
+	stalled := unbounded
+	stalled.IsStoreStalled = true
+	h := newHarness(t, testExecutor("x"))
+	h.accept("j", "q", &jobpb.Step{Count: 6, MilliCpu: 32000, MemoryMb: 100, EstimateMs: 1000})
+	running := startOrders(h.planAndConfirm())
+	assert.Equal(t, len(running), 2)
+	// A leader that follows knows both the runs and the tasks that may start next.
+	h.cell.dirty["j"] = h.cell.jobs["j"]
+	log := h.store()
+	e, _ := log.Job("j")
+	assert.Equal(t, len(e.Progress.Tasks), 6)
+	cursor := uint64(0)
+	for range 2 {
+		var next []Order
+		for _, o := range running {
+			cursor++
+			h.reportEnd(o, cursor, orders.EndedDone, "")
+			next = append(next, startOrders(h.confirm(h.cell.Plan(h.now, testWallMS, stalled)))...)
+		}
+		assert.Equal(t, len(next), 2)
+		running = next
+	}
+}
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -102,6 +102,8 @@
 	hasLongPolls bool
 	// hasDiscovery is true if entries of service discovery state the start of their process and outlive it for a while.
 	hasDiscovery bool
+	// formerVersions has the leaders, counted from 0, that are of a version without placement records.
+	formerVersions map[int]bool
 	// evacuatedAt is since when each failure domain is evacuated.
 	evacuatedAt map[string]tick.Time
 	// movedAway has the runs of long-running tasks that were stopped to move them, until their tasks are at work again.
@@ -109,8 +111,6 @@
 	moves     int
 	// serveDelay is how long a long-running task takes to be at work after its start.
 	serveDelay time.Duration
-	// formerVersions has the leaders, counted from 0, that are of a version without placement records.
-	formerVersions map[int]bool
 }
 
 // crossLink returns how long a message waits for and takes on the leader's link.
