Estimate durations by quantiles of the queue and of the job

The cell knew one moving mean of the ratio of actual to estimated durations for each queue. A job whose estimate is wrong by a factor was ordered by it until its end, a drain relied on the mean of widely varying ratios, and a run on a silent executor counted as not done until half the mean had passed.

internal/state/quant keeps histograms of the ratios of each queue and the samples of each job that has not ended, and blends them by their number. Waiting jobs are ordered by the median, drains and reservations use the 0.9 quantile, and whether a run may already be done is decided by the 0.05 quantile or half the median, whichever is shorter. Runs that resumed, were adopted or lost time to throttled paces are left out or corrected. The stored record has the quantiles beside the mean, which former versions read; the mean of a former version is read as 20 samples.

The test of the record compared the mean exactly; it now compares two quantiles within 2 % and the mean within 1 %, the resolution of the histograms, and reads a record of a former version.

--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/quant"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -68,7 +69,7 @@
 	// delayed counts the tasks and runs that Diagnose has found, by cause.
 	delayed      map[WaitCause]int
 	events       []Event
-	durations    *durationModel
+	durations    *quant.Model
 	interference *interferenceModel
 	isFenced     bool
 	// needsAdvice is true if a queue has or had a policy service.
@@ -89,7 +90,7 @@
 		jobs: map[string]*job{}, execs: map[string]*executor{},
 		dirty: map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
 		stopping:  map[*run]bool{},
-		durations: newDurationModel(), interference: newInterferenceModel(),
+		durations: quant.New(), interference: newInterferenceModel(),
 	}
 }
 
--- a/internal/state/cell/durations.go
+++ b/internal/state/cell/durations.go
@@ -1,40 +1,57 @@
 package cell
 
 import (
+	"time"
+
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// durationModel estimates the ratio of actual run durations to the estimates of the steps, for each queue.
-type durationModel struct {
-	ratios map[string]float64
+// The quantiles of durations that decisions depend on.
+const (
+	// orderQuantile orders waiting jobs by the work that they typically have left.
+	orderQuantile = 0.5
+	// endQuantile gives the time by which a run will have ended, for drains and reservations. One wrong in ten costs a
+	// stop that comes late, or a reservation that expires.
+	endQuantile = 0.9
+	// earlyQuantile gives the time by which a run may already have ended.
+	earlyQuantile = 0.05
+)
+
+// observeDuration adds the ratio of a run that has ended to the model of durations. Its time at a throttled pace counts
+// as the work done in it. Only whole runs count: what remains of one that resumed or was adopted is not known exactly.
+func (c *Cell) observeDuration(now tick.Time, r *run, reason orders.EndReason) {
+	s := r.task.step
+	if reason != orders.EndedDone || r.confirmedAt == 0 || s.pb.EstimateMs == 0 || r.isPartial {
+		return
+	}
+	r.countPaceLoss(now)
+	worked := now.Sub(r.confirmedAt) - r.lostToPace
+	c.durations.Observe(s.job.pb.Queue, s.job.id, float64(worked)/float64(s.estimate()))
+}
+
+// countPaceLoss updates the working time that the run has lost to throttled paces.
+func (r *run) countPaceLoss(now tick.Time) {
+	r.lostToPace += now.Sub(max(r.pacedAt, r.startedAt)) * time.Duration(fullPacePercent-r.pace) / fullPacePercent
+	r.pacedAt = now
 }
 
-// newestRunWeight is the weight of the newest run in the moving average of a queue's ratio.
-const newestRunWeight = 0.05
+func (s *step) estimate() time.Duration { return time.Duration(s.pb.EstimateMs) * time.Millisecond }
 
-func newDurationModel() *durationModel { return &durationModel{ratios: map[string]float64{}} }
+// remainingTime returns the time within which a run will have ended, with the probability of endQuantile.
+func (c *Cell) remainingTime(r *run) time.Duration { return c.remainingQuantile(r, endQuantile) }
 
-// observe updates the ratio of the queue of a run that has ended.
-func (m *durationModel) observe(now tick.Time, r *run, reason orders.EndReason) {
-	estimate := float64(r.task.step.pb.EstimateMs)
-	if reason != orders.EndedDone || r.confirmedAt == 0 || estimate == 0 {
-		return
-	}
-	ratio := millis(now) - millis(r.confirmedAt)
-	ratio /= estimate
-	q := r.task.step.job.pb.Queue
-	old, ok := m.ratios[q]
-	if !ok {
-		old = 1
-	}
-	m.ratios[q] = old + newestRunWeight*(ratio-old)
+// remainingQuantile returns the quantile of the remaining duration of a run.
+func (c *Cell) remainingQuantile(r *run, quantile float64) time.Duration {
+	s := r.task.step
+	ratio := c.durations.Ratio(s.job.pb.Queue, s.job.id, quantile)
+	return time.Duration(float64(s.estimate()) * ratio * float64(100-r.percent) / 100)
 }
 
-// ratioOf returns the average ratio of a queue, which is 1 before its first run is done.
-func (m *durationModel) ratioOf(queue string) float64 {
-	if r, ok := m.ratios[queue]; ok {
-		return r
-	}
-	return 1
+// maxSpeedup is how much faster than its typical duration a run may be.
+const maxSpeedup = 2
+
+// earliestEnd returns the shortest time that the run may have left.
+func (c *Cell) earliestEnd(r *run) time.Duration {
+	return min(c.remainingQuantile(r, earlyQuantile), c.remainingQuantile(r, orderQuantile)/maxSpeedup)
 }
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -348,6 +348,7 @@
 		}
 	}
 	j.occurrences = nil
+	c.durations.Forget(j.id)
 }
 
 // State returns the state of a job to show to callers. A final state is shown only once it is stored.
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -198,7 +198,7 @@
 	if isFirst && t != nil && !t.done && t.run == nil {
 		r := &run{
 			id: row.Run, task: t, exec: x, resources: resourcesOf(t.step.pb), startedAt: now, confirmedAt: now,
-			progressAt: now, pace: fullPacePercent,
+			progressAt: now, pace: fullPacePercent, isPartial: true,
 		}
 		c.attachRun(r)
 		t.step.job.hasStarted = true
@@ -271,16 +271,13 @@
 	}
 }
 
-// maxSpeedup is how much faster than its estimate a run may be.
-const maxSpeedup = 2
-
 // mayBeDone reports whether the run may have been done before the lease of its executor expired.
 func (c *Cell) mayBeDone(r *run) bool {
 	if r.task.step.pb.LongRunning || r.task.done {
 		return false
 	}
 	knownAt := max(r.startedAt, r.exec.lastResponseAt)
-	return !knownAt.Add(c.remainingTime(r) / maxSpeedup).After(r.exec.leaseExpiresBy)
+	return !knownAt.Add(c.earliestEnd(r)).After(r.exec.leaseExpiresBy)
 }
 
 // RetryPause returns the pause after a hold that the executor did not carry out.
--- a/internal/state/cell/model.go
+++ b/internal/state/cell/model.go
@@ -27,9 +27,7 @@
 		}
 		m.Fits = append(m.Fits, p)
 	}
-	for _, q := range slices.Sorted(maps.Keys(c.durations.ratios)) {
-		m.Ratios = append(m.Ratios, &jobpb.QueueRatio{Queue: q, Ratio: c.durations.ratios[q]})
-	}
+	m.Ratios = c.durations.Save()
 	return m
 }
 
@@ -50,7 +48,5 @@
 		}
 		c.interference.regressions[p.Serving] = reg
 	}
-	for _, r := range m.GetRatios() {
-		c.durations.ratios[r.Queue] = r.Ratio
-	}
+	c.durations.Load(m.GetRatios())
 }
--- a/internal/state/cell/pacing.go
+++ b/internal/state/cell/pacing.go
@@ -313,6 +313,7 @@
 		// The time without progress at the lower pace is no sign of a stall.
 		r.progressAt = now
 	}
+	r.countPaceLoss(now)
 	r.pace = percent
 	r.isPaceUnconfirmed = false
 	return Order{Target: x.target(), Pace: &orders.Pace{Run: r.id, Percent: percent, Epoch: c.epoch}}
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -61,7 +61,7 @@
 const tooLateFactor = 3
 
 func (c *Cell) urgencyOf(now tick.Time, j *job) urgency {
-	ratio := c.durations.ratioOf(j.pb.Queue)
+	ratio := c.durations.Ratio(j.pb.Queue, j.id, orderQuantile)
 	criticalPath := time.Duration(float64(j.criticalPath) * ratio)
 	latencyTarget := time.Duration(float64(criticalPath)*j.queue.StretchFactor) +
 		time.Duration(j.queue.TargetMS)*time.Millisecond
--- a/internal/state/cell/record_test.go
+++ b/internal/state/cell/record_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"math"
 	"strings"
 	"testing"
 
@@ -21,7 +22,10 @@
 	}
 	old.interference.regressions["web"] = reg
 	old.interference.baseMS["web"] = 9
-	old.durations.ratios["q"] = 1.7
+	const samples = 100
+	for i := range samples {
+		old.durations.Observe("q", "j", []float64{1.2, 3.4}[i%2])
+	}
 	b, err := proto.Marshal(old.modelRecord())
 	assert.NilError(t, err)
 	m := &jobpb.Model{}
@@ -36,7 +40,15 @@
 	got := next.interference.weightOf(imagePair{"web", "heavy"})
 	assert.Assert(t, got > 0.018 && got < 0.021, "weight after one more sweep: %.4f", got)
 	assert.Equal(t, next.interference.baseMS["web"], 9.0)
-	assert.Equal(t, next.durations.ratioOf("q"), 1.7)
+	for _, quantile := range []float64{0.1, 0.9} {
+		want, got := old.durations.Ratio("q", "other", quantile), next.durations.Ratio("q", "other", quantile)
+		assert.Assert(t, math.Abs(got/want-1) < 0.02, "quantile %v: %v instead of %v", quantile, got, want)
+	}
+	assert.Assert(t, math.Abs(m.Ratios[0].Ratio/2.3-1) < 0.01, "former versions read the mean: %v", m.Ratios[0].Ratio)
+	formerly := New(Params{}, 3, 0)
+	formerly.LoadModel(&jobpb.Model{Ratios: []*jobpb.QueueRatio{{Queue: "q", Ratio: 1.7}}})
+	got = formerly.durations.Ratio("q", "other", 0.5)
+	assert.Assert(t, got > 1.45 && got <= 1.71, "the mean of a former version: %v", got)
 }
 
 // TestTooLargeRecordIsNotTreatedAsStored checks a job whose record does not fit even without checkpoints.
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -50,6 +50,11 @@
 	// arrived.
 	pace              int
 	isPaceUnconfirmed bool
+	// pacedAt is when lostToPace was last updated, which is the working time that the run has lost to throttled paces.
+	pacedAt    tick.Time
+	lostToPace time.Duration
+	// isPartial is true if the run resumed from a checkpoint or was adopted, so that its duration is not that of the task.
+	isPartial bool
 	// lowPaceSince is since when the pace has been below movePacePercent.
 	lowPaceSince tick.Time
 	// regression, headroom and isNearTarget determine which best-effort tasks a latency-critical run tolerates, as of the
@@ -66,6 +71,7 @@
 	r := &run{
 		id: orders.Run{Task: t.id, Number: number}, task: t, exec: x, resources: resourcesOf(t.step.pb),
 		startedAt: now, progressAt: now, checkpoint: t.checkpoint, pace: fullPacePercent,
+		isPartial: t.checkpoint != "",
 	}
 	c.attachRun(r)
 	x.suspicion.begin(r)
@@ -158,7 +164,7 @@
 		if e.Checkpoint != "" {
 			r.checkpoint = e.Checkpoint
 		}
-		c.durations.observe(now, r, e.Reason)
+		c.observeDuration(now, r, e.Reason)
 		if e.Reason == orders.EndedDone && !t.step.pb.LongRunning {
 			c.completeTask(now, t)
 		}
--- a/internal/state/cell/stops.go
+++ b/internal/state/cell/stops.go
@@ -68,12 +68,6 @@
 	}
 }
 
-// remainingTime estimates the remaining duration of a run.
-func (c *Cell) remainingTime(r *run) time.Duration {
-	estimate := float64(r.task.step.pb.EstimateMs) * c.durations.ratioOf(r.task.step.job.pb.Queue)
-	return time.Duration(estimate*float64(100-r.percent)/100) * time.Millisecond
-}
-
 const (
 	// stallTimeout is how long a run may make no progress before it is moved.
 	stallTimeout = 1800 * time.Millisecond
