Avoid slow executors and move runs away from them

Tasks went on being started on executors on which everything took several times as long, and runs with checkpoints stayed there.

The cell now rates executors with internal/state/speed (slowness.go). A slow one costs more than any other while others have room; without other room a task waits 0.5 s at most for the preference. Runs with checkpoints move if they stay slower by half than a stop, the restoring of the checkpoint, the work since it and the rest elsewhere together, if there is room now, and only where the settings state restore_ms. If most executors are rated slow, none is avoided. Runs on slow executors do not count as samples of durations. Lists that arrive more than 0.2 s late are not used. Events executor-slow, executor-recovered and run-moved (with the gain); slow-executors in cell-usage and the gauge cell_slow_executors.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -351,7 +351,7 @@
 		Int("waiting-short", u.WaitingShort).Int("waiting-lasting", u.WaitingLongRunning).
 		Int("waiting-filling", u.WaitingBestEffort).Int("serving", u.LatencyCritical).Int("over-target", u.OverTarget).
 		Int("filling", u.BestEffort).Int("slowed", u.Throttled).Int("awaited-executors", u.AwaitedExecutors).
-		Int("delayed", countDelayed(u)).Msg("cell-usage")
+		Int("slow-executors", u.SlowExecutors).Int("delayed", countDelayed(u)).Msg("cell-usage")
 }
 
 // logStartWindow reports the limit of the start orders in flight and their number. It logs them only if the limit is
@@ -383,6 +383,7 @@
 		"waiting_lasting": int64(u.WaitingLongRunning), "waiting_filling": int64(u.WaitingBestEffort),
 		"serving": int64(u.LatencyCritical), "over_target": int64(u.OverTarget),
 		"filling": int64(u.BestEffort), "slowed": int64(u.Throttled), "awaited_executors": int64(u.AwaitedExecutors),
+		"slow_executors": int64(u.SlowExecutors),
 	} {
 		t.opts.Meter.Gauge("cell_"+name, nil, float64(v))
 	}
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -27,6 +27,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/internal/state/quant"
+	"github.com/ibischute/ibischute/internal/state/speed"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -37,6 +38,8 @@
 	MaxHold time.Duration
 	// StopTimeout is the longest time that a stop takes.
 	StopTimeout time.Duration
+	// RestoreTime is the longest time that a run takes to restore its checkpoint; 0 if it is not known.
+	RestoreTime time.Duration
 	// InterferenceBound is the longest time for which a latency-critical task may exceed its latency target.
 	InterferenceBound time.Duration
 	// PaceDelay is the time until a pace order takes effect.
@@ -70,6 +73,7 @@
 	delayed      map[WaitCause]int
 	events       []Event
 	durations    *quant.Model
+	speed        *speed.Model
 	interference *interferenceModel
 	isFenced     bool
 	// needsAdvice is true if a queue has or had a policy service.
@@ -90,7 +94,7 @@
 		jobs: map[string]*job{}, execs: map[string]*executor{},
 		dirty: map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
 		stopping:  map[*run]bool{},
-		durations: quant.New(), interference: newInterferenceModel(),
+		durations: quant.New(), speed: speed.New(), interference: newInterferenceModel(),
 	}
 }
 
--- a/internal/state/cell/durations.go
+++ b/internal/state/cell/durations.go
@@ -20,6 +20,7 @@
 
 // observeDuration adds the ratio of a run that has ended to the model of durations. Its time at a throttled pace counts
 // as the work done in it. Only whole runs count: what remains of one that resumed or was adopted is not known exactly.
+// Runs on slow executors say little about their tasks.
 func (c *Cell) observeDuration(now tick.Time, r *run, reason orders.EndReason) {
 	s := r.task.step
 	if reason != orders.EndedDone || r.confirmedAt == 0 || s.pb.EstimateMs == 0 || r.isPartial {
@@ -27,7 +28,10 @@
 	}
 	r.countPaceLoss(now)
 	worked := now.Sub(r.confirmedAt) - r.lostToPace
-	c.durations.Observe(s.job.pb.Queue, s.job.id, float64(worked)/float64(s.estimate()))
+	c.emitSpeedChange(r.exec, c.speed.Done(now, r.exec.entry.ID, r.id, worked, c.sampleOf(now, r)))
+	if !c.speed.IsSlow(r.exec.entry.ID) && !c.speed.WasOnSlow(r.id) {
+		c.durations.Observe(s.job.pb.Queue, s.job.id, float64(worked)/float64(s.estimate()))
+	}
 }
 
 // countPaceLoss updates the working time that the run has lost to throttled paces.
@@ -39,7 +43,11 @@
 func (s *step) estimate() time.Duration { return time.Duration(s.pb.EstimateMs) * time.Millisecond }
 
 // remainingTime returns the time within which a run will have ended, with the probability of endQuantile.
-func (c *Cell) remainingTime(r *run) time.Duration { return c.remainingQuantile(r, endQuantile) }
+func (c *Cell) remainingTime(r *run) time.Duration {
+	// A run that is slow takes at least as long as it does at its present rate.
+	here, _, _ := c.speed.Remaining(r.id, r.percent)
+	return max(here, c.remainingQuantile(r, endQuantile))
+}
 
 // remainingQuantile returns the quantile of the remaining duration of a run.
 func (c *Cell) remainingQuantile(r *run, quantile float64) time.Duration {
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -186,6 +186,7 @@
 	}
 	if !x.isListed && (x.isTerminated || now.After(x.leaseExpiresBy)) {
 		delete(c.execs, id)
+		c.speed.Drop(id)
 	}
 }
 
@@ -206,6 +207,7 @@
 	for _, r := range x.runs {
 		c.releaseRun(r, orders.EndedLeaseExpired)
 	}
+	c.speed.Drop(x.entry.ID)
 }
 
 // sampleClock updates the clock offset from the response to a call that ended at now. The executor read its clock
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -70,6 +70,8 @@
 	// waitsSince is since when Diagnose has seen a due task of the step without a run; 0 if there is none.
 	// waitReportedAt is when it last reported the cause.
 	waitsSince, waitReportedAt tick.Time
+	// slowDeferredAt is when a task of the step was first kept from a slow executor.
+	slowDeferredAt tick.Time
 }
 
 type task struct {
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -129,6 +129,7 @@
 	}
 	c.releaseMissing(sent, x, listed)
 	c.updateModel(now, x)
+	c.rateRuns(now, sent, h, x)
 	c.stopStalled(now, x)
 }
 
@@ -162,6 +163,7 @@
 	x.appliedCursor, x.batchedCursor, x.storedCursor, x.ackSentCursor = 0, 0, 0, 0
 	x.hasClock = false
 	x.suspicion.clear()
+	c.speed.Drop(x.entry.ID)
 	for _, r := range x.runs {
 		if r.confirmedAt == 0 {
 			// A start order without a response may still arrive, so the run is stopped in advance.
@@ -218,9 +220,7 @@
 		r.confirmedAt = now
 		r.task.step.job.hasStarted = true
 	}
-	if row.Checkpoint != "" {
-		r.checkpoint = row.Checkpoint
-	}
+	r.updateCheckpoint(row)
 	if r.firstListedAt == 0 || row.Percent != r.percent {
 		r.progressAt = now
 	}
@@ -236,6 +236,18 @@
 	}
 }
 
+// updateCheckpoint records the run's last checkpoint and the progress that it has at least.
+func (r *run) updateCheckpoint(row orders.Running) {
+	switch {
+	case row.Checkpoint == "" || row.Checkpoint == r.checkpoint:
+	case r.firstListedAt == 0:
+		r.checkpoint = row.Checkpoint
+	default:
+		// The checkpoint was written since the last list.
+		r.checkpoint, r.checkpointPercent = row.Checkpoint, r.percent
+	}
+}
+
 // releaseMissing releases runs that are missing from a list that was requested after they were confirmed or stopped, or
 // after the deadline of their start order, which executors reject from then on.
 func (c *Cell) releaseMissing(sent tick.Time, x *executor, listed map[orders.Run]bool) {
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -17,6 +17,10 @@
 	// unplaceable has, for each service, requests for which no executor was found. They rule out all requests that need at
 	// least as much.
 	unplaceable map[string][]request
+	// isAvoided reports whether an executor is slow and should get no run.
+	isAvoided func(x *executor) bool
+	// wasMovedFrom returns whether a task was just moved from slow executors such as the given one.
+	wasMovedFrom func(t *task) func(x *executor) bool
 }
 
 type request struct {
@@ -46,7 +50,11 @@
 const maxUnplaceable = 32
 
 func (c *Cell) newPlacement(now tick.Time) *placement {
-	p := &placement{now: now, pools: map[string][]*executor{}, unplaceable: map[string][]request{}}
+	p := &placement{
+		now: now, pools: map[string][]*executor{}, unplaceable: map[string][]request{},
+		isAvoided:    func(x *executor) bool { return c.isAvoided(now, x) },
+		wasMovedFrom: func(t *task) func(x *executor) bool { return c.wasMovedFrom(now, t) },
+	}
 	for _, x := range c.execs {
 		p.executors = append(p.executors, x)
 		if x.isUsable(now) {
@@ -106,6 +114,9 @@
 		return 0, false
 	}
 	cost := x.cost(s, need)
+	if p.isAvoided(x) {
+		cost += costSlow
+	}
 	if !s.pb.Fills {
 		return cost, true
 	}
@@ -127,6 +138,10 @@
 // best returns the cheapest executor for the task, or nil. Executors on which the task has failed come last.
 func (c *candidates) best(t *task) *executor {
 	if len(t.failedOn) == 0 {
+		isMovedFrom := c.placement.wasMovedFrom(t)
+		if x, _ := c.cheapest(func(x *executor) bool { return !isMovedFrom(x) }); x != nil {
+			return x
+		}
 		x, _ := c.cheapest(func(*executor) bool { return true })
 		return x
 	}
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -35,6 +35,7 @@
 	p := c.newPlacement(now)
 	out := c.adjustPaces(now, p, nil)
 	out = append(out, c.placeWaiting(now, p, limits.MaxStarts)...)
+	c.moveFromSlow(now, p)
 	return c.appendStopOrders(now, out)
 }
 
@@ -187,7 +188,7 @@
 			continue
 		}
 		x := cands.best(t)
-		if x == nil {
+		if x == nil || c.defersSlow(now, s, x) {
 			continue
 		}
 		if !c.ensureStartRecorded(s.job) {
@@ -205,6 +206,7 @@
 	if t.step.pb.Fills {
 		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
 	}
+	c.speed.Begin(now, x.entry.ID, r.id)
 	c.emit(Event{Name: "start", Task: t.id, Run: number, Executor: x.entry.ID})
 	return Order{Target: x.target(), Start: &orders.Start{
 		Run: r.id, Spec: t.step.job.pb.Spec, Checkpoint: t.checkpoint, DeadlineMS: c.extendLease(now, x), Epoch: c.epoch,
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -36,6 +36,8 @@
 	checkpoint string
 	percent    int
 	usage      int64
+	// checkpointPercent is the progress that the checkpoint has at least.
+	checkpointPercent int
 	// firstListedAt and listedAt are when a list first and last contained the run, progressAt when percent last changed.
 	// firstPercent is percent in the first list.
 	firstListedAt, listedAt, progressAt tick.Time
@@ -136,6 +138,7 @@
 	}
 	x.removeRun(r)
 	delete(c.stopping, r)
+	c.speed.End(r.id)
 	t := r.task
 	t.run = nil
 	if !t.done {
--- a/internal/state/cell/usage.go
+++ b/internal/state/cell/usage.go
@@ -22,6 +22,8 @@
 	// AwaitedExecutors counts the executors that have not responded to this leader and may run tasks of a former one.
 	// Until there are none, jobs that a former leader may have started start nothing.
 	AwaitedExecutors int
+	// SlowExecutors counts the executors on which runs progress much more slowly than they should.
+	SlowExecutors int
 	// Delayed counts the steps that wait although an executor has the room, and the runs that no list shows, by cause, as
 	// of the last call of Diagnose.
 	Delayed map[WaitCause]int
@@ -29,7 +31,7 @@
 
 // Usage returns the present utilization.
 func (c *Cell) Usage(now tick.Time) Usage {
-	u := Usage{Jobs: len(c.active), Delayed: c.delayed}
+	u := Usage{Jobs: len(c.active), Delayed: c.delayed, SlowExecutors: c.speed.Count()}
 	for _, x := range c.execs {
 		if c.isTakingOver && c.isAwaited(now, x) {
 			u.AwaitedExecutors++
--- a/internal/state/speed/moves.go
+++ b/internal/state/speed/moves.go
@@ -38,7 +38,7 @@
 	if v.inSecond >= maxMovesPerSecond || !m.MayMove(now, t) {
 		return false
 	}
-	if at, ok := v.usedAt[target]; ok && now.Sub(at) < targetPause {
+	if !m.MayUse(now, target) {
 		return false
 	}
 	v.prune(now)
@@ -53,6 +53,12 @@
 	return !ok || now.Sub(at) >= movePause
 }
 
+// MayUse reports whether enough time has passed since the last move to room on the target.
+func (m *Model) MayUse(now tick.Time, target string) bool {
+	at, ok := m.moves.usedAt[target]
+	return !ok || now.Sub(at) >= targetPause
+}
+
 // prune drops moves that no longer limit others. So at most maxMovesPerSecond of each second of two pauses are kept.
 func (v *moves) prune(now tick.Time) {
 	if now.Sub(v.prunedAt) < movePause {
--- a/internal/state/speed/run.go
+++ b/internal/state/speed/run.go
@@ -31,13 +31,17 @@
 	hasBegun      bool
 	windowAt      tick.Time
 	windowPercent int
-	// rate is the rate of the last window in percent a second, and highestRate the highest one that is consistent with it;
-	// 0 before the first window. own is the average rate of the run except while it has dropped, reference the rate that
-	// it would have at full speed.
-	rate, highestRate, own, reference float64
+	// rate is the rate of the last window in percent a second; 0 before the first window. own is the average rate of the
+	// run except while it has dropped, reference the rate that it would have at full speed.
+	rate, own, reference float64
 	// hasDropped is true while the rate is far below own. isSlowTask is true if the run has been slow since its first
 	// window, because of its task or its executor.
 	hasDropped, isSlowTask bool
+	// highestSlowRate is the highest rate that is consistent with the progress since slowAt, when the run became slow or
+	// last changed its pace, at slowPercent.
+	highestSlowRate float64
+	slowAt          tick.Time
+	slowPercent     int
 	// wasOnSlow is true if the executor has been slow during the run, beganOnSlow if it has been since the run began.
 	wasOnSlow, beganOnSlow bool
 }
@@ -102,6 +106,7 @@
 	}
 	if s.Percent >= fullPercent || s.Percent < r.windowPercent || r.windowAt < s.SteadySince {
 		r.windowAt, r.windowPercent = now, s.Percent
+		r.slowAt, r.slowPercent = now, s.Percent
 		return result{}, false
 	}
 	span := now.Sub(r.windowAt)
@@ -111,11 +116,16 @@
 		return result{}, false
 	}
 	points := s.Percent - r.windowPercent
+	if !r.isSlow() {
+		r.slowAt, r.slowPercent = r.windowAt, r.windowPercent
+	}
 	r.windowAt, r.windowPercent = now, s.Percent
-	return r.judge(now, s, window{
+	res, ok := r.judge(now, s, window{
 		rate: float64(points) / span.Seconds(), highest: float64(points+grain) / span.Seconds(),
 		expected: expected, isByModel: isByModel,
 	})
+	r.highestSlowRate = float64(s.Percent-r.slowPercent+grain) / now.Sub(r.slowAt).Seconds()
+	return res, ok
 }
 
 // window is the progress of a run in one window, in percent a second.
@@ -145,7 +155,7 @@
 // judge returns the result of a window, if it says something about the executor.
 func (r *run) judge(now tick.Time, s Sample, w window) (result, bool) {
 	isFirst := r.reference == 0
-	r.rate, r.highestRate = w.rate, w.highest
+	r.rate = w.rate
 	if isFirst {
 		r.step.setRate(r, w.rate)
 		return r.judgeFirst(now, s, w)
@@ -196,6 +206,8 @@
 	return result{at: now, run: r.id, isSlow: isSlow, weight: 1, isByModel: w.isByModel}, true
 }
 
+func (r *run) isSlow() bool { return r.hasDropped || r.isSlowTask }
+
 // newestRateWeight is the weight of the newest window in the average rate of a run. Delays of lists make single windows
 // look faster or slower than they are.
 const newestRateWeight = 0.3
@@ -226,14 +238,14 @@
 // the rest takes at full speed. It returns false for a run that is not slow.
 func (m *Model) Remaining(o orders.Run, percent int) (here, elsewhere time.Duration, ok bool) {
 	r, isKnown := m.runs[o]
-	if !isKnown || !r.hasDropped && !r.isSlowTask {
+	if !isKnown || !r.isSlow() || r.highestSlowRate <= 0 {
 		return 0, 0, false
 	}
 	reference := r.reference
 	if r.hasDropped {
 		reference = r.own
 	}
-	return timeFor(fullPercent-percent, r.highestRate), timeFor(fullPercent-percent, reference), true
+	return timeFor(fullPercent-percent, r.highestSlowRate), timeFor(fullPercent-percent, reference), true
 }
 
 func timeFor(points int, rate float64) time.Duration {
