End ratings without confirmation and keep runs in a takeover

An executor whose runs are too short to be measured was rated slow for good, a trial that no list showed kept others from starting for 3 s, and a run of an inherited job could be moved during a takeover, which keeps its task from starting again.

A rating now ends 10 s after the last sign of it, a trial that is over is followed by another at once, and inherited jobs stay where they are until the takeover ends.

--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -118,6 +118,7 @@
 
 // Discover applies the complete list of executors from service discovery.
 func (c *Cell) Discover(now tick.Time, list []queue.Executor) {
+	c.expireSlow(now)
 	listed := make(map[string]bool, len(list))
 	// latest has the entry of the youngest process at each address. Entries may outlive their processes.
 	latest := make(map[string]queue.Executor, len(list))
--- a/internal/state/cell/slowness.go
+++ b/internal/state/cell/slowness.go
@@ -70,6 +70,13 @@
 	}
 }
 
+// expireSlow ends the ratings of slow executors that nothing confirms any more.
+func (c *Cell) expireSlow(now tick.Time) {
+	for _, id := range c.speed.Expire(now) {
+		c.emit(Event{Name: "executor-recovered", Executor: id, Detail: "not confirmed"})
+	}
+}
+
 // isAvoided reports whether the executor is slow and gets no run for now. If most executors are rated slow, none counts
 // as slow: the cause is then not the executor.
 func (c *Cell) isAvoided(now tick.Time, x *executor) bool {
@@ -137,6 +144,10 @@
 // restoring and the work since the last checkpoint that must be done again.
 func (c *Cell) gainOfMove(now tick.Time, r *run) (time.Duration, bool) {
 	pb := r.task.step.pb
+	if c.isTakingOver && r.task.step.job.isInherited {
+		// The task would not start again before the takeover ends.
+		return 0, false
+	}
 	isMovable := pb.Checkpointing && !pb.LongRunning && !pb.Gang && !r.isMarkedForStopping && r.firstListedAt != 0
 	if !isMovable || r.percent >= fullPacePercent || !c.speed.MayMove(now, r.id.Task) {
 		return 0, false
--- a/internal/state/cell/slowness_test.go
+++ b/internal/state/cell/slowness_test.go
@@ -244,6 +244,16 @@
 			start(h, slowTestStep(2000), 2*time.Second)
 		})
 	})
+	t.Run("takeover", func(t *testing.T) {
+		run(t, func(h *slowHarness) {
+			start(h, slowTestStep(2000), 2*time.Second)
+			h.cell.isTakingOver, h.cell.previousLeasesExpireAt = true, h.now.Add(time.Minute)
+			h.cell.LoadRoster(&jobpb.Roster{Executor: "awaited"})
+			for _, j := range h.cell.active {
+				j.isInherited = true
+			}
+		})
+	})
 	t.Run("much lost work", func(t *testing.T) {
 		run(t, func(h *slowHarness) {
 			h.checkpoints = false
--- a/internal/state/speed/speed.go
+++ b/internal/state/speed/speed.go
@@ -60,6 +60,9 @@
 	// to maxTrialPauses times, so that an executor that stays slow costs few tasks.
 	trialPause     = 1500 * time.Millisecond
 	maxTrialPauses = 4
+	// maxUnconfirmed is how long an executor is rated slow without any sign that it still is. The runs on it may be too
+	// short to be measured.
+	maxUnconfirmed = 10 * time.Second
 	// trialTimeout is how long a trial without a result keeps others from starting.
 	trialTimeout = 3 * time.Second
 )
@@ -70,8 +73,10 @@
 	runs      map[orders.Run]*run
 	// steps has the steps of the runs, whose tasks have the index 0 as keys.
 	steps map[orders.Task]*step
-	slow  int
-	moves moves
+	// trials has the executors of the runs that are on trial.
+	trials map[orders.Run]*executor
+	slow   int
+	moves  moves
 }
 
 // executor is the rating of one executor.
@@ -80,7 +85,9 @@
 	results []result
 	isSlow  bool
 	// slowAt is when the executor was last found slow: by its runs, or by a trial that failed.
-	slowAt       tick.Time
+	slowAt tick.Time
+	// confirmedAt is when a run last showed that the executor is slow.
+	confirmedAt  tick.Time
 	trial        orders.Run
 	trialAt      tick.Time
 	failedTrials int
@@ -100,7 +107,8 @@
 func New() *Model {
 	return &Model{
 		executors: map[string]*executor{}, runs: map[orders.Run]*run{}, steps: map[orders.Task]*step{},
-		moves: moves{movedAt: map[orders.Task]tick.Time{}, usedAt: map[string]tick.Time{}},
+		trials: map[orders.Run]*executor{},
+		moves:  moves{movedAt: map[orders.Task]tick.Time{}, usedAt: map[string]tick.Time{}},
 	}
 }
 
@@ -112,6 +120,9 @@
 	x := m.executor(id)
 	r := m.track(x, id, run, s)
 	res, ok := r.observe(now, s)
+	if r.hasDropped {
+		x.confirmedAt = now
+	}
 	if !ok {
 		return Unchanged
 	}
@@ -133,15 +144,15 @@
 
 // End drops a run that is over.
 func (m *Model) End(run orders.Run) {
+	if x, ok := m.trials[run]; ok {
+		m.endTrial(x)
+	}
 	r, ok := m.runs[run]
 	if !ok {
 		return
 	}
 	delete(m.runs, run)
 	delete(r.executor.runs, run)
-	if r.executor.trial == run {
-		r.executor.trial = orders.Run{}
-	}
 	if r.step.runs--; r.step.runs == 0 {
 		delete(m.steps, stepOf(run.Task))
 	}
@@ -157,7 +168,7 @@
 		m.End(run)
 	}
 	if x.isSlow {
-		m.slow--
+		m.markRecovered(x)
 	}
 	delete(m.executors, id)
 }
@@ -184,10 +195,17 @@
 // Begin puts a new run on trial if the executor is slow and has none.
 func (m *Model) Begin(now tick.Time, id string, run orders.Run) {
 	if x, ok := m.executors[id]; ok && x.isSlow && m.Admits(now, id) {
+		m.endTrial(x)
 		x.trial, x.trialAt = run, now
+		m.trials[run] = x
 	}
 }
 
+func (m *Model) endTrial(x *executor) {
+	delete(m.trials, x.trial)
+	x.trial = orders.Run{}
+}
+
 func (m *Model) executor(id string) *executor {
 	x, ok := m.executors[id]
 	if !ok {
@@ -201,6 +219,9 @@
 func (m *Model) apply(now tick.Time, x *executor, res result) Change {
 	isTrial := x.isSlow && x.trial == res.run
 	x.add(now, res)
+	if res.isSlow {
+		x.confirmedAt = now
+	}
 	switch {
 	case !x.isSlow && x.looksSlow():
 		x.isSlow, x.slowAt, x.failedTrials = true, now, 0
@@ -211,20 +232,39 @@
 		}
 		return Slow
 	case x.isSlow && (isTrial && !res.isSlow || x.looksNormal()):
-		x.isSlow, x.trial = false, orders.Run{}
-		x.results = nil
-		m.slow--
-		for _, r := range x.runs {
-			r.beganOnSlow = false
-		}
+		m.markRecovered(x)
 		return Recovered
 	case isTrial:
-		x.trial, x.slowAt = orders.Run{}, now
+		m.endTrial(x)
+		x.slowAt = now
 		x.failedTrials++
 	}
 	return Unchanged
 }
 
+func (m *Model) markRecovered(x *executor) {
+	m.endTrial(x)
+	x.isSlow = false
+	x.results = nil
+	m.slow--
+	for _, r := range x.runs {
+		r.beganOnSlow = false
+	}
+}
+
+// Expire ends the ratings of slow executors without a sign of it for some seconds and returns the ids of these
+// executors.
+func (m *Model) Expire(now tick.Time) []string {
+	var ids []string
+	for id, x := range m.executors {
+		if x.isSlow && now.Sub(x.confirmedAt) >= maxUnconfirmed {
+			m.markRecovered(x)
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // add replaces the result of the same run and drops those that are no longer valid.
 func (x *executor) add(now tick.Time, res result) {
 	kept := x.results[:0]
--- a/internal/state/speed/speed_test.go
+++ b/internal/state/speed/speed_test.go
@@ -261,6 +261,44 @@
 	assert.Assert(t, moved > 20 && moved <= 80, "%d moves in a second", moved)
 }
 
+// TestRatingExpires guards against avoiding an executor for good whose runs are too short to be measured.
+func TestRatingExpires(t *testing.T) {
+	b := newBench()
+	runs := runsOfJobs(3, "j")
+	b.lists(4, "x", 1, runs...)
+	b.lists(3, "x", 0.2, runs...)
+	for range 40 {
+		b.lists(1, "x", 0.2, runs...)
+		assert.Equal(t, len(b.model.Expire(b.now)), 0, "the runs are still slow")
+	}
+	for _, r := range runs {
+		b.model.End(r)
+	}
+	began := b.now
+	for b.model.IsSlow("x") {
+		b.advance()
+		if ids := b.model.Expire(b.now); len(ids) > 0 {
+			assert.DeepEqual(t, ids, []string{"x"})
+		}
+		assert.Assert(t, b.now.Sub(began) < 11*time.Second)
+	}
+	assert.Equal(t, b.model.Count(), 0)
+}
+
+// TestLostTrialIsFollowedByAnother checks a trial of which no list ever shows a run.
+func TestLostTrialIsFollowedByAnother(t *testing.T) {
+	b := newBench()
+	runs := runsOfJobs(3, "j")
+	b.lists(4, "x", 1, runs...)
+	b.lists(3, "x", 0.2, runs...)
+	b.now = b.now.Add(2 * time.Second)
+	trial := runOf("lost", 0)
+	b.model.Begin(b.now, "x", trial)
+	assert.Assert(t, !b.model.Admits(b.now, "x"))
+	b.model.End(trial)
+	assert.Assert(t, b.model.Admits(b.now, "x"))
+}
+
 // TestDroppedExecutorIsForgotten checks that a restarted executor is rated anew and that no state of runs is left.
 func TestDroppedExecutorIsForgotten(t *testing.T) {
 	b := newBench()
