Simulate schedules with slow executors

Nothing tested moves from slow executors beside lost and late messages, a crash and a change of leader.

--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -83,6 +83,9 @@
 		l.send(o)
 	}
 	for _, e := range l.cell.Events() {
+		if l.sim.onEvent != nil {
+			l.sim.onEvent(e)
+		}
 		if *modelJob != "" && (e.Task.Job == *modelJob || e.Task.Job == "") {
 			fmt.Printf("%8.3f epoch %d %+v\n", float64(l.sim.now)/1e9, l.epoch, e)
 		}
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -97,6 +97,8 @@
 	longestServing time.Duration
 	// disturbedUntil is when the last message that is delivered late arrives.
 	disturbedUntil tick.Time
+	// onEvent is called with each event of a leader, if it is set.
+	onEvent func(e Event)
 	// hasLongPolls is true if executors delay their responses to holds until a run ends, as holds ask for.
 	hasLongPolls bool
 	// hasDiscovery is true if entries of service discovery state the start of their process and outlive it for a while.
@@ -168,6 +170,8 @@
 	isPartitioned bool
 	stalledUntil  tick.Time
 	isFaulty      bool
+	// slowFactor is how much longer runs take that start now, unless it is 0.
+	slowFactor int
 	// address is shared by executors that replace one another.
 	address string
 	// isGone is true if the process has ended for good. downSince is when the process last ended, entryExpiresAt when its
@@ -309,6 +313,9 @@
 	sim.startCount++
 	sim.checkStart(x, o, step)
 	total := time.Duration(float64(step.EstimateMs)*(0.6+sim.rnd.Float64())) * time.Millisecond
+	if x.slowFactor > 0 {
+		total *= time.Duration(x.slowFactor)
+	}
 	r := &simRun{id: o.Run, step: step, remaining: total, total: total, startedAt: sim.now, checkpoint: o.Checkpoint}
 	x.runs[o.Run.Task] = r
 	if step.LongRunning {
