Move the interference regression into a package

internal/state/cell held the regression that estimates how much best-effort tasks load latency-critical ones beside the decisions that use it. It is internal/state/interf now, with its records; the cell keeps the paces and tolerances. Nothing decides differently.

The tests use the new names. TestInterferenceModelFindsInterferingImage is TestModelFindsInterferingImage of the package with the same numbers, and TestOverestimatedWeightIsNotCorrected loads the same weights through a record instead of building the sums.

--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/interf"
 	"github.com/ibischute/ibischute/internal/state/quant"
 	"github.com/ibischute/ibischute/internal/state/speed"
 	"github.com/ibischute/ibischute/pkg/queue"
@@ -74,7 +75,7 @@
 	events       []Event
 	durations    *quant.Model
 	speed        *speed.Model
-	interference *interferenceModel
+	interference *interf.Model
 	isFenced     bool
 	// needsAdvice is true if a queue has or had a policy service.
 	needsAdvice bool
@@ -94,7 +95,7 @@
 		jobs: map[string]*job{}, execs: map[string]*executor{},
 		dirty: map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
 		stopping:  map[*run]bool{},
-		durations: quant.New(), speed: speed.New(), interference: newInterferenceModel(),
+		durations: quant.New(), speed: speed.New(), interference: interf.New(),
 	}
 }
 
--- a/internal/state/cell/overdue.go
+++ b/internal/state/cell/overdue.go
@@ -118,5 +118,5 @@
 
 // addedLoad returns the load that a best-effort task of the step adds to a latency-critical run at its full pace.
 func (r *run) addedLoad(s *step) float64 {
-	return r.regression.weightOf(s.pb.Image) * float64(s.pb.MilliCpu) / milliCPUPerCore
+	return r.regression.Weight(s.pb.Image) * float64(s.pb.MilliCpu) / milliCPUPerCore
 }
--- a/internal/state/cell/pacing.go
+++ b/internal/state/cell/pacing.go
@@ -7,9 +7,13 @@
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/interf"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
+// milliCPUPerCore is the unit of CPU requests.
+const milliCPUPerCore = 1000
+
 // fullPaceCores returns the cores that a best-effort run would use at its full pace.
 func (r *run) fullPaceCores() float64 { return float64(r.task.step.pb.MilliCpu) / milliCPUPerCore }
 
@@ -67,21 +71,23 @@
 		cores[be.task.step.pb.Image] += be.usedCores()
 	}
 	for _, lc := range x.latencyCritical {
-		c.interference.observe(now, lc, cores)
-		c.interference.updateTolerance(lc)
+		pb := lc.task.step.pb
+		if lc.percent >= fullPacePercent {
+			c.interference.Observe(now, &lc.lastSample, interf.Tail{
+				Image: pb.Image, MS: lc.usage, TargetMS: int64(pb.TargetMs), Cores: cores,
+			})
+		}
+		c.updateTolerance(lc)
 	}
 }
 
 // updateTolerance updates how much interference a latency-critical run tolerates. Placements use the result until the
 // next list.
-func (m *interferenceModel) updateTolerance(lc *run) {
+func (c *Cell) updateTolerance(lc *run) {
 	pb := lc.task.step.pb
-	lc.regression = m.regressions[pb.Image]
+	lc.regression = c.interference.Regressions[pb.Image]
 	lc.isNearTarget = float64(lc.usage) > throttleTailRatio*float64(pb.TargetMs)
-	lc.headroom = 0
-	if lc.usage > 0 {
-		lc.headroom = 1 - m.baseMS[pb.Image]/(raiseTailRatio*float64(pb.TargetMs)) - m.load(lc)
-	}
+	lc.headroom = c.interference.Headroom(pb.Image, lc.usage, raiseTailRatio*float64(pb.TargetMs))
 }
 
 // adjustPaces sets the paces of best-effort runs so that the colocated latency-critical runs stay below their
@@ -283,7 +289,7 @@
 	if lc == nil {
 		return 0
 	}
-	return c.interference.weightOf(imagePair{lc.task.step.pb.Image, be.task.step.pb.Image})
+	return c.interference.Weight(lc.task.step.pb.Image, be.task.step.pb.Image)
 }
 
 // isMoveDue reports whether a run's pace has been below movePacePercent for at least moveGracePeriod and the run can be
--- a/internal/state/cell/pacing_test.go
+++ b/internal/state/cell/pacing_test.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"math"
 	"testing"
 	"time"
 
@@ -9,6 +8,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/interf"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -116,8 +116,8 @@
 func TestHaltsBestEffortWhenTargetIsExceededTooLong(t *testing.T) {
 	h, lc, be := newColocatedHarness(t)
 	// The model wrongly predicts that the image causes no interference.
-	h.cell.interference.regressions["web"] = &regression{
-		images: []string{"sum"}, weights: []float64{0}, normalMatrix: [][]float64{{1e9}}, normalVector: []float64{0},
+	h.cell.interference.Regressions["web"] = &interf.Regression{
+		Images: []string{"sum"}, Weights: []float64{0}, NormalMatrix: [][]float64{{1e9}}, NormalVector: []float64{0},
 	}
 	lastPercent := -1
 	for range 8 {
@@ -188,24 +188,6 @@
 	assert.Equal(t, len(h.planAndConfirm()), 1)
 }
 
-func TestInterferenceModelFindsInterferingImage(t *testing.T) {
-	model := newInterferenceModel()
-	lc := &run{percent: 100, task: &task{step: &step{pb: latencyCriticalStep("web")}}}
-	now := tick.Time(time.Hour)
-	model.baseMS["web"] = 10
-	for i := range 200 {
-		now = now.Add(500 * time.Millisecond)
-		heavy, light := float64(i*7%5), float64(i*3%4)
-		own := 0.4 + 0.2*math.Sin(float64(i)/5)
-		load := own + 0.02*heavy
-		lc.usage = int64(10 / (1 - load))
-		model.observe(now, lc, map[string]float64{"heavy": heavy, "light": light})
-	}
-	heavy, light := model.weightOf(imagePair{"web", "heavy"}), model.weightOf(imagePair{"web", "light"})
-	assert.Assert(t, heavy > 0.015 && heavy < 0.025, "heavy %.4f", heavy)
-	assert.Assert(t, light < 0.004, "light %.4f", light)
-}
-
 // rows returns the rows of running best-effort tasks.
 func rows(starts []Order) []orders.Running {
 	var out []orders.Running
@@ -231,10 +213,10 @@
 	h = newHarness(t, testExecutor("x"))
 	h.accept("s", "q", latencyCriticalStep("web"))
 	lc = h.planAndConfirm()[0]
-	h.cell.interference.baseMS["web"] = 10
-	h.cell.interference.regressions["web"] = &regression{
-		images: []string{"sum"}, weights: []float64{weight},
-		normalMatrix: [][]float64{{1e9}}, normalVector: []float64{weight * 1e9},
+	h.cell.interference.BaseMS["web"] = 10
+	h.cell.interference.Regressions["web"] = &interf.Regression{
+		Images: []string{"sum"}, Weights: []float64{weight},
+		NormalMatrix: [][]float64{{1e9}}, NormalVector: []float64{weight * 1e9},
 	}
 	be := bestEffortStep("sum")
 	be.Count, be.MilliCpu, be.EstimateMs = 6, 4000, 200_000
--- a/internal/state/cell/plan_test.go
+++ b/internal/state/cell/plan_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/state/interf"
 )
 
 func fullExecutorStep(estimateMs uint32) *jobpb.Step {
@@ -84,8 +85,10 @@
 	h.accept("s", "q", latencyCriticalStep("web"))
 	lc := startOrders(h.planAndConfirm())[0]
 	h.advance(time.Second)
-	h.cell.interference.baseMS["web"] = 10
-	h.cell.interference.regressions["web"] = &regression{images: []string{"heavy", "light"}, weights: []float64{0.2, 0}}
+	h.cell.interference.BaseMS["web"] = 10
+	h.cell.interference.Regressions["web"] = &interf.Regression{
+		Images: []string{"heavy", "light"}, Weights: []float64{0.2, 0},
+	}
 	h.reportRunning("x", runningRow(lc, 20, 100))
 	heavy, light := bestEffortStep("heavy"), bestEffortStep("light")
 	light.EstimateMs *= 2
--- a/internal/state/cell/record_test.go
+++ b/internal/state/cell/record_test.go
@@ -10,18 +10,19 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/state/interf"
 )
 
 func TestModelRecordRestoresModel(t *testing.T) {
 	old := New(Params{}, 1, 0)
-	reg := &regression{}
-	reg.addDifference(0.2, map[string]float64{"heavy": 10})
+	reg := &interf.Regression{}
+	reg.AddDifference(0.2, map[string]float64{"heavy": 10})
 	for range 50 {
-		reg.addDifference(0.2, map[string]float64{"heavy": 10})
-		reg.addDifference(0, map[string]float64{"light": 10})
+		reg.AddDifference(0.2, map[string]float64{"heavy": 10})
+		reg.AddDifference(0, map[string]float64{"light": 10})
 	}
-	old.interference.regressions["web"] = reg
-	old.interference.baseMS["web"] = 9
+	old.interference.Regressions["web"] = reg
+	old.interference.BaseMS["web"] = 9
 	const samples = 100
 	for i := range samples {
 		old.durations.Observe("q", "j", []float64{1.2, 3.4}[i%2])
@@ -33,13 +34,12 @@
 	next := New(Params{}, 2, 0)
 	next.LoadModel(m)
 	for _, image := range []string{"heavy", "light"} {
-		k := imagePair{"web", image}
-		assert.Equal(t, next.interference.weightOf(k), old.interference.weightOf(k))
+		assert.Equal(t, next.interference.Weight("web", image), old.interference.Weight("web", image))
 	}
-	next.interference.regressions["web"].sweep()
-	got := next.interference.weightOf(imagePair{"web", "heavy"})
+	next.interference.Regressions["web"].Sweep()
+	got := next.interference.Weight("web", "heavy")
 	assert.Assert(t, got > 0.018 && got < 0.021, "weight after one more sweep: %.4f", got)
-	assert.Equal(t, next.interference.baseMS["web"], 9.0)
+	assert.Equal(t, next.interference.BaseMS["web"], 9.0)
 	for _, quantile := range []float64{0.1, 0.9} {
 		want, got := old.durations.Ratio("q", "other", quantile), next.durations.Ratio("q", "other", quantile)
 		assert.Assert(t, math.Abs(got/want-1) < 0.02, "quantile %v: %v instead of %v", quantile, got, want)
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -6,6 +6,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/interf"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
@@ -61,11 +62,11 @@
 	lowPaceSince tick.Time
 	// regression, headroom and isNearTarget determine which best-effort tasks a latency-critical run tolerates, as of the
 	// last list. headroom is the load that may be added until its tail latency reaches raiseTailRatio times its target.
-	regression   *regression
+	regression   *interf.Regression
 	headroom     float64
 	isNearTarget bool
 	// lastSample is the last sample of a latency-critical run's tail latency.
-	lastSample tailSample
+	lastSample interf.Sample
 }
 
 // createRun creates a run of the task on the executor.
--- a/internal/state/cell/starve_test.go
+++ b/internal/state/cell/starve_test.go
@@ -13,6 +13,7 @@
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/internal/state/book"
+	"github.com/ibischute/ibischute/internal/state/interf"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -111,6 +112,11 @@
 	quarantines map[string]int
 }
 
+// imagePair is a latency-critical image and a best-effort image that runs on the same executor.
+type imagePair struct {
+	latencyCritical, bestEffort string
+}
+
 type starveJob struct {
 	id, kind   string
 	pb         *jobpb.Job
@@ -874,10 +880,10 @@
 	s := newQuietSim(4)
 	s.length = 10 * time.Minute
 	s.weights[imagePair{"lc0", "be0"}] = 0.001
-	s.cell.interference.regressions["lc0"] = &regression{
-		images: []string{"be0"}, weights: []float64{overestimated}, normalMatrix: [][]float64{{evidence}},
-		normalVector: []float64{evidence*overestimated + priorStrength*(overestimated-priorWeight)},
-	}
+	s.cell.interference.Restore([]*jobpb.ImageFit{{
+		Serving: "lc0", Images: []string{"be0"}, Weights: []float64{overestimated}, Evidence: []float64{evidence},
+	}})
+	delete(s.cell.interference.BaseMS, "lc0")
 	s.onTick = func(since time.Duration) {
 		if since == 10*time.Second {
 			s.acceptFilling("be0", 1, 14000, 1000)
@@ -930,10 +936,10 @@
 	serving.Count, serving.MaxPerExecutor = 2, 1
 	m.h.accept("s", "q", serving)
 	m.lcX = m.h.planAndConfirm()[0]
-	m.h.cell.interference.baseMS["web"] = 10
-	m.h.cell.interference.regressions["web"] = &regression{
-		images: []string{"sum"}, weights: []float64{moveWeight},
-		normalMatrix: [][]float64{{1e9}}, normalVector: []float64{moveWeight * 1e9},
+	m.h.cell.interference.BaseMS["web"] = 10
+	m.h.cell.interference.Regressions["web"] = &interf.Regression{
+		Images: []string{"sum"}, Weights: []float64{moveWeight},
+		NormalMatrix: [][]float64{{1e9}}, NormalVector: []float64{moveWeight * 1e9},
 	}
 	for _, id := range []string{"f1", "f2", "f3"} {
 		m.h.accept(id, "low", bestEffortStep("sum"))
