Move runs only while tasks may start, and show duration ratios

A run was stopped on a slow executor also while the leader may send no start order, so that its task would wait. Moves now need room in the limit of starts. TestRunsStayWhereNothingMayStart saw one stop before. The gauge duration_ratio shows the median and the high quantile of each queue.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -377,6 +377,10 @@
 	for _, cause := range cell.WaitCauses() {
 		t.opts.Meter.Gauge("cell_delayed", map[string]string{"cause": string(cause)}, float64(u.Delayed[cause]))
 	}
+	for _, d := range u.Durations {
+		t.opts.Meter.Gauge("duration_ratio", map[string]string{"queue": d.Queue, "quantile": "median"}, d.Median)
+		t.opts.Meter.Gauge("duration_ratio", map[string]string{"queue": d.Queue, "quantile": "high"}, d.High)
+	}
 	for name, v := range map[string]int64{
 		"jobs": int64(u.Jobs), "cores": u.Cores, "cores_used": u.UsedCores, "cores_lasting": u.LongRunningCores,
 		"cores_filling": u.BestEffortCores, "waiting_short": int64(u.WaitingShort),
--- a/internal/state/cell/durations_test.go
+++ b/internal/state/cell/durations_test.go
@@ -135,6 +135,20 @@
 	})
 }
 
+// TestUsageHasDurations checks what the metrics show of the estimates.
+func TestUsageHasDurations(t *testing.T) {
+	h := newHarness(t, testExecutor("a"))
+	assert.Equal(t, len(h.cell.Usage(h.now).Durations), 0)
+	for range 20 {
+		h.runJobs(1, 2, 4)
+	}
+	list := h.cell.Usage(h.now).Durations
+	assert.Equal(t, len(list), 1)
+	assert.Equal(t, list[0].Queue, "q")
+	assert.Assert(t, list[0].Median > 1.7 && list[0].Median < 2.1, "median %v", list[0].Median)
+	assert.Assert(t, list[0].High > 3.3 && list[0].High < 4.1, "high %v", list[0].High)
+}
+
 // TestEndedJobsAreForgotten guards against keeping the samples of jobs that have ended.
 func TestEndedJobsAreForgotten(t *testing.T) {
 	h := newHarness(t, testExecutor("a"))
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -34,9 +34,11 @@
 	c.stopDraining(now)
 	p := c.newPlacement(now)
 	out := c.adjustPaces(now, p, nil)
-	out = append(out, c.placeWaiting(now, p, limits.MaxStarts)...)
-	c.moveFromSlow(now, p)
-	return c.appendStopOrders(now, out)
+	started := c.placeWaiting(now, p, limits.MaxStarts)
+	if len(started) < limits.MaxStarts {
+		c.moveFromSlow(now, p)
+	}
+	return c.appendStopOrders(now, append(out, started...))
 }
 
 // urgency orders waiting jobs, lower values first. It is designed for overload, when not every job can be done in time:
--- a/internal/state/cell/slowness_test.go
+++ b/internal/state/cell/slowness_test.go
@@ -262,6 +262,14 @@
 	})
 }
 
+// TestRunsStayWhereNothingMayStart guards against stopping runs while the leader may send no start order.
+func TestRunsStayWhereNothingMayStart(t *testing.T) {
+	h := newHarnessWithSlowExecutor(t)
+	h.cell.params.RestoreTime = 500 * time.Millisecond
+	assert.Equal(t, countStops(h.cell.Plan(h.now, testWallMS, PlanLimits{IsSoleLeader: true})), 0)
+	assert.Equal(t, countStops(h.cell.Plan(h.now, testWallMS, unbounded)), 1)
+}
+
 // TestLateListsAreNoSign checks that lists that a paused leader reads late do not make executors look slow.
 func TestLateListsAreNoSign(t *testing.T) {
 	h := newSlowHarness(t, "a", "b")
--- a/internal/state/cell/usage.go
+++ b/internal/state/cell/usage.go
@@ -24,14 +24,27 @@
 	AwaitedExecutors int
 	// SlowExecutors counts the executors on which runs progress much more slowly than they should.
 	SlowExecutors int
+	// Durations are the ratios of actual to estimated durations of each queue with samples.
+	Durations []QueueDurations
 	// Delayed counts the steps that wait although an executor has the room, and the runs that no list shows, by cause, as
 	// of the last call of Diagnose.
 	Delayed map[WaitCause]int
 }
 
+// QueueDurations are the quantiles of the ratio of actual to estimated durations that decisions depend on.
+type QueueDurations struct {
+	Queue        string
+	Median, High float64
+}
+
 // Usage returns the present utilization.
 func (c *Cell) Usage(now tick.Time) Usage {
 	u := Usage{Jobs: len(c.active), Delayed: c.delayed, SlowExecutors: c.speed.Count()}
+	for _, name := range c.durations.Queues() {
+		u.Durations = append(u.Durations, QueueDurations{
+			Queue: name, Median: c.durations.Ratio(name, "", orderQuantile), High: c.durations.Ratio(name, "", endQuantile),
+		})
+	}
 	for _, x := range c.execs {
 		if c.isTakingOver && c.isAwaited(now, x) {
 			u.AwaitedExecutors++
--- a/internal/state/quant/quant.go
+++ b/internal/state/quant/quant.go
@@ -110,6 +110,9 @@
 	return math.Pow(ratio, 1-w) * math.Pow(own, w)
 }
 
+// Queues returns the names of the queues with samples, in alphabetical order.
+func (m *Model) Queues() []string { return slices.Sorted(slices.Values(m.queues.Keys())) }
+
 // Samples returns the number of samples of the queue and of the job.
 func (m *Model) Samples(queue, job string) (ofQueue, ofJob int) {
 	if q, ok := m.queues.Peek(queue); ok {
@@ -140,7 +143,7 @@
 // which versions without quantiles read.
 func (m *Model) Save() []*jobpb.QueueRatio {
 	var out []*jobpb.QueueRatio
-	for _, name := range slices.Sorted(slices.Values(m.queues.Keys())) {
+	for _, name := range m.Queues() {
 		q, _ := m.queues.Peek(name)
 		out = append(out, &jobpb.QueueRatio{
 			Queue: name, Ratio: q.all.mean(), Quantiles: slices.Clone(q.all.steps()), Samples: uint64(q.all.total),
