--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -382,7 +382,8 @@
 		Int("waiting-short", u.WaitingShort).Int("waiting-lasting", u.WaitingLongRunning).
 		Int("waiting-filling", u.WaitingBestEffort).Int("serving", u.LatencyCritical).Int("over-target", u.OverTarget).
 		Int("filling", u.BestEffort).Int("slowed", u.Throttled).Int("awaited-executors", u.AwaitedExecutors).
-		Int("reserved", u.Reserved).Int("delayed", countDelayed(u)).Msg("cell-usage")
+		Int("slow-executors", u.SlowExecutors).Int("reserved", u.Reserved).Int("delayed", countDelayed(u)).
+		Msg("cell-usage")
 }
 
 // logStartWindow reports the limit of the start orders in flight and their number. It logs them only if the limit is
@@ -408,13 +409,17 @@
 	for _, cause := range cell.WaitCauses() {
 		t.opts.Meter.Gauge("cell_delayed", map[string]string{"cause": string(cause)}, float64(u.Delayed[cause]))
 	}
+	for _, d := range u.Durations {
+		t.opts.Meter.Gauge("duration_ratio", map[string]string{"queue": d.Queue, "quantile": "median"}, d.Median)
+		t.opts.Meter.Gauge("duration_ratio", map[string]string{"queue": d.Queue, "quantile": "high"}, d.High)
+	}
 	for name, v := range map[string]int64{
 		"jobs": int64(u.Jobs), "cores": u.Cores, "cores_used": u.UsedCores, "cores_lasting": u.LongRunningCores,
 		"cores_filling": u.BestEffortCores, "waiting_short": int64(u.WaitingShort),
 		"waiting_lasting": int64(u.WaitingLongRunning), "waiting_filling": int64(u.WaitingBestEffort),
 		"serving": int64(u.LatencyCritical), "over_target": int64(u.OverTarget),
 		"reserved": int64(u.Reserved), "filling": int64(u.BestEffort), "slowed": int64(u.Throttled),
-		"awaited_executors": int64(u.AwaitedExecutors),
+		"awaited_executors": int64(u.AwaitedExecutors), "slow_executors": int64(u.SlowExecutors),
 	} {
 		t.opts.Meter.Gauge("cell_"+name, nil, float64(v))
 	}
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -163,6 +163,7 @@
 	}
 	c.releaseMissing(sent, x, listed)
 	c.updateModel(now, x)
+	c.rateRuns(now, sent, h, x)
 	c.stopStalled(now, x)
 }
 
@@ -196,6 +197,7 @@
 	x.appliedCursor, x.batchedCursor, x.storedCursor, x.ackSentCursor = 0, 0, 0, 0
 	x.hasClock = false
 	x.suspicion.clear()
+	c.speed.Drop(x.entry.ID)
 	for _, r := range x.runs {
 		if r.confirmedAt == 0 {
 			// A start order without a response may still arrive, so the run is stopped in advance.
@@ -235,7 +237,7 @@
 	if isFirst && t != nil && !t.done && t.run == nil {
 		r := &run{
 			id: row.Run, task: t, exec: x, resources: resourcesOf(t.step.pb), startedAt: now, confirmedAt: now,
-			progressAt: now, pace: fullPacePercent,
+			progressAt: now, pace: fullPacePercent, isPartial: true,
 		}
 		c.attachRun(r)
 		t.step.job.hasStarted = true
@@ -255,12 +257,7 @@
 		r.confirmedAt = now
 		r.task.step.job.hasStarted = true
 	}
-	if row.Checkpoint != "" {
-		if row.Checkpoint != r.checkpoint {
-			r.checkpointAt = now
-		}
-		r.checkpoint = row.Checkpoint
-	}
+	r.updateCheckpoint(now, row)
 	if r.firstListedAt == 0 || row.Percent != r.percent {
 		r.progressAt = now
 	}
@@ -276,6 +273,18 @@
 	}
 }
 
+// updateCheckpoint records the run's last checkpoint and the progress that it has at least.
+func (r *run) updateCheckpoint(now tick.Time, row orders.Running) {
+	switch {
+	case row.Checkpoint == "" || row.Checkpoint == r.checkpoint:
+	case r.firstListedAt == 0:
+		r.checkpoint, r.checkpointAt = row.Checkpoint, now
+	default:
+		// The checkpoint was written since the last list.
+		r.checkpoint, r.checkpointAt, r.checkpointPercent = row.Checkpoint, now, r.percent
+	}
+}
+
 // releaseMissing releases runs that are missing from a list that was requested after they were confirmed or stopped, or
 // after the deadline of their start order, which executors reject from then on.
 func (c *Cell) releaseMissing(sent tick.Time, x *executor, listed map[orders.Run]bool) {
@@ -311,16 +320,13 @@
 	}
 }
 
-// maxSpeedup is how much faster than its estimate a run may be.
-const maxSpeedup = 2
-
 // mayBeDone reports whether the run may have been done before the lease of its executor expired.
 func (c *Cell) mayBeDone(r *run) bool {
 	if r.task.step.pb.LongRunning || r.task.done {
 		return false
 	}
 	knownAt := max(r.startedAt, r.exec.lastResponseAt)
-	return !knownAt.Add(c.remainingTime(r) / maxSpeedup).After(r.exec.leaseExpiresBy)
+	return !knownAt.Add(c.earliestEnd(r)).After(r.exec.leaseExpiresBy)
 }
 
 // RetryPause returns the pause after a hold that the executor did not carry out.
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -50,8 +50,11 @@
 		}
 		c.placeWaiting(now, p, limit)
 	}
-	out = append(out, c.startRecorded(now, limits.MaxStarts)...)
-	return c.appendStopOrders(now, out)
+	started := c.startRecorded(now, limits.MaxStarts)
+	if len(started) < limits.MaxStarts && !limits.IsStoreStalled {
+		c.moveFromSlow(now, p)
+	}
+	return c.appendStopOrders(now, append(out, started...))
 }
 
 // urgency orders waiting jobs, lower values first. It is designed for overload, when not every job can be done in time:
@@ -77,7 +80,7 @@
 const tooLateFactor = 3
 
 func (c *Cell) urgencyOf(now tick.Time, j *job) urgency {
-	ratio := c.durations.ratioOf(j.pb.Queue)
+	ratio := c.durations.Ratio(j.pb.Queue, j.id, orderQuantile)
 	criticalPath := time.Duration(float64(j.criticalPath) * ratio)
 	latencyTarget := time.Duration(float64(criticalPath)*j.queue.StretchFactor) +
 		time.Duration(j.queue.TargetMS)*time.Millisecond
@@ -200,7 +203,7 @@
 			continue
 		}
 		x := cands.best(t)
-		if x == nil {
+		if x == nil || c.defersSlow(now, s, x) {
 			continue
 		}
 		c.reserveRun(now, t, x, c.nextRunNumber(t))
--- a/internal/state/cell/reserve.go
+++ b/internal/state/cell/reserve.go
@@ -208,6 +208,7 @@
 	if t.step.pb.Fills {
 		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
 	}
+	c.speed.Begin(now, x.entry.ID, r.id)
 	c.emit(Event{Name: "start", Task: t.id, Run: r.id.Number, Executor: x.entry.ID})
 	return Order{Target: x.target(), Start: &orders.Start{
 		Run: r.id, Spec: t.step.job.pb.Spec, Checkpoint: t.checkpoint, DeadlineMS: c.extendLease(now, x), Epoch: c.epoch,
