Reserve room for large tasks and let large jobs move up

Change: with Params.LookAhead, the cell describes executors, steps and the ends of runs to package ahead and keeps reserved room free (reservations.go); one large job for each priority moves up while package aging says that they are behind. Starts state how long the task has waited and its size. Half of the schedules of TestModel and TestDueTasksStart run with it.

--- a/internal/state/cell/bench_test.go
+++ b/internal/state/cell/bench_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/ahead"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -17,7 +18,7 @@
 	b.Helper()
 	rnd := rand.New(rand.NewPCG(1, 1))
 	now := tick.Time(time.Hour)
-	c := New(Params{MaxHold: 6 * time.Second, Retention: time.Minute}, 1, now)
+	c := New(Params{MaxHold: 6 * time.Second, Retention: time.Minute, LookAhead: true}, 1, now)
 	c.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000},
 	}})
@@ -104,3 +105,75 @@
 		c.HandleHoldReply(now, now, "x0001", orders.Hold{}, l, orders.Reply{Outcome: orders.Done, ClockMS: 1})
 	}
 }
+
+// BenchmarkLookAhead measures the part of a plan that looks ahead, with 3,000 executors that are full of short tasks
+// and 64 large tasks that wait. Smaller work overtakes the large tasks before each pass, so that each pass searches.
+func BenchmarkLookAhead(b *testing.B) {
+	const executors, runs, waiting = 3000, 16, 64
+	c, now := fullCell(b, executors, runs)
+	for i := range waiting {
+		c.Accept(now, &jobpb.Job{Id: fmt.Sprintf("w%05d", i), Queue: "q", Service: "svc", Steps: []*jobpb.Step{
+			{Count: 1, MilliCpu: 64000, MemoryMb: 100, EstimateMs: 1000},
+		}})
+	}
+	p := c.newPlacement(now)
+	if len(p.pools["svc"]) != executors {
+		b.Fatalf("only %d executors are usable", len(p.pools["svc"]))
+	}
+	steps := c.waitingSteps(now)
+	small, pool := aheadResources(resources{milliCPU: 1000}), p.pools["svc"]
+	first := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		// Without the state of the pass before, each pass searches, in another part of the fleet.
+		c.lookAhead = newLookAhead(c.params)
+		overtaken := ahead.Request{Step: steps[0].aheadKey(), Pool: "svc", Need: small.Times(64), Tasks: 1}
+		c.lookAhead.planner.Wait(now, overtaken, executors)
+		c.lookAhead.planner.Started(ahead.Step{}, "svc", 0, small)
+		first = (first + 512) % (executors - 512)
+		p.pools["svc"] = pool[first:]
+		c.beginLookAhead(now)
+		for _, s := range steps {
+			c.awaitRoom(now, p, s)
+		}
+		if len(c.lookAhead.releases) != runs {
+			b.Fatal("no executor was looked at")
+		}
+		c.events = nil
+	}
+}
+
+// fullCell returns a cell whose executors are full of short tasks.
+func fullCell(b *testing.B, executors, runs int) (*Cell, tick.Time) {
+	b.Helper()
+	now := tick.Time(time.Hour)
+	c := New(Params{MaxHold: 6 * time.Second, Retention: time.Minute, LookAhead: true}, 1, now)
+	c.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{
+		{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000},
+	}})
+	var list []queue.Executor
+	for i := range executors {
+		list = append(list, testExecutor(fmt.Sprintf("x%04d", i)))
+	}
+	c.Discover(now, list)
+	commitAll(b, c, now)
+	for _, e := range list {
+		c.Hold(now, e.ID)
+		c.HandleHoldReply(now, now, e.ID, orders.Hold{}, orders.Lists{StartedMS: 1},
+			orders.Reply{Outcome: orders.Done, ClockMS: 1})
+	}
+	for i := range executors {
+		s := &jobpb.Step{
+			Count: uint32(runs), MilliCpu: uint32(64000 / runs), MemoryMb: 1000, EstimateMs: uint32(2000 + i%2000),
+		}
+		j := &jobpb.Job{Id: fmt.Sprintf("s%05d", i), Queue: "q", Service: "svc", Steps: []*jobpb.Step{s}}
+		c.Accept(now, j)
+		st := c.jobs[j.Id].occurrences[0].steps[0]
+		c.jobs[j.Id].startRecord = startRecorded
+		for _, t := range st.tasks {
+			c.startRun(now, t, c.execs[list[i].ID], c.nextRunNumber(t))
+		}
+	}
+	c.events = nil
+	return c, now
+}
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -42,6 +42,9 @@
 	PaceDelay time.Duration
 	// Retention is how long an ended job is shown.
 	Retention time.Duration
+	// LookAhead is true if executors are reserved for tasks that need more room than any executor has free, and large jobs
+	// that have waited long move up.
+	LookAhead bool
 }
 
 // Cell is the state of one cell under one leader.
@@ -70,6 +73,7 @@
 	events       []Event
 	durations    *durationModel
 	interference *interferenceModel
+	lookAhead    *lookAhead
 	isFenced     bool
 	// needsAdvice is true if a queue has or had a policy service.
 	needsAdvice bool
@@ -89,7 +93,7 @@
 		jobs: map[string]*job{}, execs: map[string]*executor{},
 		dirty: map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
 		stopping:  map[*run]bool{},
-		durations: newDurationModel(), interference: newInterferenceModel(),
+		durations: newDurationModel(), interference: newInterferenceModel(), lookAhead: newLookAhead(p),
 	}
 }
 
@@ -100,6 +104,8 @@
 	Run      uint64
 	Executor string
 	Detail   string
+	// FirstWait is set for the first start of a task by this leader.
+	FirstWait *FirstWait
 }
 
 // maxEvents bounds the events between two calls of Events.
--- /dev/null
+++ b/internal/state/cell/firstwait.go
@@ -0,0 +1,78 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// FirstWait is how long a task waited from when its step was ready until its first start by this leader.
+type FirstWait struct {
+	Duration time.Duration
+	Kind     TaskKind
+	Size     TaskSize
+}
+
+// TaskKind is the kind of a task.
+type TaskKind string
+
+// The kinds of tasks, named as in the metrics.
+const (
+	KindShort       TaskKind = "short"
+	KindLongRunning TaskKind = "lasting"
+	KindBestEffort  TaskKind = "filling"
+)
+
+// TaskSize is the share of its executor that a task needs, by the resource of which it needs the largest share.
+type TaskSize string
+
+// The sizes of tasks. Members of a gang have a size of their own, as they wait for one another.
+const (
+	SizeSmall  TaskSize = "small"
+	SizeMedium TaskSize = "medium"
+	SizeLarge  TaskSize = "large"
+	SizeGang   TaskSize = "gang"
+)
+
+const (
+	// mediumShare and largeShare are the shares of an executor from which a task is medium and large.
+	mediumShare = 0.125
+	largeShare  = 0.5
+)
+
+// startEvent returns the event of a start that is made now.
+func startEvent(now tick.Time, t *task, x *executor, number uint64) Event {
+	e := Event{Name: "start", Task: t.id, Run: number, Executor: x.entry.ID}
+	if t.startCount == 1 && t.step.readyAt != 0 {
+		e.FirstWait = &FirstWait{Duration: now.Sub(t.step.readyAt), Kind: t.step.kind(), Size: t.step.sizeOn(x)}
+	}
+	return e
+}
+
+func (s *step) kind() TaskKind {
+	switch {
+	case s.pb.Fills:
+		return KindBestEffort
+	case s.pb.LongRunning:
+		return KindLongRunning
+	}
+	return KindShort
+}
+
+// sizeOn returns the size of a task of the step on the executor.
+func (s *step) sizeOn(x *executor) TaskSize {
+	share := max(
+		shareOf(int64(s.pb.MilliCpu), x.total.milliCPU), shareOf(int64(s.pb.MemoryMb), x.total.memoryMB),
+		shareOf(int64(s.pb.Gpus), x.total.gpus))
+	switch {
+	case s.pb.Gang:
+		return SizeGang
+	case share >= largeShare:
+		return SizeLarge
+	case share >= mediumShare:
+		return SizeMedium
+	}
+	return SizeSmall
+}
+
+func shareOf(need, total int64) float64 { return float64(need) / float64(max(1, total)) }
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -35,6 +35,9 @@
 	idleSince tick.Time
 	// isInherited is true if a previous leader may have started tasks of the job.
 	isInherited bool
+	// isCountedWaiting is true from when the job is counted as waiting without a run until it has one. isLarge and
+	// isMovedUp are valid in between: whether the job is large, and whether it has moved up for that.
+	isCountedWaiting, isLarge, isMovedUp bool
 }
 
 // startRecordState states whether the store has a record that a job may have started. No task starts before that.
@@ -67,6 +70,8 @@
 	advice *stepAdvice
 	// gangFailures are the run numbers of the gang's failed attempts.
 	gangFailures []uint64
+	// readyAt is when a plan first found the step ready; 0 before.
+	readyAt tick.Time
 	// waitsSince is since when Diagnose has seen a due task of the step without a run; 0 if there is none.
 	// waitReportedAt is when it last reported the cause.
 	waitsSince, waitReportedAt tick.Time
--- a/internal/state/cell/pacing_test.go
+++ b/internal/state/cell/pacing_test.go
@@ -32,7 +32,7 @@
 	t.Helper()
 	h := &harness{t: t, now: tick.Time(time.Hour), ends: map[string]uint64{}}
 	h.cell = New(Params{
-		MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, Retention: time.Minute,
+		MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, Retention: time.Minute, LookAhead: true,
 	}, 1, h.now)
 	h.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000},
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -17,6 +17,11 @@
 	// unplaceable has, for each service, requests for which no executor was found. They rule out all requests that need at
 	// least as much.
 	unplaceable map[string][]request
+	// freeMemory has the result of mostFreeMemory for each service.
+	freeMemory map[string]int64
+	cell       *Cell
+	// isLimitedByReservation is true if a reservation has kept the step that is being placed from an executor.
+	isLimitedByReservation bool
 }
 
 type request struct {
@@ -46,7 +51,10 @@
 const maxUnplaceable = 32
 
 func (c *Cell) newPlacement(now tick.Time) *placement {
-	p := &placement{now: now, pools: map[string][]*executor{}, unplaceable: map[string][]request{}}
+	p := &placement{
+		now: now, pools: map[string][]*executor{}, unplaceable: map[string][]request{}, cell: c,
+		freeMemory: map[string]int64{},
+	}
 	for _, x := range c.execs {
 		p.executors = append(p.executors, x)
 		if x.isUsable(now) {
@@ -86,14 +94,15 @@
 	if p.isUnplaceable(service, c.need, s) {
 		return c
 	}
+	p.isLimitedByReservation = false
 	for _, x := range p.pools[service] {
 		if cost, ok := p.rateExecutor(s, c.need, x); ok {
 			c.list = append(c.list, candidate{x, cost})
 		}
 	}
-	// The result applies to other steps unless it may be due to this step's tickets, to its anti-affinity, or to the
-	// resources that earlier members of its gang hold temporarily.
-	isReusable := s.advice == nil && s.pb.MaxPerExecutor == 0 && !s.pb.Gang
+	// The result applies to other steps unless it may be due to this step's tickets, to its anti-affinity, to
+	// reservations, or to the resources that earlier members of its gang hold temporarily.
+	isReusable := s.advice == nil && s.pb.MaxPerExecutor == 0 && !s.pb.Gang && !p.isLimitedByReservation
 	if len(c.list) == 0 && isReusable && len(p.unplaceable[service]) < maxUnplaceable {
 		p.unplaceable[service] = append(p.unplaceable[service], requestOf(s, c.need))
 	}
@@ -121,7 +130,14 @@
 	if !x.allows(s, need) || !s.isPermittedOn(p.now, x) || !x.suspicion.admits(p.now, s) {
 		return false
 	}
-	return x.hasBestEffortCPU(s)
+	if !x.hasBestEffortCPU(s) {
+		return false
+	}
+	if p.cell.isKeptFree(p.now, s, need, x) {
+		p.isLimitedByReservation = true
+		return false
+	}
+	return true
 }
 
 // best returns the cheapest executor for the task, or nil. Executors on which the task has failed come last.
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -43,7 +43,9 @@
 // that as many jobs as possible are done in time. Under overload, ordering by least slack would finish every job a
 // little late.
 type urgency struct {
-	priority  int
+	priority int
+	// isMovedUp is true for the large job that comes first within its priority because it has waited long.
+	isMovedUp bool
 	lateness  int
 	remaining time.Duration
 }
@@ -62,9 +64,7 @@
 
 func (c *Cell) urgencyOf(now tick.Time, j *job) urgency {
 	ratio := c.durations.ratioOf(j.pb.Queue)
-	criticalPath := time.Duration(float64(j.criticalPath) * ratio)
-	latencyTarget := time.Duration(float64(criticalPath)*j.queue.StretchFactor) +
-		time.Duration(j.queue.TargetMS)*time.Millisecond
+	latencyTarget := c.latencyTargetOf(j)
 	left := time.Duration(float64(j.remainingCriticalPath()) * ratio)
 	slack := j.acceptedAt.Add(latencyTarget).Sub(now) - left
 	u := urgency{priority: j.queue.Priority, remaining: left}
@@ -81,7 +81,19 @@
 	return u
 }
 
+// latencyTargetOf returns the time from the acceptance of a job within which it should be done.
+func (c *Cell) latencyTargetOf(j *job) time.Duration {
+	criticalPath := time.Duration(float64(j.criticalPath) * c.durations.ratioOf(j.pb.Queue))
+	return time.Duration(float64(criticalPath)*j.queue.StretchFactor) + time.Duration(j.queue.TargetMS)*time.Millisecond
+}
+
 func (u urgency) compare(v urgency) int {
+	if u.priority == v.priority && u.isMovedUp != v.isMovedUp {
+		if u.isMovedUp {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(
 		cmp.Compare(u.priority, v.priority), cmp.Compare(u.lateness, v.lateness), cmp.Compare(u.remaining, v.remaining),
 	)
@@ -124,29 +136,20 @@
 
 // waitingSteps returns the ready steps with waiting tasks, those of the most urgent jobs first.
 func (c *Cell) waitingSteps(now tick.Time) []*step {
-	type entry struct {
-		urgency urgency
-		steps   []*step
-	}
-	var entries []entry
+	var entries []waitingJob
 	for _, j := range c.active {
 		if c.isTakingOver && j.isInherited {
 			continue
 		}
-		var steps []*step
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if s.waiting > 0 && s.isReady() {
-					steps = append(steps, s)
-				}
-			}
-		}
+		steps := j.waitingSteps(now)
 		j.updateIdle(now, len(steps) > 0)
 		if len(steps) > 0 {
-			entries = append(entries, entry{c.urgencyOf(now, j), steps})
+			c.countWaiting(now, j)
+			entries = append(entries, waitingJob{j, c.urgencyOf(now, j), steps})
 		}
 	}
-	slices.SortStableFunc(entries, func(a, b entry) int { return a.urgency.compare(b.urgency) })
+	c.moveUpLarge(now, entries)
+	slices.SortStableFunc(entries, func(a, b waitingJob) int { return a.urgency.compare(b.urgency) })
 	var out []*step
 	for _, e := range entries {
 		out = append(out, e.steps...)
@@ -154,9 +157,27 @@
 	return out
 }
 
+// waitingSteps returns the ready steps of the job with waiting tasks.
+func (j *job) waitingSteps(now tick.Time) []*step {
+	var steps []*step
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.waiting == 0 || !s.isReady() {
+				continue
+			}
+			if s.readyAt == 0 {
+				s.readyAt = now
+			}
+			steps = append(steps, s)
+		}
+	}
+	return steps
+}
+
 // placeWaiting places waiting tasks and returns the orders to start them.
 func (c *Cell) placeWaiting(now tick.Time, p *placement, maxStarts int) []Order {
 	steps := c.waitingSteps(now)
+	c.beginLookAhead(now)
 	var out []Order
 	for _, s := range steps {
 		remaining := maxStarts - len(out)
@@ -196,16 +217,20 @@
 		out = append(out, c.startRun(now, t, x, c.nextRunNumber(t)))
 		cands.update(x)
 	}
+	if len(out) < maxStarts && len(cands.list) == 0 && s.firstStartable(now) != nil {
+		c.awaitRoom(now, p, s)
+	}
 	return out
 }
 
 // startRun creates a run and returns the order to start it.
 func (c *Cell) startRun(now tick.Time, t *task, x *executor, number uint64) Order {
 	r := c.createRun(now, t, x, number)
+	c.noteStart(now, t)
 	if t.step.pb.Fills {
 		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
 	}
-	c.emit(Event{Name: "start", Task: t.id, Run: number, Executor: x.entry.ID})
+	c.emit(startEvent(now, t, x, number))
 	return Order{Target: x.target(), Start: &orders.Start{
 		Run: r.id, Spec: t.step.job.pb.Spec, Checkpoint: t.checkpoint, DeadlineMS: c.extendLease(now, x), Epoch: c.epoch,
 		Ticket: t.step.ticketFor(x),
@@ -218,6 +243,7 @@
 		return nil
 	}
 	var placed []*executor
+	lacksRoom := false
 	cands := p.candidates(s)
 	for _, t := range s.tasks {
 		if !t.isStartable(now) {
@@ -225,6 +251,7 @@
 		}
 		x := cands.best(t)
 		if x == nil {
+			lacksRoom = len(cands.list) == 0
 			break
 		}
 		// The resources are reserved at once, so that the placement of the next member accounts for this one.
@@ -235,6 +262,9 @@
 	for _, t := range s.tasks[:len(placed)] {
 		c.withdrawRun(t.run)
 	}
+	if lacksRoom {
+		c.awaitRoom(now, p, s)
+	}
 	if len(placed) < len(s.tasks) || !c.ensureStartRecorded(s.job) {
 		return nil
 	}
--- /dev/null
+++ b/internal/state/cell/reservations.go
@@ -0,0 +1,247 @@
+package cell
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/aging"
+	"github.com/ibischute/ibischute/internal/state/ahead"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// lookAhead keeps room for tasks that need more than any executor has free, and lets large jobs move up. It is nil if
+// Params.LookAhead is false.
+type lookAhead struct {
+	planner *ahead.Planner
+	balance *aging.Balance
+	// releases is reused to describe executors.
+	releases []ahead.Release
+}
+
+func newLookAhead(p Params) *lookAhead {
+	if !p.LookAhead {
+		return nil
+	}
+	return &lookAhead{planner: ahead.New(), balance: aging.New()}
+}
+
+const (
+	// unlimitedSlots are the slots of an executor for a step without anti-affinity.
+	unlimitedSlots = 1 << 30
+	// endReportDelay is how soon after now the end of a run can be known at best; lists come several a second.
+	endReportDelay = 100 * time.Millisecond
+	// minPacePercent is the lowest pace from which the end of a throttled run is forecast.
+	minPacePercent = 10
+)
+
+func (s *step) aheadKey() ahead.Step {
+	return ahead.Step{Job: s.job.id, Occurrence: s.occurrence.index, Index: s.index}
+}
+
+func aheadResources(r resources) ahead.Resources {
+	return ahead.Resources{MilliCPU: r.milliCPU, MemoryMB: r.memoryMB, GPUs: r.gpus}
+}
+
+// beginLookAhead drops the reservations that are no longer needed, possible or met in time.
+func (c *Cell) beginLookAhead(now tick.Time) {
+	if c.lookAhead == nil {
+		return
+	}
+	isWaiting := func(k ahead.Step) bool {
+		t := c.task(orders.Task{Job: k.Job, Occurrence: k.Occurrence, Step: k.Index})
+		return t != nil && t.step.waiting > 0 && t.step.isReady()
+	}
+	isUsable := func(id string) bool {
+		x, ok := c.execs[id]
+		return ok && x.isUsable(now)
+	}
+	for _, r := range c.lookAhead.planner.Begin(now, isWaiting, isUsable) {
+		c.emitReservation("reservation-expired", r, "expected "+inMillis(now.Sub(r.RoomAt)).String()+" ago")
+	}
+}
+
+func (c *Cell) emitReservation(name string, r ahead.Reservation, detail string) {
+	t := orders.Task{Job: r.Step.Job, Occurrence: r.Step.Occurrence, Step: r.Step.Index}
+	c.emit(Event{Name: name, Task: t, Executor: r.Executor, Detail: detail})
+}
+
+// awaitRoom notes that no executor has the room for a task of the step, or for all tasks of a gang. It reserves room if
+// smaller work was started meanwhile.
+func (c *Cell) awaitRoom(now tick.Time, p *placement, s *step) {
+	if c.lookAhead == nil || s.pb.Fills || c.lookAhead.planner.IsFull() {
+		return
+	}
+	need, pool := resourcesOf(s.pb), p.pools[s.job.queue.Service]
+	r := ahead.Request{
+		Step: s.aheadKey(), Pool: s.job.queue.Service, Priority: s.job.queue.Priority, Need: aheadResources(need), Tasks: 1,
+		Patience: c.latencyTargetOf(s.job), IsShortOfMemory: need.memoryMB > p.mostFreeMemory(s.job.queue.Service),
+	}
+	if s.pb.Gang {
+		r.Tasks = len(s.tasks)
+	}
+	if s.pb.MaxPerExecutor > 0 {
+		r.Need.Slots = 1
+	}
+	if !c.lookAhead.planner.Wait(now, r, len(pool)) {
+		return
+	}
+	made := c.lookAhead.planner.Search(now, r, len(pool), func(i int) (ahead.Executor, bool) {
+		x := pool[i]
+		isPossible := x.total.covers(need) && x.total.milliCPU-x.latencyCriticalMilliCPU >= need.milliCPU
+		if !isPossible || !x.satisfies(s.pb.RequiresLabel) || !s.isPermittedOn(now, x) || !x.suspicion.admits(now, s) {
+			return ahead.Executor{}, false
+		}
+		return c.describeRoom(now, x, s), true
+	})
+	for _, m := range made {
+		c.emitReservation("reserved", m, "expected in "+inMillis(m.RoomAt.Sub(now)).String())
+	}
+	if len(made) > 0 {
+		c.ensureStartRecorded(s.job)
+	}
+}
+
+// mostFreeMemory returns the most memory that was free on an executor of the service when the pass first asked.
+func (p *placement) mostFreeMemory(service string) int64 {
+	most, ok := p.freeMemory[service]
+	if !ok {
+		for _, x := range p.pools[service] {
+			most = max(most, x.free().memoryMB)
+		}
+		p.freeMemory[service] = most
+	}
+	return most
+}
+
+// describeRoom returns the room on the executor for tasks of the step, now and after the ends of runs. The result is
+// valid until the next call.
+func (c *Cell) describeRoom(now tick.Time, x *executor, s *step) ahead.Executor {
+	free := aheadResources(x.free())
+	free.Slots = unlimitedSlots
+	if s.pb.MaxPerExecutor > 0 {
+		free.Slots = int64(s.pb.MaxPerExecutor) - int64(x.countTasks(s))
+	}
+	list := c.lookAhead.releases[:0]
+	for _, r := range x.runs {
+		endsAt, ok := c.endOf(now, r)
+		if !ok {
+			continue
+		}
+		room := aheadResources(r.resources)
+		if s.pb.MaxPerExecutor > 0 && r.task.step == s {
+			room.Slots = 1
+		}
+		list = append(list, ahead.Release{At: endsAt, Room: room})
+	}
+	c.lookAhead.releases = list
+	return ahead.Executor{ID: x.entry.ID, Free: free, Releases: list}
+}
+
+// endOf forecasts the end of a run. It returns false if there is no forecast.
+func (c *Cell) endOf(now tick.Time, r *run) (tick.Time, bool) {
+	pb := r.task.step.pb
+	switch {
+	case r.isMarkedForStopping:
+		return now.Add(max(endReportDelay, c.params.StopTimeout)), true
+	case pb.LongRunning || pb.EstimateMs == 0:
+		return 0, false
+	}
+	left := c.remainingTime(r) * fullPacePercent / time.Duration(max(r.pace, minPacePercent))
+	return now.Add(max(endReportDelay, left)), true
+}
+
+// isKeptFree reports whether reservations keep the executor from tasks of the step.
+func (c *Cell) isKeptFree(now tick.Time, s *step, need resources, x *executor) bool {
+	if c.lookAhead == nil || !c.lookAhead.planner.IsReserved(x.entry.ID) {
+		return false
+	}
+	claim := ahead.Claim{Step: s.aheadKey(), Priority: s.job.queue.Priority, Need: aheadResources(need)}
+	if !s.pb.Fills && !s.pb.LongRunning && s.pb.EstimateMs > 0 {
+		claim.EndsAt = now.Add(c.remainingTime(&run{task: &task{step: s}, exec: x, startedAt: now, pace: fullPacePercent}))
+	}
+	return !c.lookAhead.planner.Admits(now, x.entry.ID, claim, func() ahead.Executor { return c.describeRoom(now, x, s) })
+}
+
+// noteStart tells the look-ahead that a task was started.
+func (c *Cell) noteStart(now tick.Time, t *task) {
+	if c.lookAhead == nil {
+		return
+	}
+	j := t.step.job
+	c.lookAhead.planner.Started(
+		t.step.aheadKey(), j.queue.Service, j.queue.Priority, aheadResources(resourcesOf(t.step.pb)))
+	if j.isCountedWaiting {
+		j.isCountedWaiting, j.isMovedUp = false, false
+		c.lookAhead.balance.Started(now, j.queue.Priority, j.isLarge)
+	}
+}
+
+// countWaiting counts a job that begins to wait without a run.
+func (c *Cell) countWaiting(now tick.Time, j *job) {
+	if c.lookAhead != nil && j.idleSince == now && !j.isCountedWaiting {
+		j.isCountedWaiting = true
+		j.isLarge = c.lookAhead.balance.Arrived(now, j.queue.Priority, j.work())
+	}
+}
+
+// work returns the estimated work of a job in thousandths of a core times milliseconds.
+func (j *job) work() float64 {
+	sum := 0.0
+	for _, s := range j.pb.Steps {
+		sum += float64(s.Count) * float64(s.MilliCpu) * float64(s.EstimateMs)
+	}
+	return sum
+}
+
+// waitingJob is a job with ready steps that have waiting tasks.
+type waitingJob struct {
+	job     *job
+	urgency urgency
+	steps   []*step
+}
+
+// moveUpLarge moves up one large job of each priority in which large jobs are started too rarely: the one that has
+// waited longest relative to its latency target, and for at least that. It stays there until it starts.
+func (c *Cell) moveUpLarge(now tick.Time, list []waitingJob) {
+	if c.lookAhead == nil {
+		return
+	}
+	chosen := map[int]*waitingJob{}
+	for i := range list {
+		w := &list[i]
+		if !w.job.isCountedWaiting || !w.job.isLarge {
+			continue
+		}
+		isDue := c.lookAhead.balance.IsBehind(w.urgency.priority) && c.relativeWait(now, w.job) >= 1
+		if !w.job.isMovedUp && !isDue {
+			continue
+		}
+		if o := chosen[w.urgency.priority]; o == nil || c.isAheadOf(now, w.job, o.job) {
+			chosen[w.urgency.priority] = w
+		}
+	}
+	for _, w := range chosen {
+		w.urgency.isMovedUp = true
+		if !w.job.isMovedUp {
+			w.job.isMovedUp = true
+			c.emit(Event{Name: "job-moved-up", Task: orders.Task{Job: w.job.id}})
+		}
+	}
+}
+
+// isAheadOf reports whether the job moves up rather than o.
+func (c *Cell) isAheadOf(now tick.Time, j, o *job) bool {
+	if j.isMovedUp != o.isMovedUp {
+		return j.isMovedUp
+	}
+	return cmp.Compare(c.relativeWait(now, j), c.relativeWait(now, o)) > 0
+}
+
+// relativeWait returns for how many latency targets the job has had no run.
+func (c *Cell) relativeWait(now tick.Time, j *job) float64 {
+	if j.idleSince == 0 {
+		return 0
+	}
+	return float64(now.Sub(j.idleSince)) / float64(max(time.Millisecond, c.latencyTargetOf(j)))
+}
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -347,6 +347,8 @@
 		doneRuns: map[orders.Task]map[orders.Run]bool{}, lostEnds: map[orders.Task]bool{}, failingJobs: map[string]bool{},
 		params: Params{
 			MaxHold: simMaxHold, StopTimeout: simStopTimeout, InterferenceBound: 4 * time.Second, Retention: time.Minute,
+			// Half of the schedules run with it.
+			LookAhead: seed%2 == 1,
 		},
 		now: tick.Time(time.Second),
 	}
--- a/internal/state/cell/starve_test.go
+++ b/internal/state/cell/starve_test.go
@@ -168,7 +168,7 @@
 	}
 	s.cell = New(Params{
 		MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, InterferenceBound: 4 * time.Second,
-		PaceDelay: starvePaceDelay, Retention: time.Minute,
+		PaceDelay: starvePaceDelay, Retention: time.Minute, LookAhead: true,
 	}, 1, s.now)
 	s.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{
 		{Name: "short", Service: "svc", MaxAttempts: 4, StretchFactor: 1.5, TargetMS: 250},
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -39,13 +39,15 @@
 	WaitStartPause   WaitCause = "start-pause"
 	WaitInterference WaitCause = "interference"
 	WaitNotPlanned   WaitCause = "not-planned"
+	// WaitReserved means that the executor is reserved for a task that needs more room.
+	WaitReserved WaitCause = "reserved"
 )
 
 // WaitCauses returns the causes that Usage.Delayed may count.
 func WaitCauses() []WaitCause {
 	return []WaitCause{
 		WaitTakeover, WaitStartRecord, WaitOrphan, WaitRun, WaitOrphans, WaitQuarantine, WaitSuspect, WaitNoTicket,
-		WaitFailedOn, WaitNearTarget, WaitStartPause, WaitInterference, WaitNotPlanned,
+		WaitFailedOn, WaitNearTarget, WaitStartPause, WaitInterference, WaitNotPlanned, WaitReserved,
 	}
 }
 
@@ -228,6 +230,8 @@
 		return WaitNoTicket
 	case avoidsFailedOn && t.hasFailedOn(x):
 		return WaitFailedOn
+	case p.cell.isKeptFree(p.now, s, need, x):
+		return WaitReserved
 	}
 	if _, ok := p.rateExecutor(s, need, x); !ok {
 		return p.interferenceCauseOn(x)
