Turn look-ahead on for ibischute node and report waits by size

Cause: nothing set cell.Params.LookAhead, and no metric told how long large tasks wait beside small ones.

The leader records the wait of each task before its first start in the histogram task_wait_seconds, by kind and size.

Tests: TestWaitsAreReportedBySize fails without the change and passes with it.

--- a/cmd/ibischute/node.go
+++ b/cmd/ibischute/node.go
@@ -21,9 +21,13 @@
 type nodeCommand struct {
 	Settings    string `long:"settings" description:"the settings file that the platform writes; its variable names it otherwise"`
 	MetricsPort int    `long:"metrics-port" env:"IBISCHUTE_METRICS_PORT" default:"9464" description:"the port for metrics, 0 for none"`
+	LookAhead   string `long:"look-ahead" env:"IBISCHUTE_LOOK_AHEAD" default:"on" choice:"on" choice:"off" description:"reserve executors for tasks that need more room than any has free, and let large jobs that have waited long move up"`
 	LogLevel    string `long:"log-level" env:"IBISCHUTE_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
 }
 
+// lookAheadOn is the value of nodeCommand.LookAhead that turns it on.
+const lookAheadOn = "on"
+
 // Execute implements flags.Commander.
 func (c *nodeCommand) Execute([]string) (err error) {
 	if c.Settings == "" {
@@ -47,7 +51,8 @@
 	signal.Notify(sighups, syscall.SIGHUP)
 	defer signal.Stop(sighups)
 	go c.logSettingsChanges(ctx, sighups, s, logger)
-	return node.New(s, c.MetricsPort, m, logger).Run(ctx)
+	options := node.Options{MetricsPort: c.MetricsPort, LookAhead: c.LookAhead == lookAheadOn}
+	return node.New(s, options, m, logger).Run(ctx)
 }
 
 // logSettingsChanges reads the settings file at each SIGHUP and logs whether the settings differ from those at the
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -114,6 +114,10 @@
 func (t *term) logEvents(events []cell.Event) {
 	for _, e := range events {
 		t.opts.Meter.Count("decisions", map[string]string{"event": e.Name}, 1)
+		if w := e.FirstWait; w != nil {
+			labels := map[string]string{"kind": string(w.Kind), "size": string(w.Size)}
+			t.opts.Meter.Observe("task_wait_seconds", labels, w.Duration)
+		}
 		l := t.opts.Logger.Info().Uint64("epoch", t.epoch)
 		if e.Task.Job != "" {
 			l = l.Str("job", e.Task.Job).Uint32("occurrence", e.Task.Occurrence).Uint32("step", e.Task.Step).
