Bound the wait of every job that fits an empty fleet

Reservations expired just before the room was there, each start of a task began the wait of its siblings anew, small tasks took the reservations that large ones needed, and jobs that were late after a change of leader stayed behind those that were not.

Change: the margin is as long as the forecast was ahead, 0.5 s to 1.5 s; waits count from when the step is ready; a step that needs less than a quarter of an executor reserves only after its patience; any job that has waited for twice its latency target may move up, one each 0.5 s for each priority. BenchmarkPlan and BenchmarkHandleHoldReply measured executors that were not usable and ran nothing, since replies without a hold are ignored; they hold first now, and fail if nothing runs.

--- a/cmd/ibischute/node.go
+++ b/cmd/ibischute/node.go
@@ -21,7 +21,7 @@
 type nodeCommand struct {
 	Settings    string `long:"settings" description:"the settings file that the platform writes; its variable names it otherwise"`
 	MetricsPort int    `long:"metrics-port" env:"IBISCHUTE_METRICS_PORT" default:"9464" description:"the port for metrics, 0 for none"`
-	LookAhead   string `long:"look-ahead" env:"IBISCHUTE_LOOK_AHEAD" default:"on" choice:"on" choice:"off" description:"reserve executors for tasks that need more room than any has free, and let large jobs that have waited long move up"`
+	LookAhead   string `long:"look-ahead" env:"IBISCHUTE_LOOK_AHEAD" default:"on" choice:"on" choice:"off" description:"reserve executors for tasks that need more room than any has free, and let jobs that have waited long move up"`
 	LogLevel    string `long:"log-level" env:"IBISCHUTE_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
 }
 
--- a/internal/state/aging/aging.go
+++ b/internal/state/aging/aging.go
@@ -1,12 +1,15 @@
-// Package aging compares how often large and other jobs are started, by priority, and decides when large jobs that wait
-// must move up. Jobs are ordered by their remaining work, so that large ones may wait without a bound under load.
+// Package aging decides when a waiting job moves up within its priority. Jobs are ordered by their lateness and their
+// remaining work, so that large ones, and those that are late after an overload, could wait without a bound.
+//
+// A large job moves up while large jobs are started too rarely compared with the others. Other jobs move up at a low
+// rate, since moving up all jobs that are late would make every job late under overload.
 //
 // # Usage
 //
 //	b := aging.New()
 //	isLarge := b.Arrived(now, priority, work)
 //	b.Started(now, priority, isLarge)
-//	if b.IsBehind(priority) { moveUpOne() }
+//	if b.MayMoveUp(now, priority, isLarge, relativeWait) { b.MovedUp(now, priority) }
 package aging
 
 import (
@@ -25,6 +28,13 @@
 	minServedRatio = 0.5
 	// halfLife is the time after which a job counts half.
 	halfLife = 30 * time.Second
+	// largeWait and otherWait are the waits from which a large job and another one may move up, as multiples of the job's
+	// latency target.
+	largeWait = 1
+	otherWait = 2
+	// otherInterval is the shortest time between two moves of jobs that are not large, or not behind. At tens of starts a
+	// second, this is a few percent of them.
+	otherInterval = 500 * time.Millisecond
 	// maxPriorities bounds the priorities that are distinguished.
 	maxPriorities = 64
 )
@@ -40,6 +50,8 @@
 	// large and rest count the large jobs and the others.
 	large, rest counts
 	countedAt   tick.Time
+	// movedUpAt is when a job was last moved up.
+	movedUpAt tick.Time
 }
 
 // counts are numbers of jobs, of which older ones count less.
@@ -75,6 +87,22 @@
 	}
 }
 
+// MayMoveUp reports whether a job may move up now that has waited for the given multiple of its latency target.
+func (b *Balance) MayMoveUp(now tick.Time, priority int, isLarge bool, relativeWait float64) bool {
+	if isLarge && relativeWait >= largeWait && b.IsBehind(priority) {
+		return true
+	}
+	c, ok := b.classes[priority]
+	return ok && relativeWait >= otherWait && now.Sub(c.movedUpAt) >= otherInterval
+}
+
+// MovedUp notes that a job of the priority moves up.
+func (b *Balance) MovedUp(now tick.Time, priority int) {
+	if c, ok := b.classes[priority]; ok {
+		c.movedUpAt = now
+	}
+}
+
 // IsBehind reports whether large jobs of the priority are started less than minServedRatio times as often as others.
 func (b *Balance) IsBehind(priority int) bool {
 	c, ok := b.classes[priority]
--- a/internal/state/aging/aging_test.go
+++ b/internal/state/aging/aging_test.go
@@ -68,3 +68,23 @@
 	assert.Assert(t, !b.Arrived(at(0), 0, 0))
 	assert.Assert(t, !b.Arrived(at(0), 0, 0))
 }
+
+// TestOtherJobsMoveUpRarely guards against jobs that are late after an overload waiting without a bound, and against
+// all of them moving up at once.
+func TestOtherJobsMoveUpRarely(t *testing.T) {
+	b := aging.New()
+	arrive(b, 20, 0)
+	assert.Assert(t, !b.MayMoveUp(at(0), 0, false, 1.9))
+	assert.Assert(t, b.MayMoveUp(at(0), 0, false, 2))
+	b.MovedUp(at(0), 0)
+	assert.Assert(t, !b.MayMoveUp(at(400*time.Millisecond), 0, false, 5))
+	assert.Assert(t, b.MayMoveUp(at(500*time.Millisecond), 0, false, 5))
+}
+
+func TestLargeJobMovesUpAtItsTarget(t *testing.T) {
+	b := aging.New()
+	arrive(b, 20, 1)
+	b.MovedUp(at(0), 0)
+	assert.Assert(t, !b.MayMoveUp(at(0), 0, true, 0.9))
+	assert.Assert(t, b.MayMoveUp(at(0), 0, true, 1), "the rate limits other jobs only")
+}
--- a/internal/state/ahead/ahead.go
+++ b/internal/state/ahead/ahead.go
@@ -26,11 +26,11 @@
 	// maxDelay is how long a forecast, which may be wrong, may delay a due task that an executor has the room for.
 	maxDelay = 1500 * time.Millisecond
 	// minMargin and maxMargin bound the time after its forecast at which a reservation expires. minMargin covers the
-	// report of an end, which comes with one of several lists a second.
-	minMargin = 250 * time.Millisecond
+	// report of an end, which comes with one of several lists a second, and some imprecision.
+	minMargin = 500 * time.Millisecond
 	maxMargin = maxDelay
 	// marginShare is the margin as a share of the time from the reservation to its forecast.
-	marginShare = 0.5
+	marginShare = 1
 	// avoidedFor is how long a step does not reserve the executor of an expired reservation again.
 	avoidedFor = 2 * maxMargin
 	// maxPatience is how long a step waits at most until its reservation is no longer overtaken.
@@ -90,9 +90,13 @@
 	Need Resources
 	// Tasks is the number of tasks that have to start together: the members of a gang, or 1.
 	Tasks int
+	// IsWide is true if the step needs a large part of an executor, or several executors. Other steps mostly find room
+	// without a reservation.
+	IsWide bool
 	// IsShortOfMemory is true if no executor has the memory free.
 	IsShortOfMemory bool
-	// Patience is how long the step waits until its reservation is no longer overtaken.
+	// Since is when the step began to wait, Patience how long it waits until its reservation is no longer overtaken.
+	Since    tick.Time
 	Patience time.Duration
 }
 
@@ -134,7 +138,6 @@
 // wait is the state of a step that waits for room.
 type wait struct {
 	request Request
-	since   tick.Time
 	// isOvertaken is true once smaller work was started while the step has waited.
 	isOvertaken bool
 	// next is the index of the next executor of the search, found the best places of the executors before.
@@ -269,11 +272,14 @@
 		if len(p.waits) == maxWaits && !p.evict() {
 			return false
 		}
-		w = &wait{since: now}
+		w = &wait{}
 		p.waits[r.Step] = w
 	}
 	w.request, w.pass = r, p.pass
-	return w.isOvertaken && len(w.reserved) == 0 && p.budget > 0 && p.mayReserve(r, poolSize)
+	if !w.isOvertaken || !r.IsWide && !w.hasLostPatience(now) {
+		return false
+	}
+	return len(w.reserved) == 0 && p.budget > 0 && p.mayReserve(r, poolSize)
 }
 
 // evict forgets a step without reservations that has not waited in the present pass so far, which means that it is less
@@ -310,8 +316,8 @@
 		r := w.request
 		switch {
 		case o == s:
+			// Further tasks of the step may wait.
 			p.drop(w)
-			delete(p.waits, o)
 		case r.Pool != pool || priority < r.Priority:
 		case need.MilliCPU == 0 && need.GPUs == 0 && !r.IsShortOfMemory:
 			// Best-effort tasks take room only by their memory.
@@ -478,13 +484,13 @@
 }
 
 func (w *wait) hasLostPatience(now tick.Time) bool {
-	return now.Sub(w.since) >= min(maxPatience, w.request.Patience)
+	return now.Sub(w.request.Since) >= min(maxPatience, w.request.Patience)
 }
 
 // isBefore orders waiting steps by the time since when they wait.
 func (w *wait) isBefore(o *wait) bool {
-	if w.since != o.since {
-		return w.since.Before(o.since)
+	if w.request.Since != o.request.Since {
+		return w.request.Since.Before(o.request.Since)
 	}
 	return w.request.Step.Job < o.request.Step.Job
 }
--- a/internal/state/ahead/ahead_test.go
+++ b/internal/state/ahead/ahead_test.go
@@ -25,7 +25,8 @@
 
 func request(job string, need ahead.Resources) ahead.Request {
 	return ahead.Request{
-		Step: ahead.Step{Job: job}, Pool: "svc", Need: need, Tasks: 1, Patience: 5 * time.Second,
+		Step: ahead.Step{Job: job}, Pool: "svc", Need: need, Tasks: 1, IsWide: true, Since: at(0),
+		Patience: 5 * time.Second,
 	}
 }
 
@@ -66,17 +67,17 @@
 }
 
 // overtake lets the request wait and small work pass it, and returns whether a search is due.
-func overtake(p *ahead.Planner, now tick.Time, r ahead.Request, poolSize int) bool {
-	p.Wait(now, r, poolSize)
+func overtake(p *ahead.Planner, r ahead.Request, poolSize int) bool {
+	p.Wait(at(0), r, poolSize)
 	p.Started(small, r.Pool, r.Priority, cores(1))
-	return p.Wait(now, r, poolSize)
+	return p.Wait(at(0), r, poolSize)
 }
 
 // reserve reserves room for the request in the fleet.
 func reserve(t *testing.T, p *ahead.Planner, now tick.Time, r ahead.Request, f fleet) []ahead.Reservation {
 	t.Helper()
 	p.Begin(now, always, usable)
-	assert.Assert(t, overtake(p, now, r, len(f)))
+	assert.Assert(t, overtake(p, r, len(f)))
 	return p.Search(now, r, len(f), f.at)
 }
 
@@ -111,6 +112,17 @@
 	assert.Assert(t, !p.Wait(at(0), r, 4), "the task that was started belongs to another pool")
 }
 
+// TestNarrowStepReservesAfterItsPatience guards against reservations for tasks that mostly find room without one, and
+// against one of them that does not.
+func TestNarrowStepReservesAfterItsPatience(t *testing.T) {
+	p := ahead.New()
+	r := request("narrow", cores(2))
+	r.IsWide = false
+	p.Begin(at(0), always, usable)
+	assert.Assert(t, !overtake(p, r, 4))
+	assert.Assert(t, p.Wait(at(5*time.Second), r, 4))
+}
+
 func TestWorkOfHigherPriorityDoesNotOvertake(t *testing.T) {
 	p := ahead.New()
 	r := request("waits", cores(2))
@@ -169,12 +181,12 @@
 	p, f := ahead.New(), fullFleet(2)
 	r := request("large", cores(8))
 	reserve(t, p, at(0), r, f)
-	assert.Equal(t, len(p.Begin(at(1400*time.Millisecond), always, usable)), 0)
-	expired := p.Begin(at(1500*time.Millisecond), always, usable)
+	assert.Equal(t, len(p.Begin(at(1900*time.Millisecond), always, usable)), 0)
+	expired := p.Begin(at(2*time.Second), always, usable)
 	assert.Equal(t, len(expired), 1)
 	assert.Equal(t, expired[0].Executor, "x0")
 	assert.Assert(t, !p.IsReserved("x0"))
-	now := at(1500 * time.Millisecond)
+	now := at(2 * time.Second)
 	assert.Assert(t, p.Wait(now, r, len(f)), "the step may reserve again")
 	made := p.Search(now, r, len(f), f.at)
 	assert.Equal(t, made[0].Executor, "x1", "not the same executor at once")
@@ -278,7 +290,7 @@
 	n := 0
 	for i := range 9 {
 		r := request(fmt.Sprintf("large%d", i), cores(8))
-		if overtake(p, at(0), r, len(f)) {
+		if overtake(p, r, len(f)) {
 			n += len(p.Search(at(0), r, len(f), f.at))
 		}
 	}
@@ -311,7 +323,7 @@
 	calls, passes := 0, 0
 	for made := 0; made == 0; passes++ {
 		p.Begin(at(0), always, usable)
-		assert.Assert(t, overtake(p, at(0), r, len(f)))
+		assert.Assert(t, overtake(p, r, len(f)))
 		before := calls
 		list := p.Search(at(0), r, len(f), func(i int) (ahead.Executor, bool) {
 			calls++
--- a/internal/state/cell/bench_test.go
+++ b/internal/state/cell/bench_test.go
@@ -29,6 +29,7 @@
 	c.Discover(now, list)
 	commitAll(b, c, now)
 	for _, e := range list {
+		c.Hold(now, e.ID)
 		c.HandleHoldReply(now, now, e.ID, orders.Hold{}, orders.Lists{StartedMS: 1},
 			orders.Reply{Outcome: orders.Done, ClockMS: 1})
 	}
@@ -44,6 +45,9 @@
 		c.Accept(now, &jobpb.Job{Id: fmt.Sprintf("f%05d", i), Queue: "q", Service: "svc", Steps: []*jobpb.Step{be}})
 	}
 	startAndListAll(b, c, now, rnd)
+	if u := c.Usage(now); u.LatencyCritical == 0 || u.BestEffort == 0 {
+		b.Fatalf("nothing runs: %+v", u)
+	}
 	return c, now
 }
 
@@ -127,7 +131,7 @@
 	for b.Loop() {
 		// Without the state of the pass before, each pass searches, in another part of the fleet.
 		c.lookAhead = newLookAhead(c.params)
-		overtaken := ahead.Request{Step: steps[0].aheadKey(), Pool: "svc", Need: small.Times(64), Tasks: 1}
+		overtaken := ahead.Request{Step: steps[0].aheadKey(), Pool: "svc", Need: small.Times(64), Tasks: 1, IsWide: true}
 		c.lookAhead.planner.Wait(now, overtaken, executors)
 		c.lookAhead.planner.Started(ahead.Step{}, "svc", 0, small)
 		first = (first + 512) % (executors - 512)
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -42,8 +42,8 @@
 	PaceDelay time.Duration
 	// Retention is how long an ended job is shown.
 	Retention time.Duration
-	// LookAhead is true if executors are reserved for tasks that need more room than any executor has free, and large jobs
-	// that have waited long move up.
+	// LookAhead is true if executors are reserved for tasks that need more room than any executor has free, and jobs that
+	// have waited long move up.
 	LookAhead bool
 }
 
--- a/internal/state/cell/firstwait.go
+++ b/internal/state/cell/firstwait.go
@@ -61,9 +61,8 @@
 
 // sizeOn returns the size of a task of the step on the executor.
 func (s *step) sizeOn(x *executor) TaskSize {
-	share := max(
-		shareOf(int64(s.pb.MilliCpu), x.total.milliCPU), shareOf(int64(s.pb.MemoryMb), x.total.memoryMB),
-		shareOf(int64(s.pb.Gpus), x.total.gpus))
+	need := resources{int64(s.pb.MilliCpu), int64(s.pb.MemoryMb), int64(s.pb.Gpus)}
+	share := shareOfResources(need, x.total)
 	switch {
 	case s.pb.Gang:
 		return SizeGang
@@ -75,4 +74,10 @@
 	return SizeSmall
 }
 
+// shareOfResources returns the largest of the shares that the need has of the total.
+func shareOfResources(need, total resources) float64 {
+	return max(
+		shareOf(need.milliCPU, total.milliCPU), shareOf(need.memoryMB, total.memoryMB), shareOf(need.gpus, total.gpus))
+}
+
 func shareOf(need, total int64) float64 { return float64(need) / float64(max(1, total)) }
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -36,7 +36,7 @@
 	// isInherited is true if a previous leader may have started tasks of the job.
 	isInherited bool
 	// isCountedWaiting is true from when the job is counted as waiting without a run until it has one. isLarge and
-	// isMovedUp are valid in between: whether the job is large, and whether it has moved up for that.
+	// isMovedUp are valid in between: whether the job is large, and whether it has moved up.
 	isCountedWaiting, isLarge, isMovedUp bool
 }
 
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -17,9 +17,9 @@
 	// unplaceable has, for each service, requests for which no executor was found. They rule out all requests that need at
 	// least as much.
 	unplaceable map[string][]request
-	// freeMemory has the result of mostFreeMemory for each service.
-	freeMemory map[string]int64
-	cell       *Cell
+	// extremes has the results of extremesOf.
+	extremes map[string]extremes
+	cell     *Cell
 	// isLimitedByReservation is true if a reservation has kept the step that is being placed from an executor.
 	isLimitedByReservation bool
 }
@@ -53,7 +53,7 @@
 func (c *Cell) newPlacement(now tick.Time) *placement {
 	p := &placement{
 		now: now, pools: map[string][]*executor{}, unplaceable: map[string][]request{}, cell: c,
-		freeMemory: map[string]int64{},
+		extremes: map[string]extremes{},
 	}
 	for _, x := range c.execs {
 		p.executors = append(p.executors, x)
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -44,7 +44,7 @@
 // little late.
 type urgency struct {
 	priority int
-	// isMovedUp is true for the large job that comes first within its priority because it has waited long.
+	// isMovedUp is true for the job that comes first within its priority because it has waited long.
 	isMovedUp bool
 	lateness  int
 	remaining time.Duration
@@ -148,7 +148,7 @@
 			entries = append(entries, waitingJob{j, c.urgencyOf(now, j), steps})
 		}
 	}
-	c.moveUpLarge(now, entries)
+	c.moveUpAged(now, entries)
 	slices.SortStableFunc(entries, func(a, b waitingJob) int { return a.urgency.compare(b.urgency) })
 	var out []*step
 	for _, e := range entries {
--- a/internal/state/cell/reservations.go
+++ b/internal/state/cell/reservations.go
@@ -10,7 +10,7 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// lookAhead keeps room for tasks that need more than any executor has free, and lets large jobs move up. It is nil if
+// lookAhead keeps room for tasks that need more than any executor has free, and lets jobs that have waited long move up. It is nil if
 // Params.LookAhead is false.
 type lookAhead struct {
 	planner *ahead.Planner
@@ -31,6 +31,9 @@
 	unlimitedSlots = 1 << 30
 	// endReportDelay is how soon after now the end of a run can be known at best; lists come several a second.
 	endReportDelay = 100 * time.Millisecond
+	// wideShare is the share of the largest executor from which a task reserves room as soon as smaller work has overtaken
+	// it. Of smaller tasks, several run on an executor, so that one of them soon ends.
+	wideShare = 0.25
 	// minPacePercent is the lowest pace from which the end of a throttled run is forecast.
 	minPacePercent = 10
 )
@@ -72,10 +75,11 @@
 	if c.lookAhead == nil || s.pb.Fills || c.lookAhead.planner.IsFull() {
 		return
 	}
-	need, pool := resourcesOf(s.pb), p.pools[s.job.queue.Service]
+	need, pool, extremes := resourcesOf(s.pb), p.pools[s.job.queue.Service], p.extremesOf(s.job.queue.Service)
 	r := ahead.Request{
 		Step: s.aheadKey(), Pool: s.job.queue.Service, Priority: s.job.queue.Priority, Need: aheadResources(need), Tasks: 1,
-		Patience: c.latencyTargetOf(s.job), IsShortOfMemory: need.memoryMB > p.mostFreeMemory(s.job.queue.Service),
+		Since: s.readyAt, Patience: c.latencyTargetOf(s.job), IsShortOfMemory: need.memoryMB > extremes.freeMemory,
+		IsWide: s.pb.Gang || s.pb.MaxPerExecutor > 0 || shareOfResources(need, extremes.largest) >= wideShare,
 	}
 	if s.pb.Gang {
 		r.Tasks = len(s.tasks)
@@ -102,16 +106,25 @@
 	}
 }
 
-// mostFreeMemory returns the most memory that was free on an executor of the service when the pass first asked.
-func (p *placement) mostFreeMemory(service string) int64 {
-	most, ok := p.freeMemory[service]
+// extremes are the most memory that is free on an executor of a service, and the largest amounts that one has in total.
+type extremes struct {
+	freeMemory int64
+	largest    resources
+}
+
+// extremesOf returns the extremes of a service when the pass first asked.
+func (p *placement) extremesOf(service string) extremes {
+	e, ok := p.extremes[service]
 	if !ok {
 		for _, x := range p.pools[service] {
-			most = max(most, x.free().memoryMB)
+			e.freeMemory = max(e.freeMemory, x.free().memoryMB)
+			e.largest.milliCPU = max(e.largest.milliCPU, x.total.milliCPU)
+			e.largest.memoryMB = max(e.largest.memoryMB, x.total.memoryMB)
+			e.largest.gpus = max(e.largest.gpus, x.total.gpus)
 		}
-		p.freeMemory[service] = most
+		p.extremes[service] = e
 	}
-	return most
+	return e
 }
 
 // describeRoom returns the room on the executor for tasks of the step, now and after the ends of runs. The result is
@@ -201,23 +214,23 @@
 	steps   []*step
 }
 
-// moveUpLarge moves up one large job of each priority in which large jobs are started too rarely: the one that has
-// waited longest relative to its latency target, and for at least that. It stays there until it starts.
-func (c *Cell) moveUpLarge(now tick.Time, list []waitingJob) {
+// moveUpAged moves up one job of each priority: the one that has waited longest relative to its latency target, if it
+// may move up. It stays there until it starts.
+func (c *Cell) moveUpAged(now tick.Time, list []waitingJob) {
 	if c.lookAhead == nil {
 		return
 	}
 	chosen := map[int]*waitingJob{}
 	for i := range list {
 		w := &list[i]
-		if !w.job.isCountedWaiting || !w.job.isLarge {
+		j := w.job
+		if !j.isCountedWaiting || j.isLongRunning() {
 			continue
 		}
-		isDue := c.lookAhead.balance.IsBehind(w.urgency.priority) && c.relativeWait(now, w.job) >= 1
-		if !w.job.isMovedUp && !isDue {
+		if !j.isMovedUp && !c.lookAhead.balance.MayMoveUp(now, w.urgency.priority, j.isLarge, c.relativeWait(now, j)) {
 			continue
 		}
-		if o := chosen[w.urgency.priority]; o == nil || c.isAheadOf(now, w.job, o.job) {
+		if o := chosen[w.urgency.priority]; o == nil || c.isAheadOf(now, j, o.job) {
 			chosen[w.urgency.priority] = w
 		}
 	}
@@ -225,6 +238,7 @@
 		w.urgency.isMovedUp = true
 		if !w.job.isMovedUp {
 			w.job.isMovedUp = true
+			c.lookAhead.balance.MovedUp(now, w.urgency.priority)
 			c.emit(Event{Name: "job-moved-up", Task: orders.Task{Job: w.job.id}})
 		}
 	}
--- a/internal/state/cell/reservations_test.go
+++ b/internal/state/cell/reservations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -255,6 +256,7 @@
 				starts[isOn] = append(starts[isOn], o.Start.Run.Task.Job+" on "+o.Target.ID)
 			}
 			assert.Equal(t, r.countEvents("reserved"), 0, name)
+			t.Log(name, isOn, len(r.orders), "starts,", r.countEvents("job-moved-up"), "jobs moved up")
 		}
 		assert.DeepEqual(t, starts[false], starts[true])
 	}
@@ -293,7 +295,9 @@
 	const bound = 8 * time.Second
 	wait, ok := r.waitOf("large")
 	assert.Assert(t, ok && wait <= bound, "started %t after %v", ok, wait)
-	assert.Equal(t, r.countEvents("job-moved-up"), 1)
+	assert.Assert(t, slices.ContainsFunc(r.events, func(e Event) bool {
+		return e.Name == "job-moved-up" && e.Task.Job == "large"
+	}))
 }
 
 // TestLargeJobsAreServedHalfAsOften guards against large jobs that are started less than half as often as others, and
