--- a/internal/state/cell/reservations.go
+++ b/internal/state/cell/reservations.go
@@ -10,8 +10,8 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// lookAhead keeps room for tasks that need more than any executor has free, and lets jobs that have waited long move up. It is nil if
-// Params.LookAhead is false.
+// lookAhead keeps room for tasks that need more than any executor has free, and lets jobs that have waited long move
+// up. It is nil if Params.LookAhead is false.
 type lookAhead struct {
 	planner *ahead.Planner
 	balance *aging.Balance
