--- a/internal/services/group/group.go
+++ b/internal/services/group/group.go
@@ -6,16 +6,18 @@
 //
 // # Usage
 //
-//	c := group.New(group.Options{Log: log, Topic: logs.Intake, Part: part, LastStoreResponseAt: lastResponseAt})
+//	c := group.New(group.Options{Log: log, Topic: logs.Intake, Part: part, ReportSilence: log.ReportSilence, ...})
 //	go c.Serve(ctx)
 //	err := c.Append(ctx, record)
 package group
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/state/slow"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -24,8 +26,8 @@
 	// maxPending limits the records that wait for a group, maxGroup those of one append.
 	maxPending = 4096
 	maxGroup   = 128
-	// maxGroupBytes is the total size of the values after which no further record is added to a group.
-	maxGroupBytes = 1 << 20
+	// defaultMaxBytes is the default of Options.MaxBytes.
+	defaultMaxBytes = 1 << 20
 	// groupTimeout limits the time for one group, maxAttempts the number of its appends.
 	groupTimeout = 2600 * time.Millisecond
 	maxAttempts  = 3
@@ -33,6 +35,11 @@
 	// before minRetryDelay.
 	minRetryDelay    = 300 * time.Millisecond
 	retryDelayFactor = 3
+	// otherPathRetryDelay replaces minRetryDelay if there is another path. It leaves time for one further attempt within
+	// groupTimeout.
+	otherPathRetryDelay = groupTimeout / 2
+	// slowAppend is the duration of an append above which the store counts as slow.
+	slowAppend = 150 * time.Millisecond
 	// noResponseTimeout is how long a group waits if the store does not respond to any call of this instance.
 	noResponseTimeout = 700 * time.Millisecond
 	checkInterval     = 100 * time.Millisecond
@@ -48,12 +55,23 @@
 	Part  logs.Part
 	// LastStoreResponseAt returns when the store last responded to any call of this instance.
 	LastStoreResponseAt func() tick.Time
+	// HasOtherPath reports whether the callers can have their records appended by another instance. Then an append without
+	// a response is sent again much later, because repeats from many instances keep a slow store busy.
+	HasOtherPath func() bool
+	// Spread is in [0, 1) and differs between instances; see slow.New.
+	Spread float64
+	// MaxBytes is the total size of the values after which no further record is added to a group; 0 means 1 MiB.
+	MaxBytes int
+	// ReportSilence is called if the store has not responded to any call since the given time.
+	ReportSilence func(since tick.Time)
 }
 
 // Committer groups the appends of one instance.
 type Committer struct {
 	opts    Options
-	pending chan entry
+	pending chan *entry
+	// speed observes the groups.
+	speed *slow.Detector
 	// meanLatency is the moving average of the append latency. Only Serve uses it.
 	meanLatency time.Duration
 }
@@ -61,18 +79,31 @@
 type entry struct {
 	record logs.Record
 	result chan error
+	// isTaken is set by whoever comes first: the group that appends the record or the caller that withdraws it.
+	isTaken atomic.Bool
 }
 
+// take reports whether the record was neither taken by a group nor withdrawn.
+func (e *entry) take() bool { return e.isTaken.CompareAndSwap(false, true) }
+
 // New returns a Committer. It appends nothing until Serve runs.
-func New(o Options) *Committer { return &Committer{opts: o, pending: make(chan entry, maxPending)} }
+func New(o Options) *Committer {
+	if o.MaxBytes == 0 {
+		o.MaxBytes = defaultMaxBytes
+	}
+	return &Committer{opts: o, pending: make(chan *entry, maxPending), speed: slow.New(slowAppend, o.Spread)}
+}
+
+// IsSlow reports whether the appends of this instance take long.
+func (c *Committer) IsSlow(now tick.Time) bool { return c.speed.IsSlow(now) }
 
 // String names the service in logs.
 func (c *Committer) String() string { return "gather" }
 
-// Append queues a record and waits until its group is appended. An error marked as not run means that the record will
-// never be stored.
+// Append queues a record and waits until its group is appended or the context ends. An error marked as not run means
+// that the record will never be stored. A record that no group has taken when the context ends is withdrawn.
 func (c *Committer) Append(ctx context.Context, r logs.Record) error {
-	e := entry{record: r, result: make(chan error, 1)}
+	e := &entry{record: r, result: make(chan error, 1)}
 	select {
 	case c.pending <- e:
 	default:
@@ -82,6 +113,9 @@
 	case err := <-e.result:
 		return err
 	case <-ctx.Done():
+		if e.take() {
+			return fault.FromContext(ctx, fault.NotRun)
+		}
 		return fault.FromContext(ctx, fault.Unknown)
 	}
 }
@@ -93,36 +127,68 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case e := <-c.pending:
-			c.commit(ctx, c.collectGroup(e))
+			if group := c.collectGroup(e); len(group) > 0 {
+				c.commit(ctx, group)
+			}
 		}
 	}
 }
 
-// collectGroup takes the queued records, up to the limits of a group.
-func (c *Committer) collectGroup(first entry) []entry {
-	group := []entry{first}
-	size := len(first.record.Value)
-	for len(group) < maxGroup && size < maxGroupBytes {
-		select {
-		case e := <-c.pending:
+// collectGroup takes the queued records that were not withdrawn, up to the limits of a group.
+func (c *Committer) collectGroup(first *entry) []*entry {
+	var group []*entry
+	size := 0
+	for e := first; ; {
+		if e.take() {
 			group = append(group, e)
 			size += len(e.record.Value)
+		}
+		if len(group) == maxGroup || size >= c.opts.MaxBytes {
+			return group
+		}
+		select {
+		case e = <-c.pending:
 		default:
 			return group
 		}
 	}
-	return group
 }
 
-func (c *Committer) commit(ctx context.Context, group []entry) {
+// commit appends a group. If the store finds fault with the records, each one is appended alone, so that one of them
+// does not have the others refused.
+func (c *Committer) commit(ctx context.Context, group []*entry) {
+	err := c.appendGroup(ctx, group)
+	if len(group) > 1 && fault.IsErrCode(err, fault.CodeBadRequest) {
+		c.commitSingly(ctx, group)
+		return
+	}
+	for _, e := range group {
+		e.result <- err
+	}
+}
+
+// commitSingly appends each record of a group alone, until an append fails for another reason than its record.
+func (c *Committer) commitSingly(ctx context.Context, group []*entry) {
+	isServing := true
+	for _, e := range group {
+		err := error(fault.New(fault.CodeUnavailable, fault.NotRun, "the store serves no more appends").WithRetry(retryAfter))
+		if isServing {
+			err = c.appendGroup(ctx, []*entry{e})
+			isServing = err == nil || fault.IsErrCode(err, fault.CodeBadRequest)
+		}
+		e.result <- err
+	}
+}
+
+func (c *Committer) appendGroup(ctx context.Context, group []*entry) error {
 	records := make([]logs.Record, len(group))
 	for i, e := range group {
 		records[i] = e.record
 	}
+	c.speed.Began(tick.Now())
 	err := c.append(ctx, records)
-	for _, e := range group {
-		e.result <- err
-	}
+	c.speed.Ended(tick.Now(), err == nil)
+	return err
 }
 
 // append sends the records in up to maxAttempts parallel attempts, until one succeeds or all have failed.
@@ -153,6 +219,7 @@
 		case <-check.C:
 			waited := tick.Now().Sub(started)
 			if waited > noResponseTimeout && c.opts.LastStoreResponseAt().Before(started) {
+				c.opts.ReportSilence(started)
 				return fault.New(fault.CodeUnavailable, fault.Unknown, "the store answers nothing").WithRetry(retryAfter)
 			}
 			if attempts < maxAttempts && waited > c.retryDelay()*time.Duration(attempts) {
@@ -179,11 +246,19 @@
 }
 
 func (f *failures) err() error {
-	return fault.Wrap(f.last, fault.CodeUnavailable, f.ran, "the store did not take the record").WithRetry(retryAfter)
+	code := fault.CodeUnavailable
+	if f.ran == fault.NotRun && fault.IsErrCode(f.last, fault.CodeBadRequest) {
+		code = fault.CodeBadRequest
+	}
+	return fault.Wrap(f.last, code, f.ran, "the store did not take the record").WithRetry(retryAfter)
 }
 
 func (c *Committer) retryDelay() time.Duration {
-	return max(minRetryDelay, retryDelayFactor*c.meanLatency)
+	shortest := minRetryDelay
+	if c.opts.HasOtherPath() {
+		shortest = otherPathRetryDelay
+	}
+	return max(shortest, retryDelayFactor*c.meanLatency)
 }
 
 func (c *Committer) observeLatency(took time.Duration) {
--- a/internal/services/intake/intake.go
+++ b/internal/services/intake/intake.go
@@ -1,8 +1,10 @@
 // Package intake handles job submissions, cancellations and status queries of callers on any instance.
 //
 // A job is accepted once a record of it is in the log. Any instance may append that record, and appending it again is
-// harmless. An instance whose appends the store rejects forwards the record to the leader. Queries go to the leader; if
-// it is not reachable, they are answered from the local replica.
+// harmless. An instance whose appends the store rejects forwards the record to the leader. While the store responds to
+// no call, a submission is refused at once; one whose append got no response is repeated until the store responds or
+// the caller's deadline has come. Queries go to the leader; if it is not reachable, they are answered from the local
+// replica.
 //
 // # Usage
 //
@@ -14,32 +16,38 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/modules/meter"
 	"github.com/ibischute/ibischute/internal/services/elect"
 	"github.com/ibischute/ibischute/internal/services/group"
 	"github.com/ibischute/ibischute/internal/services/leader"
 	"github.com/ibischute/ibischute/internal/services/replic"
 	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/internal/state/circ"
+	"github.com/ibischute/ibischute/internal/state/doubt"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
 const (
-	// forwardTimeout is long enough for the leader to make its own attempt to append.
-	forwardTimeout = 900 * time.Millisecond
-	queryTimeout   = 500 * time.Millisecond
-	// probeInterval is the interval between calls to a dependency that does not respond.
-	probeInterval = 250 * time.Millisecond
-	// retryAfter is the delay after which a caller may repeat a failed request.
-	retryAfter = time.Second
+	queryTimeout = 500 * time.Millisecond
+	// probeInterval is the pause between the calls that probe the leader. The leader serves them without calls of its
+	// own, so that silence for minLeaderSilence, less than queryTimeout, shows that it is not reachable.
+	probeInterval    = 250 * time.Millisecond
+	minLeaderSilence = 400 * time.Millisecond
+	// maxLeaderResponseAge covers a probe that takes as long as it may and the pause before it.
+	maxLeaderResponseAge = probeInterval + queryTimeout
+	// queryRetryAfter is the delay after which a caller may repeat a failed query.
+	queryRetryAfter = time.Second
 	// freshnessMargin is subtracted from Options.VisibleWithin to get the age up to which the replica counts as fresh.
 	freshnessMargin = 500 * time.Millisecond
 )
@@ -52,24 +60,66 @@
 	Elector     *elect.Elector
 	Leader      *leader.Leader
 	Replica     *replic.Replica
-	// LastStoreResponseAt returns when the store last responded to any call of this instance.
-	LastStoreResponseAt func() tick.Time
-	Client              *http.Client
+	// StoreCircuit is the circuit breaker of the store, which all calls of this instance to the store keep up to date.
+	StoreCircuit *circ.Circuit
+	// ConfirmStore returns an error marked as not run unless the store has responded lately or responds now.
+	ConfirmStore func(ctx context.Context) error
+	Client       *http.Client
 	// VisibleWithin is the time within which an accepted job must be known to every instance.
 	VisibleWithin time.Duration
-	Logger        zerolog.Logger
+	// MaxRecordBytes is the store's limit for a record; 0 if unknown.
+	MaxRecordBytes int
+	Meter          *meter.Meter
+	Logger         zerolog.Logger
 }
 
 // Intake serves callers on one instance.
 type Intake struct {
-	opts Options
-	// storeCircuit and leaderCircuit are the circuit breakers for calls to the store and to the leader.
-	storeCircuit, leaderCircuit *circ.Circuit
+	opts          Options
+	leaderCircuit *circ.Circuit
+	// repeating is the number of records whose appending is being repeated.
+	repeating atomic.Int64
+	// inDoubt has the keys of the records whose append from this instance had an unknown outcome.
+	inDoubt *doubt.Set
 }
 
-// New returns an Intake.
+// New returns an Intake. Serve must run for it to use a leader again that did not respond.
 func New(o Options) *Intake {
-	return &Intake{opts: o, storeCircuit: circ.New(probeInterval), leaderCircuit: circ.New(probeInterval)}
+	return &Intake{
+		opts: o, leaderCircuit: circ.New(minLeaderSilence), inDoubt: doubt.New(maxInDoubt, doubtLifetime),
+	}
+}
+
+// String names the service in logs.
+func (i *Intake) String() string { return "intake" }
+
+// Serve calls the leader while the leader or the store does not respond, so that no request of a caller is the probe.
+func (i *Intake) Serve(ctx context.Context) error {
+	for {
+		tick.Pause(ctx, probeInterval)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if i.leaderCircuit.IsOpen() || i.opts.StoreCircuit.DownFor(tick.Now()) > 0 {
+			i.probeLeader(ctx)
+		}
+		i.setGauges(tick.Now())
+	}
+}
+
+// probeLeader calls the leader, whose response closes the circuit. If this instance leads or no leader is known, there
+// is no leader to call, and the circuit is closed for the next one.
+func (i *Intake) probeLeader(ctx context.Context) {
+	address, ok := i.leaderAddress()
+	if !ok {
+		i.leaderCircuit.RecordResponse(tick.Now(), tick.Now())
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	started := tick.Now()
+	_, err := i.clientFor(address).Show(ctx, &jobpb.ShowRequest{})
+	_ = i.recordLeaderResult(ctx, started, err)
 }
 
 // Accept records a job. An error marked as not run means that the job will never run.
@@ -82,7 +132,10 @@
 	if err != nil {
 		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode job")
 	}
-	return i.storeAndApply(ctx, logs.Record{Key: book.JobKey(j.Id), Value: v})
+	return i.storeAndApply(ctx, logs.Record{Key: book.JobKey(j.Id), Value: v}, func() bool {
+		_, isKnown := i.opts.Replica.Job(j.Id)
+		return isKnown
+	})
 }
 
 // Cancel records the cancellation of a job, whether or not the job is known to this instance.
@@ -91,111 +144,48 @@
 	if err != nil {
 		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode cancel")
 	}
-	return i.storeAndApply(ctx, logs.Record{Key: book.CancelKey(id), Value: v})
-}
-
-// storeAndApply stores a record and applies it to the local replica.
-func (i *Intake) storeAndApply(ctx context.Context, rec logs.Record) error {
-	if err := i.appendOrForward(ctx, rec); err != nil {
-		return err
-	}
-	i.opts.Replica.Add(rec)
-	return nil
-}
-
-// appendOrForward appends a record, or forwards it to the leader if that fails. If no call could be made, it returns at
-// once with an error marked as not run.
-func (i *Intake) appendOrForward(ctx context.Context, rec logs.Record) error {
-	err := i.append(ctx, rec)
-	if err == nil {
-		return nil
-	}
-	ran := ranOf(err)
-	if ctx.Err() != nil {
-		return storeError(err, ran)
-	}
-	if err = i.forward(ctx, rec); err == nil {
-		return nil
-	}
-	ran = mergeRan(ran, err)
-	i.opts.Logger.Warn().Err(err).Str("key", rec.Key).Str("ran", string(ran)).Msg("intake-store-failed")
-	return storeError(err, ran)
-}
-
-// storeError returns the error for a record that was not stored or whose outcome is unknown.
-func storeError(err error, ran fault.Ran) error {
-	code := fault.CodeUnavailable
-	if ran != fault.NotRun {
-		code = fault.CodeUnknownOutcome
-	}
-	return fault.Wrap(err, code, ran, "the record was not stored").WithRetry(retryAfter)
-}
-
-func ranOf(err error) fault.Ran { return mergeRan(fault.NotRun, err) }
-
-// mergeRan combines the outcome of the attempts so far with that of a further failed one: the record is known not to be
-// stored only if that holds for every attempt.
-func mergeRan(ran fault.Ran, err error) fault.Ran {
-	if fault.IsErrNotRun(err) {
-		return ran
-	}
-	return fault.Unknown
-}
-
-// append appends a record from this instance. It fails fast while the circuit is open, that is after an append during
-// which the store did not respond to any call.
-func (i *Intake) append(ctx context.Context, rec logs.Record) error {
-	started := tick.Now()
-	i.storeCircuit.RecordResponse(i.opts.LastStoreResponseAt())
-	if !i.storeCircuit.Allows(started) {
-		return fault.New(fault.CodeUnavailable, fault.NotRun, "the store does not answer")
-	}
-	err := i.opts.Committer.Append(ctx, rec)
-	if err != nil && !fault.IsErrNotRun(err) && i.opts.LastStoreResponseAt().Before(started) {
-		i.storeCircuit.RecordNoResponse(tick.Now())
-	}
-	return err
-}
-
-// forward sends a record to the leader, which appends it.
-func (i *Intake) forward(ctx context.Context, rec logs.Record) error {
-	client, ok := i.leaderClient()
-	if !ok {
-		return fault.New(fault.CodeNoOwner, fault.NotRun, "no other instance to append")
-	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-	defer cancel()
-	_, err := client.Record(ctx, &jobpb.RecordRequest{Cell: uint32(i.opts.Part), Key: rec.Key, Intake: rec.Value})
-	if err = i.recordLeaderResult(err); err != nil {
-		return err
-	}
-	i.opts.Logger.Info().Str("key", rec.Key).Msg("intake-forwarded")
-	return nil
+	return i.storeAndApply(ctx, logs.Record{Key: book.CancelKey(id), Value: v}, func() bool { return false })
 }
 
 // leaderClient returns a client for the leader. It returns false if no leader is known, if this instance is the leader,
 // or while the circuit is open.
 func (i *Intake) leaderClient() (jobpb.Jobs, bool) {
-	address, ok := i.opts.Elector.LeaderAddress()
-	if !ok || address == i.opts.SelfAddress || !i.leaderCircuit.Allows(tick.Now()) {
+	address, ok := i.leaderAddress()
+	if !ok || i.leaderCircuit.IsOpen() {
 		return nil, false
 	}
-	return jobpb.NewJobsProtobufClient("http://"+address, i.opts.Client), true
+	return i.clientFor(address), true
 }
 
-// recordLeaderResult updates the circuit after a call to the leader and translates the error of the call.
-func (i *Intake) recordLeaderResult(err error) error {
+// leaderAddress returns the address of the leader if that is another instance.
+func (i *Intake) leaderAddress() (string, bool) {
+	address, ok := i.opts.Elector.LeaderAddress()
+	return address, ok && address != i.opts.SelfAddress
+}
+
+func (i *Intake) clientFor(address string) jobpb.Jobs {
+	return jobpb.NewJobsProtobufClient("http://"+address, i.opts.Client)
+}
+
+// recordLeaderResult updates the circuit after a call to the leader and translates the error of the call. A call that
+// this instance or its caller gave up says nothing about the leader, nor does one that was too short.
+func (i *Intake) recordLeaderResult(ctx context.Context, started tick.Time, err error) error {
+	now := tick.Now()
 	if err == nil {
-		i.leaderCircuit.RecordResponse(tick.Now())
+		i.leaderCircuit.RecordResponse(started, now)
 		return nil
 	}
 	fe := translateLeaderError(err)
-	if fe.Code == fault.CodeNoOwner || fe.Code == fault.CodeUnavailable {
-		i.leaderCircuit.RecordResponse(tick.Now())
-	} else {
-		i.leaderCircuit.RecordNoResponse(tick.Now())
+	switch {
+	case isResponse(err):
+		i.leaderCircuit.RecordResponse(started, now)
+	case errors.Is(ctx.Err(), context.Canceled):
+	case ctx.Err() != nil:
+		i.leaderCircuit.RecordSilence(started, now)
+	default:
+		i.leaderCircuit.RecordNoResponse(now)
 	}
-	return fe.WithRetry(retryAfter)
+	return fe.WithRetry(queryRetryAfter)
 }
 
 // State returns the state of a job and whether the job is known.
@@ -242,8 +232,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
+	started := tick.Now()
 	res, err := client.Show(ctx, &jobpb.ShowRequest{Job: id})
-	if err = i.recordLeaderResult(err); err != nil {
+	if err = i.recordLeaderResult(ctx, started, err); err != nil {
 		return jobpb.State_STATE_UNKNOWN, false, err
 	}
 	return res.State, res.Known, nil
@@ -254,7 +245,8 @@
 func (i *Intake) Show(now tick.Time, id string) (jobpb.State, bool, error) {
 	state, known, err := i.opts.Leader.Show(now, id)
 	if err == nil && !known && !i.IsFresh(now) {
-		err = fault.New(fault.CodeUnavailable, fault.NotRun, "the intake has not been read for long").WithRetry(retryAfter)
+		err = fault.New(fault.CodeUnavailable, fault.NotRun, "the intake has not been read for long").
+			WithRetry(queryRetryAfter)
 	}
 	return state, known, err
 }
@@ -273,8 +265,9 @@
 	if client, ok := i.leaderClient(); ok {
 		ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 		defer cancel()
+		started := tick.Now()
 		res, err := client.CountWaiting(ctx, &jobpb.CountWaitingRequest{Queue: string(q)})
-		if err = i.recordLeaderResult(err); err == nil {
+		if err = i.recordLeaderResult(ctx, started, err); err == nil {
 			return int(res.Waiting), nil
 		}
 		i.opts.Logger.Warn().Err(err).Str("queue", string(q)).Msg("leader-unreachable")
--- a/internal/state/ahead/ahead.go
+++ b/internal/state/ahead/ahead.go
@@ -25,6 +25,9 @@
 	horizon = 10 * time.Second
 	// maxDelay is how long a forecast, which may be wrong, may delay a due task that an executor has the room for.
 	maxDelay = 1500 * time.Millisecond
+	// maxDelayGap is the time without a refusal after which a step no longer counts as delayed. It is longer than the pause
+	// between two passes.
+	maxDelayGap = 600 * time.Millisecond
 	// minMargin and maxMargin bound the time after its forecast at which a reservation expires. minMargin covers the
 	// report of an end, which comes with one of several lists a second, and some imprecision.
 	minMargin = 500 * time.Millisecond
@@ -161,10 +164,9 @@
 	executor string
 }
 
-// delay is since when reservations have kept a step from starting in each pass, up to the given one.
+// delay is since when reservations have kept a step from starting, with no pause of maxDelayGap, and when they last did.
 type delay struct {
-	since tick.Time
-	pass  int
+	since, last tick.Time
 }
 
 // Planner has the reservations of one leader.
@@ -452,17 +454,17 @@
 	return p.isDelayedTooLong(now, c.Step) && !p.isUnyielding(now, v.Step)
 }
 
-// isDelayedTooLong notes that a reservation keeps the step from starting, and reports whether it has done so in each
-// pass for maxDelay.
+// isDelayedTooLong notes that a reservation keeps the step from starting, and reports whether reservations have done so
+// for maxDelay.
 func (p *Planner) isDelayedTooLong(now tick.Time, s Step) bool {
 	d, ok := p.delayed[s]
 	if !ok && len(p.delayed) == maxDelayed {
 		return false
 	}
-	if !ok || d.pass < p.pass-1 {
+	if !ok || now.Sub(d.last) > maxDelayGap {
 		d.since = now
 	}
-	d.pass = p.pass
+	d.last = now
 	p.delayed[s] = d
 	return now.Sub(d.since) >= maxDelay
 }
--- a/internal/state/ahead/ahead_test.go
+++ b/internal/state/ahead/ahead_test.go
@@ -274,9 +274,14 @@
 		c := ahead.Claim{Step: small, Need: cores(1), EndsAt: at(d + 20*time.Second)}
 		return p.Admits(at(d), "x0", c, f.describe("x0"))
 	}
-	assert.Assert(t, !admitsAt(0))
-	assert.Assert(t, !admitsAt(1400*time.Millisecond))
+	for d := time.Duration(0); d < 1500*time.Millisecond; d += 100 * time.Millisecond {
+		assert.Assert(t, !admitsAt(d), "after %v", d)
+	}
 	assert.Assert(t, admitsAt(1500*time.Millisecond))
+	assert.Assert(t, !admitsAt(2500*time.Millisecond), "it could start meanwhile, as nothing refused it")
+	for d := 2500 * time.Millisecond; d < 5*time.Second; d += 500 * time.Millisecond {
+		admitsAt(d)
+	}
 	assert.Assert(t, !admitsAt(5*time.Second), "the step has waited for its patience")
 }
 
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -6,6 +6,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/ramp"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -55,14 +56,25 @@
 	isInherited bool
 	// hasResponded is true if the executor has responded to this leader; it then rejects orders of previous leaders.
 	hasResponded bool
+	// isEvacuated is true if the operator has evacuated the executor's failure domain.
+	isEvacuated bool
+	// warmUp is that of the executor's process. As of the last placement, coldLimit is the number of tasks that it may
+	// run, and isCold is false if there is no limit.
+	warmUp    ramp.Ramp
+	coldLimit int
+	isCold    bool
 	// isTerminated is true if the incarnation of the executor is over.
 	isTerminated bool
 	// startedMS is the start time of the executor's process according to its last list; 0 before the first one.
 	// entry.StartedMS is the start time according to service discovery.
 	startedMS int64
+	// listedClockMS is the executor's clock as of its last list.
+	listedClockMS int64
 
 	total, used resources
 	runs        map[orders.Task]*run
+	// reserved has the tasks for which resources are kept until they start here.
+	reserved map[*task]bool
 	// latencyCritical are the runs with a latency target, bestEffort the best-effort runs.
 	latencyCritical, bestEffort []*run
 	// latencyCriticalMilliCPU and bestEffortMilliCPU are the CPU requests of these runs.
@@ -90,8 +102,8 @@
 	// acknowledged to the executor.
 	appliedCursor, batchedCursor, storedCursor, ackSentCursor uint64
 
-	// quarantinedUntil is the time until which no runs are started on the executor, because it refused an order or did not
-	// respond to one.
+	// quarantinedUntil is the time until which no runs are started on the executor, because it refused an order or did
+	// not respond to one.
 	quarantinedUntil tick.Time
 	suspicion        suspicion
 	// pacesAdjustedAt is the lastResponseAt of the list for which paces were last adjusted. No best-effort task starts
@@ -160,8 +172,13 @@
 		// Nothing is started on a restarted executor until its lists show which runs it has.
 		x.hasResponded = false
 	}
+	if x.isSucceededBy(e) {
+		x.warmUp = ramp.Ramp{}
+	}
+	x.warmUp.Observe(now, time.Duration(e.ColdRemainingMS)*time.Millisecond)
 	x.entry = e
 	x.isListed = true
+	x.isEvacuated = c.evacuation.domains[e.Domain]
 	x.total = resources{e.MilliCPU, e.MemoryMB, e.GPUs}
 	if !x.isRostered && !x.isTerminated && !x.entry.Draining && !c.retired[e.ID] {
 		c.pendingRosters[e.ID] = x
@@ -193,6 +210,7 @@
 	return &executor{
 		entry: e, total: resources{e.MilliCPU, e.MemoryMB, e.GPUs},
 		runs: map[orders.Task]*run{}, orphaned: map[orders.Run]bool{},
+		reserved: map[*task]bool{},
 	}
 }
 
@@ -264,5 +282,5 @@
 func (x *executor) isUsable(now tick.Time) bool {
 	isRegistered := x.isListed && x.isRostered && x.hasResponded && x.hasClock
 	isAvailable := !x.isTerminated && !x.isUnresponsive && !x.entry.Draining && len(x.orphaned) == 0
-	return isRegistered && isAvailable && !now.Before(x.quarantinedUntil)
+	return isRegistered && isAvailable && !x.isEvacuated && !now.Before(x.quarantinedUntil)
 }
