--- a/internal/state/ahead/ahead.go
+++ b/internal/state/ahead/ahead.go
@@ -25,8 +25,8 @@
 	horizon = 10 * time.Second
 	// maxDelay is how long a forecast, which may be wrong, may delay a due task that an executor has the room for.
 	maxDelay = 1500 * time.Millisecond
-	// maxDelayGap is the time without a refusal after which a step no longer counts as delayed. It is longer than the pause
-	// between two passes.
+	// maxDelayGap is the time without a refusal after which a step no longer counts as delayed. It is longer than the
+	// pause between two passes.
 	maxDelayGap = 600 * time.Millisecond
 	// minMargin and maxMargin bound the time after its forecast at which a reservation expires. minMargin covers the
 	// report of an end, which comes with one of several lists a second, and some imprecision.
@@ -164,7 +164,8 @@
 	executor string
 }
 
-// delay is since when reservations have kept a step from starting, with no pause of maxDelayGap, and when they last did.
+// delay is since when reservations have kept a step from starting, with no pause of maxDelayGap, and when they last did
+// so.
 type delay struct {
 	since, last tick.Time
 }
--- a/internal/state/cell/reservations.go
+++ b/internal/state/cell/reservations.go
@@ -93,7 +93,8 @@
 	made := c.lookAhead.planner.Search(now, r, len(pool), func(i int) (ahead.Executor, bool) {
 		x := pool[i]
 		isPossible := x.total.covers(need) && x.total.milliCPU-x.latencyCriticalMilliCPU >= need.milliCPU
-		if !isPossible || x.isColdFull() || !x.satisfies(s.pb.RequiresLabel) || !s.isPermittedOn(now, x) || !x.suspicion.admits(now, s) {
+		isPossible = isPossible && !x.isColdFull() && x.satisfies(s.pb.RequiresLabel)
+		if !isPossible || !s.isPermittedOn(now, x) || !x.suspicion.admits(now, s) {
 			return ahead.Executor{}, false
 		}
 		return c.describeRoom(now, x, s), true
