--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -55,6 +55,9 @@
 	Notice time.Duration
 	// Retention is how long an ended job is shown.
 	Retention time.Duration
+	// LookAhead is true if executors are reserved for tasks that need more room than any executor has free, and jobs that
+	// have waited long move up.
+	LookAhead bool
 }
 
 // Cell is the state of one cell under one leader.
@@ -85,6 +88,7 @@
 	durations    *quant.Model
 	speed        *speed.Model
 	interference *interf.Model
+	lookAhead    *lookAhead
 	isFenced     bool
 	// needsAdvice is true if a queue has or had a policy service.
 	needsAdvice bool
@@ -107,7 +111,7 @@
 		dirty: map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
 		stopping: map[*run]bool{}, evacuation: evacuation{moved: map[string]int{}},
 		durations: quant.New(), speed: speed.New(), interference: interf.New(),
-		placements: placements{held: map[uint32][]*task{}},
+		placements: placements{held: map[uint32][]*task{}}, lookAhead: newLookAhead(p),
 	}
 }
 
@@ -118,6 +122,8 @@
 	Run      uint64
 	Executor string
 	Detail   string
+	// FirstWait is set for the first start of a task by this leader.
+	FirstWait *FirstWait
 }
 
 // maxEvents bounds the events between two calls of Events.
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -62,7 +62,9 @@
 // that as many jobs as possible are done in time. Under overload, ordering by least slack would finish every job a
 // little late.
 type urgency struct {
-	priority  int
+	priority int
+	// isMovedUp is true for the job that comes first within its priority because it has waited long.
+	isMovedUp bool
 	lateness  int
 	remaining time.Duration
 }
@@ -81,9 +83,7 @@
 
 func (c *Cell) urgencyOf(now tick.Time, j *job) urgency {
 	ratio := c.durations.Ratio(j.pb.Queue, j.id, orderQuantile)
-	criticalPath := time.Duration(float64(j.criticalPath) * ratio)
-	latencyTarget := time.Duration(float64(criticalPath)*j.queue.StretchFactor) +
-		time.Duration(j.queue.TargetMS)*time.Millisecond
+	latencyTarget := c.latencyTargetOf(j)
 	left := time.Duration(float64(j.remainingCriticalPath()) * ratio)
 	slack := j.acceptedAt.Add(latencyTarget).Sub(now) - left
 	u := urgency{priority: j.queue.Priority, remaining: left}
@@ -100,7 +100,19 @@
 	return u
 }
 
+// latencyTargetOf returns the time from the acceptance of a job within which it should be done.
+func (c *Cell) latencyTargetOf(j *job) time.Duration {
+	criticalPath := time.Duration(float64(j.criticalPath) * c.durations.Ratio(j.pb.Queue, j.id, orderQuantile))
+	return time.Duration(float64(criticalPath)*j.queue.StretchFactor) + time.Duration(j.queue.TargetMS)*time.Millisecond
+}
+
 func (u urgency) compare(v urgency) int {
+	if u.priority == v.priority && u.isMovedUp != v.isMovedUp {
+		if u.isMovedUp {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(
 		cmp.Compare(u.priority, v.priority), cmp.Compare(u.lateness, v.lateness), cmp.Compare(u.remaining, v.remaining),
 	)
@@ -143,29 +155,20 @@
 
 // waitingSteps returns the ready steps with waiting tasks, those of the most urgent jobs first.
 func (c *Cell) waitingSteps(now tick.Time) []*step {
-	type entry struct {
-		urgency urgency
-		steps   []*step
-	}
-	var entries []entry
+	var entries []waitingJob
 	for _, j := range c.active {
 		if c.isTakingOver && j.isInherited {
 			continue
 		}
-		var steps []*step
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if s.waiting > 0 && s.isReady() {
-					steps = append(steps, s)
-				}
-			}
-		}
+		steps := j.waitingSteps(now)
 		j.updateIdle(now, len(steps) > 0)
 		if len(steps) > 0 {
-			entries = append(entries, entry{c.urgencyOf(now, j), steps})
+			c.countWaiting(now, j)
+			entries = append(entries, waitingJob{j, c.urgencyOf(now, j), steps})
 		}
 	}
-	slices.SortStableFunc(entries, func(a, b entry) int { return a.urgency.compare(b.urgency) })
+	c.moveUpAged(now, entries)
+	slices.SortStableFunc(entries, func(a, b waitingJob) int { return a.urgency.compare(b.urgency) })
 	var out []*step
 	for _, e := range entries {
 		out = append(out, e.steps...)
@@ -173,9 +176,28 @@
 	return out
 }
 
+// waitingSteps returns the ready steps of the job with waiting tasks.
+func (j *job) waitingSteps(now tick.Time) []*step {
+	var steps []*step
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.waiting == 0 || !s.isReady() {
+				continue
+			}
+			if s.readyAt == 0 {
+				s.readyAt = now
+			}
+			steps = append(steps, s)
+		}
+	}
+	return steps
+}
+
 // placeWaiting reserves runs for waiting tasks, at most the limit and the rest of a gang.
 func (c *Cell) placeWaiting(now tick.Time, p *placement, limit int) {
-	for _, s := range c.waitingSteps(now) {
+	steps := c.waitingSteps(now)
+	c.beginLookAhead(now)
+	for _, s := range steps {
 		if limit <= 0 {
 			return
 		}
@@ -210,6 +232,9 @@
 		n++
 		cands.update(x)
 	}
+	if n < limit && len(cands.list) == 0 && s.firstStartable(now) != nil {
+		c.awaitRoom(now, p, s)
+	}
 	return n
 }
 
@@ -219,6 +244,7 @@
 		return 0
 	}
 	var placed []*executor
+	lacksRoom := false
 	cands := p.candidates(s)
 	for _, t := range s.tasks {
 		if !t.isStartable(now) {
@@ -226,6 +252,7 @@
 		}
 		x := cands.best(t)
 		if x == nil {
+			lacksRoom = len(cands.list) == 0
 			break
 		}
 		// The resources are reserved at once, so that the placement of the next member accounts for this one.
@@ -236,6 +263,9 @@
 	for _, t := range s.tasks[:len(placed)] {
 		c.detachRun(t.run)
 	}
+	if lacksRoom {
+		c.awaitRoom(now, p, s)
+	}
 	if len(placed) < len(s.tasks) {
 		return 0
 	}
--- a/internal/state/cell/reserve.go
+++ b/internal/state/cell/reserve.go
@@ -32,6 +32,7 @@
 	idleSince := j.idleSince
 	r := c.createRun(now, t, x, number)
 	r.isReserved, r.idleSince = true, idleSince
+	c.noteStart(now, t)
 	if t.step.pb.Fills {
 		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
 	}
@@ -209,7 +210,7 @@
 		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
 	}
 	c.speed.Begin(now, x.entry.ID, r.id)
-	c.emit(Event{Name: "start", Task: t.id, Run: r.id.Number, Executor: x.entry.ID})
+	c.emit(startEvent(now, t, x, r.id.Number))
 	return Order{Target: x.target(), Start: &orders.Start{
 		Run: r.id, Spec: t.step.job.pb.Spec, Checkpoint: t.checkpoint, DeadlineMS: c.extendLease(now, x), Epoch: c.epoch,
 		Ticket: t.step.ticketFor(x),
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -392,6 +392,8 @@
 		evacuatedAt: map[string]tick.Time{}, movedAway: map[orders.Task]orders.Run{},
 		params: Params{
 			MaxHold: simMaxHold, StopTimeout: simStopTimeout, InterferenceBound: 4 * time.Second, Retention: time.Minute,
+			// Half of the schedules run with it.
+			LookAhead: seed%2 == 1,
 		},
 		now: tick.Time(time.Second),
 	}
