--- a/internal/state/cell/bench_test.go
+++ b/internal/state/cell/bench_test.go
@@ -175,7 +175,7 @@
 		st := c.jobs[j.Id].occurrences[0].steps[0]
 		c.jobs[j.Id].startRecord = startRecorded
 		for _, t := range st.tasks {
-			c.startRun(now, t, c.execs[list[i].ID], c.nextRunNumber(t))
+			c.startRun(now, c.createRun(now, t, c.execs[list[i].ID], c.nextRunNumber(t)))
 		}
 	}
 	c.events = nil
