--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -44,7 +44,7 @@
 	if !x.hasResponded || !x.hasClock {
 		return h, x.target(), 0
 	}
-	hasRuns := len(x.runs) > 0 || len(x.orphaned) > 0
+	hasRuns := x.hasOrderedRun() || len(x.orphaned) > 0
 	if x.appliedCursor > x.storedCursor && now.Sub(x.lastResponseAt) < pendingRecordPause {
 		return h, x.target(), pendingRecordPause
 	}
@@ -229,6 +229,9 @@
 		return
 	}
 	t := c.task(row.Run.Task)
+	if t != nil && t.run != nil && t.run.isReserved {
+		c.withdrawRun(t.run)
+	}
 	if isFirst && t != nil && !t.done && t.run == nil {
 		r := &run{
 			id: row.Run, task: t, exec: x, resources: resourcesOf(t.step.pb), startedAt: now, confirmedAt: now,
@@ -277,7 +280,7 @@
 // after the deadline of their start order, which executors reject from then on.
 func (c *Cell) releaseMissing(sent tick.Time, x *executor, listed map[orders.Run]bool) {
 	for _, r := range x.runs {
-		if listed[r.id] {
+		if listed[r.id] || r.isReserved {
 			continue
 		}
 		isConfirmed := r.confirmedAt != 0 && r.confirmedAt.Before(sent)
@@ -301,7 +304,7 @@
 			continue
 		}
 		for _, r := range x.runs {
-			if !x.isListed || !c.mayBeDone(r) {
+			if !r.isReserved && (!x.isListed || !c.mayBeDone(r)) {
 				c.releaseRun(r, orders.EndedLeaseExpired)
 			}
 		}
