--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -28,7 +28,10 @@
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/interf"
+	"github.com/ibischute/ibischute/internal/state/quant"
 	"github.com/ibischute/ibischute/internal/state/ramp"
+	"github.com/ibischute/ibischute/internal/state/speed"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -82,8 +85,9 @@
 	// delayed counts the tasks and runs that Diagnose has found, by cause.
 	delayed      map[WaitCause]int
 	events       []Event
-	durations    *durationModel
-	interference *interferenceModel
+	durations    *quant.Model
+	speed        *speed.Model
+	interference *interf.Model
 	lookAhead    *lookAhead
 	isFenced     bool
 	// needsAdvice is true if a queue has or had a policy service.
@@ -106,8 +110,8 @@
 		jobs: map[string]*job{}, execs: map[string]*executor{},
 		dirty: map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
 		stopping: map[*run]bool{}, evacuation: evacuation{moved: map[string]int{}},
-		durations: newDurationModel(), interference: newInterferenceModel(), lookAhead: newLookAhead(p),
-		placements: placements{held: map[uint32][]*task{}},
+		durations: quant.New(), speed: speed.New(), interference: interf.New(),
+		placements: placements{held: map[uint32][]*task{}}, lookAhead: newLookAhead(p),
 	}
 }
 
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -133,6 +133,7 @@
 
 // Discover applies the complete list of executors from service discovery.
 func (c *Cell) Discover(now tick.Time, list []queue.Executor) {
+	c.expireSlow(now)
 	listed := make(map[string]bool, len(list))
 	// latest has the entry of the youngest process at each address. Entries may outlive their processes.
 	latest := make(map[string]queue.Executor, len(list))
@@ -206,6 +207,7 @@
 	}
 	if !x.isListed && (x.isTerminated || now.After(x.leaseExpiresBy)) {
 		delete(c.execs, id)
+		c.speed.Drop(id)
 	}
 }
 
@@ -227,6 +229,7 @@
 	for _, r := range x.runs {
 		c.releaseRun(r, orders.EndedLeaseExpired)
 	}
+	c.speed.Drop(x.entry.ID)
 }
 
 // sampleClock updates the clock offset from the response to a call that ended at now. The executor read its clock
--- a/internal/state/cell/former_test.go
+++ b/internal/state/cell/former_test.go
@@ -80,7 +80,7 @@
 		for i := range 8 {
 			former[i] = seed>>i&1 == 1
 		}
-		sim := runScheduleWith(seed, former, func(*simulation, time.Duration) {})
+		sim := runScheduleWith(seed, func(sim *simulation, _ time.Duration) { sim.formerVersions = former })
 		assert.Assert(t, len(sim.violations) == 0, "seed %d:\n%s", seed, strings.Join(sim.violations, "\n"))
 	}
 }
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -6,6 +6,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/interf"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
@@ -45,6 +46,8 @@
 	usage      int64
 	// checkpointAt is when a list first had the checkpoint.
 	checkpointAt tick.Time
+	// checkpointPercent is the progress that the checkpoint has at least.
+	checkpointPercent int
 	// firstListedAt and listedAt are when a list first and last contained the run, progressAt when percent last changed.
 	// firstPercent is percent in the first list.
 	firstListedAt, listedAt, progressAt tick.Time
@@ -59,15 +62,20 @@
 	// arrived.
 	pace              int
 	isPaceUnconfirmed bool
+	// pacedAt is when lostToPace was last updated, which is the working time that the run has lost to throttled paces.
+	pacedAt    tick.Time
+	lostToPace time.Duration
+	// isPartial is true if the run resumed from a checkpoint or was adopted, so that its duration is not that of the task.
+	isPartial bool
 	// lowPaceSince is since when the pace has been below movePacePercent.
 	lowPaceSince tick.Time
 	// regression, headroom and isNearTarget determine which best-effort tasks a latency-critical run tolerates, as of the
 	// last list. headroom is the load that may be added until its tail latency reaches raiseTailRatio times its target.
-	regression   *regression
+	regression   *interf.Regression
 	headroom     float64
 	isNearTarget bool
 	// lastSample is the last sample of a latency-critical run's tail latency.
-	lastSample tailSample
+	lastSample interf.Sample
 }
 
 // createRun creates a run of the task on the executor.
@@ -75,6 +83,7 @@
 	r := &run{
 		id: orders.Run{Task: t.id, Number: number}, task: t, exec: x, resources: resourcesOf(t.step.pb),
 		startedAt: now, createdAt: now, progressAt: now, checkpoint: t.checkpoint, pace: fullPacePercent,
+		isPartial: t.checkpoint != "",
 	}
 	c.attachRun(r)
 	x.suspicion.begin(r)
@@ -148,6 +157,7 @@
 	}
 	x.removeRun(r)
 	delete(c.stopping, r)
+	c.speed.End(r.id)
 	t := r.task
 	t.run = nil
 	if !t.done {
@@ -176,7 +186,7 @@
 		if e.Checkpoint != "" {
 			r.checkpoint = e.Checkpoint
 		}
-		c.durations.observe(now, r, e.Reason)
+		c.observeDuration(now, r, e.Reason)
 		if e.Reason == orders.EndedDone && !t.step.pb.LongRunning {
 			c.completeTask(now, t)
 		}
