--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -38,6 +38,7 @@
 	}
 	c.stopDraining(now)
 	p := c.newPlacement(now)
+	c.beginLookAhead(now)
 	out := c.adjustPaces(now, p, nil)
 	limit := max(limits.MaxStarts, maxReserved) - len(c.placements.reserved)
 	if limits.IsStoreStalled {
@@ -195,9 +196,7 @@
 
 // placeWaiting reserves runs for waiting tasks, at most the limit and the rest of a gang.
 func (c *Cell) placeWaiting(now tick.Time, p *placement, limit int) {
-	steps := c.waitingSteps(now)
-	c.beginLookAhead(now)
-	for _, s := range steps {
+	for _, s := range c.waitingSteps(now) {
 		if limit <= 0 {
 			return
 		}
--- a/internal/state/cell/reservations.go
+++ b/internal/state/cell/reservations.go
@@ -174,7 +174,7 @@
 	return !c.lookAhead.planner.Admits(now, x.entry.ID, claim, func() ahead.Executor { return c.describeRoom(now, x, s) })
 }
 
-// noteStart tells the look-ahead that a task was started.
+// noteStart tells the look-ahead that a run of the task takes its room.
 func (c *Cell) noteStart(now tick.Time, t *task) {
 	if c.lookAhead == nil {
 		return
@@ -188,9 +188,9 @@
 	}
 }
 
-// countWaiting counts a job that begins to wait without a run.
+// countWaiting counts a job that begins to wait without a run, or does so again because its run was withdrawn.
 func (c *Cell) countWaiting(now tick.Time, j *job) {
-	if c.lookAhead != nil && j.idleSince == now && !j.isCountedWaiting {
+	if c.lookAhead != nil && j.idleSince != 0 && !j.isCountedWaiting {
 		j.isCountedWaiting = true
 		j.isLarge = c.lookAhead.balance.Arrived(now, j.queue.Priority, j.work())
 	}
