Move long-running tasks before waiting tasks take the room

Cause: under load, waiting tasks took all room of the other domains before runs to move were searched, so that long-running tasks never left an evacuated domain.

Change: the search for long-running runs comes before waiting tasks are placed, that for others after it.

Tests: TestEvacuationMovesLongRunningTasksUnderLoad finds 6 of 6 tasks in the domain without the change and none with it.

--- a/internal/stand/memex/memex.go
+++ b/internal/stand/memex/memex.go
@@ -74,7 +74,9 @@
 	startedJobs map[string]bool
 	violations  []string
 	starts      int
-	seed        uint64
+	// startsOn counts the runs that were started on each executor.
+	startsOn map[string]int
+	seed     uint64
 	// areFailuresOff means that runs that start from now on do not fail, except those that always do.
 	areFailuresOff bool
 }
@@ -83,6 +85,7 @@
 func New() *Fleet {
 	return &Fleet{
 		executors: map[string]*executor{}, tasks: map[orders.Task]*taskHistory{}, startedJobs: map[string]bool{},
+		startsOn: map[string]int{},
 	}
 }
 
@@ -160,6 +163,31 @@
 	return f.starts
 }
 
+// StartsOn returns how many runs were started on the executors with the ids.
+func (f *Fleet) StartsOn(ids []string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, id := range ids {
+		n += f.startsOn[id]
+	}
+	return n
+}
+
+// RunningOn returns how many runs are running on the executors with the ids.
+func (f *Fleet) RunningOn(ids []string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.advanceAll(tick.Now())
+	n := 0
+	for _, id := range ids {
+		if x, ok := f.executors[id]; ok {
+			n += len(x.runs)
+		}
+	}
+	return n
+}
+
 // HasStarted returns whether at least one task of the job was started.
 func (f *Fleet) HasStarted(job string) bool {
 	f.mu.Lock()
@@ -313,6 +341,7 @@
 	b := ParseBehavior(o.Spec)
 	f.checkStart(id, x, o.Run, b)
 	f.starts++
+	f.startsOn[id]++
 	f.startedJobs[o.Run.Task.Job] = true
 	x.extendLease(clockMS, o.DeadlineMS)
 	h := f.task(o.Run.Task)
--- a/internal/state/cell/evacuation.go
+++ b/internal/state/cell/evacuation.go
@@ -87,14 +87,19 @@
 	return out
 }
 
-// planMoves marks runs of evacuated domains for stopping if other executors have the room for them now, which is kept
-// for them.
-func (c *Cell) planMoves(now tick.Time, p *placement) {
+// isMoveSearchDue reports whether runs to move are to be searched now.
+func (c *Cell) isMoveSearchDue(now tick.Time) bool {
 	if len(c.evacuation.domains) == 0 || now.Before(c.evacuation.nextSearchAt) {
-		return
+		return false
 	}
 	c.evacuation.nextSearchAt = now.Add(evacuationInterval)
-	groups := c.movableRuns()
+	return true
+}
+
+// planMoves marks runs of evacuated domains, either the long-running or the others, for stopping if other executors have
+// the room for them now, which is kept for them.
+func (c *Cell) planMoves(now tick.Time, p *placement, areLongRunning bool) {
+	groups := c.movableRuns(areLongRunning)
 	units := make([]evac.Unit, len(groups))
 	away := map[*step]int{}
 	for i, runs := range groups {
@@ -122,9 +127,9 @@
 	}
 }
 
-// movableRuns returns the runs of evacuated domains that may be moved, in a fixed order: each for itself, or all of a
-// gang. Executors that do not respond could not confirm a stop.
-func (c *Cell) movableRuns() [][]*run {
+// movableRuns returns the long-running or the other runs of evacuated domains that may be moved, in a fixed order: each
+// for itself, or all of a gang. Executors that do not respond could not confirm a stop.
+func (c *Cell) movableRuns(areLongRunning bool) [][]*run {
 	var out [][]*run
 	gangs := map[*step]bool{}
 	for _, x := range c.execs {
@@ -133,7 +138,7 @@
 		}
 		for _, r := range x.runs {
 			s := r.task.step
-			if gangs[s] || !c.isMovable(r) {
+			if s.pb.LongRunning != areLongRunning || gangs[s] || !c.isMovable(r) {
 				continue
 			}
 			runs := []*run{r}
--- a/internal/state/cell/evacuation_test.go
+++ b/internal/state/cell/evacuation_test.go
@@ -144,6 +144,24 @@
 	}
 }
 
+// TestEvacuationMovesLongRunningTasksUnderLoad guards against long-running tasks that never leave the domain because
+// waiting tasks take all room as soon as there is some.
+func TestEvacuationMovesLongRunningTasksUnderLoad(t *testing.T) {
+	sim := newEvacuationScenario(2)
+	sim.submitAfter(time.Second, "server", &jobpb.Step{
+		Count: 6, MilliCpu: 2000, MemoryMb: 100, LongRunning: true, MaxPerExecutor: 6,
+	})
+	for i := range 800 {
+		sim.submitAfter(2*time.Second+time.Duration(i)*10*time.Millisecond, fmt.Sprintf("job%d", i), &jobpb.Step{
+			Count: 4, MilliCpu: 2000, MemoryMb: 100, EstimateMs: 300,
+		})
+	}
+	sim.runUntil(evacuatedAt + 6*time.Second)
+	assert.Equal(t, sim.countRuns("server", "a"), 0)
+	assert.Equal(t, sim.countRuns("server", "b"), 6)
+	sim.checkNoViolations(t)
+}
+
 // TestEvacuationKeepsRoomForMoves guards against waiting tasks that take the room for which a run was stopped: under a
 // load that fills every executor, a long-running task would wait for long, as shorter ones go first.
 func TestEvacuationKeepsRoomForMoves(t *testing.T) {
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -36,9 +36,14 @@
 	out := c.adjustPaces(now, p, nil)
 	moved := c.finishMoves(now, p, limits.MaxStarts)
 	out = append(out, moved...)
+	mayMove := limits.MaxStarts > len(moved) && c.isMoveSearchDue(now)
+	if mayMove {
+		// Before waiting tasks take the room: under a load that fills the other domains, none would be left later.
+		c.planMoves(now, p, true)
+	}
 	out = append(out, c.placeWaiting(now, p, limits.MaxStarts-len(moved))...)
-	if limits.MaxStarts > len(moved) {
-		c.planMoves(now, p)
+	if mayMove {
+		c.planMoves(now, p, false)
 	}
 	return c.appendStopOrders(now, out)
 }
