--- a/internal/state/cell/evacuation.go
+++ b/internal/state/cell/evacuation.go
@@ -96,8 +96,8 @@
 	return true
 }
 
-// planMoves marks runs of evacuated domains, either the long-running or the others, for stopping if other executors have
-// the room for them now, which is kept for them.
+// planMoves marks runs of evacuated domains, either the long-running or the others, for stopping if other executors
+// have the room for them now, which is kept for them.
 func (c *Cell) planMoves(now tick.Time, p *placement, areLongRunning bool) {
 	groups := c.movableRuns(areLongRunning)
 	units := make([]evac.Unit, len(groups))
