--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -26,6 +26,7 @@
 	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/internal/state/cell"
 	"github.com/ibischute/ibischute/internal/state/fresh"
+	"github.com/ibischute/ibischute/internal/state/rtrip"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -97,7 +98,8 @@
 	return &Leader{opts: o}
 }
 
-// term is the state of one term. Its mutex guards cell, evacuated, evacuationGate, holdSenders and startWindow.
+// term is the state of one term. Its mutex guards cell, evacuated, evacuationGate, holdSenders, startWindow,
+// startResponses and querying.
 type term struct {
 	*Leader
 	epoch uint64
@@ -118,7 +120,11 @@
 	orderSemaphore chan struct{}
 	// startWindow limits the start orders in flight.
 	startWindow *aimd.Window
-	wg          sync.WaitGroup
+	// startResponses estimates when the response to a start order is overdue.
+	startResponses *rtrip.Estimator
+	// querying has the executors that a query is sent to.
+	querying map[string]bool
+	wg       sync.WaitGroup
 	// sequence is the sequence number of the next append of records. It is not advanced by fence, which appends none.
 	sequence uint64
 }
@@ -133,6 +139,7 @@
 		adviceWake: make(chan struct{}, 1),
 		failed:     make(chan error, 1), holdSenders: map[string]*holdSender{},
 		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts, slowOrder),
+		startResponses: rtrip.New(minOverdue, orderTimeout), querying: map[string]bool{},
 		evacuationGate: fresh.New(maxEvacuationsAge, l.opts.EvacuateWithin),
 	}
 	if err := tm.takeOver(ctx, t); err != nil {
