Let every run of an evacuated domain be considered for a move

The benchmarks of the cell measured one without runs, as the lists of executors that got no hold are ignored.

Change: each futile search begins further on, and the pause between searches grows with the number of executors. The benchmarks send holds first and check that every executor has runs. BenchmarkPlanMoves is new.

--- a/internal/state/cell/bench_test.go
+++ b/internal/state/cell/bench_test.go
@@ -28,6 +28,7 @@
 	c.Discover(now, list)
 	commitAll(b, c, now)
 	for _, e := range list {
+		c.Hold(now, e.ID)
 		c.HandleHoldReply(now, now, e.ID, orders.Hold{}, orders.Lists{StartedMS: 1},
 			orders.Reply{Outcome: orders.Done, ClockMS: 1})
 	}
@@ -43,6 +44,11 @@
 		c.Accept(now, &jobpb.Job{Id: fmt.Sprintf("f%05d", i), Queue: "q", Service: "svc", Steps: []*jobpb.Step{be}})
 	}
 	startAndListAll(b, c, now, rnd)
+	for id, x := range c.execs {
+		if len(x.runs) == 0 {
+			b.Fatalf("%s has no runs", id)
+		}
+	}
 	return c, now
 }
 
@@ -94,6 +100,36 @@
 	}
 }
 
+// BenchmarkPlanMoves measures the search for runs to move out of a third of the executors while the others have little
+// room. Such a search is made every evacuationInterval.
+func BenchmarkPlanMoves(b *testing.B) {
+	for _, n := range []int{490, 3000} {
+		b.Run(fmt.Sprintf("executors-%d", n), func(b *testing.B) {
+			c, now := loadedCell(b, n)
+			i := 0
+			for _, x := range c.execs {
+				x.entry.Domain = string(rune('a' + i%3))
+				i++
+			}
+			c.SetEvacuated(now, []string{"a"})
+			b.ReportAllocs()
+			for b.Loop() {
+				p := c.newPlacement(now)
+				c.planMoves(now, p, true)
+				c.planMoves(now, p, false)
+				for _, m := range c.evacuation.moves {
+					m.release()
+					for _, r := range m.runs {
+						r.isMarkedForStopping = false
+					}
+				}
+				c.evacuation.moves = nil
+				c.Events()
+			}
+		})
+	}
+}
+
 func BenchmarkHandleHoldReply(b *testing.B) {
 	c, now := loadedCell(b, 66)
 	x := c.execs["x0001"]
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -97,7 +97,7 @@
 		params: p, epoch: epoch, previousLeasesExpireAt: previousLeasesExpireAt, isTakingOver: true,
 		jobs: map[string]*job{}, execs: map[string]*executor{},
 		dirty: map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
-		stopping: map[*run]bool{}, evacuation: evacuation{moved: map[string]int{}},
+		stopping: map[*run]bool{}, evacuation: evacuation{moved: map[string]int{}, futileSearches: map[bool]int{}},
 		durations: newDurationModel(), interference: newInterferenceModel(),
 	}
 }
--- a/internal/state/cell/evacuation.go
+++ b/internal/state/cell/evacuation.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// evacuationInterval is the shortest time between two searches for runs to move out of evacuated domains.
-	evacuationInterval = 50 * time.Millisecond
+	// evacuationInterval is the shortest time between two searches for runs to move out of evacuated domains, and
+	// evacuationIntervalPerExecutor what each executor adds to it, as a search rates all of them.
+	evacuationInterval            = 50 * time.Millisecond
+	evacuationIntervalPerExecutor = 50 * time.Microsecond
 	// moveMargin is the time for the order and the list in addition to the longest stop, for which room is kept for a run
 	// that moves. Its task waits like any other afterwards.
 	moveMargin = 1500 * time.Millisecond
@@ -29,6 +31,8 @@
 	// moves are those under way, and nextSearchAt is the earliest time for the next search.
 	moves        []*move
 	nextSearchAt tick.Time
+	// futileSearches counts the searches in a row that found no room, for long-running runs and for the others.
+	futileSearches map[bool]int
 }
 
 // move is the move of a run, or of all runs of a gang, to executors on which room is kept.
@@ -92,7 +96,8 @@
 	if len(c.evacuation.domains) == 0 || now.Before(c.evacuation.nextSearchAt) {
 		return false
 	}
-	c.evacuation.nextSearchAt = now.Add(evacuationInterval)
+	interval := evacuationInterval + time.Duration(len(c.execs))*evacuationIntervalPerExecutor
+	c.evacuation.nextSearchAt = now.Add(interval)
 	return true
 }
 
@@ -116,7 +121,10 @@
 		return m != nil
 	}
 	planner := evac.New(evac.Costs{Stop: c.params.StopTimeout, Restore: c.params.Restore})
-	for _, i := range planner.Plan(units, len(c.evacuation.moves), reserve) {
+	selected := planner.Plan(units, len(c.evacuation.moves), c.evacuation.futileSearches[areLongRunning], reserve)
+	c.evacuation.futileSearches[areLongRunning]++
+	for _, i := range selected {
+		c.evacuation.futileSearches[areLongRunning] = 0
 		c.evacuation.moves = append(c.evacuation.moves, moves[i])
 		for _, r := range moves[i].runs {
 			c.markForStopping(r)
--- a/internal/state/evac/evac.go
+++ b/internal/state/evac/evac.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	p := evac.New(evac.Costs{Stop: stopTimeout, Restore: restore})
-//	for _, i := range p.Plan(units, movesUnderWay, reserveRoom) { stop(units[i]) }
+//	for _, i := range p.Plan(units, movesUnderWay, futilePlans, reserveRoom) { stop(units[i]) }
 package evac
 
 import (
@@ -52,9 +52,11 @@
 // New returns a Planner.
 func New(c Costs) *Planner { return &Planner{costs: c} }
 
-// Plan returns the indexes of the units to move now, given the number of moves under way. reserveRoom reports whether
-// there is room elsewhere for a unit, and keeps it for that unit if so.
-func (p *Planner) Plan(units []Unit, underWay int, reserveRoom func(i int) bool) []int {
+// Plan returns the indexes of the units to move now, given the number of moves under way and that of the plans in a row
+// that found no room for any unit. Each of those begins its search further on, so that units without room keep none
+// from being considered. reserveRoom reports whether there is room elsewhere for a unit, and keeps it for that unit if
+// so.
+func (p *Planner) Plan(units []Unit, underWay, futilePlans int, reserveRoom func(i int) bool) []int {
 	away := map[any]int{}
 	var due, out []int
 	for i, u := range units {
@@ -65,7 +67,8 @@
 	}
 	slices.SortStableFunc(due, func(i, j int) int { return p.compare(units[i], units[j]) })
 	searches := 0
-	for _, i := range due {
+	for n := range due {
+		i := due[(n+futilePlans*maxSearches)%len(due)]
 		if len(out) == maxMoves || underWay+len(out) >= maxUnderWay || searches == maxSearches {
 			break
 		}
--- a/internal/state/evac/evac_test.go
+++ b/internal/state/evac/evac_test.go
@@ -22,7 +22,7 @@
 		{Step: 2, Size: 1, Remaining: time.Hour},
 		{Step: 3, Size: 3, HasCheckpoints: true, Remaining: 3 * time.Second},
 	}
-	assert.DeepEqual(t, newPlanner().Plan(units, 0, hasRoom), []int{3, 0})
+	assert.DeepEqual(t, newPlanner().Plan(units, 0, 0, hasRoom), []int{3, 0})
 }
 
 // TestPlanKeepsWithinMayMiss guards against more tasks of a long-running step that are away than it permits.
@@ -34,12 +34,12 @@
 		{0, 0, 1}, {1, 0, 0}, {0, 1, 1}, {1, 1, 0}, {0, 3, 3}, {2, 3, 1}, {3, 3, 0},
 	} {
 		units := []Unit{unit(1, c.away, c.mayMiss), unit(1, c.away, c.mayMiss), unit(1, c.away, c.mayMiss)}
-		assert.Equal(t, len(newPlanner().Plan(units, 0, hasRoom)), c.want, "%+v", c)
+		assert.Equal(t, len(newPlanner().Plan(units, 0, 0, hasRoom)), c.want, "%+v", c)
 	}
 	gang := Unit{Step: 2, Size: 3, LongRunning: true, MayMiss: 2}
-	assert.Equal(t, len(newPlanner().Plan([]Unit{gang}, 0, hasRoom)), 0, "a gang moves as one or stays")
+	assert.Equal(t, len(newPlanner().Plan([]Unit{gang}, 0, 0, hasRoom)), 0, "a gang moves as one or stays")
 	gang.MayMiss = 3
-	assert.Equal(t, len(newPlanner().Plan([]Unit{gang}, 0, hasRoom)), 1)
+	assert.Equal(t, len(newPlanner().Plan([]Unit{gang}, 0, 0, hasRoom)), 1)
 }
 
 // TestPlanIsBounded guards against plans that stop many runs or search room for many at once.
@@ -48,12 +48,26 @@
 	for i := range units {
 		units[i] = Unit{Step: i, Size: 1, LongRunning: true}
 	}
-	assert.Equal(t, len(newPlanner().Plan(units, 0, hasRoom)), maxMoves)
-	assert.Equal(t, len(newPlanner().Plan(units, maxUnderWay-1, hasRoom)), 1)
+	assert.Equal(t, len(newPlanner().Plan(units, 0, 0, hasRoom)), maxMoves)
+	assert.Equal(t, len(newPlanner().Plan(units, maxUnderWay-1, 0, hasRoom)), 1)
 	searches := 0
-	assert.Equal(t, len(newPlanner().Plan(units, 0, func(int) bool {
+	assert.Equal(t, len(newPlanner().Plan(units, 0, 0, func(int) bool {
 		searches++
 		return false
 	})), 0, "nothing moves without room")
 	assert.Equal(t, searches, maxSearches)
 }
+
+// TestPlanConsidersAllUnits guards against units without room that keep all others from being considered.
+func TestPlanConsidersAllUnits(t *testing.T) {
+	units := make([]Unit, 3*maxSearches+1)
+	for i := range units {
+		units[i] = Unit{Step: i, Size: 1, LongRunning: true}
+	}
+	last := len(units) - 1
+	isLast := func(i int) bool { return i == last }
+	for plans := range 3 {
+		assert.Equal(t, len(newPlanner().Plan(units, 0, plans, isLast)), 0)
+	}
+	assert.DeepEqual(t, newPlanner().Plan(units, 0, 3, isLast), []int{last})
+}
