Guard the outages of the evacuation tests against data races

The race detector reports the variable that ends an outage in two tests; the program is not affected.

--- a/internal/services/leader/evacuation_test.go
+++ b/internal/services/leader/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -209,14 +210,14 @@
 // operatorOutage is a log of which the operator's topic cannot be read while the outage lasts.
 type operatorOutage struct {
 	logs.Log
-	until *tick.Time
+	until *atomic.Int64
 }
 
 // Read implements logs.Log.
 func (l operatorOutage) Read(
 	ctx context.Context, t logs.Topic, p logs.Part, from logs.Offset, wait time.Duration,
 ) (logs.Page, error) {
-	if t == logs.Operator && tick.Now().Before(*l.until) {
+	if t == logs.Operator && tick.Now().Before(tick.Time(l.until.Load())) {
 		<-ctx.Done()
 		return logs.Page{}, ctx.Err()
 	}
@@ -228,12 +229,12 @@
 func TestEvacuationOutlastsUnreadableTopic(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newEvacuationRig(t)
-		var until tick.Time
+		var until atomic.Int64
 		r.wrapLog = func(l logs.Log) logs.Log { return operatorOutage{l, &until} }
 		r.startNodes(2)
 		r.evacuate("a")
 		r.load(maxEvacuationDelay)
-		until = tick.Now().Add(12 * time.Second)
+		until.Store(int64(tick.Now().Add(12 * time.Second)))
 		r.checkStarts("a", 12*time.Second, false)
 		r.checkStarts("b", time.Second, true)
 		r.finish()
@@ -296,12 +297,12 @@
 func TestEvacuationRequestedWhileTopicIsUnreadable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newEvacuationRig(t)
-		var until tick.Time
+		var until atomic.Int64
 		r.wrapLog = func(l logs.Log) logs.Log { return operatorOutage{l, &until} }
 		r.startNodes(2)
 		r.load(time.Second)
 		const outage = 7 * time.Second
-		until = tick.Now().Add(outage)
+		until.Store(int64(tick.Now().Add(outage)))
 		// The read that waits for records when the outage begins ends.
 		const pendingRead = 1200 * time.Millisecond
 		r.load(pendingRead)
@@ -316,11 +317,11 @@
 // storeOutage is a log that answers no call of any instance while the outage lasts.
 type storeOutage struct {
 	logs.Log
-	until *tick.Time
+	until *atomic.Int64
 }
 
 func (l storeOutage) fail(ctx context.Context) bool {
-	if !tick.Now().Before(*l.until) {
+	if !tick.Now().Before(tick.Time(l.until.Load())) {
 		return false
 	}
 	<-ctx.Done()
@@ -352,7 +353,7 @@
 func TestStoreOutageDuringEvacuation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newEvacuationRig(t)
-		var until tick.Time
+		var until atomic.Int64
 		r.wrapLog = func(l logs.Log) logs.Log { return storeOutage{l, &until} }
 		r.startNodes(2)
 		r.evacuate("a")
@@ -362,7 +363,7 @@
 		time.Sleep(time.Second)
 		// The outage ends before the lease. Its last part is longer than maxEvacuationsAge after the last answer.
 		const outage, last = 4400 * time.Millisecond, 600 * time.Millisecond
-		until = tick.Now().Add(outage)
+		until.Store(int64(tick.Now().Add(outage)))
 		inA := r.startsIn("a")
 		time.Sleep(outage - last)
 		inB := r.startsIn("b")
