--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -23,12 +23,18 @@
 	// minOverdue is the shortest time after which the response to a start order counts as overdue. A processor quota may
 	// suspend this process or an executor for that long.
 	minOverdue = 100 * time.Millisecond
+	// minAppendTimeout is the shortest timeout of an append of records, so that one that is lost with its connection is
+	// repeated soon. Reserved runs wait for it.
+	minAppendTimeout = 200 * time.Millisecond
 	// maxQueries limits the queries in flight.
 	maxQueries = 64
 	// holdTimeoutMargin is added to the wait time of a hold for the timeout of the call.
 	holdTimeoutMargin = 600 * time.Millisecond
-	// commitPause is the pause after a commit, so that many changes share one record.
+	// commitPause is the pause after a commit, so that many changes share one record. It ends early if reserved runs wait
+	// for their record. The next plan then collects what has become startable, so it lasts minPlanPause at least.
 	commitPause = 20 * time.Millisecond
+	// storeStallTimeout is how long the store may take for records until only tasks start that need none.
+	storeStallTimeout = 400 * time.Millisecond
 	// commitFailurePause is the pause after a term that a failed commit has ended. It limits the rate of terms, and the
 	// replica completes its last waiting read within it.
 	commitFailurePause = 1100 * time.Millisecond
@@ -72,10 +78,12 @@
 	}
 	list := t.cell.Plan(now, tick.Wall().UnixMilli(), cell.PlanLimits{
 		MaxStarts: room, IsSoleLeader: t.opts.IsSoleLeader(now),
+		IsStoreStalled: t.storeSince != 0 && now.Sub(t.storeSince) >= storeStallTimeout,
 	})
 	events := t.cell.Events()
 	isFenced := t.cell.IsFenced()
 	hasChanges := t.cell.HasChanges()
+	hasUnrecordedRuns := t.cell.HasUnrecordedRuns()
 	t.mu.Unlock()
 	t.logEvents(events)
 	if isFenced {
@@ -84,6 +92,9 @@
 	if hasChanges {
 		t.wakeCommit()
 	}
+	if hasUnrecordedRuns {
+		wake.Send(t.placementWake)
+	}
 	for _, o := range list {
 		t.sendOrder(ctx, o)
 	}
@@ -124,6 +135,10 @@
 func (t *term) logEvents(events []cell.Event) {
 	for _, e := range events {
 		t.opts.Meter.Count("decisions", map[string]string{"event": e.Name}, 1)
+		if w := e.FirstWait; w != nil {
+			labels := map[string]string{"kind": string(w.Kind), "size": string(w.Size)}
+			t.opts.Meter.Observe("task_wait_seconds", labels, w.Duration)
+		}
 		l := t.opts.Logger.Info().Uint64("epoch", t.epoch)
 		if e.Task.Job != "" {
 			l = l.Str("job", e.Task.Job).Uint32("occurrence", e.Task.Occurrence).Uint32("step", e.Task.Step).
@@ -293,7 +308,8 @@
 			t.fail(err)
 			return
 		}
-		tick.Pause(ctx, commitPause)
+		tick.Pause(ctx, minPlanPause)
+		wake.Wait(ctx, t.placementWake, commitPause-minPlanPause)
 	}
 }
 
@@ -342,7 +358,9 @@
 
 // store appends the records of a batch in order, with as few appends as the limit of the log permits.
 func (t *term) store(ctx context.Context, b *cell.Batch) error {
+	defer t.setStoreSince(0)
 	for rest := b.Records; len(rest) > 0; {
+		t.setStoreSince(tick.Now())
 		n := countFitting(rest, t.opts.MaxAppendBytes)
 		if err := t.storeRecords(ctx, rest[:n]); err != nil {
 			return err
@@ -352,6 +370,12 @@
 	return nil
 }
 
+func (t *term) setStoreSince(at tick.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.storeSince = at
+}
+
 // framingBytes is the size of the length prefixes of a record and of its key.
 const framingBytes = 5
 
@@ -386,11 +410,18 @@
 
 // append makes one attempt with the next sequence number, by which the log recognizes a repeated append.
 func (t *term) append(ctx context.Context, records []logs.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, t.appendTimeout.Timeout())
 	defer cancel()
-	_, err := t.opts.Log.Append(ctx, logs.Progress, t.opts.Part, records, logs.Condition{
+	sent := tick.Now()
+	_, err := t.opts.Log.Append(callCtx, logs.Progress, t.opts.Part, records, logs.Condition{
 		Producer: producer, Epoch: t.epoch, Sequence: t.sequence,
 	})
+	switch {
+	case err == nil:
+		t.appendTimeout.Observe(tick.Now().Sub(sent))
+	case callCtx.Err() != nil:
+		t.appendTimeout.BackOff()
+	}
 	var sequence *logs.SequenceError
 	if errors.As(err, &sequence) && sequence.Expected > t.sequence {
 		t.opts.Logger.Warn().Uint64("expected", sequence.Expected).Uint64("sequence", t.sequence).Msg("sequence-corrected")
--- a/internal/services/leader/rig_test.go
+++ b/internal/services/leader/rig_test.go
@@ -202,6 +202,8 @@
 	stopped map[string]int
 	// editLists changes the lists of an executor.
 	editLists func(id string, l *orders.Lists)
+	// onStart is called for each start order that was carried out.
+	onStart func(t orders.Target, o orders.Start)
 }
 
 func newCalls(f *memex.Fleet) *calls {
@@ -209,6 +211,7 @@
 		Executors: f, started: map[string]int{}, startedOn: map[string]int{}, stopped: map[string]int{},
 		checkpoints: map[string][]string{}, silent: map[string]bool{}, refusing: map[string]bool{},
 		address: map[string]string{}, editLists: func(string, *orders.Lists) {},
+		onStart: func(orders.Target, orders.Start) {},
 	}
 }
 
@@ -284,6 +287,7 @@
 	r := c.Executors.Start(ctx, t, o)
 	if r.Outcome == orders.Done {
 		c.edit(func() {
+			c.onStart(t, o)
 			c.started[o.Run.Task.Job]++
 			c.checkpoints[o.Run.Task.Job] = append(c.checkpoints[o.Run.Task.Job], o.Checkpoint)
 		})
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -10,9 +10,11 @@
 //     its executor is known to have restarted, or the executor's lease has certainly expired (runs.go, lists.go).
 //   - An end is acknowledged to its executor, and a job is shown as ended, only after the record of it is stored
 //     (record.go).
-//   - A job starts only after a record of its start is stored, which the log accepts from the newest leader alone. So a
-//     new leader starts jobs without that record at once, but tasks of the other jobs only when every executor that may
-//     have orders of a previous leader has responded, or its lease has certainly expired (takeover.go).
+//   - The order to start a task is sent only after a record that names its executor is stored, which the log accepts
+//     from the newest leader alone. Until then the run is reserved: it holds its resources, but its executor does not
+//     know of it (reserve.go). So a new leader holds back only the tasks that may run on an executor that has not
+//     responded and whose lease may last. Jobs whose record does not name the executors wait for all executors
+//     (takeover.go).
 //
 // # Usage
 //
@@ -26,7 +28,10 @@
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/interf"
+	"github.com/ibischute/ibischute/internal/state/quant"
 	"github.com/ibischute/ibischute/internal/state/ramp"
+	"github.com/ibischute/ibischute/internal/state/speed"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -50,6 +55,9 @@
 	Notice time.Duration
 	// Retention is how long an ended job is shown.
 	Retention time.Duration
+	// LookAhead is true if executors are reserved for tasks that need more room than any executor has free, and jobs that
+	// have waited long move up.
+	LookAhead bool
 }
 
 // Cell is the state of one cell under one leader.
@@ -77,8 +85,10 @@
 	// delayed counts the tasks and runs that Diagnose has found, by cause.
 	delayed      map[WaitCause]int
 	events       []Event
-	durations    *durationModel
-	interference *interferenceModel
+	durations    *quant.Model
+	speed        *speed.Model
+	interference *interf.Model
+	lookAhead    *lookAhead
 	isFenced     bool
 	// needsAdvice is true if a queue has or had a policy service.
 	needsAdvice bool
@@ -88,6 +98,8 @@
 	nextAdviceAt    tick.Time
 	// isModelRecordDue is true if the next batch is to have a record of the learned model.
 	isModelRecordDue bool
+	// placements are the records that name the executors of the tasks.
+	placements placements
 }
 
 // New returns the Cell of the leader with the epoch. Until previousLeasesExpireAt, executors that have not responded to
@@ -98,7 +110,8 @@
 		jobs: map[string]*job{}, execs: map[string]*executor{},
 		dirty: map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
 		stopping: map[*run]bool{}, evacuation: evacuation{moved: map[string]int{}, futileSearches: map[bool]int{}},
-		durations: newDurationModel(), interference: newInterferenceModel(),
+		durations: quant.New(), speed: speed.New(), interference: interf.New(),
+		placements: placements{held: map[uint32][]*task{}}, lookAhead: newLookAhead(p),
 	}
 }
 
@@ -109,6 +122,8 @@
 	Run      uint64
 	Executor string
 	Detail   string
+	// FirstWait is set for the first start of a task by this leader.
+	FirstWait *FirstWait
 }
 
 // maxEvents bounds the events between two calls of Events.
--- a/internal/state/cell/evacuation.go
+++ b/internal/state/cell/evacuation.go
@@ -284,22 +284,22 @@
 	return n
 }
 
-// finishMoves starts the tasks of moved runs that have stopped where room is kept for them.
-func (c *Cell) finishMoves(now tick.Time, p *placement, maxStarts int) []Order {
-	var out []Order
+// finishMoves reserves the runs of moved tasks that have stopped where room is kept for them. It returns their number.
+func (c *Cell) finishMoves(now tick.Time, p *placement, limit int) int {
+	n := 0
 	c.evacuation.moves = slices.DeleteFunc(c.evacuation.moves, func(m *move) bool {
 		if c.isObsolete(now, m) {
 			m.release()
 			return true
 		}
 		isReady := !slices.ContainsFunc(m.runs, func(r *run) bool { return !r.task.isStartable(now) })
-		if !isReady || len(out) >= maxStarts {
+		if !isReady || n >= limit {
 			return false
 		}
-		out = append(out, c.finishMove(now, p, m)...)
+		n += c.finishMove(now, p, m)
 		return true
 	})
-	return out
+	return n
 }
 
 // isObsolete reports whether the room for a move need no longer be kept.
@@ -317,31 +317,41 @@
 	return false
 }
 
-// finishMove starts the tasks of a move unless a target no longer takes its task. Then they wait like any others.
-func (c *Cell) finishMove(now tick.Time, p *placement, m *move) []Order {
+// finishMove reserves the runs of a move unless a target no longer takes its task. Then the tasks wait like any others.
+// It returns the number of reserved runs.
+func (c *Cell) finishMove(now tick.Time, p *placement, m *move) int {
 	s := m.runs[0].task.step
-	targets, number := m.targets, uint64(0)
-	isPermitted := c.ensureStartRecorded(s.job)
+	targets, number, isPermitted := m.targets, uint64(0), true
 	for i, r := range m.runs {
 		// The room that is kept for the other members of a gang stays taken.
 		targets[i].unreserve(r.task)
-		_, isFree := p.rateExecutor(s, resourcesOf(s.pb), targets[i])
+		isFree := p.takesMoved(s, targets[i])
 		targets[i].reserve(r.task)
 		isPermitted = isPermitted && isFree
 	}
 	m.release()
 	if !isPermitted {
-		return nil
+		return 0
 	}
 	for _, r := range m.runs {
 		number = max(number, c.nextRunNumber(r.task))
 	}
-	var out []Order
 	for i, r := range m.runs {
-		out = append(out, c.startRun(now, r.task, targets[i], number))
+		c.reserveRun(now, r.task, targets[i], number)
+		r.task.run.isMoved = true
 		if r.exec.isEvacuated {
 			c.evacuation.moved[r.exec.entry.Domain]++
 		}
 	}
-	return out
+	return len(m.runs)
+}
+
+// takesMoved reports whether the executor can still take a task for which room was kept on it.
+func (p *placement) takesMoved(s *step, x *executor) bool {
+	need := resourcesOf(s.pb)
+	if s.pb.Fills {
+		_, ok := p.rateExecutor(s, need, x)
+		return ok
+	}
+	return x.allows(s, need) && s.isPermittedOn(p.now, x) && x.suspicion.admits(p.now, s)
 }
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -6,6 +6,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/chain"
 	"github.com/ibischute/ibischute/internal/state/ramp"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -48,6 +49,8 @@
 // executor is the tracked state of one executor.
 type executor struct {
 	entry queue.Executor
+	// hash names the executor in the records of jobs.
+	hash uint32
 	// isListed is true while service discovery lists the executor.
 	isListed bool
 	// isRostered is true if a stored record shows that this leader may send orders to the executor.
@@ -130,6 +133,7 @@
 
 // Discover applies the complete list of executors from service discovery.
 func (c *Cell) Discover(now tick.Time, list []queue.Executor) {
+	c.expireSlow(now)
 	listed := make(map[string]bool, len(list))
 	// latest has the entry of the youngest process at each address. Entries may outlive their processes.
 	latest := make(map[string]queue.Executor, len(list))
@@ -203,12 +207,13 @@
 	}
 	if !x.isListed && (x.isTerminated || now.After(x.leaseExpiresBy)) {
 		delete(c.execs, id)
+		c.speed.Drop(id)
 	}
 }
 
 func newExecutor(e queue.Executor) *executor {
 	return &executor{
-		entry: e, total: resources{e.MilliCPU, e.MemoryMB, e.GPUs},
+		entry: e, hash: chain.Hash(e.ID), total: resources{e.MilliCPU, e.MemoryMB, e.GPUs},
 		runs: map[orders.Task]*run{}, orphaned: map[orders.Run]bool{},
 		reserved: map[*task]bool{},
 	}
@@ -224,6 +229,7 @@
 	for _, r := range x.runs {
 		c.releaseRun(r, orders.EndedLeaseExpired)
 	}
+	c.speed.Drop(x.entry.ID)
 }
 
 // sampleClock updates the clock offset from the response to a call that ended at now. The executor read its clock
--- a/internal/state/cell/pacing.go
+++ b/internal/state/cell/pacing.go
@@ -7,9 +7,13 @@
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/interf"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
+// milliCPUPerCore is the unit of CPU requests.
+const milliCPUPerCore = 1000
+
 // fullPaceCores returns the cores that a best-effort run would use at its full pace.
 func (r *run) fullPaceCores() float64 { return float64(r.task.step.pb.MilliCpu) / milliCPUPerCore }
 
@@ -29,8 +33,8 @@
 	// cost best-effort runs more than latency-critical ones would gain.
 	nearTargetThrottleShare = 0.1
 	overTargetThrottleShare = 0.4
-	// tailObservationDelay is the time from a change of pace until tail latencies show most of its effect: they cover half
-	// a second.
+	// tailObservationDelay is the time from a change of pace until tail latencies show most of its effect: they cover
+	// half a second.
 	tailObservationDelay = 400 * time.Millisecond
 	// tailGrowthFactor is the growth of the tail ratio since the last throttling that justifies another one before the
 	// effect of the last one can be observed.
@@ -67,21 +71,23 @@
 		cores[be.task.step.pb.Image] += be.usedCores()
 	}
 	for _, lc := range x.latencyCritical {
-		c.interference.observe(now, lc, cores)
-		c.interference.updateTolerance(lc)
+		pb := lc.task.step.pb
+		if lc.percent >= fullPacePercent {
+			c.interference.Observe(now, &lc.lastSample, interf.Tail{
+				Image: pb.Image, MS: lc.usage, TargetMS: int64(pb.TargetMs), Cores: cores,
+			})
+		}
+		c.updateTolerance(lc)
 	}
 }
 
 // updateTolerance updates how much interference a latency-critical run tolerates. Placements use the result until the
 // next list.
-func (m *interferenceModel) updateTolerance(lc *run) {
+func (c *Cell) updateTolerance(lc *run) {
 	pb := lc.task.step.pb
-	lc.regression = m.regressions[pb.Image]
+	lc.regression = c.interference.Regressions[pb.Image]
 	lc.isNearTarget = float64(lc.usage) > throttleTailRatio*float64(pb.TargetMs)
-	lc.headroom = 0
-	if lc.usage > 0 {
-		lc.headroom = 1 - m.baseMS[pb.Image]/(raiseTailRatio*float64(pb.TargetMs)) - m.load(lc)
-	}
+	lc.headroom = c.interference.Headroom(pb.Image, lc.usage, raiseTailRatio*float64(pb.TargetMs))
 }
 
 // adjustPaces sets the paces of best-effort runs so that the colocated latency-critical runs stay below their
@@ -97,8 +103,8 @@
 		if len(x.bestEffort) == 0 {
 			continue
 		}
-		out = c.adjustExecutorPaces(now, x, x.latencyCritical, slices.Clone(x.bestEffort), out)
-		for _, be := range x.bestEffort {
+		out = c.adjustExecutorPaces(now, x, x.latencyCritical, x.orderedBestEffort(), out)
+		for _, be := range x.orderedBestEffort() {
 			if searches < maxMoveSearches && c.isMoveDue(now, be) {
 				searches++
 				c.move(p, be)
@@ -283,7 +289,7 @@
 	if lc == nil {
 		return 0
 	}
-	return c.interference.weightOf(imagePair{lc.task.step.pb.Image, be.task.step.pb.Image})
+	return c.interference.Weight(lc.task.step.pb.Image, be.task.step.pb.Image)
 }
 
 // isMoveDue reports whether a run's pace has been below movePacePercent for at least moveGracePeriod and the run can be
@@ -313,6 +319,7 @@
 		// The time without progress at the lower pace is no sign of a stall.
 		r.progressAt = now
 	}
+	r.countPaceLoss(now)
 	r.pace = percent
 	r.isPaceUnconfirmed = false
 	return Order{Target: x.target(), Pace: &orders.Pace{Run: r.id, Percent: percent, Epoch: c.epoch}}
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -17,6 +17,15 @@
 	// unplaceable has, for each service, requests for which no executor was found. They rule out all requests that need at
 	// least as much.
 	unplaceable map[string][]request
+	// isAvoided reports whether an executor is slow and should get no run.
+	isAvoided func(x *executor) bool
+	// wasMovedFrom returns whether a task was just moved from slow executors such as the given one.
+	wasMovedFrom func(t *task) func(x *executor) bool
+	// extremes has the results of extremesOf.
+	extremes map[string]extremes
+	cell     *Cell
+	// isLimitedByReservation is true if a reservation has kept the step that is being placed from an executor.
+	isLimitedByReservation bool
 }
 
 type request struct {
@@ -46,7 +55,12 @@
 const maxUnplaceable = 32
 
 func (c *Cell) newPlacement(now tick.Time) *placement {
-	p := &placement{now: now, pools: map[string][]*executor{}, unplaceable: map[string][]request{}}
+	p := &placement{
+		now: now, pools: map[string][]*executor{}, unplaceable: map[string][]request{}, cell: c,
+		extremes:     map[string]extremes{},
+		isAvoided:    func(x *executor) bool { return c.isAvoided(now, x) },
+		wasMovedFrom: func(t *task) func(x *executor) bool { return c.wasMovedFrom(now, t) },
+	}
 	for _, x := range c.execs {
 		p.executors = append(p.executors, x)
 		x.coldLimit, x.isCold = x.warmUp.Limit(now, c.params.Cold, float64(x.total.milliCPU)/milliCPUPerCore)
@@ -87,14 +101,15 @@
 	if p.isUnplaceable(service, c.need, s) {
 		return c
 	}
+	p.isLimitedByReservation = false
 	for _, x := range p.pools[service] {
 		if cost, ok := p.rateExecutor(s, c.need, x); ok {
 			c.list = append(c.list, candidate{x, cost})
 		}
 	}
-	// The result applies to other steps unless it may be due to this step's tickets, to its anti-affinity, or to the
-	// resources that earlier members of its gang hold temporarily.
-	isReusable := s.advice == nil && s.pb.MaxPerExecutor == 0 && !s.pb.Gang
+	// The result applies to other steps unless it may be due to this step's tickets, to its anti-affinity, to
+	// reservations, or to the resources that earlier members of its gang hold temporarily.
+	isReusable := s.advice == nil && s.pb.MaxPerExecutor == 0 && !s.pb.Gang && !p.isLimitedByReservation
 	if len(c.list) == 0 && isReusable && len(p.unplaceable[service]) < maxUnplaceable {
 		p.unplaceable[service] = append(p.unplaceable[service], requestOf(s, c.need))
 	}
@@ -107,6 +122,9 @@
 		return 0, false
 	}
 	cost := x.cost(s, need)
+	if p.isAvoided(x) {
+		cost += costSlow
+	}
 	if !s.pb.Fills {
 		return cost, true
 	}
@@ -122,12 +140,23 @@
 	if !x.allows(s, need) || !s.isPermittedOn(p.now, x) || !x.suspicion.admits(p.now, s) {
 		return false
 	}
-	return x.hasBestEffortCPU(s)
+	if !x.hasBestEffortCPU(s) {
+		return false
+	}
+	if p.cell.isKeptFree(p.now, s, need, x) {
+		p.isLimitedByReservation = true
+		return false
+	}
+	return true
 }
 
 // best returns the cheapest executor for the task, or nil. Executors on which the task has failed come last.
 func (c *candidates) best(t *task) *executor {
 	if len(t.failedOn) == 0 {
+		isMovedFrom := c.placement.wasMovedFrom(t)
+		if x, _ := c.cheapest(func(x *executor) bool { return !isMovedFrom(x) }); x != nil {
+			return x
+		}
 		x, _ := c.cheapest(func(*executor) bool { return true })
 		return x
 	}
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -5,17 +5,18 @@
 	"slices"
 	"time"
 
-	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
 // PlanLimits limits what a plan may do.
 type PlanLimits struct {
-	// MaxStarts bounds the number of starts.
+	// MaxStarts bounds the number of start orders.
 	MaxStarts int
 	// IsSoleLeader is true if no other leader can have taken over. Otherwise another leader may know the outcome of a run
 	// whose lease has expired here, so that its task must not be started again.
 	IsSoleLeader bool
+	// IsStoreStalled is true while the store takes no records. Then only tasks start whose executor is recorded already.
+	IsStoreStalled bool
 }
 
 // Plan returns the orders to send now. It assumes that the starts, stops and pace changes will be carried out until a
@@ -31,21 +32,33 @@
 	if c.isFenced {
 		return nil
 	}
+	c.withdrawUnfit(now)
+	if limits.IsStoreStalled {
+		c.withdrawUnbatched()
+	}
 	c.stopDraining(now)
 	p := c.newPlacement(now)
 	out := c.adjustPaces(now, p, nil)
-	moved := c.finishMoves(now, p, limits.MaxStarts)
-	out = append(out, moved...)
-	mayMove := limits.MaxStarts > len(moved) && c.isMoveSearchDue(now)
-	if mayMove {
-		// Before waiting tasks take the room: under a load that fills the other domains, none would be left later.
-		c.planMoves(now, p, true)
+	limit := max(limits.MaxStarts, maxReserved) - len(c.placements.reserved)
+	if limits.IsStoreStalled {
+		c.placeRecorded(now, p, limit)
+	} else {
+		limit -= c.finishMoves(now, p, limit)
+		mayMove := limits.MaxStarts > 0 && c.isMoveSearchDue(now)
+		if mayMove {
+			// Long-running tasks come first, as waiting tasks would take all room on a full fleet.
+			c.planMoves(now, p, true)
+		}
+		c.placeWaiting(now, p, limit)
+		if mayMove {
+			c.planMoves(now, p, false)
+		}
 	}
-	out = append(out, c.placeWaiting(now, p, limits.MaxStarts-len(moved))...)
-	if mayMove {
-		c.planMoves(now, p, false)
+	started := c.startRecorded(now, limits.MaxStarts)
+	if len(started) < limits.MaxStarts && !limits.IsStoreStalled {
+		c.moveFromSlow(now, p)
 	}
-	return c.appendStopOrders(now, out)
+	return c.appendStopOrders(now, append(out, started...))
 }
 
 // urgency orders waiting jobs, lower values first. It is designed for overload, when not every job can be done in time:
@@ -53,7 +66,9 @@
 // that as many jobs as possible are done in time. Under overload, ordering by least slack would finish every job a
 // little late.
 type urgency struct {
-	priority  int
+	priority int
+	// isMovedUp is true for the job that comes first within its priority because it has waited long.
+	isMovedUp bool
 	lateness  int
 	remaining time.Duration
 }
@@ -71,10 +86,8 @@
 const tooLateFactor = 3
 
 func (c *Cell) urgencyOf(now tick.Time, j *job) urgency {
-	ratio := c.durations.ratioOf(j.pb.Queue)
-	criticalPath := time.Duration(float64(j.criticalPath) * ratio)
-	latencyTarget := time.Duration(float64(criticalPath)*j.queue.StretchFactor) +
-		time.Duration(j.queue.TargetMS)*time.Millisecond
+	ratio := c.durations.Ratio(j.pb.Queue, j.id, orderQuantile)
+	latencyTarget := c.latencyTargetOf(j)
 	left := time.Duration(float64(j.remainingCriticalPath()) * ratio)
 	slack := j.acceptedAt.Add(latencyTarget).Sub(now) - left
 	u := urgency{priority: j.queue.Priority, remaining: left}
@@ -91,7 +104,19 @@
 	return u
 }
 
+// latencyTargetOf returns the time from the acceptance of a job within which it should be done.
+func (c *Cell) latencyTargetOf(j *job) time.Duration {
+	criticalPath := time.Duration(float64(j.criticalPath) * c.durations.Ratio(j.pb.Queue, j.id, orderQuantile))
+	return time.Duration(float64(criticalPath)*j.queue.StretchFactor) + time.Duration(j.queue.TargetMS)*time.Millisecond
+}
+
 func (u urgency) compare(v urgency) int {
+	if u.priority == v.priority && u.isMovedUp != v.isMovedUp {
+		if u.isMovedUp {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(
 		cmp.Compare(u.priority, v.priority), cmp.Compare(u.lateness, v.lateness), cmp.Compare(u.remaining, v.remaining),
 	)
@@ -134,29 +159,20 @@
 
 // waitingSteps returns the ready steps with waiting tasks, those of the most urgent jobs first.
 func (c *Cell) waitingSteps(now tick.Time) []*step {
-	type entry struct {
-		urgency urgency
-		steps   []*step
-	}
-	var entries []entry
+	var entries []waitingJob
 	for _, j := range c.active {
 		if c.isTakingOver && j.isInherited {
 			continue
 		}
-		var steps []*step
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if s.waiting > 0 && s.isReady() {
-					steps = append(steps, s)
-				}
-			}
-		}
+		steps := j.waitingSteps(now)
 		j.updateIdle(now, len(steps) > 0)
 		if len(steps) > 0 {
-			entries = append(entries, entry{c.urgencyOf(now, j), steps})
+			c.countWaiting(now, j)
+			entries = append(entries, waitingJob{j, c.urgencyOf(now, j), steps})
 		}
 	}
-	slices.SortStableFunc(entries, func(a, b entry) int { return a.urgency.compare(b.urgency) })
+	c.moveUpAged(now, entries)
+	slices.SortStableFunc(entries, func(a, b waitingJob) int { return a.urgency.compare(b.urgency) })
 	var out []*step
 	for _, e := range entries {
 		out = append(out, e.steps...)
@@ -164,70 +180,75 @@
 	return out
 }
 
-// placeWaiting places waiting tasks and returns the orders to start them.
-func (c *Cell) placeWaiting(now tick.Time, p *placement, maxStarts int) []Order {
+// waitingSteps returns the ready steps of the job with waiting tasks.
+func (j *job) waitingSteps(now tick.Time) []*step {
+	var steps []*step
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.waiting == 0 || !s.isReady() {
+				continue
+			}
+			if s.readyAt == 0 {
+				s.readyAt = now
+			}
+			steps = append(steps, s)
+		}
+	}
+	return steps
+}
+
+// placeWaiting reserves runs for waiting tasks, at most the limit and the rest of a gang.
+func (c *Cell) placeWaiting(now tick.Time, p *placement, limit int) {
 	steps := c.waitingSteps(now)
-	var out []Order
+	c.beginLookAhead(now)
 	for _, s := range steps {
-		remaining := maxStarts - len(out)
-		if remaining <= 0 {
-			break
+		if limit <= 0 {
+			return
 		}
 		if s.pb.Gang {
-			out = append(out, c.startGang(now, p, s)...)
+			limit -= c.reserveGang(now, p, s)
 			continue
 		}
-		started := c.startTasks(now, p, s, remaining)
-		if len(started) == 0 && s.pb.Fills && s.job.isOverdue(now) {
-			started = c.startOverdue(now, p, s)
+		reserved := c.reserveTasks(now, p, s, limit)
+		if reserved == 0 && s.pb.Fills && s.job.isOverdue(now) {
+			reserved = c.reserveOverdue(now, p, s)
 		}
-		out = append(out, started...)
+		limit -= reserved
 	}
-	return out
 }
 
-func (c *Cell) startTasks(now tick.Time, p *placement, s *step, maxStarts int) []Order {
-	var out []Order
+// reserveTasks reserves runs for tasks of the step and returns their number.
+func (c *Cell) reserveTasks(now tick.Time, p *placement, s *step, limit int) int {
+	n := 0
 	cands := p.candidates(s)
 	for _, t := range s.tasks {
-		if len(out) == maxStarts || len(cands.list) == 0 {
+		if n == limit || len(cands.list) == 0 {
 			break
 		}
 		if !t.isStartable(now) {
 			continue
 		}
 		x := cands.best(t)
-		if x == nil {
+		if x == nil || c.defersSlow(now, s, x) {
 			continue
 		}
-		if !c.ensureStartRecorded(s.job) {
-			break
-		}
-		out = append(out, c.startRun(now, t, x, c.nextRunNumber(t)))
+		c.reserveRun(now, t, x, c.nextRunNumber(t))
+		n++
 		cands.update(x)
 	}
-	return out
-}
-
-// startRun creates a run and returns the order to start it.
-func (c *Cell) startRun(now tick.Time, t *task, x *executor, number uint64) Order {
-	r := c.createRun(now, t, x, number)
-	if t.step.pb.Fills {
-		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
+	if n < limit && len(cands.list) == 0 && s.firstStartable(now) != nil {
+		c.awaitRoom(now, p, s)
 	}
-	c.emit(Event{Name: "start", Task: t.id, Run: number, Executor: x.entry.ID})
-	return Order{Target: x.target(), Start: &orders.Start{
-		Run: r.id, Spec: t.step.job.pb.Spec, Checkpoint: t.checkpoint, DeadlineMS: c.extendLease(now, x), Epoch: c.epoch,
-		Ticket: t.step.ticketFor(x),
-	}}
+	return n
 }
 
-// startGang starts all tasks of a gang together, or none.
-func (c *Cell) startGang(now tick.Time, p *placement, s *step) []Order {
+// reserveGang reserves runs for all tasks of a gang, or for none, and returns their number.
+func (c *Cell) reserveGang(now tick.Time, p *placement, s *step) int {
 	if s.waiting < s.unfinished {
-		return nil
+		return 0
 	}
 	var placed []*executor
+	lacksRoom := false
 	cands := p.candidates(s)
 	for _, t := range s.tasks {
 		if !t.isStartable(now) {
@@ -235,6 +256,7 @@
 		}
 		x := cands.best(t)
 		if x == nil {
+			lacksRoom = len(cands.list) == 0
 			break
 		}
 		// The resources are reserved at once, so that the placement of the next member accounts for this one.
@@ -243,25 +265,20 @@
 		placed = append(placed, x)
 	}
 	for _, t := range s.tasks[:len(placed)] {
-		c.withdrawRun(t.run)
+		c.detachRun(t.run)
 	}
-	if len(placed) < len(s.tasks) || !c.ensureStartRecorded(s.job) {
-		return nil
+	if lacksRoom {
+		c.awaitRoom(now, p, s)
+	}
+	if len(placed) < len(s.tasks) {
+		return 0
 	}
 	number := uint64(0)
 	for _, t := range s.tasks {
 		number = max(number, c.nextRunNumber(t))
 	}
-	var out []Order
 	for i, t := range s.tasks {
-		out = append(out, c.startRun(now, t, placed[i], number))
+		c.reserveRun(now, t, placed[i], number)
 	}
-	return out
-}
-
-// withdrawRun removes a run for which no order was sent.
-func (c *Cell) withdrawRun(r *run) {
-	r.exec.removeRun(r)
-	r.task.run = nil
-	r.task.step.waiting++
+	return len(placed)
 }
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -6,6 +6,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/interf"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
@@ -19,7 +20,14 @@
 	exec      *executor
 	resources resources
 
+	// startedAt is when the order to start the run was made, or the run was reserved.
 	startedAt tick.Time
+	// isReserved is true until the order to start the run is made. isBatched is true once a batch names its executor,
+	// isRecorded once a stored record does. idleSince is that of the job before the reservation.
+	isReserved, isBatched, isRecorded bool
+	idleSince                         tick.Time
+	// createdAt is when the run was reserved or adopted.
+	createdAt tick.Time
 	// confirmedAt is when the executor confirmed that it has the run; 0 before.
 	confirmedAt tick.Time
 	// isStartUnconfirmed is true if the outcome of the start order is unknown, as it has been since unconfirmedSince.
@@ -31,13 +39,17 @@
 	// stoppedAt is when the executor first confirmed the order to stop; the run cannot begin after that.
 	stoppedAt tick.Time
 
-	// checkpoint, percent and usage are as of the last list. percent is the progress of the run. usage is the tail latency
-	// in milliseconds of a latency-critical run, or the thousandths of a core that another run uses.
+	// checkpoint, percent and usage are as of the last list. percent is the progress of the run. usage is the tail
+	// latency in milliseconds of a latency-critical run, or the thousandths of a core that another run uses.
 	checkpoint string
 	percent    int
 	usage      int64
 	// checkpointAt is when a list first had the checkpoint.
 	checkpointAt tick.Time
+	// isMoved is true for the run that replaces one that was stopped to move it.
+	isMoved bool
+	// checkpointPercent is the progress that the checkpoint has at least.
+	checkpointPercent int
 	// firstListedAt and listedAt are when a list first and last contained the run, progressAt when percent last changed.
 	// firstPercent is percent in the first list.
 	firstListedAt, listedAt, progressAt tick.Time
@@ -52,22 +64,28 @@
 	// arrived.
 	pace              int
 	isPaceUnconfirmed bool
+	// pacedAt is when lostToPace was last updated, which is the working time that the run has lost to throttled paces.
+	pacedAt    tick.Time
+	lostToPace time.Duration
+	// isPartial is true if the run resumed from a checkpoint or was adopted, so that its duration is not that of the task.
+	isPartial bool
 	// lowPaceSince is since when the pace has been below movePacePercent.
 	lowPaceSince tick.Time
 	// regression, headroom and isNearTarget determine which best-effort tasks a latency-critical run tolerates, as of the
 	// last list. headroom is the load that may be added until its tail latency reaches raiseTailRatio times its target.
-	regression   *regression
+	regression   *interf.Regression
 	headroom     float64
 	isNearTarget bool
 	// lastSample is the last sample of a latency-critical run's tail latency.
-	lastSample tailSample
+	lastSample interf.Sample
 }
 
 // createRun creates a run of the task on the executor.
 func (c *Cell) createRun(now tick.Time, t *task, x *executor, number uint64) *run {
 	r := &run{
 		id: orders.Run{Task: t.id, Number: number}, task: t, exec: x, resources: resourcesOf(t.step.pb),
-		startedAt: now, progressAt: now, checkpoint: t.checkpoint, pace: fullPacePercent,
+		startedAt: now, createdAt: now, progressAt: now, checkpoint: t.checkpoint, pace: fullPacePercent,
+		isPartial: t.checkpoint != "",
 	}
 	c.attachRun(r)
 	x.suspicion.begin(r)
@@ -113,7 +131,12 @@
 	}
 }
 
+// markForStopping has the run stopped. A reserved run is withdrawn.
 func (c *Cell) markForStopping(r *run) {
+	if r.isReserved {
+		c.withdrawRun(r)
+		return
+	}
 	r.isMarkedForStopping = true
 	c.stopping[r] = true
 }
@@ -130,8 +153,13 @@
 	if x.runs[r.id.Task] != r {
 		return
 	}
+	if r.isReserved {
+		c.withdrawRun(r)
+		return
+	}
 	x.removeRun(r)
 	delete(c.stopping, r)
+	c.speed.End(r.id)
 	t := r.task
 	t.run = nil
 	if !t.done {
@@ -160,7 +188,7 @@
 		if e.Checkpoint != "" {
 			r.checkpoint = e.Checkpoint
 		}
-		c.durations.observe(now, r, e.Reason)
+		c.observeDuration(now, r, e.Reason)
 		if e.Reason == orders.EndedDone && !t.step.pb.LongRunning {
 			c.completeTask(now, t)
 		}
@@ -181,7 +209,8 @@
 	case e.Reason == orders.EndedFailed && !t.done:
 		c.recordFailure(now, t, e.Run.Number, x, nil)
 	}
-	if t.run == nil && !t.done && e.Checkpoint != "" && t.step.pb.Checkpointing {
+	hasStarted := t.run != nil && !t.run.isReserved
+	if !hasStarted && !t.done && e.Checkpoint != "" && t.step.pb.Checkpointing {
 		t.keepCheckpoint(e.Checkpoint)
 	}
 }
--- a/internal/state/cell/usage.go
+++ b/internal/state/cell/usage.go
@@ -17,19 +17,37 @@
 	LatencyCritical, OverTarget int
 	// BestEffort counts the best-effort runs, Throttled those of them below their full pace.
 	BestEffort, Throttled int
+	// Reserved counts the tasks whose executor is chosen and whose start order is not made yet. Their cores are used, but
+	// they are in no other figure.
+	Reserved int
 	// Jobs is the number of jobs that have not ended.
 	Jobs int
 	// AwaitedExecutors counts the executors that have not responded to this leader and may run tasks of a former one.
-	// Until there are none, jobs that a former leader may have started start nothing.
+	// Until there are none, tasks that may run on one of them, and jobs whose record does not tell, do not start.
 	AwaitedExecutors int
+	// SlowExecutors counts the executors on which runs progress much more slowly than they should.
+	SlowExecutors int
+	// Durations are the ratios of actual to estimated durations of each queue with samples.
+	Durations []QueueDurations
 	// Delayed counts the steps that wait although an executor has the room, and the runs that no list shows, by cause, as
 	// of the last call of Diagnose.
 	Delayed map[WaitCause]int
 }
 
+// QueueDurations are the quantiles of the ratio of actual to estimated durations that decisions depend on.
+type QueueDurations struct {
+	Queue        string
+	Median, High float64
+}
+
 // Usage returns the present utilization.
 func (c *Cell) Usage(now tick.Time) Usage {
-	u := Usage{Jobs: len(c.active), Delayed: c.delayed}
+	u := Usage{Jobs: len(c.active), Delayed: c.delayed, SlowExecutors: c.speed.Count()}
+	for _, name := range c.durations.Queues() {
+		u.Durations = append(u.Durations, QueueDurations{
+			Queue: name, Median: c.durations.Ratio(name, "", orderQuantile), High: c.durations.Ratio(name, "", endQuantile),
+		})
+	}
 	for _, x := range c.execs {
 		if c.isTakingOver && c.isAwaited(now, x) {
 			u.AwaitedExecutors++
@@ -40,6 +58,10 @@
 		u.Cores += x.total.milliCPU / milliCPUPerCore
 		u.UsedCores += x.used.milliCPU / milliCPUPerCore
 		for _, r := range x.runs {
+			if r.isReserved {
+				u.Reserved++
+				continue
+			}
 			u.countRun(r)
 		}
 	}
