--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -257,7 +257,7 @@
 		return
 	}
 	t.startWindow.Answered(now, sent)
-	if r.Outcome != orders.NotSent {
+	if r.Outcome != orders.NotSent && r.Outcome != orders.Withheld {
 		t.startResponses.Observe(now.Sub(sent))
 	}
 }
--- a/internal/state/cell/bench_test.go
+++ b/internal/state/cell/bench_test.go
@@ -99,6 +99,36 @@
 	}
 }
 
+// BenchmarkPlanMoves measures the search for runs to move out of a third of the executors while the others have little
+// room. Such a search is made every evacuationInterval.
+func BenchmarkPlanMoves(b *testing.B) {
+	for _, n := range []int{490, 3000} {
+		b.Run(fmt.Sprintf("executors-%d", n), func(b *testing.B) {
+			c, now := loadedCell(b, n)
+			i := 0
+			for _, x := range c.execs {
+				x.entry.Domain = string(rune('a' + i%3))
+				i++
+			}
+			c.SetEvacuated(now, []string{"a"})
+			b.ReportAllocs()
+			for b.Loop() {
+				p := c.newPlacement(now)
+				c.planMoves(now, p, true)
+				c.planMoves(now, p, false)
+				for _, m := range c.evacuation.moves {
+					m.release()
+					for _, r := range m.runs {
+						r.isMarkedForStopping = false
+					}
+				}
+				c.evacuation.moves = nil
+				c.Events()
+			}
+		})
+	}
+}
+
 func BenchmarkHandleHoldReply(b *testing.B) {
 	c, now := loadedCell(b, 66)
 	x := c.execs["x0001"]
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -109,7 +109,7 @@
 		params: p, epoch: epoch, previousLeasesExpireAt: previousLeasesExpireAt, isTakingOver: true,
 		jobs: map[string]*job{}, execs: map[string]*executor{},
 		dirty: map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
-		stopping: map[*run]bool{}, evacuation: evacuation{moved: map[string]int{}},
+		stopping: map[*run]bool{}, evacuation: evacuation{moved: map[string]int{}, futileSearches: map[bool]int{}},
 		durations: quant.New(), speed: speed.New(), interference: interf.New(),
 		placements: placements{held: map[uint32][]*task{}}, lookAhead: newLookAhead(p),
 	}
--- a/internal/state/cell/evacuation.go
+++ b/internal/state/cell/evacuation.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// evacuationInterval is the shortest time between two searches for runs to move out of evacuated domains.
-	evacuationInterval = 50 * time.Millisecond
+	// evacuationInterval is the shortest time between two searches for runs to move out of evacuated domains, and
+	// evacuationIntervalPerExecutor what each executor adds to it, as a search rates all of them.
+	evacuationInterval            = 50 * time.Millisecond
+	evacuationIntervalPerExecutor = 50 * time.Microsecond
 	// moveMargin is the time for the order and the list in addition to the longest stop, for which room is kept for a run
 	// that moves. Its task waits like any other afterwards.
 	moveMargin = 1500 * time.Millisecond
@@ -29,6 +31,8 @@
 	// moves are those under way, and nextSearchAt is the earliest time for the next search.
 	moves        []*move
 	nextSearchAt tick.Time
+	// futileSearches counts the searches in a row that found no room, for long-running runs and for the others.
+	futileSearches map[bool]int
 }
 
 // move is the move of a run, or of all runs of a gang, to executors on which room is kept.
@@ -87,14 +91,20 @@
 	return out
 }
 
-// planMoves marks runs of evacuated domains for stopping if other executors have the room for them now, which is kept
-// for them.
-func (c *Cell) planMoves(now tick.Time, p *placement) {
+// isMoveSearchDue reports whether runs to move are to be searched now.
+func (c *Cell) isMoveSearchDue(now tick.Time) bool {
 	if len(c.evacuation.domains) == 0 || now.Before(c.evacuation.nextSearchAt) {
-		return
+		return false
 	}
-	c.evacuation.nextSearchAt = now.Add(evacuationInterval)
-	groups := c.movableRuns()
+	interval := evacuationInterval + time.Duration(len(c.execs))*evacuationIntervalPerExecutor
+	c.evacuation.nextSearchAt = now.Add(interval)
+	return true
+}
+
+// planMoves marks runs of evacuated domains, either the long-running or the others, for stopping if other executors
+// have the room for them now, which is kept for them.
+func (c *Cell) planMoves(now tick.Time, p *placement, areLongRunning bool) {
+	groups := c.movableRuns(areLongRunning)
 	units := make([]evac.Unit, len(groups))
 	away := map[*step]int{}
 	for i, runs := range groups {
@@ -111,7 +121,10 @@
 		return m != nil
 	}
 	planner := evac.New(evac.Costs{Stop: c.params.StopTimeout, Restore: c.params.Restore})
-	for _, i := range planner.Plan(units, len(c.evacuation.moves), reserve) {
+	selected := planner.Plan(units, len(c.evacuation.moves), c.evacuation.futileSearches[areLongRunning], reserve)
+	c.evacuation.futileSearches[areLongRunning]++
+	for _, i := range selected {
+		c.evacuation.futileSearches[areLongRunning] = 0
 		c.evacuation.moves = append(c.evacuation.moves, moves[i])
 		for _, r := range moves[i].runs {
 			c.markForStopping(r)
@@ -122,9 +135,9 @@
 	}
 }
 
-// movableRuns returns the runs of evacuated domains that may be moved, in a fixed order: each for itself, or all of a
-// gang. Executors that do not respond could not confirm a stop.
-func (c *Cell) movableRuns() [][]*run {
+// movableRuns returns the long-running or the other runs of evacuated domains that may be moved, in a fixed order: each
+// for itself, or all of a gang. Executors that do not respond could not confirm a stop.
+func (c *Cell) movableRuns(areLongRunning bool) [][]*run {
 	var out [][]*run
 	gangs := map[*step]bool{}
 	for _, x := range c.execs {
@@ -133,7 +146,7 @@
 		}
 		for _, r := range x.runs {
 			s := r.task.step
-			if gangs[s] || !c.isMovable(r) {
+			if s.pb.LongRunning != areLongRunning || gangs[s] || !c.isMovable(r) {
 				continue
 			}
 			runs := []*run{r}
@@ -312,7 +325,7 @@
 	for i, r := range m.runs {
 		// The room that is kept for the other members of a gang stays taken.
 		targets[i].unreserve(r.task)
-		_, isFree := p.rateExecutor(s, resourcesOf(s.pb), targets[i])
+		isFree := p.takesMoved(s, targets[i])
 		targets[i].reserve(r.task)
 		isPermitted = isPermitted && isFree
 	}
@@ -325,9 +338,20 @@
 	}
 	for i, r := range m.runs {
 		c.reserveRun(now, r.task, targets[i], number)
+		r.task.run.isMoved = true
 		if r.exec.isEvacuated {
 			c.evacuation.moved[r.exec.entry.Domain]++
 		}
 	}
 	return len(m.runs)
 }
+
+// takesMoved reports whether the executor can still take a task for which room was kept on it.
+func (p *placement) takesMoved(s *step, x *executor) bool {
+	need := resourcesOf(s.pb)
+	if s.pb.Fills {
+		_, ok := p.rateExecutor(s, need, x)
+		return ok
+	}
+	return x.allows(s, need) && s.isPermittedOn(p.now, x) && x.suspicion.admits(p.now, s)
+}
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -45,11 +45,15 @@
 		c.placeRecorded(now, p, limit)
 	} else {
 		limit -= c.finishMoves(now, p, limit)
-		if limits.MaxStarts > 0 {
-			// Moves come first, as waiting tasks would take all room on a full fleet.
-			c.planMoves(now, p)
+		mayMove := limits.MaxStarts > 0 && c.isMoveSearchDue(now)
+		if mayMove {
+			// Long-running tasks come first, as waiting tasks would take all room on a full fleet.
+			c.planMoves(now, p, true)
 		}
 		c.placeWaiting(now, p, limit)
+		if mayMove {
+			c.planMoves(now, p, false)
+		}
 	}
 	started := c.startRecorded(now, limits.MaxStarts)
 	if len(started) < limits.MaxStarts && !limits.IsStoreStalled {
--- a/internal/state/cell/reserve.go
+++ b/internal/state/cell/reserve.go
@@ -83,10 +83,10 @@
 
 // withdrawUnbatched withdraws the reserved runs that are in no batch yet, so that they keep no resources from tasks
 // that need no record. Those in the batch under way remain: a store that takes long for every batch would otherwise let
-// nothing start.
+// nothing start. Those that replace a moved run remain too: their room was kept for them since before the run stopped.
 func (c *Cell) withdrawUnbatched() {
 	for _, r := range slices.Clone(c.placements.reserved) {
-		if r.isReserved && !r.isBatched && !r.isRecorded {
+		if r.isReserved && !r.isBatched && !r.isRecorded && !r.isMoved {
 			c.withdrawRun(r)
 		}
 	}
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -46,6 +46,8 @@
 	usage      int64
 	// checkpointAt is when a list first had the checkpoint.
 	checkpointAt tick.Time
+	// isMoved is true for the run that replaces one that was stopped to move it.
+	isMoved bool
 	// checkpointPercent is the progress that the checkpoint has at least.
 	checkpointPercent int
 	// firstListedAt and listedAt are when a list first and last contained the run, progressAt when percent last changed.
