Let a slow store and an evacuation leave room for short tasks

At most 128 reserved runs waited for a batch, and reserving stopped after 0.4 s, so that 200 to 300 tasks a second started instead of 900; 4,000 tasks waited. After an evacuation, long-running tasks that moved took the room of short ones: of 1,030 short jobs 162 were not done. Change: up to 1,024 reserved runs; the store counts as stalled after 0.8 s; long-running tasks move at most twice a second while tasks that end soon wait for room.

--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -33,8 +33,9 @@
 	// commitPause is the pause after a commit, so that many changes share one record. It ends early if reserved runs wait
 	// for their record. The next plan then collects what has become startable, so it lasts minPlanPause at least.
 	commitPause = 20 * time.Millisecond
-	// storeStallTimeout is how long the store may take for records until only tasks start that need none.
-	storeStallTimeout = 400 * time.Millisecond
+	// storeStallTimeout is how long the store may take for records until only tasks start that need none. A store that is
+	// slow takes several hundred milliseconds for each batch, and starts must go on then.
+	storeStallTimeout = 800 * time.Millisecond
 	// commitFailurePause is the pause after a term that a failed commit has ended. It limits the rate of terms, and the
 	// replica completes its last waiting read within it.
 	commitFailurePause = 1100 * time.Millisecond
--- a/internal/state/cell/evacuation.go
+++ b/internal/state/cell/evacuation.go
@@ -16,6 +16,9 @@
 	// evacuationIntervalPerExecutor what each executor adds to it, as a search rates all of them.
 	evacuationInterval            = 50 * time.Millisecond
 	evacuationIntervalPerExecutor = 50 * time.Microsecond
+	// evacuationPauseUnderLoad is the shortest time between two moves of long-running tasks while other tasks wait for
+	// the room.
+	evacuationPauseUnderLoad = 500 * time.Millisecond
 	// moveMargin is the time for the order and the list in addition to the longest stop, for which room is kept for a run
 	// that moves. Its task waits like any other afterwards.
 	moveMargin = 1500 * time.Millisecond
@@ -31,6 +34,10 @@
 	// moves are those under way, and nextSearchAt is the earliest time for the next search.
 	moves        []*move
 	nextSearchAt tick.Time
+	// isShortOfRoom is true if tasks that end soon have found no room in the last pass. movedLongRunningAt is when
+	// long-running tasks were last moved.
+	isShortOfRoom      bool
+	movedLongRunningAt tick.Time
 	// futileSearches counts the searches in a row that found no room, for long-running runs and for the others.
 	futileSearches map[bool]int
 }
@@ -101,6 +108,16 @@
 	return true
 }
 
+// mayMoveLongRunning reports whether long-running tasks may be moved now. They leave slowly while tasks that end soon
+// wait for room, because those have nowhere else to run.
+func (c *Cell) mayMoveLongRunning(now tick.Time) bool {
+	if c.evacuation.isShortOfRoom && now.Sub(c.evacuation.movedLongRunningAt) < evacuationPauseUnderLoad {
+		return false
+	}
+	c.evacuation.movedLongRunningAt = now
+	return true
+}
+
 // planMoves marks runs of evacuated domains, either the long-running or the others, for stopping if other executors
 // have the room for them now, which is kept for them.
 func (c *Cell) planMoves(now tick.Time, p *placement, areLongRunning bool) {
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -40,13 +40,13 @@
 	p := c.newPlacement(now)
 	c.beginLookAhead(now)
 	out := c.adjustPaces(now, p, nil)
-	limit := max(limits.MaxStarts, maxReserved) - len(c.placements.reserved)
+	limit := maxReserved - len(c.placements.reserved)
 	if limits.IsStoreStalled {
 		c.placeRecorded(now, p, limit)
 	} else {
 		limit -= c.finishMoves(now, p, limit)
 		mayMove := limits.MaxStarts > 0 && c.isMoveSearchDue(now)
-		if mayMove {
+		if mayMove && c.mayMoveLongRunning(now) {
 			// Long-running tasks come first, as waiting tasks would take all room on a full fleet.
 			c.planMoves(now, p, true)
 		}
@@ -200,6 +200,7 @@
 
 // placeWaiting reserves runs for waiting tasks, at most the limit and the rest of a gang.
 func (c *Cell) placeWaiting(now tick.Time, p *placement, limit int) {
+	c.evacuation.isShortOfRoom = false
 	for _, s := range c.waitingSteps(now) {
 		if limit <= 0 {
 			return
@@ -236,6 +237,7 @@
 		cands.update(x)
 	}
 	if n < limit && len(cands.list) == 0 && s.firstStartable(now) != nil {
+		c.evacuation.isShortOfRoom = c.evacuation.isShortOfRoom || !s.pb.Fills && !s.pb.LongRunning
 		c.awaitRoom(now, p, s)
 	}
 	return n
--- a/internal/state/cell/reserve.go
+++ b/internal/state/cell/reserve.go
@@ -9,9 +9,9 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// maxReserved bounds the reserved runs if fewer start orders may be sent. It is the highest limit of the start orders
-// in flight, so that a stored batch can fill the start window.
-const maxReserved = 128
+// maxReserved bounds the reserved runs. A store that takes half a second for a batch must not limit a fleet to fewer than
+// 2,000 starts a second.
+const maxReserved = 1024
 
 // placements is what the cell keeps about the records that name the executors of tasks.
 type placements struct {
