--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -51,8 +51,8 @@
 
 	callTimeout            = 1200 * time.Millisecond
 	heartbeatAppendTimeout = 900 * time.Millisecond
-	// minHeartbeatTimeout is the shortest timeout of a heartbeat, so that one that is lost with its connection is repeated
-	// before another instance asks for the lead. heartbeatRetryDelay is the pause before that.
+	// minHeartbeatTimeout is the shortest timeout of a heartbeat, so that one that is lost with its connection is
+	// repeated before another instance asks for the lead. heartbeatRetryDelay is the pause before that.
 	minHeartbeatTimeout = 200 * time.Millisecond
 	heartbeatRetryDelay = 20 * time.Millisecond
 	retryDelay          = 150 * time.Millisecond
@@ -415,8 +415,8 @@
 	}
 }
 
-// sendHeartbeat appends one heartbeat. It returns false if another instance has claimed leadership, and the pause before
-// the next heartbeat.
+// sendHeartbeat appends one heartbeat. It returns false if another instance has claimed leadership, and the pause
+// before the next heartbeat.
 func (e *Elector) sendHeartbeat(ctx context.Context, t Term) (bool, time.Duration) {
 	sent, timeout := tick.Now(), e.heartbeatTimeout.Timeout()
 	err := e.append(ctx, timeout, e.record(t.Epoch))
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -146,7 +146,8 @@
 		adviceWake: make(chan struct{}, 1), placementWake: make(chan struct{}, 1),
 		failed: make(chan error, 1), holdSenders: map[string]*holdSender{},
 		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts, slowOrder),
-		startResponses: rtrip.New(minOverdue, orderTimeout), appendTimeout: rtrip.New(minAppendTimeout, callTimeout), querying: map[string]bool{},
+		startResponses: rtrip.New(minOverdue, orderTimeout), querying: map[string]bool{},
+		appendTimeout:  rtrip.New(minAppendTimeout, callTimeout),
 		evacuationGate: fresh.New(maxEvacuationsAge, l.opts.EvacuateWithin),
 	}
 	if err := tm.takeOver(ctx, t); err != nil {
--- a/internal/state/cell/evacuation.go
+++ b/internal/state/cell/evacuation.go
@@ -18,7 +18,7 @@
 	evacuationIntervalPerExecutor = 50 * time.Microsecond
 	// evacuationPauseUnderLoad is the shortest time between two moves of long-running tasks while other tasks wait for
 	// the room.
-	evacuationPauseUnderLoad = 500 * time.Millisecond
+	evacuationPauseUnderLoad = 300 * time.Millisecond
 	// moveMargin is the time for the order and the list in addition to the longest stop, for which room is kept for a run
 	// that moves. Its task waits like any other afterwards.
 	moveMargin = 1500 * time.Millisecond
@@ -111,11 +111,7 @@
 // mayMoveLongRunning reports whether long-running tasks may be moved now. They leave slowly while tasks that end soon
 // wait for room, because those have nowhere else to run.
 func (c *Cell) mayMoveLongRunning(now tick.Time) bool {
-	if c.evacuation.isShortOfRoom && now.Sub(c.evacuation.movedLongRunningAt) < evacuationPauseUnderLoad {
-		return false
-	}
-	c.evacuation.movedLongRunningAt = now
-	return true
+	return !c.evacuation.isShortOfRoom || now.Sub(c.evacuation.movedLongRunningAt) >= evacuationPauseUnderLoad
 }
 
 // planMoves marks runs of evacuated domains, either the long-running or the others, for stopping if other executors
@@ -142,6 +138,9 @@
 	c.evacuation.futileSearches[areLongRunning]++
 	for _, i := range selected {
 		c.evacuation.futileSearches[areLongRunning] = 0
+		if areLongRunning {
+			c.evacuation.movedLongRunningAt = now
+		}
 		c.evacuation.moves = append(c.evacuation.moves, moves[i])
 		for _, r := range moves[i].runs {
 			c.markForStopping(r)
--- a/internal/state/cell/reserve.go
+++ b/internal/state/cell/reserve.go
@@ -9,8 +9,8 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// maxReserved bounds the reserved runs. A store that takes half a second for a batch must not limit a fleet to fewer than
-// 2,000 starts a second.
+// maxReserved bounds the reserved runs. A store that takes half a second for a batch must not limit a fleet to fewer
+// than 2,000 starts a second.
 const maxReserved = 1024
 
 // placements is what the cell keeps about the records that name the executors of tasks.
