Let long-running tasks pass reservations after 1.5 s, and list a load beyond the bound of waits

A long-running task serves callers of its own, so that a reservation of a starved step must not keep it for longer.

--- a/internal/state/ahead/ahead.go
+++ b/internal/state/ahead/ahead.go
@@ -124,6 +124,9 @@
 	Need     Resources
 	// EndsAt is when the task would end; 0 if that is not known.
 	EndsAt tick.Time
+	// IsLongRunning is true if the task runs until it is cancelled. It must not wait behind a reservation for long, as it
+	// serves its own callers.
+	IsLongRunning bool
 }
 
 // Reservation keeps the room of a step on one executor.
@@ -452,7 +455,7 @@
 	if room.coversRoom(v.need) {
 		return true
 	}
-	return p.isDelayedTooLong(now, c.Step) && !p.isUnyielding(now, v.Step)
+	return p.isDelayedTooLong(now, c.Step) && (c.IsLongRunning || !p.isUnyielding(now, v.Step))
 }
 
 // isDelayedTooLong notes that a reservation keeps the step from starting, and reports whether reservations have done so
--- a/internal/state/ahead/ahead_test.go
+++ b/internal/state/ahead/ahead_test.go
@@ -283,6 +283,8 @@
 		admitsAt(d)
 	}
 	assert.Assert(t, !admitsAt(5*time.Second), "the step has waited for its patience")
+	lasting := ahead.Claim{Step: small, Need: cores(1), IsLongRunning: true}
+	assert.Assert(t, p.Admits(at(5*time.Second), "x0", lasting, f.describe("x0")), "a long-running task has waited 1.5 s")
 }
 
 // TestHoldersAreBounded guards against reservations that keep a large part of the fleet idle.
--- a/internal/state/cell/reservations.go
+++ b/internal/state/cell/reservations.go
@@ -167,7 +167,9 @@
 	if c.lookAhead == nil || !c.lookAhead.planner.IsReserved(x.entry.ID) {
 		return false
 	}
-	claim := ahead.Claim{Step: s.aheadKey(), Priority: s.job.queue.Priority, Need: aheadResources(need)}
+	claim := ahead.Claim{
+		Step: s.aheadKey(), Priority: s.job.queue.Priority, Need: aheadResources(need), IsLongRunning: s.pb.LongRunning,
+	}
 	if !s.pb.Fills && !s.pb.LongRunning && s.pb.EstimateMs > 0 {
 		claim.EndsAt = now.Add(c.remainingTime(&run{task: &task{step: s}, exec: x, startedAt: now, pace: fullPacePercent}))
 	}
--- a/internal/state/cell/reservations_model_test.go
+++ b/internal/state/cell/reservations_model_test.go
@@ -25,6 +25,8 @@
 	// 0.12 s more, until its record is stored: the rest of one commit and another one of 0.08 s. So the jobs need 0.7 of
 	// the 96 cores.
 	smallJobInterval = 36 * time.Millisecond
+	// denseJobInterval is an interval at which they need 0.79 of the cores.
+	denseJobInterval = 31 * time.Millisecond
 	// largeJobInterval is the interval of jobs that need several or whole executors. They need another 0.05 to 0.1.
 	largeJobInterval = 6 * time.Second
 	// longestFitWait is the stated bound for a job that fits an empty fleet: its patience (at most 10 s), the forecast
@@ -34,13 +36,13 @@
 )
 
 // submitFitJobs schedules small jobs all the time and large ones at intervals.
-func (sim *simulation) submitFitJobs() {
+func (sim *simulation) submitFitJobs(interval time.Duration) {
 	n := 0
 	submit := func(s *jobpb.Step) {
 		n++
 		sim.submit(&jobpb.Job{Id: fmt.Sprintf("%016x", n), Queue: "q", Service: "svc", Spec: "s", Steps: []*jobpb.Step{s}})
 	}
-	for at := time.Duration(0); at < fitLength; at += smallJobInterval {
+	for at := time.Duration(0); at < fitLength; at += interval {
 		sim.after(at, func() {
 			submit(&jobpb.Step{
 				Count: 1, MilliCpu: uint32(500 + sim.rnd.IntN(3500)), MemoryMb: 1000, EstimateMs: uint32(200 + sim.rnd.IntN(1300)),
@@ -106,12 +108,18 @@
 // TestJobsThatFitStart checks that no job that fits an empty fleet waits beyond a stated bound, beside a stream of
 // small jobs that alone would always find room, with durations of 0.6 to 1.6 times the estimates. In every other
 // schedule, the leader is replaced.
-func TestJobsThatFitStart(t *testing.T) {
+func TestJobsThatFitStart(t *testing.T) { checkJobsThatFitStart(t, smallJobInterval) }
+
+// TestJobsThatFitStartBesideDenseJobs checks the same bound beside more small jobs, where less room ever becomes free.
+func TestJobsThatFitStartBesideDenseJobs(t *testing.T) { checkJobsThatFitStart(t, denseJobInterval) }
+
+func checkJobsThatFitStart(t *testing.T, interval time.Duration) {
+	t.Helper()
 	for seed := *fitFirst; seed < *fitFirst+uint64(*fitSeeds); seed++ {
 		sim := newSimulation(seed, faults{})
 		sim.params.LookAhead = true
 		sim.currentLeader().cell.lookAhead = newLookAhead(sim.params)
-		sim.submitFitJobs()
+		sim.submitFitJobs(interval)
 		if seed%2 == 0 {
 			sim.after(sim.randomDuration(10*time.Second, 30*time.Second), sim.replaceLeader)
 		}
