Order waiting jobs by the mean ratio of their queue again

With ratios of their own, jobs that turn out long fall behind new ones in the middle of their work. Change: the order and the latency target use the mean of the queue, as before; remaining times keep the quantiles. The pause after the start of a best-effort task is no longer counted twice, from its placement and from its start.

--- a/internal/state/cell/durations.go
+++ b/internal/state/cell/durations.go
@@ -9,8 +9,8 @@
 
 // The quantiles of durations that decisions depend on.
 const (
-	// orderQuantile orders waiting jobs by the work that they typically have left.
-	orderQuantile = 0.5
+	// typicalQuantile gives the time that a run typically takes.
+	typicalQuantile = 0.5
 	// endQuantile gives the time by which a run will have ended, for drains and reservations. One wrong in ten costs a
 	// stop that comes late, or a reservation that expires.
 	endQuantile = 0.9
@@ -61,5 +61,5 @@
 
 // earliestEnd returns the shortest time that the run may have left.
 func (c *Cell) earliestEnd(r *run) time.Duration {
-	return min(c.remainingQuantile(r, earlyQuantile), c.remainingQuantile(r, orderQuantile)/maxSpeedup)
+	return min(c.remainingQuantile(r, earlyQuantile), c.remainingQuantile(r, typicalQuantile)/maxSpeedup)
 }
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -87,7 +87,9 @@
 const tooLateFactor = 3
 
 func (c *Cell) urgencyOf(now tick.Time, j *job) urgency {
-	ratio := c.durations.Ratio(j.pb.Queue, j.id, orderQuantile)
+	// The ratio of the whole queue keeps the order of its jobs. With ratios of their own, jobs that turn out long would fall
+	// behind new ones in the middle of their work, and more jobs would end late.
+	ratio := c.durations.Mean(j.pb.Queue)
 	latencyTarget := c.latencyTargetOf(j)
 	left := time.Duration(float64(j.remainingCriticalPath()) * ratio)
 	slack := j.acceptedAt.Add(latencyTarget).Sub(now) - left
@@ -107,7 +109,7 @@
 
 // latencyTargetOf returns the time from the acceptance of a job within which it should be done.
 func (c *Cell) latencyTargetOf(j *job) time.Duration {
-	criticalPath := time.Duration(float64(j.criticalPath) * c.durations.Ratio(j.pb.Queue, j.id, orderQuantile))
+	criticalPath := time.Duration(float64(j.criticalPath) * c.durations.Mean(j.pb.Queue))
 	return time.Duration(float64(criticalPath)*j.queue.StretchFactor) + time.Duration(j.queue.TargetMS)*time.Millisecond
 }
 
--- a/internal/state/cell/reserve.go
+++ b/internal/state/cell/reserve.go
@@ -206,7 +206,8 @@
 	t, x := r.task, r.exec
 	r.isReserved = false
 	r.startedAt, r.progressAt, r.checkpoint = now, now, t.checkpoint
-	if t.step.pb.Fills {
+	if t.step.pb.Fills && now.Sub(r.createdAt) > bestEffortStartInterval/2 {
+		// The pause from the reservation on would end too soon after the start.
 		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
 	}
 	c.speed.Begin(now, x.entry.ID, r.id)
--- a/internal/state/cell/slowness.go
+++ b/internal/state/cell/slowness.go
@@ -50,7 +50,7 @@
 		}
 	}
 	estimate, name := float64(st.estimate()), st.job.pb.Queue
-	s.Typical = time.Duration(estimate * c.durations.Ratio(name, st.job.id, orderQuantile))
+	s.Typical = time.Duration(estimate * c.durations.Ratio(name, st.job.id, typicalQuantile))
 	if ofQueue, _ := c.durations.Samples(name, st.job.id); ofQueue >= minDurationSamples {
 		s.Longest = time.Duration(estimate * c.durations.Ratio(name, st.job.id, longestQuantile))
 	}
--- a/internal/state/cell/usage.go
+++ b/internal/state/cell/usage.go
@@ -45,7 +45,7 @@
 	u := Usage{Jobs: len(c.active), Delayed: c.delayed, SlowExecutors: c.speed.Count()}
 	for _, name := range c.durations.Queues() {
 		u.Durations = append(u.Durations, QueueDurations{
-			Queue: name, Median: c.durations.Ratio(name, "", orderQuantile), High: c.durations.Ratio(name, "", endQuantile),
+			Queue: name, Median: c.durations.Ratio(name, "", typicalQuantile), High: c.durations.Ratio(name, "", endQuantile),
 		})
 	}
 	for _, x := range c.execs {
--- a/internal/state/quant/quant.go
+++ b/internal/state/quant/quant.go
@@ -139,6 +139,15 @@
 // Forget drops the samples of a job that has ended.
 func (m *Model) Forget(job string) { m.jobs.Remove(job) }
 
+// Mean returns the mean ratio of a queue's tasks, which is close to 1 while there are few of them.
+func (m *Model) Mean(queue string) float64 {
+	q, isKnown := m.queues.Peek(queue)
+	if !isKnown {
+		return 1
+	}
+	return math.Pow(q.all.mean(), weight(q.all.total, neutralSamples))
+}
+
 // Save returns the ratios of all queues for storage, in the order of their names. The ratio of a record is the mean,
 // which versions without quantiles read.
 func (m *Model) Save() []*jobpb.QueueRatio {
