Tell placed runs, kept room and reservations apart

The word "reserved" stood for three things in the cell: a run whose executor is chosen but whose start order is not made yet, the reservation of an executor by the look-ahead, and the room kept for a move. The first is now "placed" (event placement-withdrawn, gauge and log field placed, file placed.go) and the last "kept".

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -113,7 +113,7 @@
 	evacuationGate *fresh.Gate
 	planWake       chan struct{}
 	commitWake     chan struct{}
-	// placementWake ends the pause after a commit, because reserved runs wait for a record.
+	// placementWake ends the pause after a commit, because placed runs wait for a record.
 	placementWake chan struct{}
 	adviceWake    chan struct{}
 	// failed receives the first error that ends the term.
@@ -383,7 +383,7 @@
 		Int("waiting-short", u.WaitingShort).Int("waiting-lasting", u.WaitingLongRunning).
 		Int("waiting-filling", u.WaitingBestEffort).Int("serving", u.LatencyCritical).Int("over-target", u.OverTarget).
 		Int("filling", u.BestEffort).Int("slowed", u.Throttled).Int("awaited-executors", u.AwaitedExecutors).
-		Int("slow-executors", u.SlowExecutors).Int("reserved", u.Reserved).Int("delayed", countDelayed(u)).
+		Int("slow-executors", u.SlowExecutors).Int("placed", u.Placed).Int("delayed", countDelayed(u)).
 		Msg("cell-usage")
 }
 
@@ -419,7 +419,7 @@
 		"cores_filling": u.BestEffortCores, "waiting_short": int64(u.WaitingShort),
 		"waiting_lasting": int64(u.WaitingLongRunning), "waiting_filling": int64(u.WaitingBestEffort),
 		"serving": int64(u.LatencyCritical), "over_target": int64(u.OverTarget),
-		"reserved": int64(u.Reserved), "filling": int64(u.BestEffort), "slowed": int64(u.Throttled),
+		"placed": int64(u.Placed), "filling": int64(u.BestEffort), "slowed": int64(u.Throttled),
 		"awaited_executors": int64(u.AwaitedExecutors), "slow_executors": int64(u.SlowExecutors),
 	} {
 		t.opts.Meter.Gauge("cell_"+name, nil, float64(v))
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -24,13 +24,13 @@
 	// suspend this process or an executor for that long.
 	minOverdue = 100 * time.Millisecond
 	// minAppendTimeout is the shortest timeout of an append of records, so that one that is lost with its connection is
-	// repeated soon. Reserved runs wait for it.
+	// repeated soon. Placed runs wait for it.
 	minAppendTimeout = 200 * time.Millisecond
 	// maxQueries limits the queries in flight.
 	maxQueries = 64
 	// holdTimeoutMargin is added to the wait time of a hold for the timeout of the call.
 	holdTimeoutMargin = 600 * time.Millisecond
-	// commitPause is the pause after a commit, so that many changes share one record. It ends early if reserved runs wait
+	// commitPause is the pause after a commit, so that many changes share one record. It ends early if placed runs wait
 	// for their record. The next plan then collects what has become startable, so it lasts minPlanPause at least.
 	commitPause = 20 * time.Millisecond
 	// storeStallTimeout is how long the store may take for records until only tasks start that need none. A store that is
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -11,8 +11,8 @@
 //   - An end is acknowledged to its executor, and a job is shown as ended, only after the record of it is stored
 //     (record.go).
 //   - The order to start a task is sent only after a record that names its executor is stored, which the log accepts
-//     from the newest leader alone. Until then the run is reserved: it holds its resources, but its executor does not
-//     know of it (reserve.go). So a new leader holds back only the tasks that may run on an executor that has not
+//     from the newest leader alone. Until then the run is placed: it holds its resources, but its executor does not
+//     know of it (placed.go). So a new leader holds back only the tasks that may run on an executor that has not
 //     responded and whose lease may last. Jobs whose record does not name the executors wait for all executors
 //     (takeover.go).
 //
--- a/internal/state/cell/evacuation.go
+++ b/internal/state/cell/evacuation.go
@@ -128,13 +128,13 @@
 		units[i] = c.unitOf(now, runs, away[s])
 	}
 	moves := map[int]*move{}
-	reserve := func(i int) bool {
-		m := c.reserveMove(now, p, groups[i])
+	keepRoom := func(i int) bool {
+		m := c.keepRoomForMove(now, p, groups[i])
 		moves[i] = m
 		return m != nil
 	}
 	planner := evac.New(evac.Costs{Stop: c.params.StopTimeout, Restore: c.params.Restore})
-	selected := planner.Plan(units, len(c.evacuation.moves), c.evacuation.futileSearches[areLongRunning], reserve)
+	selected := planner.Plan(units, len(c.evacuation.moves), c.evacuation.futileSearches[areLongRunning], keepRoom)
 	c.evacuation.futileSearches[areLongRunning]++
 	for _, i := range selected {
 		c.evacuation.futileSearches[areLongRunning] = 0
@@ -241,9 +241,9 @@
 	return r != nil && !r.isMarkedForStopping && r.percent >= fullPacePercent && now.Sub(r.listedAt) < notice
 }
 
-// reserveMove keeps room for the runs on other executors. It returns nil if there is not enough. A member of a gang
+// keepRoomForMove keeps room for the runs on other executors. It returns nil if there is not enough. A member of a gang
 // outside of the evacuated domains stays on its executor.
-func (c *Cell) reserveMove(now tick.Time, p *placement, runs []*run) *move {
+func (c *Cell) keepRoomForMove(now tick.Time, p *placement, runs []*run) *move {
 	m := &move{since: now}
 	cands := p.candidates(runs[0].task.step)
 	for _, r := range runs {
@@ -255,7 +255,7 @@
 			m.release()
 			return nil
 		}
-		x.reserve(r.task)
+		x.keepRoom(r.task)
 		cands.update(x)
 		m.runs, m.targets = append(m.runs, r), append(m.targets, x)
 	}
@@ -264,35 +264,35 @@
 
 func (m *move) release() {
 	for i, x := range m.targets {
-		x.unreserve(m.runs[i].task)
+		x.releaseRoom(m.runs[i].task)
 	}
 	m.targets = nil
 }
 
-// reserve keeps the resources of a task on the executor.
-func (x *executor) reserve(t *task) {
-	x.reserved[t] = true
+// keepRoom keeps the resources of a task on the executor.
+func (x *executor) keepRoom(t *task) {
+	x.kept[t] = true
 	x.used = x.used.plus(resourcesOf(t.step.pb))
 	if t.step.pb.Fills {
 		x.bestEffortMilliCPU += int64(t.step.pb.MilliCpu)
 	}
 }
 
-func (x *executor) unreserve(t *task) {
-	if !x.reserved[t] {
+func (x *executor) releaseRoom(t *task) {
+	if !x.kept[t] {
 		return
 	}
-	delete(x.reserved, t)
+	delete(x.kept, t)
 	x.used = x.used.minus(resourcesOf(t.step.pb))
 	if t.step.pb.Fills {
 		x.bestEffortMilliCPU -= int64(t.step.pb.MilliCpu)
 	}
 }
 
-// countReserved returns the number of tasks of the step for which room is kept on the executor.
-func (x *executor) countReserved(s *step) int {
+// countKept returns the number of tasks of the step for which room is kept on the executor.
+func (x *executor) countKept(s *step) int {
 	n := 0
-	for t := range x.reserved {
+	for t := range x.kept {
 		if t.step == s {
 			n++
 		}
@@ -300,7 +300,7 @@
 	return n
 }
 
-// finishMoves reserves the runs of moved tasks that have stopped where room is kept for them. It returns their number.
+// finishMoves places the tasks whose runs have stopped where room is kept for them. It returns their number.
 func (c *Cell) finishMoves(now tick.Time, p *placement, limit int) int {
 	n := 0
 	c.evacuation.moves = slices.DeleteFunc(c.evacuation.moves, func(m *move) bool {
@@ -333,16 +333,16 @@
 	return false
 }
 
-// finishMove reserves the runs of a move unless a target no longer takes its task. Then the tasks wait like any others.
-// It returns the number of reserved runs.
+// finishMove places the tasks of a move unless a target no longer takes one of them. Then they wait like any others.
+// It returns the number of placed runs.
 func (c *Cell) finishMove(now tick.Time, p *placement, m *move) int {
 	s := m.runs[0].task.step
 	targets, number, isPermitted := m.targets, uint64(0), true
 	for i, r := range m.runs {
 		// The room that is kept for the other members of a gang stays taken.
-		targets[i].unreserve(r.task)
+		targets[i].releaseRoom(r.task)
 		isFree := p.takesMoved(s, targets[i])
-		targets[i].reserve(r.task)
+		targets[i].keepRoom(r.task)
 		isPermitted = isPermitted && isFree
 	}
 	m.release()
@@ -353,7 +353,7 @@
 		number = max(number, c.nextRunNumber(r.task))
 	}
 	for i, r := range m.runs {
-		c.reserveRun(now, r.task, targets[i], number)
+		c.placeRun(now, r.task, targets[i], number)
 		r.task.run.isMoved = true
 		if r.exec.isEvacuated {
 			c.evacuation.moved[r.exec.entry.Domain]++
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -76,8 +76,8 @@
 
 	total, used resources
 	runs        map[orders.Task]*run
-	// reserved has the tasks for which resources are kept until they start here.
-	reserved map[*task]bool
+	// kept has the moving tasks for which room is kept until they start here.
+	kept map[*task]bool
 	// latencyCritical are the runs with a latency target, bestEffort the best-effort runs.
 	latencyCritical, bestEffort []*run
 	// latencyCriticalMilliCPU and bestEffortMilliCPU are the CPU requests of these runs.
@@ -215,7 +215,7 @@
 	return &executor{
 		entry: e, hash: chain.Hash(e.ID), total: resources{e.MilliCPU, e.MemoryMB, e.GPUs},
 		runs: map[orders.Task]*run{}, orphaned: map[orders.Run]bool{},
-		reserved: map[*task]bool{},
+		kept: map[*task]bool{},
 	}
 }
 
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -231,7 +231,7 @@
 		return
 	}
 	t := c.task(row.Run.Task)
-	if t != nil && t.run != nil && t.run.isReserved {
+	if t != nil && t.run != nil && t.run.isPlaced {
 		c.withdrawRun(t.run)
 	}
 	if isFirst && t != nil && !t.done && t.run == nil {
@@ -289,7 +289,7 @@
 // after the deadline of their start order, which executors reject from then on.
 func (c *Cell) releaseMissing(sent tick.Time, x *executor, listed map[orders.Run]bool) {
 	for _, r := range x.runs {
-		if listed[r.id] || r.isReserved {
+		if listed[r.id] || r.isPlaced {
 			continue
 		}
 		isConfirmed := r.confirmedAt != 0 && r.confirmedAt.Before(sent)
@@ -313,7 +313,7 @@
 			continue
 		}
 		for _, r := range x.runs {
-			if !r.isReserved && (!x.isListed || !c.mayBeDone(r)) {
+			if !r.isPlaced && (!x.isListed || !c.mayBeDone(r)) {
 				c.releaseRun(r, orders.EndedLeaseExpired)
 			}
 		}
--- a/internal/state/cell/overdue.go
+++ b/internal/state/cell/overdue.go
@@ -30,10 +30,10 @@
 	return j.idleSince != 0 && now.Sub(j.idleSince) >= maxBestEffortDeferral
 }
 
-// reserveOverdue reserves a run for one task of a best-effort step that no executor tolerates, so that its job does not
-// wait without a bound for a forecast that may be wrong. The run is throttled to the headroom of the executor and
-// provides samples that correct the forecast. It returns the number of reserved runs.
-func (c *Cell) reserveOverdue(now tick.Time, p *placement, s *step) int {
+// placeOverdue places one task of a best-effort step that no executor tolerates, so that its job does not wait without
+// a bound for a forecast that may be wrong. The run is throttled to the headroom of the executor and provides samples
+// that correct the forecast. It returns the number of placed runs.
+func (c *Cell) placeOverdue(now tick.Time, p *placement, s *step) int {
 	t := s.firstStartable(now)
 	if t == nil {
 		return 0
@@ -42,7 +42,7 @@
 	if x == nil {
 		return 0
 	}
-	c.reserveRun(now, t, x, c.nextRunNumber(t))
+	c.placeRun(now, t, x, c.nextRunNumber(t))
 	c.emit(Event{Name: "started-overdue", Task: t.id, Run: t.run.id.Number, Executor: x.entry.ID})
 	t.run.pace, t.run.lowPaceSince = pace, now
 	t.run.isPaceUnconfirmed = pace < fullPacePercent
--- a/internal/state/cell/reserve.go
+++ b/internal/state/cell/placed.go
@@ -9,34 +9,34 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// maxReserved bounds the reserved runs. A store that takes half a second for a batch must not limit a fleet to fewer
-// than 2,000 starts a second.
-const maxReserved = 1024
+// maxPlaced bounds the placed runs. A store that takes half a second for a batch must not limit a fleet to fewer than
+// 2,000 starts a second.
+const maxPlaced = 1024
 
 // placements is what the cell keeps about the records that name the executors of tasks.
 type placements struct {
 	chain chain.Chain
 	// needsTerm is true if the leader writes a term record, which no start order precedes.
 	needsTerm, isTermBatched, isTermStored bool
-	// reserved has the reserved runs in the order of their reservation.
-	reserved []*run
+	// placed has the placed runs, oldest first: those whose start order is not made yet.
+	placed []*run
 	// held has the tasks that may run on executors that have not responded, by the hash of the executor.
 	held map[uint32][]*task
 }
 
 func (p *placements) isTermDue() bool { return p.needsTerm && !p.isTermBatched }
 
-// reserveRun creates a run whose start order is made once a stored record names its executor.
-func (c *Cell) reserveRun(now tick.Time, t *task, x *executor, number uint64) {
+// placeRun creates a run whose start order is made once a stored record names its executor.
+func (c *Cell) placeRun(now tick.Time, t *task, x *executor, number uint64) {
 	j := t.step.job
 	idleSince := j.idleSince
 	r := c.createRun(now, t, x, number)
-	r.isReserved, r.idleSince = true, idleSince
+	r.isPlaced, r.idleSince = true, idleSince
 	c.noteStart(now, t)
 	if t.step.pb.Fills {
 		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
 	}
-	c.placements.reserved = append(c.placements.reserved, r)
+	c.placements.placed = append(c.placements.placed, r)
 	r.isRecorded = t.recordedOn == x.hash && t.batchedOn == x.hash
 	if !r.isRecorded {
 		c.dirty[j.id] = j
@@ -46,7 +46,7 @@
 	}
 }
 
-// placeRecorded reserves runs for waiting tasks on the executors that their records name, at most the limit.
+// placeRecorded places waiting tasks on the executors that their records name, at most the limit.
 func (c *Cell) placeRecorded(now tick.Time, p *placement, limit int) {
 	for _, s := range c.waitingSteps(now) {
 		if s.pb.Gang {
@@ -61,7 +61,7 @@
 			if x == nil || !t.isStartable(now) {
 				continue
 			}
-			c.reserveRun(now, t, x, c.nextRunNumber(t))
+			c.placeRun(now, t, x, c.nextRunNumber(t))
 			limit--
 			cands.update(x)
 		}
@@ -81,12 +81,12 @@
 	return c.list[i].exec
 }
 
-// withdrawUnbatched withdraws the reserved runs that are in no batch yet, so that they keep no resources from tasks
+// withdrawUnbatched withdraws the placed runs that are in no batch yet, so that they keep no resources from tasks
 // that need no record. Those in the batch under way remain: a store that takes long for every batch would otherwise let
 // nothing start. Those that replace a moved run remain too: their room was kept for them since before the run stopped.
 func (c *Cell) withdrawUnbatched() {
-	for _, r := range slices.Clone(c.placements.reserved) {
-		if r.isReserved && !r.isBatched && !r.isRecorded && !r.isMoved {
+	for _, r := range slices.Clone(c.placements.placed) {
+		if r.isPlaced && !r.isBatched && !r.isRecorded && !r.isMoved {
 			c.withdrawRun(r)
 		}
 	}
@@ -94,9 +94,9 @@
 
 // withdrawRun removes a run for which no order was made. Its number may be assigned again.
 func (c *Cell) withdrawRun(r *run) {
-	c.placements.reserved = slices.DeleteFunc(c.placements.reserved, func(o *run) bool { return o == r })
+	c.placements.placed = slices.DeleteFunc(c.placements.placed, func(o *run) bool { return o == r })
 	c.detachRun(r)
-	r.isReserved = false
+	r.isPlaced = false
 	r.task.startCount--
 	if j := r.task.step.job; j.idleSince == 0 {
 		j.idleSince = r.idleSince
@@ -112,17 +112,17 @@
 	}
 }
 
-// withdrawUnfit withdraws the reserved runs that may no longer start on their executor, and with one member of a gang
+// withdrawUnfit withdraws the placed runs that may no longer start on their executor, and with one member of a gang
 // all others.
 func (c *Cell) withdrawUnfit(now tick.Time) {
-	for _, r := range slices.Clone(c.placements.reserved) {
-		if !r.isReserved || r.isFit(now) {
+	for _, r := range slices.Clone(c.placements.placed) {
+		if !r.isPlaced || r.isFit(now) {
 			continue
 		}
 		for _, t := range r.startGroup() {
-			if t.run != nil && t.run.isReserved {
+			if t.run != nil && t.run.isPlaced {
 				c.emit(Event{
-					Name: "reservation-withdrawn", Task: t.id, Run: t.run.id.Number, Executor: t.run.exec.entry.ID,
+					Name: "placement-withdrawn", Task: t.id, Run: t.run.id.Number, Executor: t.run.exec.entry.ID,
 				})
 				c.withdrawRun(t.run)
 			}
@@ -138,13 +138,13 @@
 	return []*task{r.task}
 }
 
-// isFit reports whether the reserved run may still start on its executor.
+// isFit reports whether the placed run may still start on its executor.
 func (r *run) isFit(now tick.Time) bool {
 	x, s := r.exec, r.task.step
 	if !x.isUsable(now) || !x.free().covers(resources{}) || !x.satisfies(s.pb.RequiresLabel) {
 		return false
 	}
-	if !s.isPermittedOn(now, x) || s.pb.Fills && x.hasRunOverTarget() || !x.suspicion.permitsReserved(r) {
+	if !s.isPermittedOn(now, x) || s.pb.Fills && x.hasRunOverTarget() || !x.suspicion.permitsPlaced(r) {
 		return false
 	}
 	if on := r.task.orphanedOn; on != nil && on.hasOrphanedRun(r.task.id) {
@@ -157,43 +157,43 @@
 	return r.task.heldFor == 0
 }
 
-// permitsReserved reports whether a reserved run may start although the executor has become suspect since.
-func (s *suspicion) permitsReserved(r *run) bool {
+// permitsPlaced reports whether a placed run may start although the executor has become suspect since.
+func (s *suspicion) permitsPlaced(r *run) bool {
 	if !s.isActive() || s.trial == r {
 		return true
 	}
 	return s.trial != nil && r.task.step.pb.Gang && s.trial.task.step == r.task.step
 }
 
-// startRecorded returns the orders to start reserved runs whose executor is recorded, in the order of their
-// reservation. A gang starts as one, which may exceed the limit.
+// startRecorded returns the orders to start placed runs whose executor is recorded, in the order of their
+// placement. A gang starts as one, which may exceed the limit.
 func (c *Cell) startRecorded(now tick.Time, maxStarts int) []Order {
 	if c.placements.needsTerm && !c.placements.isTermStored {
 		return nil
 	}
 	var out []Order
-	for _, r := range c.placements.reserved {
+	for _, r := range c.placements.placed {
 		if len(out) >= maxStarts {
 			break
 		}
-		if !r.isReserved || !isGroupReady(now, r) {
+		if !r.isPlaced || !isGroupReady(now, r) {
 			continue
 		}
 		for _, t := range r.startGroup() {
-			if t.run != nil && t.run.isReserved {
+			if t.run != nil && t.run.isPlaced {
 				out = append(out, c.startRun(now, t.run))
 			}
 		}
 	}
-	c.placements.reserved = slices.DeleteFunc(c.placements.reserved, func(r *run) bool { return !r.isReserved })
+	c.placements.placed = slices.DeleteFunc(c.placements.placed, func(r *run) bool { return !r.isPlaced })
 	return out
 }
 
-// isGroupReady reports whether the executors of the reserved run and of its gang are recorded and no pause after
+// isGroupReady reports whether the executors of the placed run and of its gang are recorded and no pause after
 // failures keeps them from starting.
 func isGroupReady(now tick.Time, r *run) bool {
 	for _, t := range r.startGroup() {
-		isWaiting := t.run != nil && t.run.isReserved
+		isWaiting := t.run != nil && t.run.isPlaced
 		if isWaiting && (!t.run.isRecorded || t.run.exec.suspicion.isPausing(now)) {
 			return false
 		}
@@ -201,10 +201,10 @@
 	return true
 }
 
-// startRun returns the order to start a reserved run.
+// startRun returns the order to start a placed run.
 func (c *Cell) startRun(now tick.Time, r *run) Order {
 	t, x := r.task, r.exec
-	r.isReserved = false
+	r.isPlaced = false
 	r.startedAt, r.progressAt, r.checkpoint = now, now, t.checkpoint
 	if t.step.pb.Fills {
 		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
@@ -217,24 +217,24 @@
 	}}
 }
 
-// HasUnrecordedRuns reports whether runs are reserved that wait for the next batch to be stored.
+// HasUnrecordedRuns reports whether there are placed runs that wait for the next batch to be stored.
 func (c *Cell) HasUnrecordedRuns() bool {
-	return slices.ContainsFunc(c.placements.reserved, func(r *run) bool { return !r.isRecorded })
+	return slices.ContainsFunc(c.placements.placed, func(r *run) bool { return !r.isRecorded })
 }
 
-// hasOrderedRun reports whether the executor has a run that is not only reserved.
+// hasOrderedRun reports whether the executor has a run whose start order was made.
 func (x *executor) hasOrderedRun() bool {
 	for _, r := range x.runs {
-		if !r.isReserved {
+		if !r.isPlaced {
 			return true
 		}
 	}
 	return false
 }
 
-// orderedBestEffort returns the best-effort runs that are not only reserved.
+// orderedBestEffort returns the best-effort runs whose start orders were made.
 func (x *executor) orderedBestEffort() []*run {
-	return slices.DeleteFunc(slices.Clone(x.bestEffort), func(r *run) bool { return r.isReserved })
+	return slices.DeleteFunc(slices.Clone(x.bestEffort), func(r *run) bool { return r.isPlaced })
 }
 
 // possibleExecutor returns the hash of the executor on which the task may run, or may be started next; 0 if there is
@@ -285,7 +285,7 @@
 	var out []uint32
 	if s.isReady() {
 		for _, t := range s.tasks {
-			if t.run != nil && !t.run.isReserved {
+			if t.run != nil && !t.run.isPlaced {
 				out = append(out, t.run.exec.hash)
 			}
 		}
@@ -304,10 +304,10 @@
 	return out
 }
 
-// place notes the reserved runs of the job, whose executors the batch names.
-func (b *Batch) place(j *job) {
+// addPlaced adds the placed runs of the job, whose executors the records of the batch name.
+func (b *Batch) addPlaced(j *job) {
 	j.forEachTask(func(t *task) {
-		if t.run != nil && t.run.isReserved {
+		if t.run != nil && t.run.isPlaced {
 			t.run.isBatched = true
 			b.placed = append(b.placed, t.run)
 		}
--- a/internal/state/cell/reserve_test.go
+++ b/internal/state/cell/placed_test.go
@@ -140,39 +140,39 @@
 	assert.Equal(t, len(startedJobs(h.cell.Plan(h.now, testWallMS, unbounded))), 1)
 }
 
-// reserveTask returns a harness with a reserved run of the job j on the executor x.
-func reserveTask(t *testing.T, s *jobpb.Step) (*harness, *run) {
+// newHarnessWithPlacedRun returns a harness with a placed run of the job j on the executor x.
+func newHarnessWithPlacedRun(t *testing.T, s *jobpb.Step) (*harness, *run) {
 	t.Helper()
 	h := newHarness(t, testExecutor("x"))
 	h.accept("j", "q", s)
 	assert.Equal(t, len(h.cell.Plan(h.now, testWallMS, unbounded)), 0)
 	r := h.cell.jobs["j"].occurrences[0].steps[0].tasks[0].run
-	assert.Assert(t, r != nil && r.isReserved)
+	assert.Assert(t, r != nil && r.isPlaced)
 	return h, r
 }
 
-// TestReservedRunGetsNoOrders checks that no lease, stop or pace order refers to a run whose executor does not know it,
-// and that neither an expired lease nor a list without it ends the reservation.
-func TestReservedRunGetsNoOrders(t *testing.T) {
-	h, r := reserveTask(t, bestEffortStep("sum"))
+// TestPlacedRunGetsNoOrders checks that no lease, stop or pace order refers to a run whose executor does not know it,
+// and that neither an expired lease nor a list without it ends the placement.
+func TestPlacedRunGetsNoOrders(t *testing.T) {
+	h, r := newHarnessWithPlacedRun(t, bestEffortStep("sum"))
 	for range 5 {
 		h.advance(3 * time.Second)
 		hold, _, _ := h.cell.Hold(h.now, "x")
 		assert.Equal(t, hold.DeadlineMS, int64(0), "an executor without runs needs no lease")
 		h.reportRunning("x")
 		assert.Equal(t, len(h.cell.Plan(h.now, testWallMS, unbounded)), 0)
-		assert.Assert(t, r.isReserved && r.task.run == r)
+		assert.Assert(t, r.isPlaced && r.task.run == r)
 	}
-	assert.Equal(t, h.cell.Usage(h.now).Reserved, 1)
+	assert.Equal(t, h.cell.Usage(h.now).Placed, 1)
 	assert.Equal(t, h.cell.Usage(h.now).BestEffort, 0)
 	h.commit()
 	list := h.cell.Plan(h.now, testWallMS, unbounded)
 	assert.Equal(t, len(startedJobs(list)), 1)
 }
 
-// TestReservedRunIsWithdrawn checks the events after which a reserved run must not start. None of them may leave an
+// TestPlacedRunIsWithdrawn checks the events after which a placed run must not start. None of them may leave an
 // order or occupied resources behind.
-func TestReservedRunIsWithdrawn(t *testing.T) {
+func TestPlacedRunIsWithdrawn(t *testing.T) {
 	for name, withdraw := range map[string]func(h *harness){
 		"cancelled": func(h *harness) { h.cell.Cancel(h.now, "j") },
 		"draining": func(h *harness) {
@@ -196,7 +196,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h, r := reserveTask(t, &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
+			h, r := newHarnessWithPlacedRun(t, &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
 			x := r.exec
 			batch, err := h.cell.NextBatch()
 			assert.NilError(t, err)
@@ -206,7 +206,7 @@
 				assert.Assert(t, o.Start == nil, "a start order for a withdrawn run")
 				assert.Assert(t, o.Stop == nil || o.Stop.Run != r.id, "a stop order for a run that was never started")
 			}
-			assert.Assert(t, !r.isReserved)
+			assert.Assert(t, !r.isPlaced)
 			assert.Equal(t, x.used, resources{})
 		})
 	}
@@ -315,7 +315,7 @@
 }
 
 // TestOnlyRecordedTasksStartWhileStoreIsStalled checks that tasks whose record names an executor with room start
-// without the store, and that reserved runs that need a record do not keep that room from them.
+// without the store, and that placed runs that need a record do not keep that room from them.
 func TestOnlyRecordedTasksStartWhileStoreIsStalled(t *testing.T) {
 	stalled := unbounded
 	stalled.IsStoreStalled = true
@@ -326,7 +326,7 @@
 	h.reportEnd(first[0], 1, orders.EndedLeaseExpired, "")
 	h.accept("new", "q", large)
 	assert.Equal(t, len(h.cell.Plan(h.now, testWallMS, unbounded)), 0)
-	assert.Assert(t, h.cell.jobs["new"].occurrences[0].steps[0].tasks[0].run.isReserved)
+	assert.Assert(t, h.cell.jobs["new"].occurrences[0].steps[0].tasks[0].run.isPlaced)
 	list := h.confirm(h.cell.Plan(h.now, testWallMS, stalled))
 	assert.DeepEqual(t, startedJobs(list), []string{"recorded"})
 	h.reportEnd(list[0], 2, orders.EndedDone, "")
@@ -357,7 +357,7 @@
 }
 
 // TestTasksStartThoughStoreIsAlwaysSlow checks a store that takes longer for each batch than the time after which it
-// counts as stalled. Reservations that are given up and made again would let nothing start.
+// counts as stalled. Placements that are withdrawn and made again would let nothing start.
 func TestTasksStartThoughStoreIsAlwaysSlow(t *testing.T) {
 	stalled := unbounded
 	stalled.IsStoreStalled = true
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -220,7 +220,7 @@
 }
 
 // isColdFull reports whether the executor runs as many tasks as it may while it is cold.
-func (x *executor) isColdFull() bool { return x.isCold && len(x.runs)+len(x.reserved) >= x.coldLimit }
+func (x *executor) isColdFull() bool { return x.isCold && len(x.runs)+len(x.kept) >= x.coldLimit }
 
 // allows reports whether the executor meets the resource, label and anti-affinity requirements of a task of the step,
 // and may run one more task.
@@ -304,7 +304,7 @@
 
 // countTasks returns the number of runs of the step's tasks on the executor, with those that are about to move there.
 func (x *executor) countTasks(s *step) int {
-	n := x.countReserved(s)
+	n := x.countKept(s)
 	for _, r := range x.runs {
 		if r.task.step == s {
 			n++
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -40,7 +40,7 @@
 	p := c.newPlacement(now)
 	c.beginLookAhead(now)
 	out := c.adjustPaces(now, p, nil)
-	limit := maxReserved - len(c.placements.reserved)
+	limit := maxPlaced - len(c.placements.placed)
 	if limits.IsStoreStalled {
 		c.placeRecorded(now, p, limit)
 	} else {
@@ -198,7 +198,7 @@
 	return steps
 }
 
-// placeWaiting reserves runs for waiting tasks, at most the limit and the rest of a gang.
+// placeWaiting places waiting tasks, at most the limit and the rest of a gang.
 func (c *Cell) placeWaiting(now tick.Time, p *placement, limit int) {
 	c.evacuation.isShortOfRoom = false
 	for _, s := range c.waitingSteps(now) {
@@ -206,19 +206,19 @@
 			return
 		}
 		if s.pb.Gang {
-			limit -= c.reserveGang(now, p, s)
+			limit -= c.placeGang(now, p, s)
 			continue
 		}
-		reserved := c.reserveTasks(now, p, s, limit)
-		if reserved == 0 && s.pb.Fills && s.job.isOverdue(now) {
-			reserved = c.reserveOverdue(now, p, s)
+		placed := c.placeTasks(now, p, s, limit)
+		if placed == 0 && s.pb.Fills && s.job.isOverdue(now) {
+			placed = c.placeOverdue(now, p, s)
 		}
-		limit -= reserved
+		limit -= placed
 	}
 }
 
-// reserveTasks reserves runs for tasks of the step and returns their number.
-func (c *Cell) reserveTasks(now tick.Time, p *placement, s *step, limit int) int {
+// placeTasks places tasks of the step and returns their number.
+func (c *Cell) placeTasks(now tick.Time, p *placement, s *step, limit int) int {
 	n := 0
 	cands := p.candidates(s)
 	for _, t := range s.tasks {
@@ -232,7 +232,7 @@
 		if x == nil || c.defersSlow(now, s, x) {
 			continue
 		}
-		c.reserveRun(now, t, x, c.nextRunNumber(t))
+		c.placeRun(now, t, x, c.nextRunNumber(t))
 		n++
 		cands.update(x)
 	}
@@ -243,12 +243,12 @@
 	return n
 }
 
-// reserveGang reserves runs for all tasks of a gang, or for none, and returns their number.
-func (c *Cell) reserveGang(now tick.Time, p *placement, s *step) int {
+// placeGang places all tasks of a gang, or none, and returns their number.
+func (c *Cell) placeGang(now tick.Time, p *placement, s *step) int {
 	if s.waiting < s.unfinished {
 		return 0
 	}
-	var placed []*executor
+	var targets []*executor
 	lacksRoom := false
 	cands := p.candidates(s)
 	for _, t := range s.tasks {
@@ -260,18 +260,18 @@
 			lacksRoom = len(cands.list) == 0
 			break
 		}
-		// The resources are reserved at once, so that the placement of the next member accounts for this one.
+		// The run takes its resources at once, so that the search for the next member accounts for it.
 		c.createRun(now, t, x, 0)
 		cands.update(x)
-		placed = append(placed, x)
+		targets = append(targets, x)
 	}
-	for _, t := range s.tasks[:len(placed)] {
+	for _, t := range s.tasks[:len(targets)] {
 		c.detachRun(t.run)
 	}
 	if lacksRoom {
 		c.awaitRoom(now, p, s)
 	}
-	if len(placed) < len(s.tasks) {
+	if len(targets) < len(s.tasks) {
 		return 0
 	}
 	number := uint64(0)
@@ -279,7 +279,7 @@
 		number = max(number, c.nextRunNumber(t))
 	}
 	for i, t := range s.tasks {
-		c.reserveRun(now, t, placed[i], number)
+		c.placeRun(now, t, targets[i], number)
 	}
-	return len(placed)
+	return len(targets)
 }
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -17,7 +17,7 @@
 type Batch struct {
 	Records []logs.Record
 	states  map[*job]jobpb.State
-	// placed has the reserved runs whose executor the records name.
+	// placed has the runs whose executors the records name and whose start orders are not made yet.
 	placed  []*run
 	hasTerm bool
 	rosters []*executor
@@ -53,7 +53,7 @@
 	}
 	for id, j := range c.dirty {
 		p := c.progress(j)
-		b.place(j)
+		b.addPlaced(j)
 		if err := b.addRecord(book.ProgressKey(id), p); err != nil {
 			return nil, err
 		}
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -20,13 +20,13 @@
 	exec      *executor
 	resources resources
 
-	// startedAt is when the order to start the run was made, or the run was reserved.
+	// startedAt is when the order to start the run was made, or before that when the run was placed.
 	startedAt tick.Time
-	// isReserved is true until the order to start the run is made. isBatched is true once a batch names its executor,
-	// isRecorded once a stored record does. idleSince is that of the job before the reservation.
-	isReserved, isBatched, isRecorded bool
-	idleSince                         tick.Time
-	// createdAt is when the run was reserved or adopted.
+	// isPlaced is true from the choice of the executor until the order to start the run is made. isBatched is true once a
+	// batch names the executor, isRecorded once a stored record does. idleSince is that of the job before the placement.
+	isPlaced, isBatched, isRecorded bool
+	idleSince                       tick.Time
+	// createdAt is when the run was placed or adopted.
 	createdAt tick.Time
 	// confirmedAt is when the executor confirmed that it has the run; 0 before.
 	confirmedAt tick.Time
@@ -131,9 +131,9 @@
 	}
 }
 
-// markForStopping has the run stopped. A reserved run is withdrawn.
+// markForStopping has the run stopped. A placed run is withdrawn.
 func (c *Cell) markForStopping(r *run) {
-	if r.isReserved {
+	if r.isPlaced {
 		c.withdrawRun(r)
 		return
 	}
@@ -153,7 +153,7 @@
 	if x.runs[r.id.Task] != r {
 		return
 	}
-	if r.isReserved {
+	if r.isPlaced {
 		c.withdrawRun(r)
 		return
 	}
@@ -209,7 +209,7 @@
 	case e.Reason == orders.EndedFailed && !t.done:
 		c.recordFailure(now, t, e.Run.Number, x, nil)
 	}
-	hasStarted := t.run != nil && !t.run.isReserved
+	hasStarted := t.run != nil && !t.run.isPlaced
 	if !hasStarted && !t.done && e.Checkpoint != "" && t.step.pb.Checkpointing {
 		t.keepCheckpoint(e.Checkpoint)
 	}
--- a/internal/state/cell/suspicion.go
+++ b/internal/state/cell/suspicion.go
@@ -31,9 +31,9 @@
 	// trialTimeout is how long a trial that neither fails nor shows progress keeps others from starting. It includes the
 	// time for which the run waits for its record after the pause.
 	trialTimeout = 1500 * time.Millisecond
-	// trialReserveLead is how long before the end of the pause the trial is reserved, so that its record is stored by
+	// trialPlacementLead is how long before the end of the pause the trial is placed, so that its record is stored by
 	// then.
-	trialReserveLead = 400 * time.Millisecond
+	trialPlacementLead = 400 * time.Millisecond
 	// provenAfter is how long a run must have made progress on an executor to show that the executor works.
 	provenAfter = time.Second
 )
@@ -62,7 +62,7 @@
 
 func (s *suspicion) isActive() bool { return s.failures >= failuresBeforeSuspicion }
 
-// admits reports whether a run of the step may be reserved on the executor. The members of a gang are one trial.
+// admits reports whether a task of the step may be placed on the executor. The members of a gang are one trial.
 func (s *suspicion) admits(now tick.Time, st *step) bool {
 	switch {
 	case !s.isActive():
@@ -72,7 +72,7 @@
 	case s.trial != nil && now.Sub(max(s.trial.createdAt, s.pauseEnd())) < trialTimeout:
 		return false
 	}
-	return !now.Before(s.pauseEnd().Add(-trialReserveLead))
+	return !now.Before(s.pauseEnd().Add(-trialPlacementLead))
 }
 
 // pauseEnd returns the time until which nothing starts on the executor.
--- a/internal/state/cell/usage.go
+++ b/internal/state/cell/usage.go
@@ -17,9 +17,9 @@
 	LatencyCritical, OverTarget int
 	// BestEffort counts the best-effort runs, Throttled those of them below their full pace.
 	BestEffort, Throttled int
-	// Reserved counts the tasks whose executor is chosen and whose start order is not made yet. Their cores are used, but
+	// Placed counts the tasks whose executor is chosen and whose start order is not made yet. Their cores are used, but
 	// they are in no other figure.
-	Reserved int
+	Placed int
 	// Jobs is the number of jobs that have not ended.
 	Jobs int
 	// AwaitedExecutors counts the executors that have not responded to this leader and may run tasks of a former one.
@@ -58,8 +58,8 @@
 		u.Cores += x.total.milliCPU / milliCPUPerCore
 		u.UsedCores += x.used.milliCPU / milliCPUPerCore
 		for _, r := range x.runs {
-			if r.isReserved {
-				u.Reserved++
+			if r.isPlaced {
+				u.Placed++
 				continue
 			}
 			u.countRun(r)
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -260,7 +260,7 @@
 		return false
 	}
 	cause := WaitRun
-	if r.isReserved && !r.isRecorded {
+	if r.isPlaced && !r.isRecorded {
 		cause = WaitStartRecord
 	}
 	c.delayed[cause]++
@@ -273,9 +273,9 @@
 	c.emit(Event{
 		Name: "run-unlisted", Task: r.id.Task, Run: r.id.Number, Executor: x.entry.ID,
 		Detail: fmt.Sprintf(
-			"for %v; reserved %t, recorded %t, confirmed %t, marked for stopping %t, stop confirmed %t; executor listed %t, "+
+			"for %v; placed %t, recorded %t, confirmed %t, marked for stopping %t, stop confirmed %t; executor listed %t, "+
 				"last response %v ago, lease expires in %v",
-			inMillis(now.Sub(max(r.startedAt, r.listedAt))), r.isReserved, r.isRecorded, r.confirmedAt != 0,
+			inMillis(now.Sub(max(r.startedAt, r.listedAt))), r.isPlaced, r.isRecorded, r.confirmedAt != 0,
 			r.isMarkedForStopping, r.stoppedAt != 0,
 			x.isListed, inMillis(now.Sub(x.lastResponseAt)), inMillis(x.leaseExpiresBy.Sub(now)),
 		),
