Call the state of a planning pass pass, not placement

"Placement" now means the choice of an executor for a run, so the type that finds executors during one pass gets the word that the comments already use. The doc of wasMovedFrom said that it returns a boolean; margins of time are no longer called reserves next to reservations.

--- a/internal/state/cell/advice.go
+++ b/internal/state/cell/advice.go
@@ -17,7 +17,7 @@
 	// adviceExecutorsPerTask is the number of executors in a request for each waiting task. It is more than one because
 	// the service rejects some of them.
 	adviceExecutorsPerTask = 2
-	// ticketValidityMargin is the part of a ticket's validity that is reserved for sending the order.
+	// ticketValidityMargin is the part of a ticket's validity that is kept for sending the order.
 	ticketValidityMargin = 300 * time.Millisecond
 	// adviceRetryPause is the pause after a request that failed.
 	adviceRetryPause = 200 * time.Millisecond
--- a/internal/state/cell/bench_test.go
+++ b/internal/state/cell/bench_test.go
@@ -113,7 +113,7 @@
 			c.SetEvacuated(now, []string{"a"})
 			b.ReportAllocs()
 			for b.Loop() {
-				p := c.newPlacement(now)
+				p := c.newPass(now)
 				c.planMoves(now, p, true)
 				c.planMoves(now, p, false)
 				for _, m := range c.evacuation.moves {
@@ -150,7 +150,7 @@
 			{Count: 1, MilliCpu: 64000, MemoryMb: 100, EstimateMs: 1000},
 		}})
 	}
-	p := c.newPlacement(now)
+	p := c.newPass(now)
 	if len(p.pools["svc"]) != executors {
 		b.Fatalf("only %d executors are usable", len(p.pools["svc"]))
 	}
--- a/internal/state/cell/evacuation.go
+++ b/internal/state/cell/evacuation.go
@@ -116,7 +116,7 @@
 
 // planMoves marks runs of evacuated domains, either the long-running or the others, for stopping if other executors
 // have the room for them now, which is kept for them.
-func (c *Cell) planMoves(now tick.Time, p *placement, areLongRunning bool) {
+func (c *Cell) planMoves(now tick.Time, p *pass, areLongRunning bool) {
 	groups := c.movableRuns(areLongRunning)
 	units := make([]evac.Unit, len(groups))
 	away := map[*step]int{}
@@ -243,7 +243,7 @@
 
 // keepRoomForMove keeps room for the runs on other executors. It returns nil if there is not enough. A member of a gang
 // outside of the evacuated domains stays on its executor.
-func (c *Cell) keepRoomForMove(now tick.Time, p *placement, runs []*run) *move {
+func (c *Cell) keepRoomForMove(now tick.Time, p *pass, runs []*run) *move {
 	m := &move{since: now}
 	cands := p.candidates(runs[0].task.step)
 	for _, r := range runs {
@@ -301,7 +301,7 @@
 }
 
 // finishMoves places the tasks whose runs have stopped where room is kept for them. It returns their number.
-func (c *Cell) finishMoves(now tick.Time, p *placement, limit int) int {
+func (c *Cell) finishMoves(now tick.Time, p *pass, limit int) int {
 	n := 0
 	c.evacuation.moves = slices.DeleteFunc(c.evacuation.moves, func(m *move) bool {
 		if c.isObsolete(now, m) {
@@ -335,7 +335,7 @@
 
 // finishMove places the tasks of a move unless a target no longer takes one of them. Then they wait like any others.
 // It returns the number of placed runs.
-func (c *Cell) finishMove(now tick.Time, p *placement, m *move) int {
+func (c *Cell) finishMove(now tick.Time, p *pass, m *move) int {
 	s := m.runs[0].task.step
 	targets, number, isPermitted := m.targets, uint64(0), true
 	for i, r := range m.runs {
@@ -363,7 +363,7 @@
 }
 
 // takesMoved reports whether the executor can still take a task for which room was kept on it.
-func (p *placement) takesMoved(s *step, x *executor) bool {
+func (p *pass) takesMoved(s *step, x *executor) bool {
 	need := resourcesOf(s.pb)
 	if s.pb.Fills {
 		_, ok := p.rateExecutor(s, need, x)
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -61,7 +61,7 @@
 	hasResponded bool
 	// isEvacuated is true if the operator has evacuated the executor's failure domain.
 	isEvacuated bool
-	// warmUp is that of the executor's process. As of the last placement, coldLimit is the number of tasks that it may
+	// warmUp is that of the executor's process. As of the last pass, coldLimit is the number of tasks that it may
 	// run, and isCold is false if there is no limit.
 	warmUp    ramp.Ramp
 	coldLimit int
--- a/internal/state/cell/overdue.go
+++ b/internal/state/cell/overdue.go
@@ -33,7 +33,7 @@
 // placeOverdue places one task of a best-effort step that no executor tolerates, so that its job does not wait without
 // a bound for a forecast that may be wrong. The run is throttled to the headroom of the executor and provides samples
 // that correct the forecast. It returns the number of placed runs.
-func (c *Cell) placeOverdue(now tick.Time, p *placement, s *step) int {
+func (c *Cell) placeOverdue(now tick.Time, p *pass, s *step) int {
 	t := s.firstStartable(now)
 	if t == nil {
 		return 0
@@ -60,7 +60,7 @@
 
 // mostHeadroom returns the executor that can run a best-effort task at the highest pace, and that pace. It returns nil
 // if no executor takes an overdue task.
-func (p *placement) mostHeadroom(t *task) (*executor, int) {
+func (p *pass) mostHeadroom(t *task) (*executor, int) {
 	s, need := t.step, resourcesOf(t.step.pb)
 	avoids := t.avoidsFailedOn(p)
 	var best *executor
--- a/internal/state/cell/pacing.go
+++ b/internal/state/cell/pacing.go
@@ -92,7 +92,7 @@
 
 // adjustPaces sets the paces of best-effort runs so that the colocated latency-critical runs stay below their
 // targets.
-func (c *Cell) adjustPaces(now tick.Time, p *placement, out []Order) []Order {
+func (c *Cell) adjustPaces(now tick.Time, p *pass, out []Order) []Order {
 	searches := 0
 	for _, x := range c.execs {
 		out = c.throttleStarted(now, x, out)
@@ -303,7 +303,7 @@
 }
 
 // move marks a run for stopping if another executor can take it at its full pace.
-func (c *Cell) move(p *placement, be *run) {
+func (c *Cell) move(p *pass, be *run) {
 	if x := p.candidates(be.task.step).best(be.task); x == nil || x == be.exec {
 		return
 	}
--- a/internal/state/cell/placed.go
+++ b/internal/state/cell/placed.go
@@ -47,7 +47,7 @@
 }
 
 // placeRecorded places waiting tasks on the executors that their records name, at most the limit.
-func (c *Cell) placeRecorded(now tick.Time, p *placement, limit int) {
+func (c *Cell) placeRecorded(now tick.Time, p *pass, limit int) {
 	for _, s := range c.waitingSteps(now) {
 		if s.pb.Gang {
 			continue
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -8,8 +8,8 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// placement finds executors for waiting tasks in one planning pass.
-type placement struct {
+// pass is one planning pass: it finds executors for waiting tasks.
+type pass struct {
 	now tick.Time
 	// executors has all executors, pools the usable ones of each service.
 	executors []*executor
@@ -19,7 +19,8 @@
 	unplaceable map[string][]request
 	// isAvoided reports whether an executor is slow and should get no run.
 	isAvoided func(x *executor) bool
-	// wasMovedFrom returns whether a task was just moved from slow executors such as the given one.
+	// wasMovedFrom returns a function that reports whether the executor is slow and the task was just moved from such a
+	// one.
 	wasMovedFrom func(t *task) func(x *executor) bool
 	// extremes has the results of extremesOf.
 	extremes map[string]extremes
@@ -54,8 +55,8 @@
 // maxUnplaceable bounds the unplaceable requests remembered for each service in one pass.
 const maxUnplaceable = 32
 
-func (c *Cell) newPlacement(now tick.Time) *placement {
-	p := &placement{
+func (c *Cell) newPass(now tick.Time) *pass {
+	p := &pass{
 		now: now, pools: map[string][]*executor{}, unplaceable: map[string][]request{}, cell: c,
 		extremes:     map[string]extremes{},
 		isAvoided:    func(x *executor) bool { return c.isAvoided(now, x) },
@@ -88,15 +89,15 @@
 // candidates are the executors that can take tasks of one step. They are rated once for all tasks of the step; a start
 // changes the rating of its executor only.
 type candidates struct {
-	placement *placement
-	step      *step
-	need      resources
-	list      []candidate
+	pass *pass
+	step *step
+	need resources
+	list []candidate
 }
 
 // candidates rates the executors for a step.
-func (p *placement) candidates(s *step) *candidates {
-	c := &candidates{placement: p, step: s, need: resourcesOf(s.pb)}
+func (p *pass) candidates(s *step) *candidates {
+	c := &candidates{pass: p, step: s, need: resourcesOf(s.pb)}
 	service := s.job.queue.Service
 	if p.isUnplaceable(service, c.need, s) {
 		return c
@@ -117,7 +118,7 @@
 }
 
 // rateExecutor returns the cost of an executor for a task of the step, and whether it can take one.
-func (p *placement) rateExecutor(s *step, need resources, x *executor) (float64, bool) {
+func (p *pass) rateExecutor(s *step, need resources, x *executor) (float64, bool) {
 	if !p.hasRoomFor(s, need, x) {
 		return 0, false
 	}
@@ -136,7 +137,7 @@
 }
 
 // hasRoomFor reports whether the executor can take a task of the step, regardless of interference.
-func (p *placement) hasRoomFor(s *step, need resources, x *executor) bool {
+func (p *pass) hasRoomFor(s *step, need resources, x *executor) bool {
 	if !x.allows(s, need) || !s.isPermittedOn(p.now, x) || !x.suspicion.admits(p.now, s) {
 		return false
 	}
@@ -153,16 +154,16 @@
 // best returns the cheapest executor for the task, or nil. Executors on which the task has failed come last.
 func (c *candidates) best(t *task) *executor {
 	if len(t.failedOn) == 0 {
-		isMovedFrom := c.placement.wasMovedFrom(t)
+		isMovedFrom := c.pass.wasMovedFrom(t)
 		if x, _ := c.cheapest(func(x *executor) bool { return !isMovedFrom(x) }); x != nil {
 			return x
 		}
 		x, _ := c.cheapest(func(*executor) bool { return true })
 		return x
 	}
-	isSuited := func(x *executor) bool { return t.isSuitedTo(c.placement.now, x) }
+	isSuited := func(x *executor) bool { return t.isSuitedTo(c.pass.now, x) }
 	other, lowest := c.cheapest(func(x *executor) bool { return isSuited(x) && !t.hasFailedOn(x) })
-	if other != nil && !t.step.pb.LongRunning || t.avoidsFailedOn(c.placement) {
+	if other != nil && !t.step.pb.LongRunning || t.avoidsFailedOn(c.pass) {
 		return other
 	}
 	failed, cost := c.cheapest(func(x *executor) bool { return isSuited(x) && t.hasFailedOn(x) })
@@ -206,7 +207,7 @@
 	if i < 0 {
 		return
 	}
-	cost, ok := c.placement.rateExecutor(c.step, c.need, x)
+	cost, ok := c.pass.rateExecutor(c.step, c.need, x)
 	if !ok {
 		c.list = slices.Delete(c.list, i, i+1)
 		return
@@ -214,7 +215,7 @@
 	c.list[i].cost = cost
 }
 
-func (p *placement) isUnplaceable(service string, need resources, s *step) bool {
+func (p *pass) isUnplaceable(service string, need resources, s *step) bool {
 	req := requestOf(s, need)
 	return slices.ContainsFunc(p.unplaceable[service], func(r request) bool { return r.rulesOut(req) })
 }
@@ -256,7 +257,7 @@
 // avoidsFailedOn reports whether the task still waits for room on an executor on which it has not failed. It does so
 // for failedOnPause, if there is another executor. Before it spends its last attempt on the only one on which it has
 // failed, it waits for lastAttemptPause, if another is large enough. A long-running task does not wait.
-func (t *task) avoidsFailedOn(p *placement) bool {
+func (t *task) avoidsFailedOn(p *pass) bool {
 	if len(t.failedOn) == 0 || len(t.failedOn) >= maxFailedExecutors || t.step.pb.LongRunning {
 		return false
 	}
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -37,7 +37,7 @@
 		c.withdrawUnbatched()
 	}
 	c.stopDraining(now)
-	p := c.newPlacement(now)
+	p := c.newPass(now)
 	c.beginLookAhead(now)
 	out := c.adjustPaces(now, p, nil)
 	limit := maxPlaced - len(c.placements.placed)
@@ -199,7 +199,7 @@
 }
 
 // placeWaiting places waiting tasks, at most the limit and the rest of a gang.
-func (c *Cell) placeWaiting(now tick.Time, p *placement, limit int) {
+func (c *Cell) placeWaiting(now tick.Time, p *pass, limit int) {
 	c.evacuation.isShortOfRoom = false
 	for _, s := range c.waitingSteps(now) {
 		if limit <= 0 {
@@ -218,7 +218,7 @@
 }
 
 // placeTasks places tasks of the step and returns their number.
-func (c *Cell) placeTasks(now tick.Time, p *placement, s *step, limit int) int {
+func (c *Cell) placeTasks(now tick.Time, p *pass, s *step, limit int) int {
 	n := 0
 	cands := p.candidates(s)
 	for _, t := range s.tasks {
@@ -244,7 +244,7 @@
 }
 
 // placeGang places all tasks of a gang, or none, and returns their number.
-func (c *Cell) placeGang(now tick.Time, p *placement, s *step) int {
+func (c *Cell) placeGang(now tick.Time, p *pass, s *step) int {
 	if s.waiting < s.unfinished {
 		return 0
 	}
--- a/internal/state/cell/reservations.go
+++ b/internal/state/cell/reservations.go
@@ -71,7 +71,7 @@
 
 // awaitRoom notes that no executor has the room for a task of the step, or for all tasks of a gang. It reserves room if
 // smaller work was started meanwhile.
-func (c *Cell) awaitRoom(now tick.Time, p *placement, s *step) {
+func (c *Cell) awaitRoom(now tick.Time, p *pass, s *step) {
 	if c.lookAhead == nil || s.pb.Fills || c.lookAhead.planner.IsFull() {
 		return
 	}
@@ -111,7 +111,7 @@
 }
 
 // extremesOf returns the extremes of a service when the pass first asked.
-func (p *placement) extremesOf(service string) extremes {
+func (p *pass) extremesOf(service string) extremes {
 	e, ok := p.extremes[service]
 	if !ok {
 		for _, x := range p.pools[service] {
@@ -176,7 +176,7 @@
 	return !c.lookAhead.planner.Admits(now, x.entry.ID, claim, func() ahead.Executor { return c.describeRoom(now, x, s) })
 }
 
-// noteStart tells the look-ahead that a run of the task takes its room.
+// noteStart reports to the look-ahead that a run of the task takes its room.
 func (c *Cell) noteStart(now tick.Time, t *task) {
 	if c.lookAhead == nil {
 		return
--- a/internal/state/cell/slowness.go
+++ b/internal/state/cell/slowness.go
@@ -108,7 +108,7 @@
 
 // moveFromSlow marks runs on slow executors for stopping if they are certainly done sooner elsewhere, where there is
 // room now.
-func (c *Cell) moveFromSlow(now tick.Time, p *placement) {
+func (c *Cell) moveFromSlow(now tick.Time, p *pass) {
 	if c.params.Restore == 0 || c.speed.Count() == 0 {
 		return
 	}
--- a/internal/state/cell/starve_test.go
+++ b/internal/state/cell/starve_test.go
@@ -715,7 +715,7 @@
 		return "unusable"
 	case !x.allows(st, resourcesOf(st.pb)):
 		return "unlisted room"
-	case t.avoidsFailedOn(s.cell.newPlacement(s.now)) && slices.Contains(t.failedOn, x.entry.ID):
+	case t.avoidsFailedOn(s.cell.newPass(s.now)) && slices.Contains(t.failedOn, x.entry.ID):
 		return "failed on"
 	case !st.pb.Fills:
 		return "usable"
--- a/internal/state/cell/stops.go
+++ b/internal/state/cell/stops.go
@@ -50,8 +50,8 @@
 	return Order{Target: x.target(), Stop: &orders.Stop{Run: id, Epoch: c.epoch}}
 }
 
-// drainReserve is the part of a draining executor's remaining time that is reserved for stops and their checkpoints.
-const drainReserve = 500 * time.Millisecond
+// drainMargin is the part of a draining executor's remaining time that is kept for stops and their checkpoints.
+const drainMargin = 500 * time.Millisecond
 
 // stopDraining stops the runs that will not be done before their executor leaves.
 func (c *Cell) stopDraining(now tick.Time) {
@@ -59,7 +59,7 @@
 		if !x.entry.Draining || x.isTerminated {
 			continue
 		}
-		left := x.drainDeadline.Sub(now) - drainReserve - c.params.StopTimeout
+		left := x.drainDeadline.Sub(now) - drainMargin - c.params.StopTimeout
 		for _, r := range x.runs {
 			if r.task.step.pb.LongRunning || c.remainingTime(r) > left {
 				c.markForStopping(r)
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -24,7 +24,7 @@
 	WaitRun WaitCause = "unlisted-run"
 )
 
-// The causes that concern an executor, those that no decision of this leader can remove first.
+// The causes that concern an executor. The first ones, up to WaitCold, are the hardCauses.
 const (
 	WaitNoLabel      WaitCause = "no-label"
 	WaitNoRoom       WaitCause = "no-room"
@@ -70,7 +70,7 @@
 // shown, for waitReportDelay. Steps that wait for room alone are not reported.
 func (c *Cell) Diagnose(now tick.Time) {
 	c.delayed = map[WaitCause]int{}
-	p := c.newPlacement(now)
+	p := c.newPass(now)
 	checks, reports := 0, 0
 	for _, j := range c.active {
 		for _, s := range j.delayedSteps(now) {
@@ -128,7 +128,7 @@
 }
 
 // diagnoseStep counts a delayed step by its cause, and returns whether a report is due.
-func (c *Cell) diagnoseStep(p *placement, s *step) bool {
+func (c *Cell) diagnoseStep(p *pass, s *step) bool {
 	t := s.firstWaiting()
 	if t == nil {
 		return false
@@ -150,7 +150,7 @@
 	return s.tasks[i]
 }
 
-func (c *Cell) reportStep(p *placement, s *step) {
+func (c *Cell) reportStep(p *pass, s *step) {
 	s.waitReportedAt = p.now
 	t := s.firstWaiting()
 	cause, detail := c.causeOf(p, t)
@@ -165,7 +165,7 @@
 func inMillis(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
 
 // causeOf returns why a task without a run does not start, and the number of executors by cause.
-func (c *Cell) causeOf(p *placement, t *task) (WaitCause, string) {
+func (c *Cell) causeOf(p *pass, t *task) (WaitCause, string) {
 	switch {
 	case c.isTakingOver && t.step.job.isInherited, t.heldFor != 0:
 		return WaitTakeover, ""
@@ -196,7 +196,7 @@
 }
 
 // countCauses counts the executors of the task's service by the cause for which they do not take the task.
-func (c *Cell) countCauses(p *placement, t *task) map[WaitCause]int {
+func (c *Cell) countCauses(p *pass, t *task) map[WaitCause]int {
 	counts := map[WaitCause]int{}
 	avoids := t.avoidsFailedOn(p)
 	for _, x := range c.execs {
@@ -209,7 +209,7 @@
 }
 
 // causeOn returns why the executor does not take the task.
-func (p *placement) causeOn(x *executor, t *task, avoidsFailedOn bool) WaitCause {
+func (p *pass) causeOn(x *executor, t *task, avoidsFailedOn bool) WaitCause {
 	s, need := t.step, resourcesOf(t.step.pb)
 	switch {
 	case !x.satisfies(s.pb.RequiresLabel):
@@ -244,7 +244,7 @@
 }
 
 // interferenceCauseOn returns why the latency-critical runs of the executor do not tolerate a best-effort task.
-func (p *placement) interferenceCauseOn(x *executor) WaitCause {
+func (p *pass) interferenceCauseOn(x *executor) WaitCause {
 	switch {
 	case slices.ContainsFunc(x.latencyCritical, func(r *run) bool { return r.isNearTarget }):
 		return WaitNearTarget
