Name what fields of the deciding packages hold

Some names were figurative (hasLostPatience, isUnyielding) or needed their comment to be understood (own, reference, inSecond, unread), and isByModel referred to the expected duration, not to the type Model.

--- a/internal/state/ahead/ahead.go
+++ b/internal/state/ahead/ahead.go
@@ -282,7 +282,7 @@
 		p.waits[r.Step] = w
 	}
 	w.request, w.pass = r, p.pass
-	if !w.isOvertaken || !r.IsWide && !w.hasLostPatience(now) {
+	if !w.isOvertaken || !r.IsWide && !w.isPatienceOver(now) {
 		return false
 	}
 	return len(w.reserved) == 0 && p.budget > 0 && p.mayReserve(r, poolSize)
@@ -455,7 +455,7 @@
 	if room.coversRoom(v.need) {
 		return true
 	}
-	return p.isDelayedTooLong(now, c.Step) && (c.IsLongRunning || !p.isUnyielding(now, v.Step))
+	return p.isDelayedTooLong(now, c.Step) && (c.IsLongRunning || !p.hasPrecedence(now, v.Step))
 }
 
 // isDelayedTooLong notes that a reservation keeps the step from starting, and reports whether reservations have done so
@@ -473,23 +473,23 @@
 	return now.Sub(d.since) >= maxDelay
 }
 
-// isUnyielding reports whether the step has waited longer than its patience, and longer than all such steps of its
-// pool.
-func (p *Planner) isUnyielding(now tick.Time, s Step) bool {
+// hasPrecedence reports whether the step has waited longer than its patience, and longest among the holders of
+// reservations in its pool that have.
+func (p *Planner) hasPrecedence(now tick.Time, s Step) bool {
 	w := p.waits[s]
-	if w == nil || !w.hasLostPatience(now) {
+	if w == nil || !w.isPatienceOver(now) {
 		return false
 	}
 	for _, o := range p.waits {
-		isRival := o != w && o.request.Pool == w.request.Pool && len(o.reserved) > 0 && o.hasLostPatience(now)
-		if isRival && o.isBefore(w) {
+		isOtherHolder := o != w && o.request.Pool == w.request.Pool && len(o.reserved) > 0 && o.isPatienceOver(now)
+		if isOtherHolder && o.isBefore(w) {
 			return false
 		}
 	}
 	return true
 }
 
-func (w *wait) hasLostPatience(now tick.Time) bool {
+func (w *wait) isPatienceOver(now tick.Time) bool {
 	return now.Sub(w.request.Since) >= min(maxPatience, w.request.Patience)
 }
 
--- a/internal/state/evac/evac.go
+++ b/internal/state/evac/evac.go
@@ -7,7 +7,7 @@
 // # Usage
 //
 //	p := evac.New(evac.Costs{Stop: stopTimeout, Restore: restore})
-//	for _, i := range p.Plan(units, movesUnderWay, futilePlans, reserveRoom) { stop(units[i]) }
+//	for _, i := range p.Plan(units, movesUnderWay, futilePlans, keepRoom) { stop(units[i]) }
 package evac
 
 import (
@@ -54,9 +54,8 @@
 
 // Plan returns the indexes of the units to move now, given the number of moves under way and that of the plans in a row
 // that found no room for any unit. Each of those begins its search further on, so that units without room keep none
-// from being considered. reserveRoom reports whether there is room elsewhere for a unit, and keeps it for that unit if
-// so.
-func (p *Planner) Plan(units []Unit, underWay, futilePlans int, reserveRoom func(i int) bool) []int {
+// from being considered. keepRoom reports whether there is room elsewhere for a unit, and keeps it if so.
+func (p *Planner) Plan(units []Unit, underWay, futilePlans int, keepRoom func(i int) bool) []int {
 	away := map[any]int{}
 	var due, out []int
 	for i, u := range units {
@@ -77,7 +76,7 @@
 			continue
 		}
 		searches++
-		if reserveRoom(i) {
+		if keepRoom(i) {
 			away[u.Step] += u.Size
 			out = append(out, i)
 		}
--- a/internal/state/quant/sketch.go
+++ b/internal/state/quant/sketch.go
@@ -25,9 +25,9 @@
 // previous one.
 type sketch struct {
 	present, previous *hdrhistogram.Histogram
-	// total is the number of samples in both, unread that of the samples since the quantiles were computed.
-	total, unread int
-	quantiles     []float64
+	// total is the number of samples in both, sinceRefresh that of those added since the quantiles were computed.
+	total, sinceRefresh int
+	quantiles           []float64
 }
 
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxUnits, digits) }
@@ -41,7 +41,7 @@
 	// Recording fails only for values above maxUnits.
 	_ = s.present.RecordValues(units, int64(n))
 	s.total += n
-	s.unread += n
+	s.sinceRefresh += n
 	if s.present.TotalCount() < generationSize {
 		return
 	}
@@ -50,7 +50,7 @@
 		s.total -= int(s.present.TotalCount())
 		s.present.Reset()
 	}
-	s.unread = refreshInterval
+	s.sinceRefresh = refreshInterval
 }
 
 // quantile returns the ratio that the share p of the samples does not exceed, or 1 without samples.
@@ -72,11 +72,11 @@
 
 // steps returns the quantiles at equal steps of probability from 0 to 1, or none without samples.
 func (s *sketch) steps() []float64 {
-	isDue := s.unread > 0 && (s.unread >= refreshInterval || s.total < 2*refreshInterval)
+	isDue := s.sinceRefresh > 0 && (s.sinceRefresh >= refreshInterval || s.total < 2*refreshInterval)
 	if !isDue {
 		return s.quantiles
 	}
-	s.unread = 0
+	s.sinceRefresh = 0
 	h := s.merged()
 	percentiles := make([]float64, stepCount+1)
 	for i := range percentiles {
--- a/internal/state/retry/retry.go
+++ b/internal/state/retry/retry.go
@@ -1,7 +1,7 @@
 // Package retry decides after which time a caller may repeat a refused request.
 //
 // The delays are whole seconds, because that is what the header Retry-After carries. They grow with the time for which
-// the dependency has been down, so that few repeats reach over an outage. Callers are spread by a hash of their key: at
+// the dependency has been down, so that few repeats span an outage. Callers are spread by a hash of their key: at
 // first half of them get a second more, and the share grows with the delay.
 //
 // # Usage
--- a/internal/state/speed/moves.go
+++ b/internal/state/speed/moves.go
@@ -19,30 +19,31 @@
 	targetPause = time.Second
 )
 
-// moves are the newest moves.
+// moves are the newest moves, which limit further ones.
 type moves struct {
 	// movedAt has the time of the last move of each task, and usedAt that of the last one to each executor.
-	movedAt  map[orders.Task]tick.Time
-	usedAt   map[string]tick.Time
-	secondAt tick.Time
-	inSecond int
-	prunedAt tick.Time
+	movedAt map[orders.Task]tick.Time
+	usedAt  map[string]tick.Time
+	// movesInSecond counts the moves since secondBeganAt.
+	secondBeganAt tick.Time
+	movesInSecond int
+	prunedAt      tick.Time
 }
 
 // Move reports whether the run of the task may be moved now to the room on the target. If so, it counts as moved.
 func (m *Model) Move(now tick.Time, t orders.Task, target string) bool {
 	v := &m.moves
-	if now.Sub(v.secondAt) >= time.Second {
-		v.secondAt, v.inSecond = now, 0
+	if now.Sub(v.secondBeganAt) >= time.Second {
+		v.secondBeganAt, v.movesInSecond = now, 0
 	}
-	if v.inSecond >= maxMovesPerSecond || !m.MayMove(now, t) {
+	if v.movesInSecond >= maxMovesPerSecond || !m.MayMove(now, t) {
 		return false
 	}
 	if !m.MayUse(now, target) {
 		return false
 	}
 	v.prune(now)
-	v.inSecond++
+	v.movesInSecond++
 	v.movedAt[t], v.usedAt[target] = now, now
 	return true
 }
--- a/internal/state/speed/run.go
+++ b/internal/state/speed/run.go
@@ -31,11 +31,11 @@
 	hasBegun      bool
 	windowAt      tick.Time
 	windowPercent int
-	// rate is the rate of the last window in percent a second; 0 before the first window. own is the average rate of the
-	// run except while it has dropped, reference the rate that it would have at full speed.
-	rate, own, reference float64
-	// hasDropped is true while the rate is far below own. isSlowTask is true if the run has been slow since its first
-	// window, because of its task or its executor.
+	// rate is the rate of the last window in percent a second; 0 before the first window. averageRate leaves out the
+	// windows in which the rate has dropped. fullSpeedRate is the rate that the run would have at full speed.
+	rate, averageRate, fullSpeedRate float64
+	// hasDropped is true while the rate is far below averageRate. isSlowTask is true if the run has been slow since its
+	// first window, because of its task or its executor.
 	hasDropped, isSlowTask bool
 	// highestSlowRate is the highest rate that is consistent with the progress since slowAt, when the run became slow or
 	// last changed its pace, at slowPercent.
@@ -110,7 +110,7 @@
 		return result{}, false
 	}
 	span := now.Sub(r.windowAt)
-	expected, isByModel := r.expectedRate(s)
+	expected, isByEstimate := r.expectedRate(s)
 	grain := max(1, r.step.grain)
 	if span < minWindow || slowShare*expected*span.Seconds() < float64(minGrains*grain) {
 		return result{}, false
@@ -122,7 +122,7 @@
 	r.windowAt, r.windowPercent = now, s.Percent
 	res, ok := r.judge(now, s, window{
 		rate: float64(points) / span.Seconds(), highest: float64(points+grain) / span.Seconds(),
-		expected: expected, isByModel: isByModel,
+		expected: expected, isByEstimate: isByEstimate,
 	})
 	r.highestSlowRate = float64(s.Percent-r.slowPercent+grain) / now.Sub(r.slowAt).Seconds()
 	return res, ok
@@ -131,13 +131,13 @@
 // window is the progress of a run in one window, in percent a second.
 type window struct {
 	rate, highest, expected float64
-	isByModel               bool
+	isByEstimate            bool
 }
 
-// expectedRate returns the rate that the run should have, and whether only the model says so.
+// expectedRate returns the rate that the run should have, and whether it follows from the expected duration alone.
 func (r *run) expectedRate(s Sample) (float64, bool) {
-	if r.reference > 0 {
-		return r.reference, false
+	if r.fullSpeedRate > 0 {
+		return r.fullSpeedRate, false
 	}
 	var others []float64
 	for _, o := range r.step.rates {
@@ -152,16 +152,16 @@
 	return fullPercent / s.Typical.Seconds(), true
 }
 
-// judge returns the result of a window, if it says something about the executor.
+// judge returns the result of a window, or false if it shows nothing about the executor.
 func (r *run) judge(now tick.Time, s Sample, w window) (result, bool) {
-	isFirst := r.reference == 0
+	isFirst := r.fullSpeedRate == 0
 	r.rate = w.rate
 	if isFirst {
 		r.step.setRate(r, w.rate)
 		return r.judgeFirst(now, s, w)
 	}
 	res := result{at: now, run: r.id, weight: 1}
-	isDrop := w.highest <= slowShare*r.own
+	isDrop := w.highest <= slowShare*r.averageRate
 	switch {
 	case isDrop && r.hasDropped:
 		return result{}, false
@@ -172,23 +172,23 @@
 	case r.hasDropped:
 		r.hasDropped = false
 	}
-	isRisen := w.rate >= r.own/slowShare
-	r.own += newestRateWeight * (w.rate - r.own)
-	r.step.setRate(r, r.own)
-	if !isRisen && (r.beganOnSlow || r.isSlowTask && w.rate < slowShare*r.reference) {
+	isRisen := w.rate >= r.averageRate/slowShare
+	r.averageRate += newestRateWeight * (w.rate - r.averageRate)
+	r.step.setRate(r, r.averageRate)
+	if !isRisen && (r.beganOnSlow || r.isSlowTask && w.rate < slowShare*r.fullSpeedRate) {
 		// A run that stays slow may be a slow task, one that began on a slow executor may still be slowed.
 		return result{}, false
 	}
 	r.isSlowTask, r.beganOnSlow = false, false
-	r.reference = r.own
+	r.fullSpeedRate = r.averageRate
 	return res, true
 }
 
 // judgeFirst returns the result of the first window of a run.
 func (r *run) judgeFirst(now tick.Time, s Sample, w window) (result, bool) {
 	isSlow := w.highest <= slowShare*w.expected
-	r.own, r.reference = w.rate, w.rate
-	if w.isByModel {
+	r.averageRate, r.fullSpeedRate = w.rate, w.rate
+	if w.isByEstimate {
 		slowest := 0.0
 		if s.Longest > 0 {
 			slowest = fullPercent / s.Longest.Seconds()
@@ -201,9 +201,9 @@
 	}
 	r.isSlowTask = isSlow
 	if isSlow {
-		r.reference = w.expected
+		r.fullSpeedRate = w.expected
 	}
-	return result{at: now, run: r.id, isSlow: isSlow, weight: 1, isByModel: w.isByModel}, true
+	return result{at: now, run: r.id, isSlow: isSlow, weight: 1, isByEstimate: w.isByEstimate}, true
 }
 
 func (r *run) isSlow() bool { return r.hasDropped || r.isSlowTask }
@@ -228,7 +228,7 @@
 	return a
 }
 
-// WasOnSlow reports whether the executor was slow during the run, so that its duration says little about the task.
+// WasOnSlow reports whether the executor was slow during the run, so that the task may be shorter than the run.
 func (m *Model) WasOnSlow(o orders.Run) bool {
 	r, ok := m.runs[o]
 	return ok && r.wasOnSlow
@@ -241,11 +241,11 @@
 	if !isKnown || !r.isSlow() || r.highestSlowRate <= 0 {
 		return 0, 0, false
 	}
-	reference := r.reference
+	fullSpeedRate := r.fullSpeedRate
 	if r.hasDropped {
-		reference = r.own
+		fullSpeedRate = r.averageRate
 	}
-	return timeFor(fullPercent-percent, r.highestSlowRate), timeFor(fullPercent-percent, reference), true
+	return timeFor(fullPercent-percent, r.highestSlowRate), timeFor(fullPercent-percent, fullSpeedRate), true
 }
 
 func timeFor(points int, rate float64) time.Duration {
--- a/internal/state/speed/speed.go
+++ b/internal/state/speed/speed.go
@@ -99,8 +99,8 @@
 	run    orders.Run
 	isSlow bool
 	weight float64
-	// isByModel is true if the run was compared with its expected duration, which may be wrong for its whole job.
-	isByModel bool
+	// isByEstimate is true if the run was compared with its expected duration, which may be wrong for its whole job.
+	isByEstimate bool
 }
 
 // New returns a Model in which no executor is slow.
@@ -139,7 +139,7 @@
 	if isSlow && worked < s.Longest {
 		return Unchanged
 	}
-	return m.apply(now, m.executor(id), result{at: now, run: run, isSlow: isSlow, weight: 1, isByModel: true})
+	return m.apply(now, m.executor(id), result{at: now, run: run, isSlow: isSlow, weight: 1, isByEstimate: true})
 }
 
 // End drops a run that is over.
@@ -283,7 +283,7 @@
 	slow, weight, all, hasDrop := 0, 0.0, 0, false
 	jobs := map[string]bool{}
 	for _, r := range slices.Backward(x.results) {
-		if r.isByModel && r.isSlow {
+		if r.isByEstimate && r.isSlow {
 			if jobs[r.run.Task.Job] {
 				continue
 			}
@@ -309,7 +309,7 @@
 	for _, r := range x.results {
 		if r.isSlow {
 			all++
-		} else if !r.isByModel {
+		} else if !r.isByEstimate {
 			normal, all = normal+1, all+1
 		}
 	}
