--- a/internal/services/elect/yield.go
+++ b/internal/services/elect/yield.go
@@ -99,7 +99,7 @@
 	return e.yieldedByOther != 0 && !e.isLastUnknown && e.lastRecord.Epoch == e.yieldedByOther
 }
 
-// stagger returns the delay of this instance's claims.
+// stagger returns the delay of this instance's claims and requests to yield, so that instances do not act at once.
 func (e *Elector) stagger() time.Duration {
 	rank := xxhash.Sum64String(e.opts.Instance) % claimRanks
 	return time.Duration(rank)*claimStagger + e.opts.ClaimDelay
--- a/internal/services/group/group.go
+++ b/internal/services/group/group.go
@@ -70,8 +70,8 @@
 type Committer struct {
 	opts    Options
 	pending chan *entry
-	// speed observes the groups.
-	speed *slow.Detector
+	// slowness observes the appends of groups.
+	slowness *slow.Detector
 	// meanLatency is the moving average of the append latency. Only Serve uses it.
 	meanLatency time.Duration
 }
@@ -83,7 +83,7 @@
 	isTaken atomic.Bool
 }
 
-// take reports whether the record was neither taken by a group nor withdrawn.
+// take marks the entry as taken. It returns false if a group has taken it or the caller has withdrawn it before.
 func (e *entry) take() bool { return e.isTaken.CompareAndSwap(false, true) }
 
 // New returns a Committer. It appends nothing until Serve runs.
@@ -91,11 +91,11 @@
 	if o.MaxBytes == 0 {
 		o.MaxBytes = defaultMaxBytes
 	}
-	return &Committer{opts: o, pending: make(chan *entry, maxPending), speed: slow.New(slowAppend, o.Spread)}
+	return &Committer{opts: o, pending: make(chan *entry, maxPending), slowness: slow.New(slowAppend, o.Spread)}
 }
 
 // IsSlow reports whether the appends of this instance take long.
-func (c *Committer) IsSlow(now tick.Time) bool { return c.speed.IsSlow(now) }
+func (c *Committer) IsSlow(now tick.Time) bool { return c.slowness.IsSlow(now) }
 
 // String names the service in logs.
 func (c *Committer) String() string { return "gather" }
@@ -185,9 +185,9 @@
 	for i, e := range group {
 		records[i] = e.record
 	}
-	c.speed.Began(tick.Now())
+	c.slowness.Began(tick.Now())
 	err := c.append(ctx, records)
-	c.speed.Ended(tick.Now(), err == nil)
+	c.slowness.Ended(tick.Now(), err == nil)
 	return err
 }
 
--- a/internal/services/intake/append.go
+++ b/internal/services/intake/append.go
@@ -33,7 +33,8 @@
 	maxInDoubt    = 4096
 	// framingBytes is the size of the length prefixes of a record and of its key.
 	framingBytes = 5
-	// With these delays, the four repeats of a caller reach over an outage of 7 s.
+	// firstRetryAfter and longestRetryAfter bound the delays after which callers repeat a refused request. With them, the
+	// four repeats of a caller span an outage of 7 s.
 	firstRetryAfter   = time.Second
 	longestRetryAfter = 2 * time.Second
 )
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -99,7 +99,7 @@
 }
 
 // term is the state of one term. Its mutex guards cell, evacuated, evacuationGate, holdSenders, startWindow,
-// startResponses and querying.
+// startResponses, querying and storingSince.
 type term struct {
 	*Leader
 	epoch uint64
@@ -113,7 +113,7 @@
 	evacuationGate *fresh.Gate
 	planWake       chan struct{}
 	commitWake     chan struct{}
-	// placementWake ends the pause after a commit, because placed runs wait for a record.
+	// placementWake ends the pause after a commit early, because placed runs wait for a record.
 	placementWake chan struct{}
 	adviceWake    chan struct{}
 	// failed receives the first error that ends the term.
@@ -129,9 +129,8 @@
 	// querying has the executors that a query is sent to.
 	querying map[string]bool
 	wg       sync.WaitGroup
-	// storeSince is when the store was given the records under way, or last took some of them; 0 if none are under way.
-	// The mutex guards it.
-	storeSince tick.Time
+	// storingSince is when the store was given the records under way, or last took some of them; 0 if none are under way.
+	storingSince tick.Time
 	// sequence is the sequence number of the next append of records. It is not advanced by fence, which appends none.
 	sequence uint64
 }
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -79,7 +79,7 @@
 	}
 	list := t.cell.Plan(now, tick.Wall().UnixMilli(), cell.PlanLimits{
 		MaxStarts: room, IsSoleLeader: t.opts.IsSoleLeader(now),
-		IsStoreStalled: t.storeSince != 0 && now.Sub(t.storeSince) >= storeStallTimeout,
+		IsStoreStalled: t.storingSince != 0 && now.Sub(t.storingSince) >= storeStallTimeout,
 	})
 	events := t.cell.Events()
 	isFenced := t.cell.IsFenced()
@@ -287,7 +287,7 @@
 		// The order may have made the next hold due earlier.
 		wake.Send(h.wakeup)
 	}
-	// A start no longer counts towards maxStarts, and an order that was not executed may have to be planned again.
+	// A start order that is over makes room in startWindow. An order that was not executed may have to be planned again.
 	if r.Outcome != orders.Done || o.Start != nil {
 		t.wakePlan()
 	}
@@ -359,9 +359,9 @@
 
 // store appends the records of a batch in order, with as few appends as the limit of the log permits.
 func (t *term) store(ctx context.Context, b *cell.Batch) error {
-	defer t.setStoreSince(0)
+	defer t.setStoringSince(0)
 	for rest := b.Records; len(rest) > 0; {
-		t.setStoreSince(tick.Now())
+		t.setStoringSince(tick.Now())
 		n := countFitting(rest, t.opts.MaxAppendBytes)
 		if err := t.storeRecords(ctx, rest[:n]); err != nil {
 			return err
@@ -371,10 +371,10 @@
 	return nil
 }
 
-func (t *term) setStoreSince(at tick.Time) {
+func (t *term) setStoringSince(at tick.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.storeSince = at
+	t.storingSince = at
 }
 
 // framingBytes is the size of the length prefixes of a record and of its key.
