--- a/internal/state/cell/advice.go
+++ b/internal/state/cell/advice.go
@@ -112,7 +112,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(s.tasks, func(t *task) bool {
-		takes := func(x *executor) bool { return s.readinessRank(now, x) > 0 && t.isSuitedTo(now, x) && !t.isKeptFrom(x) }
+		takes := func(x *executor) bool { return s.readinessRank(now, x) > 0 && t.isSuitedTo(now, x) && !t.avoids(x) }
 		isWaiting := t.run == nil && !t.done
 		return isWaiting && !slices.ContainsFunc(permitted, takes) && slices.ContainsFunc(candidates, takes)
 	})
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -144,7 +144,7 @@
 	if !x.hasBestEffortCPU(s) {
 		return false
 	}
-	if p.cell.isKeptFree(p.now, s, need, x) {
+	if p.cell.isReservedForOthers(p.now, s, need, x) {
 		p.isLimitedByReservation = true
 		return false
 	}
@@ -246,8 +246,8 @@
 	return !s.pb.Fills || x.freeBestEffortMilliCPU() >= int64(s.pb.MilliCpu)
 }
 
-// isKeptFrom reports whether the task has failed on the executor and should start on another one.
-func (t *task) isKeptFrom(x *executor) bool {
+// avoids reports whether the task has failed on the executor and should start on another one.
+func (t *task) avoids(x *executor) bool {
 	return t.hasFailedOn(x) && len(t.failedOn) < maxFailedExecutors
 }
 
--- a/internal/state/cell/reservations.go
+++ b/internal/state/cell/reservations.go
@@ -162,8 +162,8 @@
 	return now.Add(max(endReportDelay, left)), true
 }
 
-// isKeptFree reports whether reservations keep the executor from tasks of the step.
-func (c *Cell) isKeptFree(now tick.Time, s *step, need resources, x *executor) bool {
+// isReservedForOthers reports whether reservations of other steps keep tasks of the step from the executor.
+func (c *Cell) isReservedForOthers(now tick.Time, s *step, need resources, x *executor) bool {
 	if c.lookAhead == nil || !c.lookAhead.planner.IsReserved(x.entry.ID) {
 		return false
 	}
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -234,7 +234,7 @@
 		return WaitNoTicket
 	case avoidsFailedOn && t.hasFailedOn(x):
 		return WaitFailedOn
-	case p.cell.isKeptFree(p.now, s, need, x):
+	case p.cell.isReservedForOthers(p.now, s, need, x):
 		return WaitReserved
 	}
 	if _, ok := p.rateExecutor(s, need, x); !ok {
--- a/internal/state/doubt/doubt.go
+++ b/internal/state/doubt/doubt.go
@@ -32,7 +32,7 @@
 	until tick.Time
 }
 
-// New returns an empty Set that keeps each key for the lifetime, and at most the newest ones of the capacity.
+// New returns an empty Set that keeps each key for the lifetime, and at most as many as the capacity, the newest ones.
 func New(capacity int, lifetime time.Duration) *Set {
 	return &Set{capacity: capacity, lifetime: lifetime, until: map[string]tick.Time{}}
 }
