--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -24,13 +24,13 @@
 	// suspend this process or an executor for that long.
 	minOverdue = 100 * time.Millisecond
 	// minAppendTimeout is the shortest timeout of an append of records, so that one that is lost with its connection is
-	// repeated soon. Reserved runs wait for it.
+	// repeated soon. Placed runs wait for it.
 	minAppendTimeout = 200 * time.Millisecond
 	// maxQueries limits the queries in flight.
 	maxQueries = 64
 	// holdTimeoutMargin is added to the wait time of a hold for the timeout of the call.
 	holdTimeoutMargin = 600 * time.Millisecond
-	// commitPause is the pause after a commit, so that many changes share one record. It ends early if reserved runs wait
+	// commitPause is the pause after a commit, so that many changes share one record. It ends early if placed runs wait
 	// for their record. The next plan then collects what has become startable, so it lasts minPlanPause at least.
 	commitPause = 20 * time.Millisecond
 	// storeStallTimeout is how long the store may take for records until only tasks start that need none. A store that is
@@ -79,7 +79,7 @@
 	}
 	list := t.cell.Plan(now, tick.Wall().UnixMilli(), cell.PlanLimits{
 		MaxStarts: room, IsSoleLeader: t.opts.IsSoleLeader(now),
-		IsStoreStalled: t.storeSince != 0 && now.Sub(t.storeSince) >= storeStallTimeout,
+		IsStoreStalled: t.storingSince != 0 && now.Sub(t.storingSince) >= storeStallTimeout,
 	})
 	events := t.cell.Events()
 	isFenced := t.cell.IsFenced()
@@ -287,7 +287,7 @@
 		// The order may have made the next hold due earlier.
 		wake.Send(h.wakeup)
 	}
-	// A start no longer counts towards maxStarts, and an order that was not executed may have to be planned again.
+	// A start order that is over makes room in startWindow. An order that was not executed may have to be planned again.
 	if r.Outcome != orders.Done || o.Start != nil {
 		t.wakePlan()
 	}
@@ -359,9 +359,9 @@
 
 // store appends the records of a batch in order, with as few appends as the limit of the log permits.
 func (t *term) store(ctx context.Context, b *cell.Batch) error {
-	defer t.setStoreSince(0)
+	defer t.setStoringSince(0)
 	for rest := b.Records; len(rest) > 0; {
-		t.setStoreSince(tick.Now())
+		t.setStoringSince(tick.Now())
 		n := countFitting(rest, t.opts.MaxAppendBytes)
 		if err := t.storeRecords(ctx, rest[:n]); err != nil {
 			return err
@@ -371,10 +371,10 @@
 	return nil
 }
 
-func (t *term) setStoreSince(at tick.Time) {
+func (t *term) setStoringSince(at tick.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.storeSince = at
+	t.storingSince = at
 }
 
 // framingBytes is the size of the length prefixes of a record and of its key.
--- a/internal/state/cell/advice.go
+++ b/internal/state/cell/advice.go
@@ -17,7 +17,7 @@
 	// adviceExecutorsPerTask is the number of executors in a request for each waiting task. It is more than one because
 	// the service rejects some of them.
 	adviceExecutorsPerTask = 2
-	// ticketValidityMargin is the part of a ticket's validity that is reserved for sending the order.
+	// ticketValidityMargin is the part of a ticket's validity that is kept for sending the order.
 	ticketValidityMargin = 300 * time.Millisecond
 	// adviceRetryPause is the pause after a request that failed.
 	adviceRetryPause = 200 * time.Millisecond
@@ -112,7 +112,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(s.tasks, func(t *task) bool {
-		takes := func(x *executor) bool { return s.readinessRank(now, x) > 0 && t.isSuitedTo(now, x) && !t.isKeptFrom(x) }
+		takes := func(x *executor) bool { return s.readinessRank(now, x) > 0 && t.isSuitedTo(now, x) && !t.avoids(x) }
 		isWaiting := t.run == nil && !t.done
 		return isWaiting && !slices.ContainsFunc(permitted, takes) && slices.ContainsFunc(candidates, takes)
 	})
--- a/internal/state/cell/reservations.go
+++ b/internal/state/cell/reservations.go
@@ -71,7 +71,7 @@
 
 // awaitRoom notes that no executor has the room for a task of the step, or for all tasks of a gang. It reserves room if
 // smaller work was started meanwhile.
-func (c *Cell) awaitRoom(now tick.Time, p *placement, s *step) {
+func (c *Cell) awaitRoom(now tick.Time, p *pass, s *step) {
 	if c.lookAhead == nil || s.pb.Fills || c.lookAhead.planner.IsFull() {
 		return
 	}
@@ -111,7 +111,7 @@
 }
 
 // extremesOf returns the extremes of a service when the pass first asked.
-func (p *placement) extremesOf(service string) extremes {
+func (p *pass) extremesOf(service string) extremes {
 	e, ok := p.extremes[service]
 	if !ok {
 		for _, x := range p.pools[service] {
@@ -162,8 +162,8 @@
 	return now.Add(max(endReportDelay, left)), true
 }
 
-// isKeptFree reports whether reservations keep the executor from tasks of the step.
-func (c *Cell) isKeptFree(now tick.Time, s *step, need resources, x *executor) bool {
+// isReservedForOthers reports whether reservations of other steps keep tasks of the step from the executor.
+func (c *Cell) isReservedForOthers(now tick.Time, s *step, need resources, x *executor) bool {
 	if c.lookAhead == nil || !c.lookAhead.planner.IsReserved(x.entry.ID) {
 		return false
 	}
@@ -176,7 +176,7 @@
 	return !c.lookAhead.planner.Admits(now, x.entry.ID, claim, func() ahead.Executor { return c.describeRoom(now, x, s) })
 }
 
-// noteStart tells the look-ahead that a run of the task takes its room.
+// noteStart reports to the look-ahead that a run of the task takes its room.
 func (c *Cell) noteStart(now tick.Time, t *task) {
 	if c.lookAhead == nil {
 		return
