--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -87,8 +87,8 @@
 const tooLateFactor = 3
 
 func (c *Cell) urgencyOf(now tick.Time, j *job) urgency {
-	// The ratio of the whole queue keeps the order of its jobs. With ratios of their own, jobs that turn out long would fall
-	// behind new ones in the middle of their work, and more jobs would end late.
+	// The ratio of the whole queue keeps the order of its jobs. With ratios of their own, jobs that turn out long would
+	// fall behind new ones in the middle of their work, and more jobs would end late.
 	ratio := c.durations.Mean(j.pb.Queue)
 	latencyTarget := c.latencyTargetOf(j)
 	left := time.Duration(float64(j.remainingCriticalPath()) * ratio)
--- a/internal/state/quant/quant.go
+++ b/internal/state/quant/quant.go
@@ -32,8 +32,8 @@
 	// queueSamples is the weight of a job's queue in samples of the job. It is low because tasks of one job differ less
 	// from each other than jobs of one queue.
 	queueSamples = 0.5
-	// minSpreadSamples is the number of ratios to the medians of their jobs from which their quantiles describe the spread
-	// within a job. Before, that of the queue is used, which is larger.
+	// minSpreadSamples is the number of ratios to the medians of their jobs from which their quantiles describe the
+	// spread within a job. Before, that of the queue is used, which is larger.
 	minSpreadSamples = 30
 	// minMedianSamples is the number of samples from which the median of a job is known well enough to relate others to
 	// it.
@@ -139,13 +139,13 @@
 // Forget drops the samples of a job that has ended.
 func (m *Model) Forget(job string) { m.jobs.Remove(job) }
 
-// Mean returns the mean ratio of a queue's tasks, which is close to 1 while there are few of them.
+// Mean returns the approximate mean ratio of a queue's tasks, which is close to 1 while there are few of them.
 func (m *Model) Mean(queue string) float64 {
 	q, isKnown := m.queues.Peek(queue)
 	if !isKnown {
 		return 1
 	}
-	return math.Pow(q.all.mean(), weight(q.all.total, neutralSamples))
+	return math.Pow(q.all.approximateMean(), weight(q.all.total, neutralSamples))
 }
 
 // Save returns the ratios of all queues for storage, in the order of their names. The ratio of a record is the mean,
--- a/internal/state/quant/sketch.go
+++ b/internal/state/quant/sketch.go
@@ -112,6 +112,19 @@
 	return s.merged().Mean() / unitsPerRatio
 }
 
+// approximateMean returns the mean of the cached quantiles, which costs far less than that of the samples.
+func (s *sketch) approximateMean() float64 {
+	steps := s.steps()
+	if len(steps) == 0 {
+		return 1
+	}
+	sum := 0.0
+	for _, ratio := range steps {
+		sum += ratio
+	}
+	return sum / float64(len(steps))
+}
+
 // load adds samples with the quantiles, at most so many that half a generation of new ones outweighs them.
 func (s *sketch) load(quantiles []float64, samples uint64) {
 	sorted := slices.Sorted(slices.Values(quantiles))
