Count the room of gang members that stay on their executor once while the gang moves

Cause: a move of a gang kept room for all members, also where a member's run still held it, so that an executor had less room than it has, and placed runs there were withdrawn. Change: the room of a member that stays is kept from when its run is over. The model checks that no room is kept twice; TestEvacuationMovesGangAsOne failed on that check before.

--- a/internal/state/cell/evacuation.go
+++ b/internal/state/cell/evacuation.go
@@ -255,8 +255,10 @@
 			m.release()
 			return nil
 		}
-		x.keepRoom(r.task)
-		cands.update(x)
+		if x != r.exec {
+			x.keepRoom(r.task)
+			cands.update(x)
+		}
 		m.runs, m.targets = append(m.runs, r), append(m.targets, x)
 	}
 	return m
@@ -269,6 +271,16 @@
 	m.targets = nil
 }
 
+// keepFreedRoom keeps the room of members that stay on their executor once their runs are over. Before that, the runs
+// themselves hold it.
+func (m *move) keepFreedRoom() {
+	for i, r := range m.runs {
+		if x := m.targets[i]; x == r.exec && r.task.run == nil && !x.kept[r.task] {
+			x.keepRoom(r.task)
+		}
+	}
+}
+
 // keepRoom keeps the resources of a task on the executor.
 func (x *executor) keepRoom(t *task) {
 	x.kept[t] = true
@@ -308,6 +320,7 @@
 			m.release()
 			return true
 		}
+		m.keepFreedRoom()
 		isReady := !slices.ContainsFunc(m.runs, func(r *run) bool { return !r.task.isStartable(now) })
 		if !isReady || n >= limit {
 			return false
--- a/internal/state/cell/simevacuation_test.go
+++ b/internal/state/cell/simevacuation_test.go
@@ -55,6 +55,7 @@
 		return
 	}
 	sim.moves++
+	sim.checkKeptRoom()
 	t := e.Task
 	step := sim.stepOf(t)
 	if !step.LongRunning {
@@ -74,6 +75,17 @@
 	}
 }
 
+// checkKeptRoom checks that no executor keeps room for a task whose run still holds it there.
+func (sim *simulation) checkKeptRoom() {
+	for _, x := range sim.currentLeader().cell.execs {
+		for t := range x.kept {
+			if t.run != nil && t.run.exec == x {
+				sim.recordViolation("the room of %v on %s is counted twice", t.id, x.entry.ID)
+			}
+		}
+	}
+}
+
 // isAtWorkAfter reports whether a later run of the task is at work.
 func (sim *simulation) isAtWorkAfter(moved orders.Run) bool {
 	for _, x := range sim.execs {
