Log what a takeover relies on and which executors it awaits

The logs of the incident did not tell whether a new leader relied on the placement records, nor which executors it waited for. takeover-began says the first, executor-awaited the second after one second, and takeover-settled how long the former leases would have lasted.

--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -67,11 +67,14 @@
 	// previousLeasesExpireAt is the time from which no run of a previous leader can still hold a lease.
 	previousLeasesExpireAt tick.Time
 	isTakingOver           bool
-	config                 *queue.Configuration
-	jobs                   map[string]*job
-	active                 []*job
-	execs                  map[string]*executor
-	evacuation             evacuation
+	// awaitedSince is when executors were first awaited in the takeover, and isAwaitedReported true once they are logged.
+	awaitedSince      tick.Time
+	isAwaitedReported bool
+	config            *queue.Configuration
+	jobs              map[string]*job
+	active            []*job
+	execs             map[string]*executor
+	evacuation        evacuation
 	// dirty has the jobs whose progress is to be recorded with the next batch.
 	dirty map[string]*job
 	// pendingRosters has the executors whose roster records are to be stored. No run is started on an executor before
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -1,12 +1,22 @@
 package cell
 
 import (
+	"fmt"
+	"time"
+
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/state/chain"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
+const (
+	// awaitedReportAfter is how long the takeover lasts before the executors are logged that have not responded.
+	awaitedReportAfter = time.Second
+	// maxAwaitedReported bounds the executors that are logged.
+	maxAwaitedReported = 10
+)
+
 // LoadRoster adds an executor to which a previous leader may have sent orders.
 func (c *Cell) LoadRoster(r *jobpb.Roster) {
 	x, ok := c.execs[r.Executor]
@@ -30,6 +40,8 @@
 func (c *Cell) LoadTerm(t *jobpb.Term, previousEpoch uint64) {
 	c.placements.chain = chain.New(c.epoch, previousEpoch, t)
 	c.placements.needsTerm = true
+	c.emit(Event{Name: "takeover-began", Detail: fmt.Sprintf("%v; previous epoch %d, term record of epoch %d",
+		c.placements.chain, previousEpoch, t.GetEpoch())})
 }
 
 // holdBack keeps the task from starting until the executor with the hash has responded or its lease has expired.
@@ -69,11 +81,34 @@
 	}
 	c.releaseHeld(awaited)
 	if len(awaited) > 0 {
+		c.reportAwaited(now)
 		return
 	}
 	c.isTakingOver = false
-	c.emit(Event{Name: "takeover-settled"})
+	left := max(0, c.previousLeasesExpireAt.Sub(now))
+	c.emit(Event{Name: "takeover-settled", Detail: fmt.Sprintf("former leases expire in %v", left)})
 	for _, j := range c.active {
 		j.isInherited = false
 	}
 }
+
+// reportAwaited logs once the executors for which tasks are held back.
+func (c *Cell) reportAwaited(now tick.Time) {
+	if c.awaitedSince == 0 {
+		c.awaitedSince = now
+	}
+	if c.isAwaitedReported || now.Sub(c.awaitedSince) < awaitedReportAfter {
+		return
+	}
+	c.isAwaitedReported = true
+	left := maxAwaitedReported
+	for id, x := range c.execs {
+		if left == 0 || !c.isAwaited(now, x) {
+			continue
+		}
+		left--
+		c.emit(Event{Name: "executor-awaited", Executor: id, Detail: fmt.Sprintf(
+			"listed %t, draining %t, tasks held back %d, former leases expire in %v",
+			x.isListed, x.entry.Draining, len(c.placements.held[x.hash]), c.previousLeasesExpireAt.Sub(now))})
+	}
+}
--- a/internal/state/chain/chain.go
+++ b/internal/state/chain/chain.go
@@ -13,6 +13,8 @@
 package chain
 
 import (
+	"fmt"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
@@ -39,6 +41,14 @@
 	return p.PlacementEpoch != 0 && c.since <= p.PlacementEpoch && p.PlacementEpoch <= c.previous
 }
 
+// String describes which records are relied on.
+func (c Chain) String() string {
+	if c.previous == 0 {
+		return "no placement record is relied on"
+	}
+	return fmt.Sprintf("placement records of epochs %d to %d are relied on", c.since, c.previous)
+}
+
 // Record returns the term record that the leader has to store before its first start.
 func (c Chain) Record() *jobpb.Term { return &jobpb.Term{Epoch: c.epoch, Since: c.since} }
 
