Recognize the own claims and heartbeats in the election log when their answers were lost

Callers saw long-running tasks wait 12 s for a restart and requests refused for 6 s: after the loss of the leader, nobody led while the store took appends and lost their answers.

Cause: an instance trusted only the answer to its append. It read its own stored claim as that of an earlier process, and claimed again when the call timed out after 1.2 s, while all others waited for it; in the incident six times in a row, until the leases of the executors had ended. In the same way, heartbeats that were stored without an answer did not extend the leadership lease.

A record is now recognized by its offset, its epoch and the process that wrote it, which records name from now on. At most one record is stored at an offset, and the lease counts from when a record was first sent for it, which is not later than its storing, so the inequalities of docs/design/takeover.md hold. A claim times out like a heartbeat, after 0.2 to 0.9 s, and the log is read then.

--- /dev/null
+++ b/internal/services/elect/claim.go
@@ -0,0 +1,157 @@
+package elect
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/pkg/fault"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// attempt is an append whose outcome is unknown. A record can be stored at its offset only once.
+type attempt struct {
+	at    logs.Offset
+	epoch uint64
+	// sentAt is when a record of the epoch was first sent for the offset.
+	sentAt tick.Time
+}
+
+// claimed is a claim of this instance that is stored.
+type claimed struct {
+	epoch, previousEpoch uint64
+	sentAt               tick.Time
+}
+
+// noteAttempt notes that a record is sent for the offset.
+func (e *Elector) noteAttempt(now tick.Time, at logs.Offset, epoch uint64) {
+	if a := e.attempt; a != nil && a.at == at && a.epoch == epoch {
+		return
+	}
+	e.attempt = &attempt{at: at, epoch: epoch, sentAt: now}
+}
+
+// isAttempted reports whether the record at the offset is the one that this process sent for it.
+func (e *Elector) isAttempted(at logs.Offset, l *jobpb.Lead) bool {
+	a := e.attempt
+	return a != nil && a.at == at && a.epoch == l.Epoch && l.Process == e.process && !l.Resigned
+}
+
+// recognizeClaim notes that the record of a new epoch was read, and whether it is the claim of this process whose
+// response was lost. The caller must hold the mutex and not have replaced lastRecord yet.
+func (e *Elector) recognizeClaim(isOwn bool) {
+	e.recognized = nil
+	if isOwn {
+		e.recognized = &claimed{epoch: e.attempt.epoch, previousEpoch: e.previousEpoch(), sentAt: e.attempt.sentAt}
+	}
+}
+
+// claimAt returns when this instance may claim leadership if no further record arrives.
+func (e *Elector) claimAt() tick.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lastRecord == nil || e.lastRecord.Resigned {
+		return max(e.lastRecordAt, e.readableSince).Add(e.stagger())
+	}
+	if e.lastRecord.Instance == e.opts.Instance {
+		// The record is of an earlier process or term of this instance.
+		return max(e.readableSince, e.noClaimBefore)
+	}
+	if e.isYielded() {
+		return e.yieldedAt
+	}
+	return max(e.lastRecordAt, e.readableSince).Add(electionTimeout + e.stagger())
+}
+
+// claim tries to become the leader.
+func (e *Elector) claim(ctx context.Context) (Term, bool) {
+	epoch := uint64(e.next) + 1
+	sent, timeout := tick.Now(), e.heartbeatTimeout.Timeout()
+	err := e.append(ctx, timeout, e.record(epoch))
+	if err != nil {
+		e.opts.Logger.Info().Err(err).Uint64("epoch", epoch).Msg("claim-failed")
+		if tick.Now().Sub(sent) >= timeout {
+			// The claim may be stored although its response was lost. The next read tells.
+			e.heartbeatTimeout.BackOff()
+		}
+		return Term{}, false
+	}
+	e.heartbeatTimeout.Observe(tick.Now().Sub(sent))
+	e.mu.Lock()
+	e.earlierLeasesUntil = e.formerLeaseUntil(sent)
+	c := &claimed{epoch: epoch, previousEpoch: e.previousEpoch(), sentAt: sent}
+	e.lastRecord, e.lastRecordAt, e.isLastUnknown = e.record(epoch), sent, false
+	e.mu.Unlock()
+	return e.beginTerm(c), true
+}
+
+// beginTerm makes this instance the leader after its claim is stored.
+func (e *Elector) beginTerm(c *claimed) Term {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.recognized = nil
+	e.isLeader = true
+	e.leaseUntil = c.sentAt.Add(LeaseDuration)
+	e.ownEpoch, e.yielding = c.epoch, make(chan struct{})
+	t := Term{
+		Epoch: c.epoch, PreviousEpoch: c.previousEpoch,
+		ExecutorLeasesExpireAt: e.earlierLeasesUntil.Add(e.opts.MaxExecutorLease),
+	}
+	e.opts.Logger.Info().Uint64("epoch", t.Epoch).
+		Dur("former-leases-expire-in", t.ExecutorLeasesExpireAt.Sub(tick.Now())).Msg("election-won")
+	return t
+}
+
+// record returns a record that this instance leads with the epoch.
+func (e *Elector) record(epoch uint64) *jobpb.Lead {
+	return &jobpb.Lead{
+		Instance: e.opts.Instance, Address: e.opts.Address, Epoch: epoch, Cores: e.opts.Cores, Process: e.process,
+	}
+}
+
+// formerLeaseUntil returns when the leases of all leaders up to that of the newest record have expired. A leader that
+// has resigned or yielded may have taken over from one whose lease lasts longer. The caller must hold the mutex.
+func (e *Elector) formerLeaseUntil(now tick.Time) tick.Time {
+	switch {
+	case e.lastRecord == nil && !e.isLastUnknown && e.next == 0:
+		// There was no leader yet.
+		return now
+	case e.lastRecord == nil || e.isLastUnknown:
+		// The last record is no longer retained or is unreadable.
+		return max(e.earlierLeasesUntil, now.Add(LeaseDuration))
+	case e.lastRecord.Resigned:
+		return max(e.earlierLeasesUntil, e.lastRecordAt)
+	case e.isYielded():
+		return max(e.earlierLeasesUntil, e.yieldedAt)
+	}
+	return max(e.earlierLeasesUntil, e.lastRecordAt.Add(LeaseDuration))
+}
+
+// previousEpoch returns the epoch of the newest record, or 0 if it is unknown. The caller must hold the mutex.
+func (e *Elector) previousEpoch() uint64 {
+	if e.lastRecord == nil || e.isLastUnknown {
+		return 0
+	}
+	return e.lastRecord.Epoch
+}
+
+// append adds a record if the partition still ends at the offset that this instance has read up to.
+func (e *Elector) append(ctx context.Context, timeout time.Duration, l *jobpb.Lead) error {
+	b, err := proto.Marshal(l)
+	if err != nil {
+		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode election record")
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	at := e.next
+	e.noteAttempt(tick.Now(), at, l.Epoch)
+	_, err = e.opts.Log.Append(ctx, logs.Election, e.opts.Part, []logs.Record{{Value: b}}, logs.Condition{At: &at})
+	if err == nil {
+		e.next++
+		e.attempt = nil
+	}
+	return err
+}
--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -121,16 +122,24 @@
 	next logs.Offset
 	// lastReadAt is when a read last succeeded, and readableSince the start of the current series of successful reads.
 	lastReadAt, readableSince tick.Time
-	// heartbeatTimeout is the timeout of a heartbeat. Only heartbeatLoop uses it.
+	// heartbeatTimeout is the timeout of a heartbeat or a claim. Only Serve uses it.
 	heartbeatTimeout *rtrip.Estimator
-	resigning        chan struct{}
-	resignOnce       sync.Once
+	// attempt is the last append of this instance as long as its outcome is unknown. Only Serve uses it.
+	attempt *attempt
+	// recognized is the term that begins with a claim of this instance that was read in the log and is the newest record,
+	// if its append got no answer. Only Serve uses it.
+	recognized *claimed
+	// process identifies this process in its records.
+	process    uint64
+	resigning  chan struct{}
+	resignOnce sync.Once
 }
 
 // New returns an Elector.
 func New(o Options) *Elector {
 	return &Elector{
 		opts: o, heartbeatTimeout: rtrip.New(minHeartbeatTimeout, heartbeatAppendTimeout), resigning: make(chan struct{}),
+		process: rand.Uint64(),
 	}
 }
 
@@ -194,7 +203,7 @@
 
 // follow reads the records once and claims leadership if there is no leader.
 func (e *Elector) follow(ctx context.Context) (Term, bool) {
-	page, err := e.read(ctx, e.readWait(tick.Now()))
+	page, err := e.read(ctx, e.readWait(tick.Now()), callTimeout)
 	now := tick.Now()
 	if err != nil {
 		e.handleReadError(ctx, err)
@@ -205,7 +214,13 @@
 	}
 	e.lastReadAt = now
 	e.apply(now, page)
-	if e.next < page.End || !e.mayClaim() {
+	if e.next < page.End {
+		return Term{}, false
+	}
+	if e.recognized != nil {
+		return e.beginTerm(e.recognized), true
+	}
+	if !e.mayClaim() {
 		return Term{}, false
 	}
 	if askAt, ok := e.askAt(); ok && !now.Before(askAt) && now.Before(e.claimAt()) {
@@ -232,8 +247,9 @@
 	return min(maxReadWait, max(0, next.Sub(now)))
 }
 
-func (e *Elector) read(ctx context.Context, wait time.Duration) (logs.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+// read reads the records from next on. The store waits for one for the time wait and has the timeout to answer.
+func (e *Elector) read(ctx context.Context, wait, timeout time.Duration) (logs.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
 	return e.opts.Log.Read(ctx, logs.Election, e.opts.Part, e.next, wait)
 }
@@ -268,106 +284,20 @@
 			e.isLastUnknown = true
 			continue
 		}
+		isOwn := e.isAttempted(r.Offset, l)
 		if e.lastRecord == nil || e.lastRecord.Epoch != l.Epoch {
 			e.earlierLeasesUntil = e.formerLeaseUntil(now)
+			e.recognizeClaim(isOwn)
 			e.opts.Logger.Info().Str("leader", l.Instance).Uint64("epoch", l.Epoch).Msg("leader-changed")
 		}
+		if isOwn && e.isLeader {
+			e.leaseUntil = max(e.leaseUntil, e.attempt.sentAt.Add(LeaseDuration))
+		}
 		e.lastRecord, e.lastRecordAt, e.isLastUnknown = l, now, false
 	}
 	e.next = page.Next(e.next)
 }
 
-// claimAt returns when this instance may claim leadership if no further record arrives.
-func (e *Elector) claimAt() tick.Time {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.lastRecord == nil || e.lastRecord.Resigned {
-		return max(e.lastRecordAt, e.readableSince).Add(e.stagger())
-	}
-	if e.lastRecord.Instance == e.opts.Instance {
-		// The record is of an earlier process or term of this instance, or of a claim whose response was lost.
-		return max(e.readableSince, e.noClaimBefore)
-	}
-	if e.isYielded() {
-		return e.yieldedAt
-	}
-	return max(e.lastRecordAt, e.readableSince).Add(electionTimeout + e.stagger())
-}
-
-// claim tries to become the leader.
-func (e *Elector) claim(ctx context.Context) (Term, bool) {
-	epoch := uint64(e.next) + 1
-	sent := tick.Now()
-	err := e.append(ctx, callTimeout, e.record(epoch))
-	if err != nil {
-		e.opts.Logger.Info().Err(err).Uint64("epoch", epoch).Msg("claim-failed")
-		return Term{}, false
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.earlierLeasesUntil = e.formerLeaseUntil(sent)
-	t := Term{
-		Epoch: epoch, PreviousEpoch: e.previousEpoch(),
-		ExecutorLeasesExpireAt: e.earlierLeasesUntil.Add(e.opts.MaxExecutorLease),
-	}
-	e.isLeader = true
-	e.leaseUntil = sent.Add(LeaseDuration)
-	e.beginTerm(epoch)
-	e.lastRecord = e.record(epoch)
-	e.lastRecordAt = sent
-	e.isLastUnknown = false
-	e.opts.Logger.Info().Uint64("epoch", epoch).
-		Dur("former-leases-expire-in", t.ExecutorLeasesExpireAt.Sub(sent)).Msg("election-won")
-	return t, true
-}
-
-// record returns a record that this instance leads with the epoch.
-func (e *Elector) record(epoch uint64) *jobpb.Lead {
-	return &jobpb.Lead{Instance: e.opts.Instance, Address: e.opts.Address, Epoch: epoch, Cores: e.opts.Cores}
-}
-
-// formerLeaseUntil returns when the leases of all leaders up to that of the newest record have expired. A leader that
-// has resigned or yielded may have taken over from one whose lease lasts longer. The caller must hold the mutex.
-func (e *Elector) formerLeaseUntil(now tick.Time) tick.Time {
-	switch {
-	case e.lastRecord == nil && !e.isLastUnknown && e.next == 0:
-		// There was no leader yet.
-		return now
-	case e.lastRecord == nil || e.isLastUnknown:
-		// The last record is no longer retained or is unreadable.
-		return max(e.earlierLeasesUntil, now.Add(LeaseDuration))
-	case e.lastRecord.Resigned:
-		return max(e.earlierLeasesUntil, e.lastRecordAt)
-	case e.isYielded():
-		return max(e.earlierLeasesUntil, e.yieldedAt)
-	}
-	return max(e.earlierLeasesUntil, e.lastRecordAt.Add(LeaseDuration))
-}
-
-// previousEpoch returns the epoch of the newest record, or 0 if it is unknown. The caller must hold the mutex.
-func (e *Elector) previousEpoch() uint64 {
-	if e.lastRecord == nil || e.isLastUnknown {
-		return 0
-	}
-	return e.lastRecord.Epoch
-}
-
-// append adds a record if the partition still ends at the offset that this instance has read up to.
-func (e *Elector) append(ctx context.Context, timeout time.Duration, l *jobpb.Lead) error {
-	b, err := proto.Marshal(l)
-	if err != nil {
-		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode election record")
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	at := e.next
-	_, err = e.opts.Log.Append(ctx, logs.Election, e.opts.Part, []logs.Record{{Value: b}}, logs.Condition{At: &at})
-	if err == nil {
-		e.next++
-	}
-	return err
-}
-
 // runTerm runs the term until another instance claims leadership, this one resigns, or the context ends.
 func (e *Elector) runTerm(ctx context.Context, t Term) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -426,14 +356,15 @@
 		e.heartbeatTimeout.Observe(tick.Now().Sub(sent))
 		return e.extendLease(sent), heartbeatInterval
 	case errors.As(err, &conflict):
-		return e.isStillLeader(ctx, t), heartbeatRetryDelay
+		return e.isStillLeader(ctx, t, callTimeout), heartbeatRetryDelay
 	}
 	e.opts.Logger.Warn().Err(err).Uint64("epoch", t.Epoch).Msg("heartbeat-append-failed")
-	if tick.Now().Sub(sent) >= timeout {
-		e.heartbeatTimeout.BackOff()
-		return true, heartbeatRetryDelay
+	if tick.Now().Sub(sent) < timeout {
+		return true, retryDelay
 	}
-	return true, retryDelay
+	e.heartbeatTimeout.BackOff()
+	// The heartbeat may be stored although its response was lost.
+	return e.isStillLeader(ctx, t, timeout), heartbeatRetryDelay
 }
 
 // extendLease extends the leadership lease after a heartbeat was stored. It returns false if the term was yielded
@@ -449,11 +380,11 @@
 	return true
 }
 
-// isStillLeader reads the records that conflicted with a heartbeat. They are either earlier heartbeats of this leader
-// whose responses were lost, or the claim of another instance. If the read fails, it returns true: the leadership lease
-// limits how long this leader may act.
-func (e *Elector) isStillLeader(ctx context.Context, t Term) bool {
-	page, err := e.read(ctx, 0)
+// isStillLeader reads the records since the last heartbeat that was answered. They are either heartbeats of this leader
+// whose responses were lost, which extend its lease, or the claim of another instance. If the read fails, it returns
+// true: the leadership lease limits how long this leader may act.
+func (e *Elector) isStillLeader(ctx context.Context, t Term, timeout time.Duration) bool {
+	page, err := e.read(ctx, 0, timeout)
 	if err != nil {
 		e.handleReadError(ctx, err)
 		return true
--- a/internal/services/elect/yield.go
+++ b/internal/services/elect/yield.go
@@ -43,12 +43,6 @@
 	return true
 }
 
-// beginTerm sets what Yield needs. The caller must hold the mutex.
-func (e *Elector) beginTerm(epoch uint64) {
-	e.ownEpoch = epoch
-	e.yielding = make(chan struct{})
-}
-
 // yieldSignal returns the channel that is closed when the term is yielded.
 func (e *Elector) yieldSignal() <-chan struct{} {
 	e.mu.Lock()
