Rely on placement records beyond leaders that recorded nothing

Cause: the chain of placement records required that the term record be of the epoch just before. A leader that won the election and was lost, or never learned of its claim, stored no term record and so broke the chain, although it can have ordered no start.

The records of the election state since when every leader stores a term record before its first start. Leaders after the one of the last term record that are covered by that statement have started nothing.

--- a/internal/services/elect/claim.go
+++ b/internal/services/elect/claim.go
@@ -22,8 +22,10 @@
 
 // claimed is a claim of this instance that is stored.
 type claimed struct {
-	epoch, previousEpoch uint64
-	sentAt               tick.Time
+	epoch  uint64
+	sentAt tick.Time
+	// previousEpoch and recordedSince are those of the record before the claim; 0 if it is unknown.
+	previousEpoch, recordedSince uint64
 }
 
 // noteAttempt notes that a record is sent for the offset.
@@ -45,7 +47,7 @@
 func (e *Elector) recognizeClaim(isOwn bool) {
 	e.recognized = nil
 	if isOwn {
-		e.recognized = &claimed{epoch: e.attempt.epoch, previousEpoch: e.previousEpoch(), sentAt: e.attempt.sentAt}
+		e.recognized = e.claimed(e.attempt.epoch, e.attempt.sentAt)
 	}
 }
 
@@ -70,6 +72,7 @@
 func (e *Elector) claim(ctx context.Context) (Term, bool) {
 	epoch := uint64(e.next) + 1
 	sent, timeout := tick.Now(), e.heartbeatTimeout.Timeout()
+	e.continueRecords(epoch)
 	err := e.append(ctx, timeout, e.record(epoch))
 	if err != nil {
 		e.opts.Logger.Info().Err(err).Uint64("epoch", epoch).Msg("claim-failed")
@@ -82,7 +85,7 @@
 	e.heartbeatTimeout.Observe(tick.Now().Sub(sent))
 	e.mu.Lock()
 	e.earlierLeasesUntil = e.formerLeaseUntil(sent)
-	c := &claimed{epoch: epoch, previousEpoch: e.previousEpoch(), sentAt: sent}
+	c := e.claimed(epoch, sent)
 	e.lastRecord, e.lastRecordAt, e.isLastUnknown = e.record(epoch), sent, false
 	e.mu.Unlock()
 	return e.beginTerm(c), true
@@ -97,7 +100,7 @@
 	e.leaseUntil = c.sentAt.Add(LeaseDuration)
 	e.ownEpoch, e.yielding = c.epoch, make(chan struct{})
 	t := Term{
-		Epoch: c.epoch, PreviousEpoch: c.previousEpoch,
+		Epoch: c.epoch, PreviousEpoch: c.previousEpoch, RecordedSince: c.recordedSince,
 		ExecutorLeasesExpireAt: e.earlierLeasesUntil.Add(e.opts.MaxExecutorLease),
 	}
 	e.opts.Logger.Info().Uint64("epoch", t.Epoch).
@@ -109,6 +112,7 @@
 func (e *Elector) record(epoch uint64) *jobpb.Lead {
 	return &jobpb.Lead{
 		Instance: e.opts.Instance, Address: e.opts.Address, Epoch: epoch, Cores: e.opts.Cores, Process: e.process,
+		RecordedSince: e.recordedSince,
 	}
 }
 
@@ -130,12 +134,24 @@
 	return max(e.earlierLeasesUntil, e.lastRecordAt.Add(LeaseDuration))
 }
 
-// previousEpoch returns the epoch of the newest record, or 0 if it is unknown. The caller must hold the mutex.
-func (e *Elector) previousEpoch() uint64 {
-	if e.lastRecord == nil || e.isLastUnknown {
-		return 0
+// claimed returns the claim of the epoch that follows the newest record. The caller must hold the mutex.
+func (e *Elector) claimed(epoch uint64, sentAt tick.Time) *claimed {
+	c := &claimed{epoch: epoch, sentAt: sentAt}
+	if e.lastRecord != nil && !e.isLastUnknown {
+		c.previousEpoch, c.recordedSince = e.lastRecord.Epoch, e.lastRecord.RecordedSince
+	}
+	return c
+}
+
+// continueRecords sets since when all leaders up to this one, which claims the epoch, store term records. A leader of a
+// version that does not state it may not have done so, so the series starts anew after it.
+func (e *Elector) continueRecords(epoch uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.recordedSince = e.claimed(epoch, 0).recordedSince
+	if e.recordedSince == 0 {
+		e.recordedSince = epoch
 	}
-	return e.lastRecord.Epoch
 }
 
 // append adds a record if the partition still ends at the offset that this instance has read up to.
--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -67,6 +67,9 @@
 	Epoch uint64
 	// PreviousEpoch is the epoch of the leader before in the election log; 0 if there was none or it is unknown.
 	PreviousEpoch uint64
+	// RecordedSince is the lowest epoch from which on every leader, up to that of PreviousEpoch, stores a term record
+	// before it orders a start; 0 if that is known of none.
+	RecordedSince uint64
 	// ExecutorLeasesExpireAt is when all leases that former leaders have granted to executors have expired.
 	ExecutorLeasesExpireAt tick.Time
 }
@@ -129,6 +132,8 @@
 	// recognized is the term that begins with a claim of this instance that was read in the log and is the newest record,
 	// if its append got no answer. Only Serve uses it.
 	recognized *claimed
+	// recordedSince is what the records of this instance state. Only Serve uses it.
+	recordedSince uint64
 	// process identifies this process in its records.
 	process    uint64
 	resigning  chan struct{}
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -210,7 +210,7 @@
 	t.opts.Replica.Observe(t.acceptJob)
 	jobs := 0
 	t.opts.Replica.Visit(func(b *book.Book) {
-		c.LoadTerm(b.Term(), et.PreviousEpoch)
+		c.LoadTerm(b.Term(), et.PreviousEpoch, et.RecordedSince)
 		b.Roster(c.LoadRoster)
 		c.LoadModel(b.Model())
 		b.Jobs(func(e *book.Entry) {
--- a/internal/state/cell/placed_test.go
+++ b/internal/state/cell/placed_test.go
@@ -25,7 +25,7 @@
 		MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, Retention: time.Minute,
 	}, 7, h.now.Add(10*time.Second))
 	h.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{{Name: "q", Service: "svc", MaxAttempts: 3}}})
-	h.cell.LoadTerm(term, previousEpoch)
+	h.cell.LoadTerm(term, previousEpoch, 0)
 	for _, id := range []string{"x", "y"} {
 		h.cell.LoadRoster(&jobpb.Roster{Executor: id, Address: id})
 	}
@@ -289,7 +289,7 @@
 	log := book.New()
 	h := newHarness(t, testExecutor("x"))
 	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
-	h.cell.LoadTerm(nil, 0)
+	h.cell.LoadTerm(nil, 0, 0)
 	h.cell.Plan(h.now, testWallMS, unbounded)
 	b, err := h.cell.NextBatch()
 	assert.NilError(t, err)
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -59,7 +59,7 @@
 		previousEpoch = sim.currentLeader().epoch
 	}
 	if !sim.isFormerVersion(l.epoch) {
-		l.cell.LoadTerm(sim.book.Term(), previousEpoch)
+		l.cell.LoadTerm(sim.book.Term(), previousEpoch, sim.recordedSince())
 	}
 	sim.book.Roster(l.cell.LoadRoster)
 	sim.book.Jobs(func(e *book.Entry) { l.cell.Load(sim.now, sim.wallMS(), e) })
@@ -68,6 +68,18 @@
 	return l
 }
 
+// recordedSince returns the epoch since which no leader was of the former version, or 0 if the last one was.
+func (sim *simulation) recordedSince() uint64 {
+	since := uint64(0)
+	for _, l := range slices.Backward(sim.leaders) {
+		if sim.isFormerVersion(l.epoch) {
+			break
+		}
+		since = l.epoch
+	}
+	return since
+}
+
 const (
 	loopInterval = 20 * time.Millisecond
 	simMaxStarts = 128
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -34,14 +34,16 @@
 	return x.isInherited && !x.hasResponded && !x.isTerminated && now.Before(c.previousLeasesExpireAt)
 }
 
-// LoadTerm states the last term record, or nil, and the epoch of the previous leader, or 0 if it is unknown. It must be
-// called before Load, for the leader to rely on the placement that previous leaders have recorded, and to record that
-// it keeps such records itself.
-func (c *Cell) LoadTerm(t *jobpb.Term, previousEpoch uint64) {
-	c.placements.chain = chain.New(c.epoch, previousEpoch, t)
+// LoadTerm states the last term record, or nil, the epoch of the previous leader, or 0 if it is unknown, and the epoch
+// since which all leaders up to that one have stored a term record before their first start, or 0. It must be called
+// before Load, for the leader to rely on the placement that previous leaders have recorded, and to record that it keeps
+// such records itself.
+func (c *Cell) LoadTerm(t *jobpb.Term, previousEpoch, recordedSince uint64) {
+	c.placements.chain = chain.New(c.epoch, previousEpoch, recordedSince, t)
 	c.placements.needsTerm = true
-	c.emit(Event{Name: "takeover-began", Detail: fmt.Sprintf("%v; previous epoch %d, term record of epoch %d",
-		c.placements.chain, previousEpoch, t.GetEpoch())})
+	c.emit(Event{Name: "takeover-began", Detail: fmt.Sprintf(
+		"%v; previous epoch %d, recorded since %d, term record of epoch %d",
+		c.placements.chain, previousEpoch, recordedSince, t.GetEpoch())})
 }
 
 // holdBack keeps the task from starting until the executor with the hash has responded or its lease has expired.
--- a/internal/state/chain/chain.go
+++ b/internal/state/chain/chain.go
@@ -3,11 +3,12 @@
 // A leader that keeps placement records stores, before it sends the start order of a task, a record that names the
 // executor. The record of a job therefore names every executor on which a task of it may run, but only if every leader
 // since the one that wrote it kept such records. A leader of a version without them writes no term record, which breaks
-// the chain.
+// the chain. A leader that states in the election log that it stores a term record before its first start, and has
+// stored none, has started nothing: it does not break the chain.
 //
 // # Usage
 //
-//	c := chain.New(epoch, previousEpoch, lastTermRecord)
+//	c := chain.New(epoch, previousEpoch, recordedSince, lastTermRecord)
 //	if c.Trusts(progress) { ... }
 //	store(c.Record())
 package chain
@@ -26,10 +27,15 @@
 }
 
 // New returns the chain that ends with the leader of the epoch. The previous epoch is that of the leader before in the
-// election log, or 0 if it is unknown. The term is the last stored term record, or nil. It is used only if the previous
-// leader wrote it and its contents are consistent.
-func New(epoch, previous uint64, t *jobpb.Term) Chain {
-	if t == nil || t.Epoch != previous || t.Since == 0 || t.Since > t.Epoch || t.Epoch >= epoch {
+// election log, or 0 if it is unknown. From recordedSince on, all leaders up to the previous one store a term record
+// before their first start; it is 0 if that is known of none. The term is the last stored term record, or nil. It is
+// used only if its contents are consistent and no leader after the one that wrote it can have started tasks.
+func New(epoch, previous, recordedSince uint64, t *jobpb.Term) Chain {
+	if t == nil || t.Since == 0 || t.Since > t.Epoch || t.Epoch > previous || previous >= epoch {
+		return Chain{epoch: epoch, since: epoch}
+	}
+	isRecorded := recordedSince != 0 && recordedSince <= t.Epoch
+	if t.Epoch != previous && !isRecorded {
 		return Chain{epoch: epoch, since: epoch}
 	}
 	return Chain{epoch: epoch, previous: previous, since: t.Since}
