Give the first claim and the first fence of a leader a short timeout

Claims and fences now time out after 0.2 s at first, doubled with each one that is not answered, and a leader whose claim is recognized late sends its next heartbeat half a second after the claim, not after the recognition. TestLeaderWithoutAnswerToClaimIsNotReplaced failed before.

--- a/internal/services/elect/claim.go
+++ b/internal/services/elect/claim.go
@@ -71,18 +71,17 @@
 // claim tries to become the leader.
 func (e *Elector) claim(ctx context.Context) (Term, bool) {
 	epoch := uint64(e.next) + 1
-	sent, timeout := tick.Now(), e.heartbeatTimeout.Timeout()
+	sent, timeout := tick.Now(), e.claimTimeout()
 	e.continueRecords(epoch)
 	err := e.append(ctx, timeout, e.record(epoch))
 	if err != nil {
 		e.opts.Logger.Info().Err(err).Uint64("epoch", epoch).Msg("claim-failed")
 		if tick.Now().Sub(sent) >= timeout {
 			// The claim may be stored although its response was lost. The next read tells.
-			e.heartbeatTimeout.BackOff()
+			e.unansweredClaims++
 		}
 		return Term{}, false
 	}
-	e.heartbeatTimeout.Observe(tick.Now().Sub(sent))
 	e.mu.Lock()
 	e.earlierLeasesUntil = e.formerLeaseUntil(sent)
 	c := e.claimed(epoch, sent)
@@ -91,11 +90,21 @@
 	return e.beginTerm(c), true
 }
 
+// claimTimeout returns the timeout of the next claim. It doubles with each claim without a response, as the store may
+// be slow.
+func (e *Elector) claimTimeout() time.Duration {
+	timeout := minHeartbeatTimeout
+	for range e.unansweredClaims {
+		timeout = min(2*timeout, callTimeout)
+	}
+	return timeout
+}
+
 // beginTerm makes this instance the leader after its claim is stored.
 func (e *Elector) beginTerm(c *claimed) Term {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.recognized = nil
+	e.recognized, e.unansweredClaims = nil, 0
 	e.isLeader = true
 	e.leaseUntil = c.sentAt.Add(LeaseDuration)
 	e.ownEpoch, e.yielding = c.epoch, make(chan struct{})
--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -125,8 +125,10 @@
 	next logs.Offset
 	// lastReadAt is when a read last succeeded, and readableSince the start of the current series of successful reads.
 	lastReadAt, readableSince tick.Time
-	// heartbeatTimeout is the timeout of a heartbeat or a claim. Only Serve uses it.
+	// heartbeatTimeout is the timeout of a heartbeat. Only Serve uses it.
 	heartbeatTimeout *rtrip.Estimator
+	// unansweredClaims counts the claims without a response since the last term of this instance.
+	unansweredClaims int
 	// attempt is the last append of this instance as long as its outcome is unknown. Only Serve uses it.
 	attempt *attempt
 	// recognized is the term that begins with a claim of this instance that was read in the log and is the newest record,
@@ -324,7 +326,7 @@
 // heartbeatLoop sends heartbeats until the term ends. It returns the error that ended Options.RunTerm, or nil if that
 // is still running.
 func (e *Elector) heartbeatLoop(ctx context.Context, t Term, ended <-chan error) error {
-	timer := time.NewTimer(heartbeatInterval)
+	timer := time.NewTimer(max(0, heartbeatInterval-e.lastSentAge(tick.Now())))
 	defer timer.Stop()
 	yielding := e.yieldSignal()
 	for {
@@ -350,6 +352,13 @@
 	}
 }
 
+// lastSentAge returns how long ago the last stored record of the term was sent.
+func (e *Elector) lastSentAge(now tick.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return now.Sub(e.leaseUntil.Add(-LeaseDuration))
+}
+
 // sendHeartbeat appends one heartbeat. It returns false if another instance has claimed leadership, and the pause
 // before the next heartbeat.
 func (e *Elector) sendHeartbeat(ctx context.Context, t Term) (bool, time.Duration) {
--- a/internal/services/elect/lost_answer_test.go
+++ b/internal/services/elect/lost_answer_test.go
@@ -17,7 +17,7 @@
 
 // maxClaimRecognition is the time from a claim that is stored without an answer until the instance leads. Long-running
 // tasks on executors whose leases nobody extends end after maxExecutorLease.
-const maxClaimRecognition = 1500 * time.Millisecond
+const maxClaimRecognition = 500 * time.Millisecond
 
 // TestClaimWithoutAnswerLeads checks an instance whose appends take effect while their answers are lost. If it does not
 // recognize its claim in the log, nobody leads: the others wait for it.
@@ -48,3 +48,25 @@
 		assert.Equal(t, len(second.terms), 0)
 	})
 }
+
+// TestLeaderWithoutAnswerToClaimIsNotReplaced checks that an instance that recognizes its claim in the log sends its
+// next heartbeat before the others ask it to yield, 0.8 s after the claim.
+func TestLeaderWithoutAnswerToClaimIsNotReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		log := newLog(t)
+		first := n.start(t, log, "a", 1, 0)
+		<-first.terms
+		second := n.start(t, log, "b", 1, 0)
+		third := n.start(t, log, "c", 1, 300*time.Millisecond)
+		time.Sleep(2 * time.Second)
+		second.view.SetFaults(memlog.Faults{LoseAnswers: 1})
+		first.stop()
+		time.Sleep(maxElection + maxClaimRecognition)
+		for range 50 {
+			assert.Assert(t, second.IsLeader(tick.Now()))
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, len(third.terms), 0)
+	})
+}
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -248,10 +248,16 @@
 	l.term = t
 }
 
+// minFenceTimeout is the timeout of the first append that fences former leaders. It doubles with each one that fails,
+// as the store may be slow.
+const minFenceTimeout = 200 * time.Millisecond
+
 // fence makes the log reject the records of former leaders, by an append of no records with the new epoch.
 func (t *term) fence(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := t.append(ctx, nil)
+	for timeout := minFenceTimeout; ctx.Err() == nil; timeout = min(2*timeout, callTimeout) {
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		err := t.append(callCtx, nil)
+		cancel()
 		if err == nil || isFencedError(err) {
 			return err
 		}
