Give up tasks that crash the executors that start them

Callers saw a job that never ended, and other jobs that lost their runs every few seconds, because a task that crashes its executor was started again on another one every 3 s to 4 s. A lost executor counted neither as an attempt nor as anything that a new leader knew.

The leader now records each run that ends with its executor. The crash is confirmed once a later incarnation of the executor is seen, and judged 1 s after that. It does not count if the executor was lost with its rack or failure domain, or if another run on it is more likely to have crashed it. After three counted crashes the job ends as failed. A task that has a loss is recorded together with the run that the record precedes, so that a new leader counts the crash of that run. A run that works for 2 s, or twice as long as its task's runs before, clears the task.

Tasks with counted crashes start on executors without other suspects and with few runs, where nothing else starts for up to 1.5 s. The tasks of a step that has lost several executors right after their starts begin one at a time until one works for 1 s.

The tests of crashes_sim_test.go for a task, a long-running task, a gang, an occurrence, a task that crashes later, changes of leader and sound tasks beside such ones failed on the code before with the job still running. Those for a task that is lost with its domain, or cut off, guard the design and passed before.

--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -100,6 +100,7 @@
 	isModelRecordDue bool
 	// placements are the records that name the executors of the tasks.
 	placements placements
+	crashes    crashes
 }
 
 // New returns the Cell of the leader with the epoch. Until previousLeasesExpireAt, executors that have not responded to
@@ -111,7 +112,7 @@
 		dirty: map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
 		stopping: map[*run]bool{}, evacuation: evacuation{moved: map[string]int{}, futileSearches: map[bool]int{}},
 		durations: quant.New(), speed: speed.New(), interference: interf.New(),
-		placements: placements{held: map[uint32][]*task{}}, lookAhead: newLookAhead(p),
+		placements: placements{held: map[uint32][]*task{}}, lookAhead: newLookAhead(p), crashes: newCrashes(),
 	}
 }
 
--- /dev/null
+++ b/internal/state/cell/crashes.go
@@ -0,0 +1,241 @@
+package cell
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/crash"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// judgeDelay is the time from the confirmation of a crash to its judgement. Within it, the leader notices the loss of
+// further executors, and of runs whose start was unconfirmed. It is shorter than the time for which a task waits for
+// the confirmation of its losses.
+const judgeDelay = time.Second
+
+// crashes is what the cell keeps about executors that are lost with their runs.
+type crashes struct {
+	// open has the tasks with open losses, by the hash of the lost executor.
+	open map[uint32][]*task
+	// confirmed has the crashes that are not judged yet.
+	confirmed []*confirmedCrash
+	// givenUp has the tasks whose jobs are to be ended.
+	givenUp []*task
+	// outages has the last outage of each executor, by its hash.
+	outages map[uint32]*outage
+	// steps has the steps with losses.
+	steps map[*step]bool
+}
+
+func newCrashes() crashes {
+	return crashes{open: map[uint32][]*task{}, outages: map[uint32]*outage{}, steps: map[*step]bool{}}
+}
+
+// confirmedCrash is a confirmed loss of a task that is not judged yet.
+type confirmedCrash struct {
+	task *task
+	loss crash.Loss
+	// startedAt is when the run was started; 0 if a former leader did.
+	startedAt tick.Time
+	// since is when the leader began to wait for judgeDelay; 0 before.
+	since tick.Time
+}
+
+// recordLoss records that the run has ended with its executor. The loss is open unless the executor is known to have
+// restarted. Runs on draining executors, which leave as planned, are not lost.
+func (c *Cell) recordLoss(r *run, isConfirmed bool) {
+	t, x := r.task, r.exec
+	if t.done || r.isPlaced || x.entry.Draining || c.task(t.id) != t {
+		return
+	}
+	l := crash.Loss{
+		Executor: x.hash, Incarnation: r.incarnation, Run: r.id.Number, Worked: r.worked(), State: crash.Open,
+		IsUnconfirmed: r.confirmedAt == 0,
+	}
+	if isConfirmed {
+		l.State = crash.Confirmed
+	}
+	if !t.crashes.Add(l) {
+		return
+	}
+	t.lostRunStartedAt, t.hasPassedTrial = r.startedAt, false
+	c.dirty[t.id.Job] = t.step.job
+	detail := "open"
+	if isConfirmed {
+		detail = "confirmed"
+	}
+	c.emit(Event{Name: "task-lost", Task: t.id, Run: r.id.Number, Executor: x.entry.ID, Detail: detail})
+	c.trackLoss(t, l)
+}
+
+// worked returns how long the run has worked at least, as far as its executor has shown. A run that this leader has
+// adopted was started by a former one, which counts as crash.EarlyWork.
+func (r *run) worked() time.Duration {
+	worked := max(0, max(r.confirmedAt, r.listedAt).Sub(r.startedAt))
+	if r.isAdopted {
+		worked += crash.EarlyWork
+	}
+	return worked
+}
+
+// trackLoss has the loss confirmed and judged.
+func (c *Cell) trackLoss(t *task, l crash.Loss) {
+	c.crashes.steps[t.step] = true
+	switch l.State {
+	case crash.Open:
+		c.crashes.open[l.Executor] = append(c.crashes.open[l.Executor], t)
+	case crash.Confirmed:
+		c.crashes.confirmed = append(c.crashes.confirmed, &confirmedCrash{
+			task: t, loss: l, startedAt: t.lostRunStartedAt,
+		})
+	case crash.Counted, crash.Shared:
+	}
+}
+
+// observeIncarnation applies that an incarnation of the executor was seen. isAlive is true if it has responded.
+func (c *Cell) observeIncarnation(hash uint32, startedMS int64, isAlive bool) {
+	tasks := c.crashes.open[hash]
+	if len(tasks) == 0 || startedMS == 0 {
+		return
+	}
+	delete(c.crashes.open, hash)
+	for _, t := range tasks {
+		if c.task(t.id) != t || t.done {
+			continue
+		}
+		confirmed, refuted := t.crashes.Observe(hash, startedMS, isAlive)
+		for _, l := range confirmed {
+			c.trackLoss(t, l)
+		}
+		for _, l := range refuted {
+			c.emit(Event{Name: "crash-refuted", Task: t.id, Run: l.Run, Executor: c.executorName(hash)})
+		}
+		if len(confirmed)+len(refuted) > 0 {
+			c.dirty[t.id.Job] = t.step.job
+		}
+		isOpen := func(l crash.Loss) bool { return l.Executor == hash && l.State == crash.Open }
+		if slices.ContainsFunc(t.crashes.Losses(), isOpen) {
+			c.crashes.open[hash] = append(c.crashes.open[hash], t)
+		}
+	}
+}
+
+// executorName returns the id of the executor with the hash, or the hash if the executor is not known.
+func (c *Cell) executorName(hash uint32) string {
+	if o, ok := c.crashes.outages[hash]; ok {
+		return o.entry.ID
+	}
+	for id, x := range c.execs {
+		if x.hash == hash {
+			return id
+		}
+	}
+	return fmt.Sprintf("%08x", hash)
+}
+
+// judgeCrashes judges the confirmed crashes after judgeDelay, those of one executor together, and ends the jobs of the
+// tasks that are given up.
+func (c *Cell) judgeCrashes(now tick.Time) {
+	groups := map[crashKey][]*confirmedCrash{}
+	due := map[crashKey]bool{}
+	for _, k := range c.crashes.confirmed {
+		if k.since == 0 {
+			k.since = now
+		}
+		groups[k.key()] = append(groups[k.key()], k)
+		due[k.key()] = due[k.key()] || now.Sub(k.since) >= judgeDelay
+	}
+	c.crashes.confirmed = slices.DeleteFunc(c.crashes.confirmed, func(k *confirmedCrash) bool { return due[k.key()] })
+	for key := range maps.Keys(due) {
+		if due[key] {
+			c.judgeGroup(groups[key])
+		}
+	}
+	for _, t := range c.crashes.givenUp {
+		c.giveUp(now, t)
+	}
+	c.crashes.givenUp = nil
+	c.dropOutages(now)
+}
+
+// crashKey names a crash of an executor.
+type crashKey struct {
+	executor    uint32
+	incarnation int64
+}
+
+func (k *confirmedCrash) key() crashKey { return crashKey{k.loss.Executor, k.loss.Incarnation} }
+
+// judgeGroup judges the losses by one crash of an executor.
+func (c *Cell) judgeGroup(group []*confirmedCrash) {
+	group = slices.DeleteFunc(group, func(k *confirmedCrash) bool { return c.task(k.task.id) != k.task || k.task.done })
+	suspects := make([]crash.Suspect, len(group))
+	for i, k := range group {
+		suspects[i] = k.task.crashes.SuspectOf(k.loss)
+		suspects[i].Job, suspects[i].StartedAt = k.task.id.Job, k.startedAt
+	}
+	blamed := crash.Blamed(suspects)
+	for i, k := range group {
+		switch {
+		case c.hadCommonCause(k):
+			c.judgeCrash(k, false, "crash-shared", "common cause")
+		case !blamed[i]:
+			c.judgeCrash(k, false, "crash-shared", "other task")
+		default:
+			c.judgeCrash(k, true, "crash-confirmed", fmt.Sprintf("%d of %d", k.task.crashes.Count()+1, crash.MaxCrashes))
+		}
+	}
+}
+
+func (c *Cell) judgeCrash(k *confirmedCrash, isCounted bool, event, detail string) {
+	t := k.task
+	t.crashes.Judge(k.loss.Executor, k.loss.Run, isCounted)
+	c.dirty[t.id.Job] = t.step.job
+	c.emit(Event{
+		Name: event, Task: t.id, Run: k.loss.Run, Executor: c.executorName(k.loss.Executor), Detail: detail,
+	})
+	if t.crashes.IsGivenUp() {
+		c.crashes.givenUp = append(c.crashes.givenUp, t)
+	}
+}
+
+// giveUp ends the job of a task that crashes the executors that start it.
+func (c *Cell) giveUp(now tick.Time, t *task) {
+	if c.task(t.id) != t {
+		return
+	}
+	var names []string
+	for _, l := range t.crashes.Losses() {
+		if l.State == crash.Counted {
+			names = append(names, c.executorName(l.Executor))
+		}
+	}
+	c.emit(Event{Name: "job-failed", Task: t.id, Detail: "crashed the executors " + strings.Join(names, ", ")})
+	c.endJob(now, t.step.job, jobpb.State_STATE_FAILED)
+}
+
+// clearCrashes forgets the losses of the task once the run has worked for long enough.
+func (c *Cell) clearCrashes(r *run) {
+	t := r.task
+	if t.crashes.IsEmpty() || !t.crashes.IsClearedBy(r.provenWork()) {
+		return
+	}
+	t.crashes.Clear()
+	c.dirty[t.id.Job] = t.step.job
+}
+
+// releaseLost releases a run whose executor was lost.
+func (c *Cell) releaseLost(r *run, isConfirmed bool) {
+	c.recordLoss(r, isConfirmed)
+	c.releaseRun(r, orders.EndedLeaseExpired)
+}
+
+// hasRestartedSince reports whether the executor is known to have restarted since the run was ordered.
+func (x *executor) hasRestartedSince(r *run) bool {
+	return r.incarnation != 0 && x.startedMS > r.incarnation
+}
--- /dev/null
+++ b/internal/state/cell/crashes_sim_test.go
@@ -0,0 +1,281 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/crash"
+)
+
+// crasher lets the runs of some tasks crash their executors in a simulation.
+type crasher struct {
+	sim *simulation
+	// isBad reports whether a run of the task crashes its executor once it has worked for delay. The executor is back
+	// after down.
+	isBad       func(t orders.Task) bool
+	delay, down time.Duration
+	// crashes has the executors that each task has crashed, starts the runs of each job that were seen.
+	crashes map[orders.Task][]string
+	starts  map[orders.Run]bool
+	// startsAfterLast counts the runs of each task that were seen after its crash.MaxCrashes-th crash.
+	startsAfterLast map[orders.Task]int
+	// mostDown is the largest number of executors that were down at the same time.
+	mostDown int
+}
+
+const crasherInterval = 5 * time.Millisecond
+
+// newCrasher starts to crash the executors of bad tasks.
+func newCrasher(sim *simulation, isBad func(t orders.Task) bool) *crasher {
+	k := &crasher{
+		sim: sim, isBad: isBad, delay: 2 * crasherInterval, down: 2500 * time.Millisecond,
+		crashes: map[orders.Task][]string{}, starts: map[orders.Run]bool{}, startsAfterLast: map[orders.Task]int{},
+	}
+	k.loop()
+	return k
+}
+
+func isOfJob(id string) func(t orders.Task) bool {
+	return func(t orders.Task) bool { return t.Job == id }
+}
+
+func (k *crasher) loop() {
+	k.sim.after(crasherInterval, k.loop)
+	down := 0
+	for _, x := range k.sim.execs {
+		k.crashIfBad(x)
+		if x.isDown {
+			down++
+		}
+	}
+	k.mostDown = max(k.mostDown, down)
+}
+
+func (k *crasher) crashIfBad(x *simExecutor) {
+	var crashing []orders.Task
+	for _, t := range x.sortedTasks() {
+		r := x.runs[t]
+		if !k.starts[r.id] {
+			k.starts[r.id] = true
+			if len(k.crashes[t]) >= crash.MaxCrashes {
+				k.startsAfterLast[t]++
+			}
+		}
+		if k.isBad(t) && k.sim.now.Sub(r.startedAt) >= k.delay {
+			crashing = append(crashing, t)
+		}
+	}
+	for _, t := range crashing {
+		k.crashes[t] = append(k.crashes[t], x.id)
+	}
+	if len(crashing) > 0 {
+		x.crashListed(k.down)
+	}
+}
+
+// crashListed crashes the executor, whose entry remains until it is back.
+func (x *simExecutor) crashListed(down time.Duration) {
+	x.crash(down)
+	x.entryExpiresAt = x.sim.now.Add(longestEntry)
+	x.sim.after(down+200*time.Millisecond, func() { x.entryStartedMS = x.startedMS })
+}
+
+func (k *crasher) startsOf(job string) int {
+	n := 0
+	for r := range k.starts {
+		if r.Task.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
+func (sim *simulation) assertState(t *testing.T, id string, want jobpb.State) {
+	t.Helper()
+	got, _ := sim.currentLeader().cell.State(id)
+	assert.Equal(t, got, want, "job %s", id)
+}
+
+func shortStep(n uint32) *jobpb.Step {
+	return &jobpb.Step{Count: n, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000}
+}
+
+// TestTaskThatCrashesEveryExecutorIsGivenUp checks that such a task is not started again for ever, and that its job is
+// shown as failed.
+func TestTaskThatCrashesEveryExecutorIsGivenUp(t *testing.T) {
+	for _, down := range []time.Duration{800 * time.Millisecond, 2500 * time.Millisecond, 5 * time.Second} {
+		t.Run(down.String(), func(t *testing.T) {
+			sim := newScenario(6)
+			k := newCrasher(sim, isOfJob("bad"))
+			k.down = down
+			sim.submitAfter(2*time.Second, "bad", shortStep(1))
+			sim.submitAfter(2*time.Second, "good", shortStep(3))
+			sim.runUntil(40 * time.Second)
+			sim.assertState(t, "bad", jobpb.State_STATE_FAILED)
+			sim.assertState(t, "good", jobpb.State_STATE_COMPLETED)
+			assert.Equal(t, k.startsOf("bad"), crash.MaxCrashes)
+		})
+	}
+}
+
+// TestKindsOfTasksThatCrashExecutorsAreGivenUp checks tasks whose ends are handled differently.
+func TestKindsOfTasksThatCrashExecutorsAreGivenUp(t *testing.T) {
+	longRunning := shortStep(1)
+	longRunning.LongRunning = true
+	gang := shortStep(3)
+	gang.Gang, gang.MaxPerExecutor = true, 1
+	for name, test := range map[string]struct {
+		step *jobpb.Step
+		bad  func(t orders.Task) bool
+	}{
+		"long-running task": {longRunning, isOfJob("bad")},
+		"gang":              {gang, isOfJob("bad")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newScenario(8)
+			k := newCrasher(sim, test.bad)
+			sim.submitAfter(2*time.Second, "bad", test.step)
+			sim.runUntil(60 * time.Second)
+			sim.assertState(t, "bad", jobpb.State_STATE_FAILED)
+			for task, n := range k.startsAfterLast {
+				assert.Equal(t, n, 0, "%v", task)
+			}
+		})
+	}
+}
+
+// TestOccurrenceThatCrashesExecutorsIsGivenUp checks that the job fails with one of its occurrences.
+func TestOccurrenceThatCrashesExecutorsIsGivenUp(t *testing.T) {
+	sim := newScenario(6)
+	k := newCrasher(sim, func(t orders.Task) bool { return t.Occurrence == 1 })
+	sim.after(2*time.Second, func() {
+		sim.submit(&jobpb.Job{
+			Id: "bad", Queue: "q", Service: "svc", Spec: "s", Steps: []*jobpb.Step{shortStep(1)},
+			RepeatCount: 3, FirstDueMs: sim.wallMS(), IntervalMs: 3000,
+		})
+	})
+	sim.runUntil(40 * time.Second)
+	sim.assertState(t, "bad", jobpb.State_STATE_FAILED)
+	assert.Equal(t, len(k.crashes[orders.Task{Job: "bad", Occurrence: 1}]), crash.MaxCrashes)
+}
+
+// TestTaskThatCrashesExecutorsLaterIsGivenUp checks a task whose runs work for some seconds before the crash.
+func TestTaskThatCrashesExecutorsLaterIsGivenUp(t *testing.T) {
+	sim := newScenario(6)
+	k := newCrasher(sim, isOfJob("bad"))
+	k.delay = 4 * time.Second
+	s := shortStep(1)
+	s.EstimateMs = 30_000
+	sim.submitAfter(2*time.Second, "bad", s)
+	sim.runUntil(60 * time.Second)
+	sim.assertState(t, "bad", jobpb.State_STATE_FAILED)
+	assert.Equal(t, k.startsOf("bad"), crash.MaxCrashes)
+}
+
+// TestNewLeaderKeepsCountOfCrashes checks that a change of leader after each crash does not start the count anew.
+func TestNewLeaderKeepsCountOfCrashes(t *testing.T) {
+	for _, after := range []time.Duration{20 * time.Millisecond, time.Second, 4 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			sim := newScenario(6)
+			k := newCrasher(sim, isOfJob("bad"))
+			sim.submitAfter(2*time.Second, "bad", shortStep(1))
+			task, replaced := orders.Task{Job: "bad"}, 1
+			var watch func()
+			watch = func() {
+				sim.after(10*time.Millisecond, watch)
+				if len(k.crashes[task]) > replaced {
+					replaced = len(k.crashes[task])
+					sim.after(after, sim.replaceLeader)
+				}
+			}
+			watch()
+			sim.runUntil(120 * time.Second)
+			sim.assertState(t, "bad", jobpb.State_STATE_FAILED)
+			assert.Equal(t, k.startsAfterLast[task], 0)
+			assert.Assert(t, replaced > 1)
+		})
+	}
+}
+
+// TestSoundTaskBesideCrashingTaskIsNotGivenUp checks tasks that are lost with the executors that others crash, on so
+// few executors that they meet again.
+func TestSoundTaskBesideCrashingTaskIsNotGivenUp(t *testing.T) {
+	sim := newScenario(3)
+	newCrasher(sim, func(t orders.Task) bool { return t.Job[:3] == "bad" })
+	for i := range 8 {
+		sim.submitAfter(time.Duration(2+4*i)*time.Second, fmt.Sprintf("bad%d", i), shortStep(1))
+	}
+	server := shortStep(6)
+	server.LongRunning = true
+	sim.submitAfter(time.Second, "server", server)
+	sim.submitAfter(2*time.Second, "good", shortStep(6))
+	sim.runUntil(90 * time.Second)
+	for i := range 8 {
+		sim.assertState(t, fmt.Sprintf("bad%d", i), jobpb.State_STATE_FAILED)
+	}
+	sim.assertState(t, "good", jobpb.State_STATE_COMPLETED)
+	sim.assertState(t, "server", jobpb.State_STATE_RUNNING)
+}
+
+// TestTaskLostWithItsDomainIsNotGivenUp checks tasks that lose their executors soon after each start, each time with
+// all executors of the failure domain.
+func TestTaskLostWithItsDomainIsNotGivenUp(t *testing.T) {
+	sim := newScenario(12)
+	for i, x := range sim.execs {
+		x.domain = fmt.Sprintf("d%d", i%3)
+	}
+	server := shortStep(1)
+	server.LongRunning = true
+	sim.submitAfter(3*time.Second, "server", server)
+	losses, task := 0, orders.Task{Job: "server"}
+	var watch func()
+	watch = func() {
+		sim.after(50*time.Millisecond, watch)
+		i := slices.IndexFunc(sim.execs, func(x *simExecutor) bool { return x.runs[task] != nil })
+		if i < 0 || losses == 5 {
+			return
+		}
+		losses++
+		for _, x := range sim.execs {
+			if x.domain == sim.execs[i].domain && !x.isDown {
+				x.crashListed(2 * time.Second)
+			}
+		}
+	}
+	watch()
+	sim.runUntil(60 * time.Second)
+	assert.Equal(t, losses, 5)
+	sim.assertState(t, "server", jobpb.State_STATE_RUNNING)
+}
+
+// TestTaskThatIsOnlyCutOffIsNotGivenUp checks that executors out of reach for longer than their leases do not count as
+// crashed.
+func TestTaskThatIsOnlyCutOffIsNotGivenUp(t *testing.T) {
+	sim := newScenario(6)
+	server := shortStep(1)
+	server.LongRunning = true
+	sim.submitAfter(2*time.Second, "server", server)
+	losses, task := 0, orders.Task{Job: "server"}
+	var watch func()
+	watch = func() {
+		sim.after(100*time.Millisecond, watch)
+		i := slices.IndexFunc(sim.execs, func(x *simExecutor) bool { return x.runs[task] != nil && !x.isPartitioned })
+		if i < 0 || losses == 4 {
+			return
+		}
+		losses++
+		x := sim.execs[i]
+		x.isPartitioned = true
+		sim.after(8*time.Second, func() { x.isPartitioned = false })
+	}
+	watch()
+	sim.runUntil(80 * time.Second)
+	assert.Equal(t, losses, 4)
+	sim.assertState(t, "server", jobpb.State_STATE_RUNNING)
+}
--- /dev/null
+++ b/internal/state/cell/crashtrial.go
@@ -0,0 +1,194 @@
+package cell
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+const (
+	// stepTrialWork is how long a run of a step on trial has to work until the other tasks may start.
+	stepTrialWork = time.Second
+	// maxIsolationWait is how long a task with counted crashes waits for an executor without another suspect. Those with
+	// open losses alone do not wait, since all tasks of an executor that is cut off have such losses.
+	maxIsolationWait = time.Second
+	// costPerRunBesideSuspect is the cost of each run on an executor for a suspect, which may crash them all. It exceeds
+	// the costs by which room is balanced, but not those of remote data and of failures.
+	costPerRunBesideSuspect = 10
+)
+
+// stepTrial has the tasks of a step start one after another, because several of them may have crashed their executors.
+type stepTrial struct {
+	// since is when the trial began; 0 if the step is not on trial.
+	since tick.Time
+	// next is the task that may start, if any.
+	next *task
+}
+
+func (tr *stepTrial) isActive() bool { return tr.since != 0 }
+
+// updateTrials begins and ends the trials of steps, and selects the tasks that may start.
+func (c *Cell) updateTrials(now tick.Time) {
+	for s := range c.crashes.steps {
+		if c.jobs[s.job.id] != s.job || s.job.occurrences == nil || !s.hasLosses() {
+			s.trial = stepTrial{}
+			delete(c.crashes.steps, s)
+			continue
+		}
+		s.updateTrial(now)
+	}
+}
+
+func (s *step) hasLosses() bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return !t.crashes.IsEmpty() })
+}
+
+func (s *step) updateTrial(now tick.Time) {
+	s.trial.next = nil
+	if s.isTrialPassed() {
+		s.endTrial()
+	}
+	if !s.needsTrial() {
+		s.trial.since = 0
+		return
+	}
+	if s.trial.since == 0 {
+		s.trial.since = now
+	}
+	if !s.hasTrialRun() {
+		s.trial.next = s.selectForTrial(now)
+	}
+}
+
+// needsTrial reports whether tasks of the step may have crashed several executors that had just started them. The
+// members of a gang start together.
+func (s *step) needsTrial() bool {
+	if s.pb.Gang {
+		return false
+	}
+	lost := map[crashKey]bool{}
+	for _, t := range s.tasks {
+		if t.done || t.hasPassedTrial {
+			continue
+		}
+		for _, l := range t.crashes.EarlyLosses() {
+			lost[crashKey{l.Executor, l.Incarnation}] = true
+		}
+	}
+	return len(lost) > 1
+}
+
+// isTrialPassed reports whether a run of the step's trial has worked for long enough.
+func (s *step) isTrialPassed() bool {
+	return s.trial.isActive() && slices.ContainsFunc(s.tasks, func(t *task) bool {
+		return s.isOnTrial(t.run) && t.run.provenWork() >= stepTrialWork
+	})
+}
+
+// endTrial lets all tasks start. Their former losses do not put the step on trial again.
+func (s *step) endTrial() {
+	s.trial = stepTrial{}
+	for _, t := range s.tasks {
+		t.hasPassedTrial = true
+	}
+}
+
+// isOnTrial reports whether the run was started in the trial of the step.
+func (s *step) isOnTrial(r *run) bool { return r != nil && r.createdAt >= s.trial.since }
+
+// hasTrialRun reports whether a run of the trial is under way.
+func (s *step) hasTrialRun() bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return s.isOnTrial(t.run) })
+}
+
+// provenWork returns for how long lists have shown the run since its start was confirmed.
+func (r *run) provenWork() time.Duration {
+	if r.confirmedAt == 0 {
+		return 0
+	}
+	return max(0, r.listedAt.Sub(r.confirmedAt))
+}
+
+// selectForTrial returns the startable task with the most losses, so that a step whose tasks all crash their executors
+// is given up after the fewest crashes.
+func (s *step) selectForTrial(now tick.Time) *task {
+	var best *task
+	for _, t := range s.tasks {
+		if !t.isStartableAlone(now) {
+			continue
+		}
+		if best == nil || len(t.crashes.EarlyLosses()) > len(best.crashes.EarlyLosses()) {
+			best = t
+		}
+	}
+	return best
+}
+
+// mayStart reports whether the trial of the step, if there is one, lets the task start.
+func (tr *stepTrial) mayStart(t *task) bool { return !tr.isActive() || tr.next == t }
+
+// bestForSuspect returns the executor for a task that may crash it: one without a suspect of another job, and among
+// equally suited ones the one with the fewest runs. It reports false if the task need no longer wait for one.
+func (c *candidates) bestForSuspect(t *task) (*executor, bool) {
+	var best *executor
+	lowest := math.Inf(1)
+	for _, k := range c.list {
+		cost := k.cost + costPerRunBesideSuspect*float64(len(k.exec.runs))
+		if cost < lowest && !k.exec.hasOtherSuspect(t) {
+			best, lowest = k.exec, cost
+		}
+	}
+	switch {
+	case best != nil:
+		t.unisolatedSince = 0
+		return best, true
+	case len(c.list) == 0:
+		return nil, true
+	case t.crashes.Count() == 0:
+		return nil, false
+	case t.unisolatedSince == 0:
+		t.unisolatedSince = c.pass.now
+	}
+	return nil, !t.isIsolationOverdue(c.pass.now)
+}
+
+func (t *task) isIsolationOverdue(now tick.Time) bool {
+	return t.unisolatedSince != 0 && now.Sub(t.unisolatedSince) >= maxIsolationWait
+}
+
+// guardTime is how long nothing else starts on an executor after a task with counted crashes, unless the run has worked
+// for guardWork. Otherwise it would be unclear which task has crashed the executor, and more work would be lost.
+const (
+	guardTime = 1500 * time.Millisecond
+	guardWork = 500 * time.Millisecond
+)
+
+// guard keeps the executor of the run from taking further tasks if the run may crash it.
+func (x *executor) guard(r *run) {
+	if r.task.crashes.Count() > 0 {
+		x.guarded = r
+	}
+}
+
+// isGuarded reports whether a task of the step has to wait until another task has shown that it does not crash the
+// executor. The members of a gang start together.
+func (x *executor) isGuarded(now tick.Time, s *step) bool {
+	r := x.guarded
+	if r == nil || x.runs[r.id.Task] != r || r.task.step == s && s.pb.Gang {
+		return false
+	}
+	return r.provenWork() < guardWork && now.Sub(max(r.createdAt, r.startedAt)) < guardTime
+}
+
+// hasOtherSuspect reports whether a task of another job runs on the executor that may crash it. Which of two tasks of
+// one job has crashed an executor makes no difference to the job.
+func (x *executor) hasOtherSuspect(t *task) bool {
+	for id, r := range x.runs {
+		if id.Job != t.id.Job && r.task.crashes.IsSuspect() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -109,6 +109,8 @@
 	// not respond to one.
 	quarantinedUntil tick.Time
 	suspicion        suspicion
+	// guarded is the last run here of a task that has counted crashes.
+	guarded *run
 	// pacesAdjustedAt is the lastResponseAt of the list for which paces were last adjusted. No best-effort task starts
 	// before noBestEffortUntil.
 	pacesAdjustedAt, noBestEffortUntil tick.Time
@@ -150,6 +152,7 @@
 			c.emit(Event{Name: "executor-unlisted", Executor: id})
 		}
 		if next := latest[x.entry.Address]; next.ID != id && x.entry.StartedMS != 0 && next.StartedMS > x.entry.StartedMS {
+			c.noteOutage(now, x, true)
 			c.markTerminated(x, "address taken over by "+next.ID)
 		}
 		if x.entry.Draining || x.isTerminated || !x.isListed {
@@ -176,6 +179,9 @@
 		// Nothing is started on a restarted executor until its lists show which runs it has.
 		x.hasResponded = false
 	}
+	if !e.Draining {
+		c.observeIncarnation(x.hash, e.StartedMS, false)
+	}
 	if x.isSucceededBy(e) {
 		x.warmUp = ramp.Ramp{}
 	}
@@ -227,8 +233,9 @@
 	x.isTerminated = true
 	c.emit(Event{Name: "executor-gone", Executor: x.entry.ID, Detail: reason})
 	for _, r := range x.runs {
-		c.releaseRun(r, orders.EndedLeaseExpired)
+		c.releaseLost(r, true)
 	}
+	c.observeIncarnation(x.hash, x.processStart()+1, true)
 	c.speed.Drop(x.entry.ID)
 }
 
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -57,51 +57,6 @@
 	unfinished int
 }
 
-// step has the tasks of one step of one occurrence.
-type step struct {
-	job        *job
-	occurrence *occurrence
-	pb         *jobpb.Step
-	index      uint32
-	tasks      []*task
-	// unfinished counts the tasks that are not done, waiting those of them that have no run.
-	unfinished, waiting int
-	// advice has the policy service's decisions, if the queue has such a service.
-	advice *stepAdvice
-	// gangFailures are the run numbers of the gang's failed attempts.
-	gangFailures []uint64
-	// readyAt is when a plan first found the step ready; 0 before.
-	readyAt tick.Time
-	// waitsSince is since when Diagnose has seen a due task of the step without a run; 0 if there is none.
-	// waitReportedAt is when it last reported the cause.
-	waitsSince, waitReportedAt tick.Time
-	// slowDeferredAt is when a task of the step was first kept from a slow executor.
-	slowDeferredAt tick.Time
-}
-
-type task struct {
-	id         orders.Task
-	step       *step
-	done       bool
-	failedRuns []uint64
-	checkpoint string
-	run        *run
-	startCount uint64
-	// heldFor is the hash of the executor on which a previous leader may have started the task and that has not responded
-	// yet; 0 if there is none. recordedOn and batchedOn are the hashes of the executors that the last stored and the last
-	// batched record name for the task; 0 for none.
-	heldFor, recordedOn, batchedOn uint32
-	// retryAt is the earliest time for the next start. It delays the retry of a task whose start was refused.
-	retryAt tick.Time
-	// orphanedOn is the executor that listed an orphaned run of the task, if any.
-	orphanedOn *executor
-	// failedOn has the ids of the executors on which runs of the task have failed, the last time at lastFailedAt.
-	// failuresInRow counts the failures since a run that had worked.
-	failedOn      []string
-	lastFailedAt  tick.Time
-	failuresInRow int
-}
-
 // Accept adds a job that was just recorded in the intake. A job that is already tracked is ignored.
 func (c *Cell) Accept(now tick.Time, pb *jobpb.Job) {
 	if _, ok := c.jobs[pb.Id]; ok {
@@ -151,7 +106,12 @@
 	}
 	j.hasStarted = e.Progress.State == jobpb.State_STATE_RUNNING
 	for _, tp := range e.Progress.Tasks {
-		if t := j.restoreProgress(tp); t != nil && !j.isInherited {
+		t := j.restoreProgress(tp)
+		if t == nil {
+			continue
+		}
+		c.restoreLosses(t, tp.Losses)
+		if !j.isInherited {
 			c.holdBack(t, tp.Executor)
 		}
 	}
@@ -216,17 +176,6 @@
 	}
 }
 
-func newStep(j *job, o *occurrence, index uint32, pb *jobpb.Step) *step {
-	n := int(pb.Count)
-	s := &step{job: j, occurrence: o, pb: pb, index: index, unfinished: n, waiting: n, tasks: make([]*task, n)}
-	for i := range s.tasks {
-		s.tasks[i] = &task{
-			step: s, id: orders.Task{Job: j.id, Occurrence: o.index, Step: index, Index: uint32(i)},
-		}
-	}
-	return s
-}
-
 // materializeDue creates the tasks of the occurrences that are due.
 func (j *job) materializeDue(wallMS int64) {
 	for j.notYetDue > 0 {
@@ -258,52 +207,6 @@
 	return j.task(id)
 }
 
-// isReady reports whether all steps that the step depends on are done.
-func (s *step) isReady() bool {
-	for _, d := range s.pb.DependsOn {
-		if int(d) < len(s.occurrence.steps) && s.occurrence.steps[d].unfinished > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// isStartable reports whether the task may be started at now: its retry delay is over and no executor is known to run
-// it.
-func (t *task) isStartable(now tick.Time) bool {
-	if t.done || t.run != nil || t.heldFor != 0 || now.Before(t.retryAt) {
-		return false
-	}
-	if t.orphanedOn != nil && !t.orphanedOn.hasOrphanedRun(t.id) {
-		t.orphanedOn = nil
-	}
-	return t.orphanedOn == nil
-}
-
-// hasOrphanedRun reports whether the executor has an orphaned run of the task.
-func (x *executor) hasOrphanedRun(id orders.Task) bool {
-	if x.isTerminated {
-		return false
-	}
-	for r := range x.orphaned {
-		if r.Task == id {
-			return true
-		}
-	}
-	return false
-}
-
-func (t *task) markDone() {
-	t.done = true
-	t.step.unfinished--
-	if t.run == nil {
-		t.step.waiting--
-	}
-	if t.step.unfinished == 0 {
-		t.step.occurrence.unfinished--
-	}
-}
-
 // isComplete reports whether every task of every occurrence is done.
 func (j *job) isComplete() bool {
 	if j.notYetDue > 0 {
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -98,6 +98,10 @@
 		return
 	}
 	x.isUnresponsive = reply.Outcome != orders.Done
+	isLost := reply.Outcome == orders.NoResponse || reply.Outcome == orders.NotSent
+	if isLost && x.hasResponded {
+		c.noteOutage(now, x, false)
+	}
 	c.applyLists(now, sent, x, h, l, reply)
 }
 
@@ -135,10 +139,12 @@
 		return
 	}
 	if x.startedMS != 0 && l.StartedMS != 0 && l.StartedMS != x.startedMS {
+		c.noteOutage(now, x, true)
 		c.handleRestart(x)
 		h.AckCursor = 0
 	}
 	x.startedMS = l.StartedMS
+	c.observeIncarnation(x.hash, l.StartedMS, true)
 	x.listedClockMS = reply.ClockMS
 	isFirst := !x.hasResponded
 	x.hasResponded = true
@@ -147,6 +153,7 @@
 		x.leaseExpiresBy = max(x.leaseExpiresBy, now.Add(c.params.LongestLease()))
 	}
 	x.lastResponseAt = now
+	c.endOutage(x)
 	x.ackSentCursor = max(x.ackSentCursor, h.AckCursor)
 	listed := make(map[orders.Run]bool, len(l.Ended)+len(l.Running))
 	for _, e := range l.Ended {
@@ -179,6 +186,7 @@
 	case address != x.entry.Address:
 		return false
 	case reply.Outcome == orders.OtherIncarnation:
+		c.noteOutage(now, x, true)
 		c.markTerminated(x, "response from another incarnation")
 		return false
 	}
@@ -237,7 +245,7 @@
 	if isFirst && t != nil && !t.done && t.run == nil {
 		r := &run{
 			id: row.Run, task: t, exec: x, resources: resourcesOf(t.step.pb), startedAt: now, confirmedAt: now,
-			progressAt: now, pace: fullPacePercent, isPartial: true,
+			progressAt: now, pace: fullPacePercent, isPartial: true, isAdopted: true,
 		}
 		c.attachRun(r)
 		t.step.job.hasStarted = true
@@ -253,6 +261,7 @@
 
 func (c *Cell) updateRun(now tick.Time, r *run, row orders.Running) {
 	r.isStartUnconfirmed = false
+	r.incarnation = r.exec.startedMS
 	if r.confirmedAt == 0 {
 		r.confirmedAt = now
 		r.task.step.job.hasStarted = true
@@ -268,6 +277,7 @@
 	r.percent = row.Percent
 	r.usage = row.Usage
 	r.updateWork(now)
+	c.clearCrashes(r)
 	if r.exec.suspicion.isClearedBy(r) {
 		r.exec.suspicion.clear()
 	}
@@ -295,7 +305,11 @@
 		isConfirmed := r.confirmedAt != 0 && r.confirmedAt.Before(sent)
 		isStopped := r.stoppedAt != 0 && r.stoppedAt.Before(sent)
 		isLate := r.startedAt.Add(c.params.LongestLease()).Before(sent)
-		if isConfirmed || isStopped || isLate {
+		switch {
+		case !isConfirmed && !isStopped && !isLate:
+		case x.hasRestartedSince(r):
+			c.releaseLost(r, true)
+		default:
 			c.releaseRun(r, orders.EndedLeaseExpired)
 		}
 	}
@@ -314,7 +328,7 @@
 		}
 		for _, r := range x.runs {
 			if !r.isPlaced && (!x.isListed || !c.mayBeDone(r)) {
-				c.releaseRun(r, orders.EndedLeaseExpired)
+				c.releaseLost(r, false)
 			}
 		}
 	}
--- a/internal/state/cell/placed.go
+++ b/internal/state/cell/placed.go
@@ -37,7 +37,8 @@
 		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
 	}
 	c.placements.placed = append(c.placements.placed, r)
-	r.isRecorded = t.recordedOn == x.hash && t.batchedOn == x.hash
+	// The record of a task with losses also names the run.
+	r.isRecorded = t.recordedOn == x.hash && t.batchedOn == x.hash && t.crashes.IsEmpty()
 	if !r.isRecorded {
 		c.dirty[j.id] = j
 	}
@@ -71,7 +72,7 @@
 // recorded returns the executor that the record of the task names, or nil if it is no candidate or the record may be
 // replaced by one under way.
 func (c *candidates) recorded(t *task) *executor {
-	if t.run != nil || t.recordedOn == 0 || t.recordedOn != t.batchedOn || len(t.failedOn) > 0 {
+	if t.run != nil || t.recordedOn == 0 || t.recordedOn != t.batchedOn || len(t.failedOn) > 0 || !t.crashes.IsEmpty() {
 		return nil
 	}
 	i := slices.IndexFunc(c.list, func(k candidate) bool { return k.exec.hash == t.recordedOn })
@@ -205,6 +206,7 @@
 func (c *Cell) startRun(now tick.Time, r *run) Order {
 	t, x := r.task, r.exec
 	r.isPlaced = false
+	r.incarnation = x.startedMS
 	r.startedAt, r.progressAt, r.checkpoint = now, now, t.checkpoint
 	if t.step.pb.Fills && now.Sub(r.createdAt) > bestEffortStartInterval/2 {
 		// The pause from the reservation on would end too soon after the start.
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -141,7 +141,7 @@
 	if !x.allows(s, need) || !s.isPermittedOn(p.now, x) || !x.suspicion.admits(p.now, s) {
 		return false
 	}
-	if !x.hasBestEffortCPU(s) {
+	if !x.hasBestEffortCPU(s) || x.isGuarded(p.now, s) {
 		return false
 	}
 	if p.cell.isReservedForOthers(p.now, s, need, x) {
@@ -153,6 +153,11 @@
 
 // best returns the cheapest executor for the task, or nil. Executors on which the task has failed come last.
 func (c *candidates) best(t *task) *executor {
+	if t.crashes.IsSuspect() {
+		if x, isFinal := c.bestForSuspect(t); isFinal {
+			return x
+		}
+	}
 	if len(t.failedOn) == 0 {
 		isMovedFrom := c.pass.wasMovedFrom(t)
 		if x, _ := c.cheapest(func(x *executor) bool { return !isMovedFrom(x) }); x != nil {
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -26,12 +26,14 @@
 		c.releaseExpired(now)
 	}
 	c.completeTakeover(now)
+	c.judgeCrashes(now)
 	for _, j := range c.active {
 		j.materializeDue(wallMS)
 	}
 	if c.isFenced {
 		return nil
 	}
+	c.updateTrials(now)
 	c.withdrawUnfit(now)
 	if limits.IsStoreStalled {
 		c.withdrawUnbatched()
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -144,7 +144,7 @@
 		if withoutPlacement {
 			t.Executor = 0
 		}
-		if t.Done || len(t.FailedRuns) > 0 || t.Executor != 0 {
+		if t.Done || len(t.FailedRuns) > 0 || t.Executor != 0 || len(t.Losses) > 0 {
 			tasks = append(tasks, t)
 		}
 	}
@@ -220,7 +220,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if t.done || len(t.failedRuns) > 0 || t.checkpoint != "" || t.batchedOn != 0 {
+				if t.done || len(t.failedRuns) > 0 || t.checkpoint != "" || t.batchedOn != 0 || !t.crashes.IsEmpty() {
 					p.Tasks = append(p.Tasks, t.progress())
 				}
 			}
@@ -232,7 +232,7 @@
 func (t *task) progress() *jobpb.TaskProgress {
 	tp := &jobpb.TaskProgress{
 		Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index, Done: t.done, FailedRuns: t.failedRuns,
-		Executor: t.batchedOn,
+		Executor: t.batchedOn, Losses: t.lossRecords(),
 	}
 	if !t.done {
 		tp.Checkpoint = t.checkpoint
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -20,6 +20,10 @@
 	exec      *executor
 	resources resources
 
+	// incarnation is the start time of the executor's process to which the order to start the run was sent, or that has
+	// listed the run. isAdopted is true if a former leader has started the run.
+	incarnation int64
+	isAdopted   bool
 	// startedAt is when the order to start the run was made, or before that when the run was placed.
 	startedAt tick.Time
 	// isPlaced is true from the choice of the executor until the order to start the run is made. isBatched is true once a
@@ -89,6 +93,7 @@
 	}
 	c.attachRun(r)
 	x.suspicion.begin(r)
+	x.guard(r)
 	return r
 }
 
