Show why tasks with crashes wait, and judge many losses at once in little time

Operators could not see why a task that may crash executors waits, and the judgement of each loss looked at every pair of executors, which would hold up the leader when a failure domain with hundreds of runs is lost.

The waits for a confirmation, for the trial of a step, for an executor without another suspect and beside a task with counted crashes have causes of their own. The losses that are judged together share what is known of racks, domains and steps. A task with losses still prefers executors on which it has not failed.

--- a/internal/state/cell/crashes.go
+++ b/internal/state/cell/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -30,6 +29,8 @@
 	outages map[uint32]*outage
 	// steps has the steps with losses.
 	steps map[*step]bool
+	// nextPruneAt is when losses and outages that no longer matter are next searched for.
+	nextPruneAt tick.Time
 }
 
 func newCrashes() crashes {
@@ -151,16 +152,39 @@
 		due[k.key()] = due[k.key()] || now.Sub(k.since) >= judgeDelay
 	}
 	c.crashes.confirmed = slices.DeleteFunc(c.crashes.confirmed, func(k *confirmedCrash) bool { return due[k.key()] })
-	for key := range maps.Keys(due) {
-		if due[key] {
-			c.judgeGroup(groups[key])
+	var j *judgement
+	for key, isDue := range due {
+		if !isDue {
+			continue
+		}
+		if j == nil {
+			j = c.newJudgement()
 		}
+		c.judgeGroup(j, groups[key])
 	}
 	for _, t := range c.crashes.givenUp {
 		c.giveUp(now, t)
 	}
 	c.crashes.givenUp = nil
+	c.pruneCrashes(now)
+}
+
+// pruneInterval is the time between two searches for losses and outages that no longer matter.
+const pruneInterval = time.Second
+
+func (c *Cell) pruneCrashes(now tick.Time) {
+	if now.Before(c.crashes.nextPruneAt) {
+		return
+	}
+	c.crashes.nextPruneAt = now.Add(pruneInterval)
 	c.dropOutages(now)
+	for hash, tasks := range c.crashes.open {
+		tasks = slices.DeleteFunc(tasks, func(t *task) bool { return t.done || c.task(t.id) != t || t.crashes.IsEmpty() })
+		c.crashes.open[hash] = tasks
+		if len(tasks) == 0 {
+			delete(c.crashes.open, hash)
+		}
+	}
 }
 
 // crashKey names a crash of an executor.
@@ -172,7 +196,7 @@
 func (k *confirmedCrash) key() crashKey { return crashKey{k.loss.Executor, k.loss.Incarnation} }
 
 // judgeGroup judges the losses by one crash of an executor.
-func (c *Cell) judgeGroup(group []*confirmedCrash) {
+func (c *Cell) judgeGroup(j *judgement, group []*confirmedCrash) {
 	group = slices.DeleteFunc(group, func(k *confirmedCrash) bool { return c.task(k.task.id) != k.task || k.task.done })
 	suspects := make([]crash.Suspect, len(group))
 	for i, k := range group {
@@ -182,7 +206,7 @@
 	blamed := crash.Blamed(suspects)
 	for i, k := range group {
 		switch {
-		case c.hadCommonCause(k):
+		case j.hadCommonCause(k):
 			c.judgeCrash(k, false, "crash-shared", "common cause")
 		case !blamed[i]:
 			c.judgeCrash(k, false, "crash-shared", "other task")
--- a/internal/state/cell/crashes_sim_test.go
+++ b/internal/state/cell/crashes_sim_test.go
@@ -279,3 +279,83 @@
 	assert.Equal(t, losses, 4)
 	sim.assertState(t, "server", jobpb.State_STATE_RUNNING)
 }
+
+// TestSiblingsThatCrashExecutorsAreNotRetriedAtOnce checks a step whose tasks all crash their executors, which takes
+// down as many executors as start at once.
+func TestSiblingsThatCrashExecutorsAreNotRetriedAtOnce(t *testing.T) {
+	for _, down := range []time.Duration{800 * time.Millisecond, 2500 * time.Millisecond, 5 * time.Second} {
+		t.Run(down.String(), func(t *testing.T) {
+			const width = 8
+			sim := newScenario(12)
+			k := newCrasher(sim, isOfJob("bad"))
+			k.down = down
+			step := shortStep(width)
+			step.MaxPerExecutor = 1
+			sim.submitAfter(2*time.Second, "bad", step)
+			sim.runUntil(5 * time.Second)
+			assert.Equal(t, k.mostDown, width)
+			k.mostDown = 0
+			sim.runUntil(10 * time.Second)
+			k.mostDown = 0
+			sim.runUntil(60 * time.Second)
+			assert.Assert(t, k.mostDown <= 1, "%d executors were down at once", k.mostDown)
+			sim.assertState(t, "bad", jobpb.State_STATE_FAILED)
+			assert.Assert(t, k.startsOf("bad") <= width+crash.MaxCrashes, "%d starts", k.startsOf("bad"))
+		})
+	}
+}
+
+// TestSoundStepIsSoonOffTrial checks that the tasks of a step that has lost several executors for other reasons all
+// start soon after one of them has worked.
+func TestSoundStepIsSoonOffTrial(t *testing.T) {
+	sim := newScenario(12)
+	step := shortStep(8)
+	step.MaxPerExecutor, step.LongRunning = 1, true
+	sim.submitAfter(2*time.Second, "job", step)
+	sim.after(2500*time.Millisecond, func() {
+		for _, x := range sim.execs {
+			if len(x.runs) > 0 {
+				x.crashListed(time.Second)
+			}
+		}
+	})
+	sim.runUntil(9 * time.Second)
+	n := 0
+	for _, x := range sim.execs {
+		n += len(x.runs)
+	}
+	assert.Equal(t, n, 8)
+	sim.assertState(t, "job", jobpb.State_STATE_RUNNING)
+}
+
+// TestNewLeaderKnowsCommonCause checks a task that is lost with all executors of its rack each time, while the leader
+// changes as well, so that the new one has not seen the others go.
+func TestNewLeaderKnowsCommonCause(t *testing.T) {
+	sim := newScenario(12)
+	for i, x := range sim.execs {
+		x.labels = []string{fmt.Sprintf("r%d", i%3)}
+	}
+	server := shortStep(1)
+	server.LongRunning = true
+	sim.submitAfter(3*time.Second, "server", server)
+	losses, task := 0, orders.Task{Job: "server"}
+	var watch func()
+	watch = func() {
+		sim.after(50*time.Millisecond, watch)
+		i := slices.IndexFunc(sim.execs, func(x *simExecutor) bool { return x.runs[task] != nil })
+		if i < 0 || losses == 5 {
+			return
+		}
+		losses++
+		for _, x := range sim.execs {
+			if x.labels[0] == sim.execs[i].labels[0] && !x.isDown {
+				x.crashListed(4*time.Second + sim.randomDuration(0, time.Second))
+			}
+		}
+		sim.replaceLeader()
+	}
+	watch()
+	sim.runUntil(120 * time.Second)
+	assert.Equal(t, losses, 5)
+	sim.assertState(t, "server", jobpb.State_STATE_RUNNING)
+}
--- a/internal/state/cell/crashrecord.go
+++ b/internal/state/cell/crashrecord.go
@@ -23,21 +23,13 @@
 	}
 	if r := t.run; r != nil {
 		out = append(out, &jobpb.Loss{
-			Executor: r.exec.hash, Incarnation: r.recordedIncarnation(), Run: r.id.Number,
+			Executor: r.exec.hash, Incarnation: r.incarnation, Run: r.id.Number,
 			State: jobpb.LossState_LOSS_STATE_PROVISIONAL,
 		})
 	}
 	return out
 }
 
-// recordedIncarnation returns the incarnation of the executor that has the run, or that gets the order to start it.
-func (r *run) recordedIncarnation() int64 {
-	if r.isPlaced {
-		return r.exec.startedMS
-	}
-	return r.incarnation
-}
-
 var lossStates = map[crash.State]jobpb.LossState{
 	crash.Open:      jobpb.LossState_LOSS_STATE_OPEN,
 	crash.Confirmed: jobpb.LossState_LOSS_STATE_CONFIRMED,
--- a/internal/state/cell/crashtrial.go
+++ b/internal/state/cell/crashtrial.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -130,28 +129,30 @@
 func (tr *stepTrial) mayStart(t *task) bool { return !tr.isActive() || tr.next == t }
 
 // bestForSuspect returns the executor for a task that may crash it: one without a suspect of another job, and among
-// equally suited ones the one with the fewest runs. It reports false if the task need no longer wait for one.
-func (c *candidates) bestForSuspect(t *task) (*executor, bool) {
-	var best *executor
-	lowest := math.Inf(1)
-	for _, k := range c.list {
-		cost := k.cost + costPerRunBesideSuspect*float64(len(k.exec.runs))
-		if cost < lowest && !k.exec.hasOtherSuspect(t) {
-			best, lowest = k.exec, cost
-		}
-	}
+// equally suited ones the one with the fewest runs. If there is none for some time, it returns any executor.
+func (c *candidates) bestForSuspect(t *task) *executor {
+	c.suspect = t
+	x := c.bestOf(t)
+	c.suspect = nil
 	switch {
-	case best != nil:
-		t.unisolatedSince = 0
-		return best, true
-	case len(c.list) == 0:
-		return nil, true
-	case t.crashes.Count() == 0:
-		return nil, false
+	case x != nil || len(c.list) == 0:
+		return x
 	case t.unisolatedSince == 0:
 		t.unisolatedSince = c.pass.now
 	}
-	return nil, !t.isIsolationOverdue(c.pass.now)
+	if t.crashes.Count() > 0 && !t.isIsolationOverdue(c.pass.now) {
+		return nil
+	}
+	return c.bestOf(t)
+}
+
+// isolationCost returns the cost of an executor for the suspect that is being placed, if there is one, and whether it
+// may be placed there.
+func (c *candidates) isolationCost(x *executor) (float64, bool) {
+	if c.suspect == nil {
+		return 0, true
+	}
+	return costPerRunBesideSuspect * float64(len(x.runs)), !x.hasOtherSuspect(c.suspect)
 }
 
 func (t *task) isIsolationOverdue(now tick.Time) bool {
--- a/internal/state/cell/outages.go
+++ b/internal/state/cell/outages.go
@@ -45,70 +45,103 @@
 	}
 }
 
+// judgement finds the causes of confirmed crashes. It keeps what several of them have in common.
+type judgement struct {
+	cell *Cell
+	// executors has the known executors by their hashes.
+	executors map[uint32]*executor
+	// groups has the executors of each rack or failure domain.
+	groups map[string][]peer
+	// crashedBy has the executors that each step may have crashed, suspects those that any step on trial may have.
+	crashedBy map[*step]map[uint32]bool
+	suspects  map[uint32]bool
+}
+
+// peer is an executor of a group, which may have been removed since its outage.
+type peer struct {
+	hash   uint32
+	outage *outage
+	// startedMS is the start time of its process.
+	startedMS int64
+}
+
+func (c *Cell) newJudgement() *judgement {
+	j := &judgement{
+		cell: c, executors: make(map[uint32]*executor, len(c.execs)), groups: map[string][]peer{},
+		crashedBy: map[*step]map[uint32]bool{}, suspects: map[uint32]bool{},
+	}
+	for _, x := range c.execs {
+		j.executors[x.hash] = x
+	}
+	for s := range c.crashes.steps {
+		if s.needsTrial() {
+			s.addEarlyLosses(j.suspects)
+		}
+	}
+	return j
+}
+
 // hadCommonCause reports whether the executor was lost with its rack or failure domain. Executors that a step may have
 // crashed do not show that.
-func (c *Cell) hadCommonCause(k *confirmedCrash) bool {
-	x, ok := c.entryOf(k.loss.Executor)
-	if !ok {
-		return false
-	}
-	explained := c.explainedOutages(k)
-	groups := x.Labels
-	if x.Domain != "" {
-		groups = append(slices.Clone(groups), x.Domain)
-	}
-	for _, g := range groups {
-		lost, others := 0, 0
-		for hash, p := range c.peers(g) {
-			if hash == k.loss.Executor || explained[hash] {
-				continue
-			}
-			others++
-			if c.wereLostTogether(k.loss, p) {
-				lost++
-			}
-		}
-		if crash.IsCommonCause(lost, others) {
-			return true
-		}
+func (j *judgement) hadCommonCause(k *confirmedCrash) bool {
+	var entry queue.Executor
+	lost := peer{hash: k.loss.Executor, outage: j.cell.crashes.outages[k.loss.Executor]}
+	switch x := j.executors[k.loss.Executor]; {
+	case x != nil:
+		entry, lost.startedMS = x.entry, x.processStart()
+	case lost.outage != nil:
+		entry = lost.outage.entry
+	}
+	names := entry.Labels
+	if entry.Domain != "" {
+		names = append(slices.Clone(names), entry.Domain)
 	}
-	return false
+	return slices.ContainsFunc(names, func(name string) bool { return j.wasLostWith(k, lost, j.group(name)) })
 }
 
-// entryOf returns the last known entry of the executor with the hash.
-func (c *Cell) entryOf(hash uint32) (queue.Executor, bool) {
-	for _, x := range c.execs {
-		if x.hash == hash {
-			return x.entry, true
+// wasLostWith reports whether the executor of the loss was lost with the group.
+func (j *judgement) wasLostWith(k *confirmedCrash, lost peer, group []peer) bool {
+	explained := j.explainedOutages(k)
+	n, others := 0, 0
+	for _, p := range group {
+		if p.hash == lost.hash || explained[p.hash] || j.suspects[p.hash] {
+			continue
+		}
+		others++
+		if lost.isLostWith(p, k.loss.Incarnation) {
+			n++
 		}
 	}
-	if o, ok := c.crashes.outages[hash]; ok {
-		return o.entry, true
-	}
-	return queue.Executor{}, false
+	return crash.IsCommonCause(n, others)
 }
 
-// peer is an executor of a group, which may have been removed since its outage.
-type peer struct {
-	outage *outage
-	// startedMS is the start time of its process.
-	startedMS int64
+// isLostWith reports whether both executors were lost at the same time, or have restarted at the same time after the
+// incarnation of this one.
+func (p peer) isLostWith(o peer, incarnation int64) bool {
+	if p.outage != nil && o.outage != nil && p.outage.IsNear(o.outage.Outage) {
+		return true
+	}
+	return p.startedMS > incarnation && o.startedMS != 0 && crash.AreTogether(p.startedMS, o.startedMS)
 }
 
-// peers returns the executors of the rack or failure domain by their hashes.
-func (c *Cell) peers(group string) map[uint32]peer {
-	out := map[uint32]peer{}
-	for hash, o := range c.crashes.outages {
-		if isInGroup(o.entry, group) {
-			out[hash] = peer{outage: o}
+// group returns the executors of the rack or failure domain.
+func (j *judgement) group(name string) []peer {
+	if g, ok := j.groups[name]; ok {
+		return g
+	}
+	g := []peer{}
+	for hash, x := range j.executors {
+		if isInGroup(x.entry, name) {
+			g = append(g, peer{hash: hash, outage: j.cell.crashes.outages[hash], startedMS: x.processStart()})
 		}
 	}
-	for _, x := range c.execs {
-		if isInGroup(x.entry, group) {
-			out[x.hash] = peer{outage: c.crashes.outages[x.hash], startedMS: x.processStart()}
+	for hash, o := range j.cell.crashes.outages {
+		if j.executors[hash] == nil && isInGroup(o.entry, name) {
+			g = append(g, peer{hash: hash, outage: o})
 		}
 	}
-	return out
+	j.groups[name] = g
+	return g
 }
 
 func isInGroup(e queue.Executor, group string) bool {
@@ -118,35 +151,16 @@
 // processStart returns the latest known start time of the executor's process in Unix milliseconds.
 func (x *executor) processStart() int64 { return max(x.startedMS, x.entry.StartedMS) }
 
-// wereLostTogether reports whether the other executor was lost together with the one of the loss, or has restarted
-// together with it.
-func (c *Cell) wereLostTogether(l crash.Loss, other peer) bool {
-	if o, ok := c.crashes.outages[l.Executor]; ok && other.outage != nil && o.IsNear(other.outage.Outage) {
-		return true
-	}
-	for _, x := range c.execs {
-		if x.hash == l.Executor {
-			started := x.processStart()
-			return started > l.Incarnation && other.startedMS != 0 && crash.AreTogether(started, other.startedMS)
-		}
+// explainedOutages returns the executors that the step of the task may have crashed: those that lost a run of it soon
+// after its start, and those that lost one that was started at the same time as the lost run.
+func (j *judgement) explainedOutages(k *confirmedCrash) map[uint32]bool {
+	s := k.task.step
+	if known, ok := j.crashedBy[s]; ok {
+		return known
 	}
-	return false
-}
-
-// explainedOutages returns the executors that a step may have crashed: those that lost a run soon after its start, of
-// the same step or of one that is lost so on several executors, and those that lost runs of the same step that had been
-// started at the same time.
-func (c *Cell) explainedOutages(k *confirmedCrash) map[uint32]bool {
 	out := map[uint32]bool{}
-	for s := range c.crashes.steps {
-		if s == k.task.step || s.needsTrial() {
-			s.addEarlyLosses(out)
-		}
-	}
-	for _, t := range k.task.step.tasks {
-		if t == k.task {
-			continue
-		}
+	s.addEarlyLosses(out)
+	for _, t := range s.tasks {
 		if r := t.run; r != nil && k.isStartedWith(r.startedAt) {
 			out[r.exec.hash] = true
 		}
@@ -154,6 +168,7 @@
 			out[t.crashes.Losses()[n-1].Executor] = true
 		}
 	}
+	j.crashedBy[s] = out
 	return out
 }
 
--- a/internal/state/cell/placed.go
+++ b/internal/state/cell/placed.go
@@ -32,6 +32,7 @@
 	idleSince := j.idleSince
 	r := c.createRun(now, t, x, number)
 	r.isPlaced, r.idleSince = true, idleSince
+	r.incarnation, t.unisolatedSince = x.startedMS, 0
 	c.noteStart(now, t)
 	if t.step.pb.Fills {
 		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -93,6 +93,8 @@
 	step *step
 	need resources
 	list []candidate
+	// suspect is the task that is being placed if it may crash its executor.
+	suspect *task
 }
 
 // candidates rates the executors for a step.
@@ -154,10 +156,13 @@
 // best returns the cheapest executor for the task, or nil. Executors on which the task has failed come last.
 func (c *candidates) best(t *task) *executor {
 	if t.crashes.IsSuspect() {
-		if x, isFinal := c.bestForSuspect(t); isFinal {
-			return x
-		}
+		return c.bestForSuspect(t)
 	}
+	return c.bestOf(t)
+}
+
+// bestOf is best without regard to losses of the task.
+func (c *candidates) bestOf(t *task) *executor {
 	if len(t.failedOn) == 0 {
 		isMovedFrom := c.pass.wasMovedFrom(t)
 		if x, _ := c.cheapest(func(x *executor) bool { return !isMovedFrom(x) }); x != nil {
@@ -199,8 +204,9 @@
 	var best *executor
 	lowest := math.Inf(1)
 	for _, k := range c.list {
-		if k.cost < lowest && isPermitted(k.exec) {
-			best, lowest = k.exec, k.cost
+		extra, isIsolated := c.isolationCost(k.exec)
+		if k.cost+extra < lowest && isIsolated && isPermitted(k.exec) {
+			best, lowest = k.exec, k.cost+extra
 		}
 	}
 	return best, lowest
--- a/internal/state/cell/usage.go
+++ b/internal/state/cell/usage.go
@@ -27,6 +27,8 @@
 	AwaitedExecutors int
 	// SlowExecutors counts the executors on which runs progress much more slowly than they should.
 	SlowExecutors int
+	// CrashingTasks counts the tasks with crashes that count against them.
+	CrashingTasks int
 	// Durations are the ratios of actual to estimated durations of each queue with samples.
 	Durations []QueueDurations
 	// Delayed counts the steps that wait although an executor has the room, and the runs that no list shows, by cause, as
@@ -69,6 +71,7 @@
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
 				u.countWaiting(s)
+				u.CrashingTasks += s.countCrashing()
 			}
 		}
 	}
@@ -97,6 +100,17 @@
 	}
 }
 
+// countCrashing counts the tasks with counted crashes.
+func (s *step) countCrashing() int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.crashes.Count() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func (u *Usage) countWaiting(s *step) {
 	switch {
 	case !s.isReady():
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -22,6 +22,10 @@
 	WaitOrphan WaitCause = "orphaned-run"
 	// WaitRun means that the tracked run of the task is not in the lists of its executor.
 	WaitRun WaitCause = "unlisted-run"
+	// WaitCrash means that the task would be given up if its executors turned out to have crashed.
+	WaitCrash WaitCause = "crash-unconfirmed"
+	// WaitTrial means that another task of the step has to show first that it does not crash its executor.
+	WaitTrial WaitCause = "step-trial"
 )
 
 // The causes that concern an executor. The first ones, up to WaitCold, are the hardCauses.
@@ -43,6 +47,10 @@
 	WaitNotPlanned   WaitCause = "not-planned"
 	// WaitReserved means that the executor is reserved for a task that needs more room.
 	WaitReserved WaitCause = "reserved"
+	// WaitGuarded means that a task with counted crashes has just started on the executor, WaitOtherSuspect that one that
+	// may crash it runs there and the waiting task may do so too.
+	WaitGuarded      WaitCause = "guarded"
+	WaitOtherSuspect WaitCause = "other-suspect"
 )
 
 // WaitCauses returns the causes that Usage.Delayed may count.
@@ -50,6 +58,7 @@
 	return []WaitCause{
 		WaitTakeover, WaitStartRecord, WaitOrphan, WaitRun, WaitOrphans, WaitQuarantine, WaitSuspect, WaitNoTicket,
 		WaitFailedOn, WaitNearTarget, WaitStartPause, WaitInterference, WaitNotPlanned, WaitReserved,
+		WaitCrash, WaitTrial, WaitGuarded, WaitOtherSuspect,
 	}
 }
 
@@ -171,6 +180,10 @@
 		return WaitTakeover, ""
 	case t.orphanedOn != nil && t.orphanedOn.hasOrphanedRun(t.id):
 		return WaitOrphan, fmt.Sprintf("last response %v ago", inMillis(p.now.Sub(t.orphanedOn.lastResponseAt)))
+	case !t.crashes.MayStart(p.now):
+		return WaitCrash, fmt.Sprintf("crashes counted: %d, losses: %d", t.crashes.Count(), len(t.crashes.Losses()))
+	case !t.step.trial.mayStart(t):
+		return WaitTrial, fmt.Sprintf("since %v", inMillis(p.now.Sub(t.step.trial.since)))
 	}
 	counts := c.countCauses(p, t)
 	cause := WaitNoRoom
@@ -230,6 +243,10 @@
 		return WaitQuarantine
 	case !x.suspicion.admits(p.now, s):
 		return WaitSuspect
+	case x.isGuarded(p.now, s):
+		return WaitGuarded
+	case t.crashes.Count() > 0 && x.hasOtherSuspect(t):
+		return WaitOtherSuspect
 	case !s.isPermittedOn(p.now, x):
 		return WaitNoTicket
 	case avoidsFailedOn && t.hasFailedOn(x):
