Test that a new leader knows common causes and that tasks with losses are recorded again

The test of a new leader passed without the comparison of start times, because no loss was recorded before the leader changed. It now begins with one.

--- a/internal/state/cell/crashes_sim_test.go
+++ b/internal/state/cell/crashes_sim_test.go
@@ -328,8 +328,8 @@
 	sim.assertState(t, "job", jobpb.State_STATE_RUNNING)
 }
 
-// TestNewLeaderKnowsCommonCause checks a task that is lost with all executors of its rack each time, while the leader
-// changes as well, so that the new one has not seen the others go.
+// TestNewLeaderKnowsCommonCause checks a task that is lost with all executors of its rack while the leader changes as
+// well, so that the new one has not seen the others go.
 func TestNewLeaderKnowsCommonCause(t *testing.T) {
 	sim := newScenario(12)
 	for i, x := range sim.execs {
@@ -346,7 +346,11 @@
 		if i < 0 || losses == 5 {
 			return
 		}
-		losses++
+		if losses++; losses == 1 {
+			// From this loss on, the records name the run.
+			sim.execs[i].crashListed(time.Second)
+			return
+		}
 		for _, x := range sim.execs {
 			if x.labels[0] == sim.execs[i].labels[0] && !x.isDown {
 				x.crashListed(4*time.Second + sim.randomDuration(0, time.Second))
--- a/internal/state/cell/crashes_test.go
+++ b/internal/state/cell/crashes_test.go
@@ -270,3 +270,31 @@
 	assert.Assert(t, strings.Contains(detail, "losses: 3"), detail)
 	assert.Assert(t, slices.Contains(WaitCauses(), WaitCrash) && slices.Contains(WaitCauses(), WaitTrial))
 }
+
+// TestTaskWithLossIsRecordedAgain checks that the start of a task with a loss waits for a record that names the run,
+// also if a former record names the executor. Otherwise a new leader would not count the crash.
+func TestTaskWithLossIsRecordedAgain(t *testing.T) {
+	h := newRestartedHarness(t, "a")
+	h.accept("bad", "q", shortStep(1))
+	h.crashTimes("bad", 1)
+	task := h.cell.jobs["bad"].occurrences[0].steps[0].tasks[0]
+	task.recordedOn, task.batchedOn = h.cell.execs["a"].hash, h.cell.execs["a"].hash
+	assert.Equal(t, len(startOrders(h.cell.Plan(h.now, testWallMS, unbounded))), 0)
+	losses := h.cell.progress(task.step.job).Tasks[0].Losses
+	assert.Equal(t, len(losses), 2)
+	assert.Equal(t, losses[1].State, jobpb.LossState_LOSS_STATE_PROVISIONAL)
+	assert.Equal(t, losses[1].Run, task.run.id.Number)
+	assert.Equal(t, losses[1].Incarnation, h.startedMS["a"])
+	h.commit()
+	assert.Equal(t, len(startOrders(h.cell.Plan(h.now, testWallMS, unbounded))), 1)
+}
+
+// TestAdoptedRunIsNoEarlyLoss checks that a run that a former leader has started does not look as if it had crashed its
+// executor at its start.
+func TestAdoptedRunIsNoEarlyLoss(t *testing.T) {
+	h := newTakeoverHarness(t, bookEntry("job", &jobpb.Progress{Job: "job", State: jobpb.State_STATE_RUNNING}))
+	h.reportRunning("x", orders.Running{Run: orders.Run{Task: orders.Task{Job: "job"}, Number: 3}, Percent: 10})
+	h.reportRunning("y")
+	task := h.cell.jobs["job"].occurrences[0].steps[0].tasks[0]
+	assert.Assert(t, task.run.worked() >= crash.EarlyWork)
+}
