Blame the run that was started last for a crash, and forget crashes that do not fit together

The run that was started last is now the likely one. Executors without a recent start are chosen for tasks with crashes, and nothing starts there for up to 2 s. An outage for which a task is blamed shows no common cause. An order without a reply is not blamed for a crash that is explained. Crashes of a task after different work do not add up, work of several runs forgets them, and a task is not given up for a crash that another job is as likely to have caused, once.

The tests of the order after the crash and of the work of several runs fail without these rules.

--- a/internal/state/cell/crashes.go
+++ b/internal/state/cell/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -27,6 +28,8 @@
 	givenUp []*task
 	// outages has the last outage of each executor, by its hash.
 	outages map[uint32]*outage
+	// blamed has when crashes of executors were found to count against a task.
+	blamed map[crashKey]tick.Time
 	// steps has the steps with losses.
 	steps map[*step]bool
 	// nextPruneAt is when losses and outages that no longer matter are next searched for.
@@ -34,7 +37,10 @@
 }
 
 func newCrashes() crashes {
-	return crashes{open: map[uint32][]*task{}, outages: map[uint32]*outage{}, steps: map[*step]bool{}}
+	return crashes{
+		open: map[uint32][]*task{}, outages: map[uint32]*outage{}, steps: map[*step]bool{},
+		blamed: map[crashKey]tick.Time{},
+	}
 }
 
 // confirmedCrash is a confirmed loss of a task that is not judged yet.
@@ -64,7 +70,7 @@
 	if !t.crashes.Add(l) {
 		return
 	}
-	t.lostRunStartedAt, t.hasPassedTrial = r.startedAt, false
+	t.lostRunStartedAt, t.hasPassedTrial, t.workSinceLoss = r.startedAt, false, 0
 	c.dirty[t.id.Job] = t.step.job
 	detail := "open"
 	if isConfirmed {
@@ -160,7 +166,7 @@
 		if j == nil {
 			j = c.newJudgement()
 		}
-		c.judgeGroup(j, groups[key])
+		c.judgeGroup(now, j, key, groups[key])
 	}
 	for _, t := range c.crashes.givenUp {
 		c.giveUp(now, t)
@@ -178,6 +184,7 @@
 	}
 	c.crashes.nextPruneAt = now.Add(pruneInterval)
 	c.dropOutages(now)
+	maps.DeleteFunc(c.crashes.blamed, func(_ crashKey, at tick.Time) bool { return now.Sub(at) > outageRetention })
 	for hash, tasks := range c.crashes.open {
 		tasks = slices.DeleteFunc(tasks, func(t *task) bool { return t.done || c.task(t.id) != t || t.crashes.IsEmpty() })
 		c.crashes.open[hash] = tasks
@@ -196,7 +203,9 @@
 func (k *confirmedCrash) key() crashKey { return crashKey{k.loss.Executor, k.loss.Incarnation} }
 
 // judgeGroup judges the losses by one crash of an executor.
-func (c *Cell) judgeGroup(j *judgement, group []*confirmedCrash) {
+func (c *Cell) judgeGroup(now tick.Time, j *judgement, key crashKey, group []*confirmedCrash) {
+	// Runs whose start was unconfirmed may be released long after the others.
+	_, isExplained := c.crashes.blamed[key]
 	group = slices.DeleteFunc(group, func(k *confirmedCrash) bool { return c.task(k.task.id) != k.task || k.task.done })
 	suspects := make([]crash.Suspect, len(group))
 	for i, k := range group {
@@ -208,9 +217,10 @@
 		switch {
 		case j.hadCommonCause(k):
 			c.judgeCrash(k, false, "crash-shared", "common cause")
-		case !blamed[i]:
+		case !blamed[i], isExplained && k.loss.IsUnconfirmed:
 			c.judgeCrash(k, false, "crash-shared", "other task")
 		default:
+			c.crashes.blamed[key] = now
 			c.judgeCrash(k, true, "crash-confirmed", fmt.Sprintf("%d of %d", k.task.crashes.Count()+1, crash.MaxCrashes))
 		}
 	}
@@ -219,6 +229,9 @@
 func (c *Cell) judgeCrash(k *confirmedCrash, isCounted bool, event, detail string) {
 	t := k.task
 	t.crashes.Judge(k.loss.Executor, k.loss.Run, isCounted)
+	if o, ok := c.crashes.outages[k.loss.Executor]; ok && isCounted {
+		o.isBlamed = true
+	}
 	c.dirty[t.id.Job] = t.step.job
 	c.emit(Event{
 		Name: event, Task: t.id, Run: k.loss.Run, Executor: c.executorName(k.loss.Executor), Detail: detail,
@@ -243,10 +256,10 @@
 	c.endJob(now, t.step.job, jobpb.State_STATE_FAILED)
 }
 
-// clearCrashes forgets the losses of the task once the run has worked for long enough.
+// clearCrashes forgets the losses of the task once its runs have worked for long enough.
 func (c *Cell) clearCrashes(r *run) {
 	t := r.task
-	if t.crashes.IsEmpty() || !t.crashes.IsClearedBy(r.provenWork()) {
+	if t.crashes.IsEmpty() || !t.crashes.IsClearedBy(t.workSinceLoss+r.provenWork()) {
 		return
 	}
 	t.crashes.Clear()
@@ -255,8 +268,8 @@
 
 // releaseLost releases a run whose executor was lost.
 func (c *Cell) releaseLost(r *run, isConfirmed bool) {
-	c.recordLoss(r, isConfirmed)
 	c.releaseRun(r, orders.EndedLeaseExpired)
+	c.recordLoss(r, isConfirmed)
 }
 
 // hasRestartedSince reports whether the executor is known to have restarted since the run was ordered.
--- a/internal/state/cell/crashes_test.go
+++ b/internal/state/cell/crashes_test.go
@@ -298,3 +298,47 @@
 	task := h.cell.jobs["job"].occurrences[0].steps[0].tasks[0]
 	assert.Assert(t, task.run.worked() >= crash.EarlyWork)
 }
+
+// TestOrderAfterCrashIsNotBlamed checks a start order that reaches nobody, because another task has crashed the
+// executor before. Its run is released only after a stop, when that crash is already judged.
+func TestOrderAfterCrashIsNotBlamed(t *testing.T) {
+	h := newRestartedHarness(t, "a")
+	h.accept("bad", "q", shortStep(1))
+	h.startOf("bad", maxIdleTime)
+	h.advance(20 * time.Millisecond)
+	h.accept("late", "q", shortStep(1))
+	h.cell.Plan(h.now, testWallMS, unbounded)
+	h.commit()
+	late := startOrders(h.cell.Plan(h.now, testWallMS, unbounded))[0]
+	h.advance(100 * time.Millisecond)
+	h.cell.HandleReply(h.now, late, orders.Reply{Outcome: orders.NoResponse})
+	h.restart("a")
+	h.untilJudgedOnce()
+	h.advance(2 * judgeDelay)
+	h.confirm(h.cell.Plan(h.now, testWallMS, unbounded))
+	h.advance(time.Millisecond)
+	h.list("a")
+	h.untilJudgedOnce()
+	counts := map[string]int{}
+	for _, id := range []string{"bad", "late"} {
+		counts[id] = h.cell.jobs[id].occurrences[0].steps[0].tasks[0].crashes.Count()
+	}
+	assert.DeepEqual(t, counts, map[string]int{"bad": 1, "late": 0})
+}
+
+// TestWorkOfSeveralRunsForgetsCrashes checks that a task whose runs end for other reasons after some work is not given
+// up for losses that are long ago.
+func TestWorkOfSeveralRunsForgetsCrashes(t *testing.T) {
+	h := newRestartedHarness(t, "a", "b", "c")
+	h.accept("job", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, LongRunning: true})
+	h.crashTimes("job", 1)
+	h.untilJudgedOnce()
+	for range 3 {
+		o := h.startOf("job", time.Minute)
+		h.advance(800 * time.Millisecond)
+		h.list(o.Target.ID, runningRow(o, 0, 100))
+		h.ends[o.Target.ID]++
+		h.endRun(h.cell.execs[o.Target.ID].runs[o.Start.Run.Task], orders.EndedFailed)
+	}
+	assert.Equal(t, h.cell.Usage(h.now).CrashingTasks, 0)
+}
--- a/internal/state/cell/crashtrial.go
+++ b/internal/state/cell/crashtrial.go
@@ -4,15 +4,16 @@
 	"slices"
 	"time"
 
+	"github.com/ibischute/ibischute/internal/state/crash"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
 const (
 	// stepTrialWork is how long a run of a step on trial has to work until the other tasks may start.
 	stepTrialWork = time.Second
-	// maxIsolationWait is how long a task with counted crashes waits for an executor without another suspect. Those with
+	// isolationWait is how long a task waits for an executor without another suspect for each of its crashes. Those with
 	// open losses alone do not wait, since all tasks of an executor that is cut off have such losses.
-	maxIsolationWait = time.Second
+	isolationWait = time.Second
 	// costPerRunBesideSuspect is the cost of each run on an executor for a suspect, which may crash them all. It exceeds
 	// the costs by which room is balanced, but not those of remote data and of failures.
 	costPerRunBesideSuspect = 10
@@ -140,7 +141,7 @@
 	case t.unisolatedSince == 0:
 		t.unisolatedSince = c.pass.now
 	}
-	if t.crashes.Count() > 0 && !t.isIsolationOverdue(c.pass.now) {
+	if c.pass.now.Sub(t.unisolatedSince) < isolationWait*time.Duration(t.crashes.Crashes()) {
 		return nil
 	}
 	return c.bestOf(t)
@@ -152,23 +153,20 @@
 	if c.suspect == nil {
 		return 0, true
 	}
-	return costPerRunBesideSuspect * float64(len(x.runs)), !x.hasOtherSuspect(c.suspect)
+	return costPerRunBesideSuspect * float64(len(x.runs)), !x.hasOtherSuspect(c.pass.now, c.suspect)
 }
 
-func (t *task) isIsolationOverdue(now tick.Time) bool {
-	return t.unisolatedSince != 0 && now.Sub(t.unisolatedSince) >= maxIsolationWait
-}
-
-// guardTime is how long nothing else starts on an executor after a task with counted crashes, unless the run has worked
-// for guardWork. Otherwise it would be unclear which task has crashed the executor, and more work would be lost.
+// guardTime is how long nothing else starts on an executor after a task with crashes, unless the run has worked for
+// guardWork. Otherwise it would be unclear which task has crashed the executor, and more work would be lost. Two lists
+// arrive in that time if the executor works.
 const (
-	guardTime = 1500 * time.Millisecond
+	guardTime = 2 * time.Second
 	guardWork = 500 * time.Millisecond
 )
 
 // guard keeps the executor of the run from taking further tasks if the run may crash it.
 func (x *executor) guard(r *run) {
-	if r.task.crashes.Count() > 0 {
+	if r.task.crashes.Crashes() > 0 {
 		x.guarded = r
 	}
 }
@@ -183,11 +181,14 @@
 	return r.provenWork() < guardWork && now.Sub(max(r.createdAt, r.startedAt)) < guardTime
 }
 
-// hasOtherSuspect reports whether a task of another job runs on the executor that may crash it. Which of two tasks of
-// one job has crashed an executor makes no difference to the job.
-func (x *executor) hasOtherSuspect(t *task) bool {
+// hasOtherSuspect reports whether a task of another job runs on the executor that may crash it. For a task with
+// crashes, that is also any task that has just been started. Which of two tasks of one job has crashed an executor
+// makes no difference to the job.
+func (x *executor) hasOtherSuspect(now tick.Time, t *task) bool {
+	hasCrashes := t.crashes.Crashes() > 0
 	for id, r := range x.runs {
-		if id.Job != t.id.Job && r.task.crashes.IsSuspect() {
+		isRecent := r.isPlaced || now.Sub(r.startedAt) <= crash.RecentStart
+		if id.Job != t.id.Job && (r.task.crashes.IsSuspect() || hasCrashes && isRecent) {
 			return true
 		}
 	}
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -93,8 +93,9 @@
 	// leaseExpiresBy is when the executor's lease has certainly expired unless it is extended.
 	leaseExpiresBy tick.Time
 	lastResponseAt tick.Time
-	// aliveAt is when the executor last carried out an order, lastResponseAt when it last sent its lists.
-	aliveAt tick.Time
+	// aliveAt is when the executor last carried out an order, lastResponseAt when it last sent its lists, orderRepliedAt
+	// when it last confirmed an order to a run.
+	aliveAt, orderRepliedAt tick.Time
 	// heldAddress is the address for which the last hold was returned; empty before the first one.
 	heldAddress string
 	// isUnresponsive is true if the last hold got no response or was refused.
--- a/internal/state/cell/outages.go
+++ b/internal/state/cell/outages.go
@@ -18,13 +18,15 @@
 	entry queue.Executor
 	// isOver is true if the executor is known to have restarted. Otherwise it may only be out of reach.
 	isOver bool
+	// isBlamed is true if a crash counts against a task, so that the outage shows no common cause.
+	isBlamed bool
 }
 
 // noteOutage records that an executor is out of reach, or has restarted.
 func (c *Cell) noteOutage(now tick.Time, x *executor, isOver bool) {
 	o, ok := c.crashes.outages[x.hash]
 	if !ok || o.isOver && x.lastResponseAt.After(o.To) {
-		o = &outage{Outage: crash.Outage{From: x.lastResponseAt, To: now}, entry: x.entry}
+		o = &outage{Outage: crash.Outage{From: max(x.lastResponseAt, x.orderRepliedAt), To: now}, entry: x.entry}
 		c.crashes.outages[x.hash] = o
 	}
 	o.isOver = o.isOver || isOver
@@ -104,7 +106,8 @@
 	explained := j.explainedOutages(k)
 	n, others := 0, 0
 	for _, p := range group {
-		if p.hash == lost.hash || explained[p.hash] || j.suspects[p.hash] {
+		isBlamed := p.outage != nil && p.outage.isBlamed
+		if p.hash == lost.hash || isBlamed || explained[p.hash] || j.suspects[p.hash] {
 			continue
 		}
 		others++
--- a/internal/state/cell/replies.go
+++ b/internal/state/cell/replies.go
@@ -24,7 +24,9 @@
 	if !ok {
 		return
 	}
-	c.applyReply(now, x, o.Target.Address, reply)
+	if c.applyReply(now, x, o.Target.Address, reply) {
+		x.orderRepliedAt = now
+	}
 	switch {
 	case o.Start != nil:
 		c.applyStartReply(now, x, o.Start.Run, reply)
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -167,6 +167,7 @@
 	c.speed.End(r.id)
 	t := r.task
 	t.run = nil
+	t.workSinceLoss += r.provenWork()
 	if !t.done {
 		t.step.waiting++
 	}
--- a/internal/state/cell/task.go
+++ b/internal/state/cell/task.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"time"
+
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/internal/state/crash"
@@ -55,6 +57,8 @@
 	// crashes has the losses of the task. lostRunStartedAt is when the last lost run was started by this leader.
 	crashes          crash.History
 	lostRunStartedAt tick.Time
+	// workSinceLoss is how long the ended runs since the last loss have worked.
+	workSinceLoss time.Duration
 	// hasPassedTrial is true if a run of the step has worked since the last loss. unisolatedSince is since when a suspect
 	// has found room only beside another one; 0 if it has not.
 	hasPassedTrial  bool
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -245,7 +245,7 @@
 		return WaitSuspect
 	case x.isGuarded(p.now, s):
 		return WaitGuarded
-	case t.crashes.Count() > 0 && x.hasOtherSuspect(t):
+	case t.crashes.Crashes() > 0 && x.hasOtherSuspect(p.now, t):
 		return WaitOtherSuspect
 	case !s.isPermittedOn(p.now, x):
 		return WaitNoTicket
--- a/internal/state/crash/blame.go
+++ b/internal/state/crash/blame.go
@@ -20,14 +20,18 @@
 	IsRepeated bool
 	// IsUnconfirmed is true if the executor did not confirm the start. It may have crashed before.
 	IsUnconfirmed bool
+	// WasDoubted is true if the task would have been given up for its last loss but for other tasks.
+	WasDoubted bool
 }
 
 const (
-	// similarWork is the ratio up to which two durations of work are about the same.
-	similarWork = 2
-	// recentStart is how long before the last start on an executor runs were started that may have crashed it as well. A
+	// similarWork is the difference up to which two durations of work are about the same, since lists show the work each
+	// second, and similarShare the same as a share of the duration.
+	similarWork  = 1200 * time.Millisecond
+	similarShare = 8
+	// RecentStart is how long before the last start on an executor runs were started that may have crashed it as well. A
 	// run that crashes its executor at once is the last one.
-	recentStart = 300 * time.Millisecond
+	RecentStart = 300 * time.Millisecond
 )
 
 // SuspectOf returns the suspect for a loss of the task with the history.
@@ -35,16 +39,19 @@
 	s := Suspect{Crashes: h.Count(), Worked: l.Worked, IsUnconfirmed: l.IsUnconfirmed}
 	for _, o := range h.losses {
 		isOther := o.Executor != l.Executor || o.Run != l.Run
-		isSimilar := o.Worked <= similarWork*l.Worked && l.Worked <= similarWork*o.Worked
+		isSimilar := (o.Worked - l.Worked).Abs() <= max(similarWork, l.Worked/similarShare)
 		s.IsRepeated = s.IsRepeated || isOther && isSimilar && l.Worked >= EarlyWork
 	}
+	if i := h.index(l.Executor, l.Run); i > 0 && s.Crashes == MaxCrashes-1 {
+		s.WasDoubted = h.losses[i-1].State == Shared
+	}
 	return s
 }
 
 // Blamed returns for each of the runs that were lost with one executor whether the crash counts against its task. The
 // last runs that were started, and those that were lost after the same work before, are likely to have crashed it. Of
 // these, the tasks with the most crashes take the blame alone. A task is not given up for a crash if another job is as
-// likely to have caused it.
+// likely to have caused it, but only once, since it would crash further executors otherwise.
 func Blamed(suspects []Suspect) []bool {
 	isLikely := likely(suspects)
 	most, jobs := 0, map[string]bool{}
@@ -56,7 +63,7 @@
 	}
 	out := make([]bool, len(suspects))
 	for i, s := range suspects {
-		isUnclear := s.Crashes == MaxCrashes-1 && len(jobs) > 1
+		isUnclear := s.Crashes == MaxCrashes-1 && len(jobs) > 1 && !s.WasDoubted
 		out[i] = isLikely[i] && s.Crashes == most && !isUnclear
 	}
 	return out
@@ -76,7 +83,7 @@
 	}
 	out, hasAny := make([]bool, len(suspects)), false
 	for i, s := range suspects {
-		isRecent := s.Worked < EarlyWork && s.StartedAt >= lastStart.Add(-recentStart)
+		isRecent := s.Worked < EarlyWork && s.StartedAt >= lastStart.Add(-RecentStart)
 		out[i] = s.IsUnconfirmed != hasConfirmed && (isRecent || s.IsRepeated)
 		hasAny = hasAny || out[i]
 	}
--- a/internal/state/crash/crash.go
+++ b/internal/state/crash/crash.go
@@ -127,21 +127,39 @@
 	return confirmed, refuted
 }
 
-// Judge states whether a confirmed crash counts against the task.
+// Judge states whether a confirmed crash counts against the task. A task that crashes its executors does so after about
+// the same work, so crashes after other work no longer count.
 func (h *History) Judge(executor uint32, run uint64, isCounted bool) {
 	i := h.index(executor, run)
 	if i < 0 {
 		return
 	}
 	h.losses[i].State = Shared
-	if isCounted {
-		h.losses[i].State = Counted
+	if !isCounted {
+		return
+	}
+	for k, o := range h.losses {
+		if o.State == Counted && !o.isAlike(h.losses[i]) {
+			h.losses[k].State = Shared
+		}
 	}
+	h.losses[i].State = Counted
+}
+
+// alikeRatio is the ratio up to which two runs may have been lost for the same cause.
+const alikeRatio = 2
+
+func (l Loss) isAlike(o Loss) bool {
+	shorter, longer := min(l.Worked, o.Worked), max(l.Worked, o.Worked)
+	return longer < alikeRatio*EarlyWork || longer <= alikeRatio*shorter
 }
 
 // Count returns the number of crashes that count against the task.
 func (h *History) Count() int { return h.count(Counted) }
 
+// Crashes returns the number of crashes that count against the task or may do so once they are judged.
+func (h *History) Crashes() int { return h.count(Counted, Confirmed) }
+
 func (h *History) count(states ...State) int {
 	n := 0
 	for _, l := range h.losses {
@@ -159,7 +177,7 @@
 // confirmed crash may end it, and waits for confirmationWait if open losses may.
 func (h *History) MayStart(now tick.Time) bool {
 	switch {
-	case h.count(Counted, Confirmed) >= MaxCrashes:
+	case h.Crashes() >= MaxCrashes:
 		return false
 	case h.count(Counted, Confirmed, Open) < MaxCrashes:
 		return true
--- a/internal/state/crash/crash_test.go
+++ b/internal/state/crash/crash_test.go
@@ -158,3 +158,35 @@
 	assert.Assert(t, !(Outage{From: now.Add(3*time.Second + 1), To: now.Add(4 * time.Second)}).IsNear(o))
 	assert.Assert(t, AreTogether(5000, 3000) && AreTogether(3000, 5000) && !AreTogether(3000, 5001))
 }
+
+// TestCrashesAfterDifferentWorkDoNotAddUp guards against giving up a long-running task whose executors are lost from
+// time to time.
+func TestCrashesAfterDifferentWorkDoNotAddUp(t *testing.T) {
+	h := New()
+	for i, worked := range []time.Duration{0, 24 * time.Second, 9 * time.Second, time.Second, 20 * time.Second} {
+		run := uint64(i + 1)
+		h.Add(Loss{Executor: 1, Run: run, Worked: worked, State: Confirmed})
+		h.Judge(1, run, true)
+		assert.Equal(t, h.Count(), 1, "%v", worked)
+	}
+	for i, worked := range []time.Duration{18 * time.Second, 12 * time.Second} {
+		run := uint64(i + 10)
+		h.Add(Loss{Executor: 1, Run: run, Worked: worked, State: Confirmed})
+		h.Judge(1, run, true)
+		assert.Equal(t, h.Count(), i+2)
+	}
+}
+
+// TestDoubtSparesTaskOnce guards against a task that is never given up because other tasks start beside it each time.
+func TestDoubtSparesTaskOnce(t *testing.T) {
+	h := historyOf(Counted, Counted, Confirmed)
+	other := Suspect{Job: "b", StartedAt: now}
+	suspect := h.SuspectOf(h.Losses()[2])
+	suspect.Job, suspect.StartedAt = "a", now
+	assert.DeepEqual(t, Blamed([]Suspect{suspect, other}), []bool{false, false})
+	h.Judge(3, 3, false)
+	h.Add(Loss{Executor: 4, Run: 4, State: Confirmed})
+	suspect = h.SuspectOf(h.Losses()[3])
+	suspect.Job, suspect.StartedAt = "a", now
+	assert.DeepEqual(t, Blamed([]Suspect{suspect, other}), []bool{true, false})
+}
