Start the tasks of a step that was cut off with its domain at once

A long-running step whose failure domain is cut off was put on trial when the leases expired, so its tasks started one at a time until one had worked for a second. Losses that are still open are now compared with the other executors of the rack and domain as well.

--- a/internal/state/cell/crashes.go
+++ b/internal/state/cell/crashes.go
@@ -22,8 +22,10 @@
 type crashes struct {
 	// open has the tasks with open losses, by the hash of the lost executor.
 	open map[uint32][]*task
+	// opened has the open losses of which it is not known yet whether they have a common cause.
+	opened []*lostRun
 	// confirmed has the crashes that are not judged yet.
-	confirmed []*confirmedCrash
+	confirmed []*lostRun
 	// givenUp has the tasks whose jobs are to be ended.
 	givenUp []*task
 	// outages has the last outage of each executor, by its hash.
@@ -43,8 +45,8 @@
 	}
 }
 
-// confirmedCrash is a confirmed loss of a task that is not judged yet.
-type confirmedCrash struct {
+// lostRun is a loss of a task that is not judged yet.
+type lostRun struct {
 	task *task
 	loss crash.Loss
 	// startedAt is when the run was started; 0 if a former leader did.
@@ -78,6 +80,9 @@
 	}
 	c.emit(Event{Name: "task-lost", Task: t.id, Run: r.id.Number, Executor: x.entry.ID, Detail: detail})
 	c.trackLoss(t, l)
+	if !isConfirmed {
+		c.crashes.opened = append(c.crashes.opened, &lostRun{task: t, loss: l, startedAt: r.startedAt})
+	}
 }
 
 // worked returns how long the run has worked at least, as far as its executor has shown. A run that this leader has
@@ -97,7 +102,7 @@
 	case crash.Open:
 		c.crashes.open[l.Executor] = append(c.crashes.open[l.Executor], t)
 	case crash.Confirmed:
-		c.crashes.confirmed = append(c.crashes.confirmed, &confirmedCrash{
+		c.crashes.confirmed = append(c.crashes.confirmed, &lostRun{
 			task: t, loss: l, startedAt: t.lostRunStartedAt,
 		})
 	case crash.Counted, crash.Shared:
@@ -148,7 +153,7 @@
 // judgeCrashes judges the confirmed crashes after judgeDelay, those of one executor together, and ends the jobs of the
 // tasks that are given up.
 func (c *Cell) judgeCrashes(now tick.Time) {
-	groups := map[crashKey][]*confirmedCrash{}
+	groups := map[crashKey][]*lostRun{}
 	due := map[crashKey]bool{}
 	for _, k := range c.crashes.confirmed {
 		if k.since == 0 {
@@ -157,8 +162,12 @@
 		groups[k.key()] = append(groups[k.key()], k)
 		due[k.key()] = due[k.key()] || now.Sub(k.since) >= judgeDelay
 	}
-	c.crashes.confirmed = slices.DeleteFunc(c.crashes.confirmed, func(k *confirmedCrash) bool { return due[k.key()] })
+	c.crashes.confirmed = slices.DeleteFunc(c.crashes.confirmed, func(k *lostRun) bool { return due[k.key()] })
 	var j *judgement
+	if len(c.crashes.opened) > 0 {
+		j = c.newJudgement()
+		c.markCommon(j)
+	}
 	for key, isDue := range due {
 		if !isDue {
 			continue
@@ -175,6 +184,16 @@
 	c.pruneCrashes(now)
 }
 
+// markCommon notes which of the open losses have a common cause. Their tasks need not wait, nor be kept apart.
+func (c *Cell) markCommon(j *judgement) {
+	for _, k := range c.crashes.opened {
+		if c.task(k.task.id) == k.task && j.hadCommonCause(k) {
+			k.task.crashes.MarkCommon(k.loss.Executor, k.loss.Run)
+		}
+	}
+	c.crashes.opened = nil
+}
+
 // pruneInterval is the time between two searches for losses and outages that no longer matter.
 const pruneInterval = time.Second
 
@@ -200,13 +219,13 @@
 	incarnation int64
 }
 
-func (k *confirmedCrash) key() crashKey { return crashKey{k.loss.Executor, k.loss.Incarnation} }
+func (k *lostRun) key() crashKey { return crashKey{k.loss.Executor, k.loss.Incarnation} }
 
 // judgeGroup judges the losses by one crash of an executor.
-func (c *Cell) judgeGroup(now tick.Time, j *judgement, key crashKey, group []*confirmedCrash) {
+func (c *Cell) judgeGroup(now tick.Time, j *judgement, key crashKey, group []*lostRun) {
 	// Runs whose start was unconfirmed may be released long after the others.
 	_, isExplained := c.crashes.blamed[key]
-	group = slices.DeleteFunc(group, func(k *confirmedCrash) bool { return c.task(k.task.id) != k.task || k.task.done })
+	group = slices.DeleteFunc(group, func(k *lostRun) bool { return c.task(k.task.id) != k.task || k.task.done })
 	suspects := make([]crash.Suspect, len(group))
 	for i, k := range group {
 		suspects[i] = k.task.crashes.SuspectOf(k.loss)
@@ -226,7 +245,7 @@
 	}
 }
 
-func (c *Cell) judgeCrash(k *confirmedCrash, isCounted bool, event, detail string) {
+func (c *Cell) judgeCrash(k *lostRun, isCounted bool, event, detail string) {
 	t := k.task
 	t.crashes.Judge(k.loss.Executor, k.loss.Run, isCounted)
 	if o, ok := c.crashes.outages[k.loss.Executor]; ok && isCounted {
--- a/internal/state/cell/crashes_sim_test.go
+++ b/internal/state/cell/crashes_sim_test.go
@@ -11,6 +11,7 @@
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/internal/state/crash"
+	"github.com/ibischute/ibischute/pkg/tick"
 )
 
 // crasher lets the runs of some tasks crash their executors in a simulation.
@@ -363,3 +364,35 @@
 	assert.Equal(t, losses, 5)
 	sim.assertState(t, "server", jobpb.State_STATE_RUNNING)
 }
+
+// TestStepThatIsCutOffIsNotOnTrial checks that the tasks of a step start again at once after the leases of the
+// executors of their failure domain have expired.
+func TestStepThatIsCutOffIsNotOnTrial(t *testing.T) {
+	sim := newScenario(18)
+	for i, x := range sim.execs {
+		x.domain, x.labels = fmt.Sprintf("d%d", i%2), nil
+	}
+	var from, to tick.Time
+	sim.onEvent = func(e Event) {
+		switch {
+		case e.Name == "task-lost" && from == 0:
+			from = sim.now
+		case e.Name == "start" && from != 0 && e.Task.Job == "job":
+			to = sim.now
+		}
+	}
+	step := shortStep(6)
+	step.MaxPerExecutor, step.LongRunning = 1, true
+	sim.submitAfter(2*time.Second, "job", step)
+	sim.after(3200*time.Millisecond, func() {
+		for i, x := range sim.execs {
+			if i%2 == 0 {
+				x.isPartitioned = true
+				sim.after(15*time.Second, func() { x.isPartitioned = false })
+			}
+		}
+	})
+	sim.runUntil(15 * time.Second)
+	assert.Assert(t, from != 0)
+	assert.Assert(t, to.Sub(from) < time.Second, "the last task has started %v after the first loss", to.Sub(from))
+}
--- a/internal/state/cell/outages.go
+++ b/internal/state/cell/outages.go
@@ -76,7 +76,7 @@
 		j.executors[x.hash] = x
 	}
 	for s := range c.crashes.steps {
-		if s.needsTrial() {
+		if s.trial.isActive() {
 			s.addEarlyLosses(j.suspects)
 		}
 	}
@@ -85,7 +85,7 @@
 
 // hadCommonCause reports whether the executor was lost with its rack or failure domain. Executors that a step may have
 // crashed do not show that.
-func (j *judgement) hadCommonCause(k *confirmedCrash) bool {
+func (j *judgement) hadCommonCause(k *lostRun) bool {
 	var entry queue.Executor
 	lost := peer{hash: k.loss.Executor, outage: j.cell.crashes.outages[k.loss.Executor]}
 	switch x := j.executors[k.loss.Executor]; {
@@ -102,7 +102,7 @@
 }
 
 // wasLostWith reports whether the executor of the loss was lost with the group.
-func (j *judgement) wasLostWith(k *confirmedCrash, lost peer, group []peer) bool {
+func (j *judgement) wasLostWith(k *lostRun, lost peer, group []peer) bool {
 	explained := j.explainedOutages(k)
 	n, others := 0, 0
 	for _, p := range group {
@@ -156,7 +156,7 @@
 
 // explainedOutages returns the executors that the step of the task may have crashed: those that lost a run of it soon
 // after its start, and those that lost one that was started at the same time as the lost run.
-func (j *judgement) explainedOutages(k *confirmedCrash) map[uint32]bool {
+func (j *judgement) explainedOutages(k *lostRun) map[uint32]bool {
 	s := k.task.step
 	if known, ok := j.crashedBy[s]; ok {
 		return known
@@ -189,6 +189,6 @@
 // siblingStartWindow is the time within which siblings were started together.
 const siblingStartWindow = time.Second
 
-func (k *confirmedCrash) isStartedWith(at tick.Time) bool {
+func (k *lostRun) isStartedWith(at tick.Time) bool {
 	return k.startedAt != 0 && at.Sub(k.startedAt).Abs() <= siblingStartWindow
 }
--- a/internal/state/crash/crash.go
+++ b/internal/state/crash/crash.go
@@ -65,6 +65,8 @@
 	State  State
 	// IsUnconfirmed is true if the executor did not confirm the start of the run.
 	IsUnconfirmed bool
+	// IsCommon is true for an open loss together with the rack or failure domain of its executor.
+	IsCommon bool
 }
 
 // History has the losses of one task, oldest first.
@@ -154,6 +156,13 @@
 	return longer < alikeRatio*EarlyWork || longer <= alikeRatio*shorter
 }
 
+// MarkCommon states that an executor was lost with its rack or failure domain.
+func (h *History) MarkCommon(executor uint32, run uint64) {
+	if i := h.index(executor, run); i >= 0 {
+		h.losses[i].IsCommon = true
+	}
+}
+
 // Count returns the number of crashes that count against the task.
 func (h *History) Count() int { return h.count(Counted) }
 
@@ -170,6 +179,17 @@
 	return n
 }
 
+// countOpen counts the open losses that may turn out as crashes by the task.
+func (h *History) countOpen() int {
+	n := 0
+	for _, l := range h.losses {
+		if l.State == Open && !l.IsCommon {
+			n++
+		}
+	}
+	return n
+}
+
 // IsGivenUp reports whether no leader may start the task again.
 func (h *History) IsGivenUp() bool { return h.Count() >= MaxCrashes }
 
@@ -179,7 +199,7 @@
 	switch {
 	case h.Crashes() >= MaxCrashes:
 		return false
-	case h.count(Counted, Confirmed, Open) < MaxCrashes:
+	case h.Crashes()+h.countOpen() < MaxCrashes:
 		return true
 	case h.waitsSince == 0:
 		h.waitsSince = now
@@ -191,7 +211,7 @@
 func (h *History) EarlyLosses() []Loss {
 	var out []Loss
 	for _, l := range h.losses {
-		if l.Worked < EarlyWork && l.State != Shared {
+		if l.Worked < EarlyWork && l.State != Shared && !l.IsCommon {
 			out = append(out, l)
 		}
 	}
