--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -93,6 +93,8 @@
 	step *step
 	need resources
 	list []candidate
+	// suspect is the task that is being placed if it may crash its executor.
+	suspect *task
 }
 
 // candidates rates the executors for a step.
@@ -141,7 +143,7 @@
 	if !x.allows(s, need) || !s.isPermittedOn(p.now, x) || !x.suspicion.admits(p.now, s) {
 		return false
 	}
-	if !x.hasBestEffortCPU(s) {
+	if !x.hasBestEffortCPU(s) || x.isGuarded(p.now, s) {
 		return false
 	}
 	if p.cell.isReservedForOthers(p.now, s, need, x) {
@@ -153,6 +155,14 @@
 
 // best returns the cheapest executor for the task, or nil. Executors on which the task has failed come last.
 func (c *candidates) best(t *task) *executor {
+	if t.crashes.IsSuspect() {
+		return c.bestForSuspect(t)
+	}
+	return c.bestOf(t)
+}
+
+// bestOf is best without regard to losses of the task.
+func (c *candidates) bestOf(t *task) *executor {
 	if len(t.failedOn) == 0 {
 		isMovedFrom := c.pass.wasMovedFrom(t)
 		if x, _ := c.cheapest(func(x *executor) bool { return !isMovedFrom(x) }); x != nil {
@@ -194,8 +204,9 @@
 	var best *executor
 	lowest := math.Inf(1)
 	for _, k := range c.list {
-		if k.cost < lowest && isPermitted(k.exec) {
-			best, lowest = k.exec, k.cost
+		extra, isIsolated := c.isolationCost(k.exec)
+		if k.cost+extra < lowest && isIsolated && isPermitted(k.exec) {
+			best, lowest = k.exec, k.cost+extra
 		}
 	}
 	return best, lowest
