--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -55,8 +55,11 @@
 	// repeated before another instance asks for the lead. heartbeatRetryDelay is the pause before that.
 	minHeartbeatTimeout = 200 * time.Millisecond
 	heartbeatRetryDelay = 20 * time.Millisecond
-	retryDelay          = 150 * time.Millisecond
-	maxReadWait         = time.Second
+	// heartbeatReadTimeout is the timeout of the read after a heartbeat without a response, which must leave time to
+	// repeat the heartbeat before another instance asks for the lead.
+	heartbeatReadTimeout = 50 * time.Millisecond
+	retryDelay           = 150 * time.Millisecond
+	maxReadWait          = time.Second
 	// ineligibleReadWait is how long a read waits for records on an instance that may not claim.
 	ineligibleReadWait = 200 * time.Millisecond
 )
@@ -262,16 +265,7 @@
 
 // handleReadError skips records that are no longer retained and waits after any other failure.
 func (e *Elector) handleReadError(ctx context.Context, err error) {
-	var trimmed *logs.TrimmedError
-	if errors.As(err, &trimmed) {
-		e.next = trimmed.First
-		e.mu.Lock()
-		// The missing records may include heartbeats, so the election timeout starts anew.
-		e.lastRecordAt = tick.Now()
-		e.isLastUnknown = true
-		// They may also include other leaders.
-		e.earlierLeasesUntil = max(e.earlierLeasesUntil, tick.Now().Add(LeaseDuration))
-		e.mu.Unlock()
+	if e.noteTrimmed(err) {
 		return
 	}
 	if ctx.Err() == nil {
@@ -280,6 +274,23 @@
 	}
 }
 
+// noteTrimmed skips records that are no longer retained. It returns false if the read failed for another reason.
+func (e *Elector) noteTrimmed(err error) bool {
+	var trimmed *logs.TrimmedError
+	if !errors.As(err, &trimmed) {
+		return false
+	}
+	e.next = trimmed.First
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	// The missing records may include heartbeats, so the election timeout starts anew.
+	e.lastRecordAt = tick.Now()
+	e.isLastUnknown = true
+	// They may also include other leaders.
+	e.earlierLeasesUntil = max(e.earlierLeasesUntil, tick.Now().Add(LeaseDuration))
+	return true
+}
+
 func (e *Elector) apply(now tick.Time, page logs.Page) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/services/elect/heartbeat.go
+++ b/internal/services/elect/heartbeat.go
@@ -82,9 +82,15 @@
 	if tick.Now().Sub(sent) < timeout {
 		return true, retryDelay
 	}
-	e.heartbeatTimeout.BackOff()
 	// The heartbeat may be stored although its response was lost.
-	return e.isStillLeader(ctx, t, timeout), heartbeatRetryDelay
+	age := e.lastSentAge(sent)
+	isLeader := e.isStillLeader(ctx, t, heartbeatReadTimeout)
+	if e.lastSentAge(sent) < age {
+		// It is stored, so the store is not slow.
+		return isLeader, max(heartbeatRetryDelay, heartbeatInterval-e.lastSentAge(tick.Now()))
+	}
+	e.heartbeatTimeout.BackOff()
+	return isLeader, heartbeatRetryDelay
 }
 
 // extendLease extends the leadership lease after a heartbeat was stored. It returns false if the term was yielded
@@ -106,7 +112,8 @@
 func (e *Elector) isStillLeader(ctx context.Context, t Term, timeout time.Duration) bool {
 	page, err := e.read(ctx, 0, timeout)
 	if err != nil {
-		e.handleReadError(ctx, err)
+		e.noteTrimmed(err)
+		e.opts.Logger.Warn().Err(err).Msg("election-read-failed")
 		return true
 	}
 	e.apply(tick.Now(), page)
