Do not lead with a claim that an unknown record follows

An instance that recognized its claim in the log began its term although the next record was unreadable or no longer retained, and may have been the claim of another instance. TestClaimBeforeUnreadableRecordIsNotRecognized failed before.

--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -280,7 +280,7 @@
 	if !errors.As(err, &trimmed) {
 		return false
 	}
-	e.next = trimmed.First
+	e.next, e.recognized = trimmed.First, nil
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	// The missing records may include heartbeats, so the election timeout starts anew.
@@ -298,7 +298,8 @@
 		l := &jobpb.Lead{}
 		if err := proto.Unmarshal(r.Value, l); err != nil {
 			e.opts.Logger.Error().Err(err).Uint64("offset", uint64(r.Offset)).Msg("election-record-unreadable")
-			e.isLastUnknown = true
+			// It may be the claim of another instance.
+			e.isLastUnknown, e.recognized = true, nil
 			continue
 		}
 		isOwn := e.isAttempted(r.Offset, l)
