Repeat a resignation that conflicts with an unanswered heartbeat

A planned stop of the leader right after a heartbeat that was stored without an answer left the others waiting: the resignation was sent for the offset of that heartbeat, refused, and not repeated, so that the next leader came after 1.73 s and awaited 9.3 s of leases. It now reads the log and repeats while it is still the last leader. TestResignationAfterHeartbeatWithoutAnswerIsStored failed before.

--- a/internal/services/elect/heartbeat.go
+++ b/internal/services/elect/heartbeat.go
@@ -133,6 +133,11 @@
 	resignation := e.record(t.Epoch)
 	resignation.Address, resignation.Resigned = "", true
 	err := e.append(ctx, callTimeout, resignation)
+	var conflict *logs.ConflictError
+	for errors.As(err, &conflict) && ctx.Err() == nil && e.isStillLeader(ctx, t, callTimeout) {
+		// A heartbeat was stored without a response.
+		err = e.append(ctx, callTimeout, resignation)
+	}
 	if err != nil {
 		e.opts.Logger.Warn().Err(err).Uint64("epoch", t.Epoch).Msg("resignation-append-failed")
 	}
