Do not await the leadership lease of the own former process

A leader that was killed and restarted in place awaited its own former leadership lease: tasks on executors that had left meanwhile started up to 11.2 s after its last record. The new process has bound the address of the instance, so the former one has ended, and no lease that it granted began later. Records name the process, so that its own claims are told from those of a former process.

--- a/internal/services/elect/claim.go
+++ b/internal/services/elect/claim.go
@@ -140,7 +140,17 @@
 	case e.isYielded():
 		return max(e.earlierLeasesUntil, e.yieldedAt)
 	}
-	return max(e.earlierLeasesUntil, e.lastRecordAt.Add(LeaseDuration))
+	until := e.lastRecordAt.Add(LeaseDuration)
+	if e.isOfFormerProcess(e.lastRecord) {
+		until = min(until, e.startedAt)
+	}
+	return max(e.earlierLeasesUntil, until)
+}
+
+// isOfFormerProcess reports whether the record is of a process that has ended, because this one has bound its address.
+func (e *Elector) isOfFormerProcess(l *jobpb.Lead) bool {
+	isOwnAddress := l.Instance == e.opts.Instance && l.Address == e.opts.Address
+	return isOwnAddress && l.Process != 0 && l.Process != e.process
 }
 
 // claimed returns the claim of the epoch that follows the newest record. The caller must hold the mutex.
--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -138,6 +138,8 @@
 	recognized *claimed
 	// recordedSince is what the records of this instance state. Only Serve uses it.
 	recordedSince uint64
+	// startedAt is when Serve was first called.
+	startedAt tick.Time
 	// process identifies this process in its records.
 	process    uint64
 	resigning  chan struct{}
@@ -199,8 +201,12 @@
 	}
 }
 
-// Serve follows the election and runs a term whenever a claim succeeds.
+// Serve follows the election and runs a term whenever a claim succeeds. It must not be called before this process has
+// bound the address of the instance, which proves that former processes of the instance have ended.
 func (e *Elector) Serve(ctx context.Context) error {
+	if e.startedAt == 0 {
+		e.startedAt = tick.Now()
+	}
 	for ctx.Err() == nil {
 		term, won := e.follow(ctx)
 		if won {
