Ignore entries of executors that are older than a known one

Seen by callers: on an executor that does not enforce its capacity, tasks start beyond a capacity that has shrunk and that the leader had already read.

Cause: an executor's write to the store that got no response may be carried out after a later one. The cell took every entry as the newest, so the older one restored the capacity, or the ready state of a draining executor, until the next heartbeat.

Change: the entry's sequence is decoded, and an entry of the same process with a lower sequence only keeps the executor listed. Entries without a sequence or a start time are applied as before.

Evidence: TestOlderEntryDoesNotRestoreCapacity started 4 tasks on a capacity for 1 before.

--- /dev/null
+++ b/internal/state/cell/capacity_test.go
@@ -0,0 +1,203 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/pkg/queue"
+)
+
+// heartbeat is the interval at which the test's executors rewrite their entries.
+const heartbeat = 1100 * time.Millisecond
+
+// capacityHarness has the executor x with 8 cores, which does not enforce its capacity and writes an entry with each
+// heartbeat.
+type capacityHarness struct {
+	*harness
+	entry queue.Executor
+}
+
+func newCapacityHarness(t *testing.T) *capacityHarness {
+	t.Helper()
+	e := queue.Executor{ID: "x", Address: "x", Service: "svc", StartedMS: 1, Sequence: 1, MilliCPU: 8000, MemoryMB: 8000}
+	h := &capacityHarness{harness: newHarness(t, e), entry: e}
+	c := *h.cell.config
+	c.Version++
+	c.Services = map[string]queue.Service{"svc": {Name: "svc"}}
+	h.cell.Configure(&c)
+	h.beat()
+	return h
+}
+
+// beat lets a heartbeat pass and reads the next entry.
+func (h *capacityHarness) beat() {
+	h.advance(heartbeat)
+	h.entry.Sequence++
+	h.cell.Discover(h.now, []queue.Executor{h.entry})
+}
+
+// resize changes the capacity with the next heartbeat.
+func (h *capacityHarness) resize(milliCPU int64) {
+	h.entry.MilliCPU = milliCPU
+	h.beat()
+}
+
+func (h *capacityHarness) acceptTasks(job string, n uint32) {
+	h.accept(job, "q", &jobpb.Step{Count: n, MilliCpu: 2000, MemoryMb: 100, EstimateMs: 60000})
+}
+
+func (h *capacityHarness) report(list ...Order) {
+	rows := make([]orders.Running, len(list))
+	for i, o := range list {
+		rows[i] = runningRow(o, 0, 10)
+	}
+	h.reportRunning("x", rows...)
+}
+
+// plan plans without a reply to the orders.
+func (h *capacityHarness) plan() []Order {
+	h.commit()
+	return h.cell.Plan(h.now, testWallMS, unbounded)
+}
+
+// TestShrunkExecutorKeepsRunsAndStartsNothing guards against runs that are stopped because the capacity of their
+// executor has shrunk below what runs, and against starts before the rest fits.
+func TestShrunkExecutorKeepsRunsAndStartsNothing(t *testing.T) {
+	h := newCapacityHarness(t)
+	h.acceptTasks("j", 3)
+	running := startOrders(h.planAndConfirm())
+	assert.Equal(t, len(running), 3)
+	h.resize(4000)
+	h.acceptTasks("k", 2)
+	for range 10 {
+		h.report(running...)
+		assert.Equal(t, len(h.planAndConfirm()), 0)
+		h.beat()
+	}
+	// Two of three runs fill the smaller capacity.
+	h.reportEnd(running[0], 1, orders.EndedDone, "", runningRow(running[1], 0, 10), runningRow(running[2], 0, 10))
+	assert.Equal(t, len(h.planAndConfirm()), 0)
+	h.resize(8000)
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 2)
+}
+
+// TestShrunkExecutorGetsNoPlacedRuns guards against start orders for placed runs that no longer fit.
+func TestShrunkExecutorGetsNoPlacedRuns(t *testing.T) {
+	h := newCapacityHarness(t)
+	h.acceptTasks("j", 4)
+	assert.Equal(t, len(h.cell.Plan(h.now, testWallMS, unbounded)), 0, "the placements are not recorded yet")
+	h.resize(4000)
+	assert.Equal(t, len(startOrders(h.plan())), 2)
+}
+
+// TestUnansweredStartsCountAgainstShrunkCapacity guards against starts beside runs whose start order got no response,
+// or that are being stopped.
+func TestUnansweredStartsCountAgainstShrunkCapacity(t *testing.T) {
+	h := newCapacityHarness(t)
+	h.acceptTasks("j", 3)
+	h.plan()
+	sent := startOrders(h.plan())
+	assert.Equal(t, len(sent), 3)
+	h.resize(4000)
+	h.cell.HandleReply(h.now, sent[0], orders.Reply{Outcome: orders.NoResponse})
+	h.cell.Cancel(h.now, "j")
+	h.acceptTasks("k", 1)
+	h.plan()
+	assert.Equal(t, len(startOrders(h.plan())), 0)
+	h.beat()
+	h.report(sent...)
+	assert.Equal(t, len(startOrders(h.plan())), 0, "runs that are being stopped still count")
+	h.beat()
+	h.report(sent[0], sent[1])
+	assert.Equal(t, len(startOrders(h.plan())), 0)
+	h.beat()
+	h.report(sent[0])
+	h.plan()
+	assert.Equal(t, len(startOrders(h.plan())), 1)
+}
+
+// TestShrunkExecutorTakesNoMovedRun guards against room that was kept for a move before the capacity shrank.
+func TestShrunkExecutorTakesNoMovedRun(t *testing.T) {
+	h := newCapacityHarness(t)
+	h.acceptTasks("j", 1)
+	o := startOrders(h.planAndConfirm())[0]
+	x, task := h.cell.execs["x"], h.cell.task(o.Start.Run.Task)
+	h.acceptTasks("k", 1)
+	waiting := h.cell.jobs["k"].occurrences[0].steps[0].tasks[0]
+	x.keepRoom(waiting)
+	h.resize(2000)
+	h.report(o)
+	x.releaseRoom(waiting)
+	assert.Assert(t, !h.cell.newPass(h.now).takesMoved(waiting.step, x))
+	assert.Assert(t, task.run != nil)
+}
+
+// TestShrunkExecutorTakesNoBestEffortTask guards against best-effort tasks, whose CPU is accounted for separately, on
+// an executor over its capacity.
+func TestShrunkExecutorTakesNoBestEffortTask(t *testing.T) {
+	h := newCapacityHarness(t)
+	h.acceptTasks("j", 3)
+	running := startOrders(h.planAndConfirm())
+	h.resize(4000)
+	h.report(running...)
+	h.accept("k", "q", &jobpb.Step{Count: 1, MemoryMb: 100, EstimateMs: 1000, Fills: true, Image: "i"})
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 0)
+}
+
+// TestAdoptedRunsCountAgainstShrunkCapacity guards against a new leader that starts runs beside those of a former one,
+// which exceed the shrunk capacity.
+func TestAdoptedRunsCountAgainstShrunkCapacity(t *testing.T) {
+	h := newCapacityHarness(t)
+	h.entry.MilliCPU = 2000
+	h.cell = New(h.cell.params, 2, h.now)
+	h.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{{Name: "q", Service: "svc", MaxAttempts: 3}}})
+	h.acceptTasks("j", 2)
+	h.beat()
+	h.beat()
+	h.commit()
+	rows := make([]orders.Running, 2)
+	for i := range rows {
+		rows[i] = orders.Running{Run: orders.Run{Task: orders.Task{Job: "j", Index: uint32(i)}, Number: 1}}
+	}
+	h.reportRunning("x", rows...)
+	h.acceptTasks("k", 1)
+	assert.Equal(t, len(h.cell.execs["x"].runs), 2)
+	assert.Equal(t, len(h.planAndConfirm()), 0)
+}
+
+// TestOlderEntryDoesNotRestoreCapacity guards against a write of an executor that the store carries out after a newer
+// one: starts would rely on the capacity from before it shrank.
+func TestOlderEntryDoesNotRestoreCapacity(t *testing.T) {
+	h := newCapacityHarness(t)
+	older := h.entry
+	h.resize(2000)
+	h.cell.Discover(h.now, []queue.Executor{older})
+	h.acceptTasks("j", 4)
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 1)
+}
+
+// TestOlderEntryKeepsExecutorListed checks that an entry that is older than a known one still lists the executor.
+func TestOlderEntryKeepsExecutorListed(t *testing.T) {
+	h := newCapacityHarness(t)
+	older := h.entry
+	h.beat()
+	h.cell.Discover(h.now, nil)
+	h.cell.Discover(h.now, []queue.Executor{older})
+	assert.Assert(t, h.cell.execs["x"].isListed)
+}
+
+// TestOrphanedRunsCountAgainstShrunkCapacity guards against starts beside a run that was started late and that this
+// leader does not track.
+func TestOrphanedRunsCountAgainstShrunkCapacity(t *testing.T) {
+	h := newCapacityHarness(t)
+	h.resize(2000)
+	h.reportRunning("x", orders.Running{Run: orders.Run{Task: orders.Task{Job: "late"}, Number: 1}})
+	h.acceptTasks("j", 1)
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 0)
+	h.report()
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 1)
+}
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -168,6 +168,11 @@
 		c.execs[e.ID] = x
 		c.emit(Event{Name: "executor-listed", Executor: e.ID, Detail: e.Address})
 	}
+	if x.isNewerThan(e) {
+		// The store may carry out a write after a later one. The next entry replaces both.
+		x.isListed = true
+		return
+	}
 	if e.Draining && !x.entry.Draining {
 		x.drainDeadline = now.Add(time.Duration(e.RemainingMS) * time.Millisecond)
 		c.emit(Event{Name: "executor-draining", Executor: e.ID})
@@ -189,6 +194,12 @@
 	}
 }
 
+// isNewerThan reports whether the known entry was written after e by the same process.
+func (x *executor) isNewerThan(e queue.Executor) bool {
+	isSameProcess := e.StartedMS != 0 && e.StartedMS == x.entry.StartedMS && e.Address == x.entry.Address
+	return isSameProcess && e.Sequence != 0 && e.Sequence < x.entry.Sequence
+}
+
 // isSucceededBy reports whether the entry belongs to a later incarnation of the executor.
 func (x *executor) isSucceededBy(e queue.Executor) bool {
 	return e.Address != x.entry.Address || e.StartedMS != 0 && e.StartedMS != x.entry.StartedMS
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -99,7 +99,9 @@
 	Draining    bool
 	RemainingMS int64
 	// StartedMS is the start time of its process in milliseconds since 1970; 0 if the entry does not state it.
-	StartedMS       int64
+	StartedMS int64
+	// Sequence numbers the writes of the entry by one process, rising; 0 if the entry does not state it.
+	Sequence        int64
 	MilliCPU        int64
 	MemoryMB        int64
 	GPUs            int64
