Do not start runs on the capacity of an executor's former process

Seen by callers: after an executor that does not enforce its capacity was restarted with a smaller one, tasks start beyond the new capacity.

Cause: a list of the new process may be read before its entry, or while the store takes no writes. From the second list on the executor was usable, with the capacity of the former process.

Change: where the configuration does not say that the service's executors enforce their capacity, an executor is usable only if its entry belongs to the process that sent the last list. Executors that enforce it are used as before, since they refuse what does not fit. Tasks that wait for this are reported with the cause capacity-unknown.

The configurations of existing tests now name their service as one that enforces capacities, which is what these tests took for granted; none of their checks has changed.

--- a/internal/services/leader/rig_test.go
+++ b/internal/services/leader/rig_test.go
@@ -110,7 +110,7 @@
 	log := r.wrapLog(r.log)
 	logger := zerolog.Nop()
 	decode := func(string, []byte) (*queue.Configuration, error) {
-		return &queue.Configuration{Version: 1, Queues: r.queues}, nil
+		return &queue.Configuration{Version: 1, Queues: r.queues, Services: enforcing}, nil
 	}
 	follower := config.New(log, decode, logger).WithEvacuations(decodeEvacuation)
 	n.replica = replic.New(replic.Options{Log: log, FollowsProgress: func() bool { return true }, Logger: logger})
--- a/internal/services/leader/system_test.go
+++ b/internal/services/leader/system_test.go
@@ -128,8 +128,11 @@
 	return w.Result(), nil
 }
 
+// enforcing are the services of tests whose executors refuse what exceeds their capacity.
+var enforcing = map[string]queue.Service{"svc": {Name: "svc", EnforcesCapacity: true}}
+
 func decodeConfig(string, []byte) (*queue.Configuration, error) {
-	return &queue.Configuration{Version: 1, Queues: []queue.Queue{
+	return &queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000},
 	}}, nil
 }
--- a/internal/state/cell/advice_test.go
+++ b/internal/state/cell/advice_test.go
@@ -14,7 +14,7 @@
 func newAdviceHarness(t *testing.T) *harness {
 	t.Helper()
 	h := newHarness(t, testExecutor("a"), testExecutor("b"), testExecutor("c"))
-	h.cell.Configure(&queue.Configuration{Version: 2, Queues: []queue.Queue{{
+	h.cell.Configure(&queue.Configuration{Version: 2, Services: enforcing, Queues: []queue.Queue{{
 		Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000,
 		Advice: &queue.AdviceTiming{DecisionMS: 5, PeriodMS: 1, ValidityMS: 3000},
 	}}})
--- a/internal/state/cell/bench_test.go
+++ b/internal/state/cell/bench_test.go
@@ -19,7 +19,7 @@
 	rnd := rand.New(rand.NewPCG(1, 1))
 	now := tick.Time(time.Hour)
 	c := New(Params{MaxHold: 6 * time.Second, Retention: time.Minute, LookAhead: true}, 1, now)
-	c.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{
+	c.Configure(&queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000},
 	}})
 	var list []queue.Executor
@@ -182,7 +182,7 @@
 	b.Helper()
 	now := tick.Time(time.Hour)
 	c := New(Params{MaxHold: 6 * time.Second, Retention: time.Minute, LookAhead: true}, 1, now)
-	c.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{
+	c.Configure(&queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000},
 	}})
 	var list []queue.Executor
--- a/internal/state/cell/capacity_test.go
+++ b/internal/state/cell/capacity_test.go
@@ -14,6 +14,11 @@
 // heartbeat is the interval at which the test's executors rewrite their entries.
 const heartbeat = 1100 * time.Millisecond
 
+// enforcing are the services of tests whose executors refuse what exceeds their capacity.
+var enforcing = map[string]queue.Service{
+	"svc": {Name: "svc", EnforcesCapacity: true}, "other": {Name: "other", EnforcesCapacity: true},
+}
+
 // capacityHarness has the executor x with 8 cores, which does not enforce its capacity and writes an entry with each
 // heartbeat.
 type capacityHarness struct {
@@ -25,12 +30,16 @@
 	t.Helper()
 	e := queue.Executor{ID: "x", Address: "x", Service: "svc", StartedMS: 1, Sequence: 1, MilliCPU: 8000, MemoryMB: 8000}
 	h := &capacityHarness{harness: newHarness(t, e), entry: e}
+	h.setEnforced(false)
+	h.beat()
+	return h
+}
+
+func (h *capacityHarness) setEnforced(enforces bool) {
 	c := *h.cell.config
 	c.Version++
-	c.Services = map[string]queue.Service{"svc": {Name: "svc"}}
+	c.Services = map[string]queue.Service{"svc": {Name: "svc", EnforcesCapacity: enforces}}
 	h.cell.Configure(&c)
-	h.beat()
-	return h
 }
 
 // beat lets a heartbeat pass and reads the next entry.
@@ -190,6 +199,25 @@
 	assert.Assert(t, h.cell.execs["x"].isListed)
 }
 
+// TestRestartedExecutorNeedsEntryOfItsProcess guards against starts on the capacity of the former process of an
+// executor, after a list of the new one was read before its entry.
+func TestRestartedExecutorNeedsEntryOfItsProcess(t *testing.T) {
+	h := newCapacityHarness(t)
+	list := func(clockMS int64) {
+		hold, _, _ := h.cell.Hold(h.now, "x")
+		reply := orders.Reply{Outcome: orders.Done, ClockMS: clockMS}
+		h.cell.HandleHoldReply(h.now, h.now, "x", hold, orders.Lists{StartedMS: 2}, reply)
+	}
+	list(1)
+	list(2)
+	h.acceptTasks("j", 4)
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 0)
+	h.entry.StartedMS, h.entry.Sequence, h.entry.MilliCPU = 2, 0, 2000
+	h.beat()
+	list(3)
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 1)
+}
+
 // TestOrphanedRunsCountAgainstShrunkCapacity guards against starts beside a run that was started late and that this
 // leader does not track.
 func TestOrphanedRunsCountAgainstShrunkCapacity(t *testing.T) {
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -153,6 +153,9 @@
 	c.config = cfg
 	// Jobs of a queue that was removed keep its policy service.
 	c.needsAdvice = c.needsAdvice || slices.ContainsFunc(cfg.Queues, func(q queue.Queue) bool { return q.Advice != nil })
+	for _, x := range c.execs {
+		x.enforcesCapacity = c.enforcesCapacity(x.entry.Service)
+	}
 	for _, j := range c.active {
 		j.configure(cfg)
 	}
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -75,7 +75,9 @@
 	listedClockMS int64
 
 	total, used resources
-	runs        map[orders.Task]*run
+	// enforcesCapacity is true if the executor refuses what exceeds its capacity.
+	enforcesCapacity bool
+	runs             map[orders.Task]*run
 	// kept has the moving tasks for which room is kept until they start here.
 	kept map[*task]bool
 	// latencyCritical are the runs with a latency target, bestEffort the best-effort runs.
@@ -188,6 +190,7 @@
 	x.entry = e
 	x.isListed = true
 	x.isEvacuated = c.evacuation.domains[e.Domain]
+	x.enforcesCapacity = c.enforcesCapacity(e.Service)
 	x.total = resources{e.MilliCPU, e.MemoryMB, e.GPUs}
 	if !x.isRostered && !x.isTerminated && !x.entry.Draining && !c.retired[e.ID] {
 		c.pendingRosters[e.ID] = x
@@ -299,5 +302,5 @@
 func (x *executor) isUsable(now tick.Time) bool {
 	isRegistered := x.isListed && x.isRostered && x.hasResponded && x.hasClock
 	isAvailable := !x.isTerminated && !x.isUnresponsive && !x.entry.Draining && len(x.orphaned) == 0
-	return isRegistered && isAvailable && !x.isEvacuated && !now.Before(x.quarantinedUntil)
+	return isRegistered && isAvailable && !x.isEvacuated && x.knowsCapacity() && !now.Before(x.quarantinedUntil)
 }
--- a/internal/state/cell/liveness_schedule_test.go
+++ b/internal/state/cell/liveness_schedule_test.go
@@ -56,7 +56,7 @@
 func newDueSimulation(seed uint64) *simulation {
 	sim := newEmptySimulation(seed, faults{})
 	sim.hasDiscovery, sim.hasLongPolls = true, true
-	sim.config = &queue.Configuration{Version: 1, Queues: []queue.Queue{
+	sim.config = &queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 4, StretchFactor: 2, TargetMS: 1000},
 		{Name: "r", Service: "svc", MaxAttempts: 2, StretchFactor: 3, TargetMS: 2000, Priority: 1},
 		{Name: "s", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 3000, Priority: 2},
--- a/internal/state/cell/pacing_test.go
+++ b/internal/state/cell/pacing_test.go
@@ -34,7 +34,7 @@
 	h.cell = New(Params{
 		MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, Retention: time.Minute, LookAhead: true,
 	}, 1, h.now)
-	h.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{
+	h.cell.Configure(&queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000},
 		{Name: "low", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000, Priority: 2},
 	}})
--- a/internal/state/cell/placed_test.go
+++ b/internal/state/cell/placed_test.go
@@ -24,7 +24,9 @@
 	h.cell = New(Params{
 		MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, Retention: time.Minute,
 	}, 7, h.now.Add(10*time.Second))
-	h.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{{Name: "q", Service: "svc", MaxAttempts: 3}}})
+	h.cell.Configure(&queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
+		{Name: "q", Service: "svc", MaxAttempts: 3},
+	}})
 	h.cell.LoadTerm(term, previousEpoch)
 	for _, id := range []string{"x", "y"} {
 		h.cell.LoadRoster(&jobpb.Roster{Executor: id, Address: id})
--- a/internal/state/cell/scenario_test.go
+++ b/internal/state/cell/scenario_test.go
@@ -16,7 +16,7 @@
 func newScenario(executors int) *simulation {
 	sim := newEmptySimulation(1, faults{})
 	sim.hasDiscovery, sim.hasLongPolls = true, true
-	sim.config = &queue.Configuration{Version: 1, Queues: []queue.Queue{
+	sim.config = &queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 4, StretchFactor: 2, TargetMS: 1000},
 	}}
 	for i := range executors {
--- a/internal/state/cell/scheduling_test.go
+++ b/internal/state/cell/scheduling_test.go
@@ -188,12 +188,12 @@
 	other.Service = "other"
 	h := newHarness(t, testExecutor("a"), other)
 	moved := queue.Queue{Name: "q", Service: "other", MaxAttempts: 3}
-	h.cell.Configure(&queue.Configuration{Version: 2, Queues: []queue.Queue{moved}})
+	h.cell.Configure(&queue.Configuration{Version: 2, Services: enforcing, Queues: []queue.Queue{moved}})
 	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 500})
 	list := startOrders(h.planAndConfirm())
 	assert.Equal(t, list[0].Target.ID, "o")
 	stale := queue.Queue{Name: "q", Service: "svc", MaxAttempts: 3}
-	h.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{stale}})
+	h.cell.Configure(&queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{stale}})
 	h.accept("k", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 500})
 	assert.Equal(t, startOrders(h.planAndConfirm())[0].Target.ID, "o", "an older version changes nothing")
 }
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -401,7 +401,7 @@
 
 func newSimulation(seed uint64, f faults) *simulation {
 	sim := newEmptySimulation(seed, f)
-	sim.config = &queue.Configuration{Version: 1, Queues: []queue.Queue{
+	sim.config = &queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
 		{Name: "q", Service: "svc", MaxAttempts: 4, StretchFactor: 2, TargetMS: 1000},
 	}}
 	for i := range 6 {
--- a/internal/state/cell/starve_test.go
+++ b/internal/state/cell/starve_test.go
@@ -176,7 +176,7 @@
 		MaxHold: 6 * time.Second, StopTimeout: 200 * time.Millisecond, InterferenceBound: 4 * time.Second,
 		PaceDelay: starvePaceDelay, Retention: time.Minute, LookAhead: true,
 	}, 1, s.now)
-	s.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{
+	s.cell.Configure(&queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
 		{Name: "short", Service: "svc", MaxAttempts: 4, StretchFactor: 1.5, TargetMS: 250},
 		{Name: "best-effort", Service: "svc", MaxAttempts: 4, StretchFactor: 2, TargetMS: 1000, Priority: 2},
 		{Name: "long-running", Service: "svc", MaxAttempts: 3, StretchFactor: 2.2, TargetMS: 2500},
--- a/internal/state/cell/takeover_test.go
+++ b/internal/state/cell/takeover_test.go
@@ -19,7 +19,9 @@
 	t.Helper()
 	h := &harness{t: t, now: tick.Time(time.Hour)}
 	h.cell = New(Params{MaxHold: 6 * time.Second, Retention: time.Minute}, 7, h.now.Add(10*time.Second))
-	h.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{{Name: "q", Service: "svc", MaxAttempts: 3}}})
+	h.cell.Configure(&queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
+		{Name: "q", Service: "svc", MaxAttempts: 3},
+	}})
 	for _, id := range []string{"x", "y"} {
 		h.cell.LoadRoster(&jobpb.Roster{Executor: id, Address: id})
 	}
--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -184,7 +184,7 @@
 		list = append(list, x)
 	}
 	h := newHarness(t, list...)
-	h.cell.Configure(&queue.Configuration{Version: 2, Queues: []queue.Queue{{
+	h.cell.Configure(&queue.Configuration{Version: 2, Services: enforcing, Queues: []queue.Queue{{
 		Name: "q", Service: "svc", MaxAttempts: 4, StretchFactor: 2, TargetMS: 1000,
 		Advice: &queue.AdviceTiming{DecisionMS: 5, PeriodMS: 1, ValidityMS: testTicketValidity.Milliseconds()},
 	}}})
@@ -260,9 +260,9 @@
 		Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000,
 		Advice: &queue.AdviceTiming{DecisionMS: 10},
 	}
-	h.cell.Configure(&queue.Configuration{Version: 2, Queues: []queue.Queue{with}})
+	h.cell.Configure(&queue.Configuration{Version: 2, Services: enforcing, Queues: []queue.Queue{with}})
 	h.accept("job", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 300})
-	h.cell.Configure(&queue.Configuration{Version: 3})
+	h.cell.Configure(&queue.Configuration{Version: 3, Services: enforcing})
 	h.planAndConfirm()
 	_, ok := h.cell.NextAdviceRequest(h.now)
 	assert.Assert(t, ok, "no advice is requested for the step")
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -43,6 +43,9 @@
 	WaitNotPlanned   WaitCause = "not-planned"
 	// WaitReserved means that the executor is reserved for a task that needs more room.
 	WaitReserved WaitCause = "reserved"
+	// WaitCapacityUnknown means that the executor does not enforce its capacity, and its entry does not tell the present
+	// one.
+	WaitCapacityUnknown WaitCause = "capacity-unknown"
 )
 
 // WaitCauses returns the causes that Usage.Delayed may count.
@@ -50,6 +53,7 @@
 	return []WaitCause{
 		WaitTakeover, WaitStartRecord, WaitOrphan, WaitRun, WaitOrphans, WaitQuarantine, WaitSuspect, WaitNoTicket,
 		WaitFailedOn, WaitNearTarget, WaitStartPause, WaitInterference, WaitNotPlanned, WaitReserved,
+		WaitCapacityUnknown,
 	}
 }
 
@@ -226,6 +230,8 @@
 		return WaitEvacuated
 	case len(x.orphaned) > 0:
 		return WaitOrphans
+	case !x.knowsCapacity():
+		return WaitCapacityUnknown
 	case !x.isUsable(p.now):
 		return WaitQuarantine
 	case !x.suspicion.admits(p.now, s):
