Bound the age of capacities that executors do not enforce

Seen by callers: while the leader cannot read the executors' entries but still leads, tasks start on executors that do not enforce their capacity although it has shrunk long ago.

Cause: the last list of entries was used without a limit of its age. A leader whose reads of the entries fail, while the election and its records go on, relied on it for as long as that lasted.

Change: the cell notes as of when each capacity was read, which is when the read was sent. Executors that enforce their capacity get starts as before.

--- a/internal/services/leader/evacuation.go
+++ b/internal/services/leader/evacuation.go
@@ -55,6 +55,8 @@
 		return "the failure domain is evacuated"
 	case !t.knowsEvacuations(now):
 		return "the evacuated domains are not known"
+	case !t.cell.KnowsCapacity(now, executor):
+		return "the capacity of the executor is not known"
 	}
 	return ""
 }
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -346,13 +346,14 @@
 func (t *term) discoverLoop(ctx context.Context) {
 	reader := config.NewExecutorReader(t.opts.Log, t.decodeExecutor, t.opts.Logger)
 	for round := 1; ctx.Err() == nil; round++ {
+		sent := tick.Now()
 		list, err := reader.Read(ctx, callTimeout)
 		if err != nil && ctx.Err() == nil {
 			t.opts.Logger.Warn().Err(err).Msg("discovery-read-failed")
 		}
 		t.mu.Lock()
 		if err == nil {
-			t.cell.Discover(tick.Now(), list)
+			t.cell.DiscoverAsOf(tick.Now(), sent, list)
 		}
 		t.cell.Diagnose(tick.Now())
 		usage := t.cell.Usage(tick.Now())
--- a/internal/services/leader/rig_test.go
+++ b/internal/services/leader/rig_test.go
@@ -47,6 +47,8 @@
 	// decode decodes the entries of the executors.
 	decode config.DecodeExecutor
 	queues []queue.Queue
+	// services are those of the configuration.
+	services map[string]queue.Service
 	// evacuateWithin is the limit of the time for which a request to evacuate a domain may be without effect.
 	evacuateWithin time.Duration
 	meter          *meter.Meter
@@ -71,6 +73,7 @@
 		wrapLog:   func(l logs.Log) logs.Log { return l },
 		wrapLease: func(f func(tick.Time) bool) func(tick.Time) bool { return f },
 		queues:    []queue.Queue{{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000}},
+		services:  enforcing,
 		meter:     meter.New(),
 	}
 	r.record(logs.Operator, "config", []byte("1"))
@@ -110,7 +113,7 @@
 	log := r.wrapLog(r.log)
 	logger := zerolog.Nop()
 	decode := func(string, []byte) (*queue.Configuration, error) {
-		return &queue.Configuration{Version: 1, Queues: r.queues, Services: enforcing}, nil
+		return &queue.Configuration{Version: 1, Queues: r.queues, Services: r.services}, nil
 	}
 	follower := config.New(log, decode, logger).WithEvacuations(decodeEvacuation)
 	n.replica = replic.New(replic.Options{Log: log, FollowsProgress: func() bool { return true }, Logger: logger})
--- a/internal/state/cell/capacity_test.go
+++ b/internal/state/cell/capacity_test.go
@@ -199,6 +199,25 @@
 	assert.Assert(t, h.cell.execs["x"].isListed)
 }
 
+// TestStartsNeedRecentCapacity guards against starts on an executor that does not enforce its capacity while service
+// discovery cannot be read: its capacity may have shrunk long ago.
+func TestStartsNeedRecentCapacity(t *testing.T) {
+	for _, enforces := range []bool{false, true} {
+		h := newCapacityHarness(t)
+		h.setEnforced(enforces)
+		h.advance(maxCapacityAge)
+		h.report()
+		h.acceptTasks("j", 1)
+		running := startOrders(h.planAndConfirm())
+		assert.Equal(t, len(running), 1)
+		h.acceptTasks("k", 1)
+		h.plan()
+		h.advance(100 * time.Millisecond)
+		h.report(running...)
+		assert.Equal(t, len(startOrders(h.plan())) == 1, enforces)
+	}
+}
+
 // TestRestartedExecutorNeedsEntryOfItsProcess guards against starts on the capacity of the former process of an
 // executor, after a list of the new one was read before its entry.
 func TestRestartedExecutorNeedsEntryOfItsProcess(t *testing.T) {
@@ -229,3 +248,13 @@
 	h.report()
 	assert.Equal(t, len(startOrders(h.planAndConfirm())), 1)
 }
+
+// TestDiagnosisNamesUnknownCapacity checks the reported cause of tasks that wait for a recent entry.
+func TestDiagnosisNamesUnknownCapacity(t *testing.T) {
+	h := newCapacityHarness(t)
+	h.advance(maxCapacityAge)
+	h.acceptTasks("j", 1)
+	events := h.diagnoseAfter(3 * time.Second)
+	assert.Equal(t, len(events), 1)
+	assert.Equal(t, events[0].Detail, "capacity-unknown for 3s, started 0 times; executors: capacity-unknown 1")
+}
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -77,7 +77,9 @@
 	total, used resources
 	// enforcesCapacity is true if the executor refuses what exceeds its capacity.
 	enforcesCapacity bool
-	runs             map[orders.Task]*run
+	// capacityReadAt is the last time as of which the entry states the capacity.
+	capacityReadAt tick.Time
+	runs           map[orders.Task]*run
 	// kept has the moving tasks for which room is kept until they start here.
 	kept map[*task]bool
 	// latencyCritical are the runs with a latency target, bestEffort the best-effort runs.
@@ -133,8 +135,11 @@
 // satisfies reports whether the executor has the label that a step requires. An empty label is always satisfied.
 func (x *executor) satisfies(label string) bool { return label == "" || x.hasLabel(label) }
 
-// Discover applies the complete list of executors from service discovery.
-func (c *Cell) Discover(now tick.Time, list []queue.Executor) {
+// Discover applies the complete list of executors from service discovery, as of now.
+func (c *Cell) Discover(now tick.Time, list []queue.Executor) { c.DiscoverAsOf(now, now, list) }
+
+// DiscoverAsOf applies a complete list that was up to date at the time readAt.
+func (c *Cell) DiscoverAsOf(now, readAt tick.Time, list []queue.Executor) {
 	c.expireSlow(now)
 	listed := make(map[string]bool, len(list))
 	// latest has the entry of the youngest process at each address. Entries may outlive their processes.
@@ -144,7 +149,7 @@
 		if e.StartedMS > latest[e.Address].StartedMS {
 			latest[e.Address] = e
 		}
-		c.applyEntry(now, e)
+		c.applyEntry(now, readAt, e)
 	}
 	for id, x := range c.execs {
 		if !listed[id] && x.isListed {
@@ -160,7 +165,7 @@
 	}
 }
 
-func (c *Cell) applyEntry(now tick.Time, e queue.Executor) {
+func (c *Cell) applyEntry(now, readAt tick.Time, e queue.Executor) {
 	x, ok := c.execs[e.ID]
 	if !ok || x.isTerminated && x.isSucceededBy(e) {
 		next := newExecutor(e)
@@ -191,7 +196,7 @@
 	x.isListed = true
 	x.isEvacuated = c.evacuation.domains[e.Domain]
 	x.enforcesCapacity = c.enforcesCapacity(e.Service)
-	x.total = resources{e.MilliCPU, e.MemoryMB, e.GPUs}
+	x.total, x.capacityReadAt = resources{e.MilliCPU, e.MemoryMB, e.GPUs}, readAt
 	if !x.isRostered && !x.isTerminated && !x.entry.Draining && !c.retired[e.ID] {
 		c.pendingRosters[e.ID] = x
 	}
@@ -302,5 +307,5 @@
 func (x *executor) isUsable(now tick.Time) bool {
 	isRegistered := x.isListed && x.isRostered && x.hasResponded && x.hasClock
 	isAvailable := !x.isTerminated && !x.isUnresponsive && !x.entry.Draining && len(x.orphaned) == 0
-	return isRegistered && isAvailable && !x.isEvacuated && x.knowsCapacity() && !now.Before(x.quarantinedUntil)
+	return isRegistered && isAvailable && !x.isEvacuated && x.knowsCapacity(now) && !now.Before(x.quarantinedUntil)
 }
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -230,7 +230,7 @@
 		return WaitEvacuated
 	case len(x.orphaned) > 0:
 		return WaitOrphans
-	case !x.knowsCapacity():
+	case !x.knowsCapacity(p.now):
 		return WaitCapacityUnknown
 	case !x.isUsable(p.now):
 		return WaitQuarantine
