Do not rely on capacities from before an outage of the store

Seen by callers: after the store was down, or right after a takeover, tasks start beyond the capacity of executors that do not enforce it. The capacity had shrunk during the outage.

Cause: executors cannot rewrite their entries while the store is down. The first read after it returns the entries from before, and the cell took them for present.

Change: after the first read, and after any gap of more than 2.2 s between reads, an entry counts as old until a later read shows that the executor has written it again. Where entries state no sequence, 2.5 s after the gap count as such. A change since before the gap is no such sign, as the write may have come right before the outage.

Evidence: TestEntriesFromBeforeGapAreNotRecent and TestNewLeaderNeedsRewrittenEntries started tasks before.

--- a/internal/state/cell/capacity_test.go
+++ b/internal/state/cell/capacity_test.go
@@ -218,6 +218,60 @@
 	}
 }
 
+// TestEntriesFromBeforeGapAreNotRecent guards against starts on entries that executors could not rewrite while the
+// store was down, and that their first write after it, delayed in the store, does not replace at once.
+func TestEntriesFromBeforeGapAreNotRecent(t *testing.T) {
+	h := newCapacityHarness(t)
+	h.advance(10 * time.Second)
+	h.report()
+	h.acceptTasks("j", 1)
+	// This write came after the last read before the outage.
+	h.entry.Sequence++
+	for range 10 {
+		h.cell.Discover(h.now, []queue.Executor{h.entry})
+		assert.Equal(t, len(startOrders(h.planAndConfirm())), 0)
+		h.advance(500 * time.Millisecond)
+	}
+	h.beat()
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 1)
+}
+
+// TestEntriesWithoutSequenceBecomeRecent guards against executors that are not used any more after a gap because their
+// entries do not tell when they were written.
+func TestEntriesWithoutSequenceBecomeRecent(t *testing.T) {
+	h := newCapacityHarness(t)
+	h.entry.Sequence = 0
+	h.replaceLeader()
+	h.acceptTasks("j", 1)
+	for range entryRewriteTime / (500 * time.Millisecond) {
+		assert.Equal(t, len(startOrders(h.planAndConfirm())), 0)
+		h.advance(500 * time.Millisecond)
+		h.cell.Discover(h.now, []queue.Executor{h.entry})
+	}
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 1)
+}
+
+// replaceLeader replaces the cell by that of a new leader, which has read the entry once and has a list of x.
+func (h *capacityHarness) replaceLeader() {
+	cfg := h.cell.config
+	h.cell = New(h.cell.params, 2, h.now)
+	h.cell.Configure(cfg)
+	h.cell.LoadRoster(&jobpb.Roster{Executor: "x", Address: "x"})
+	h.cell.Discover(h.now, []queue.Executor{h.entry})
+	h.report()
+}
+
+// TestNewLeaderNeedsRewrittenEntries guards against a leader that takes over right after an outage of the store and
+// relies on entries from before it.
+func TestNewLeaderNeedsRewrittenEntries(t *testing.T) {
+	h := newCapacityHarness(t)
+	h.replaceLeader()
+	h.acceptTasks("j", 1)
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 0)
+	h.beat()
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 1)
+}
+
 // TestRestartedExecutorNeedsEntryOfItsProcess guards against starts on the capacity of the former process of an
 // executor, after a list of the new one was read before its entry.
 func TestRestartedExecutorNeedsEntryOfItsProcess(t *testing.T) {
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -71,6 +71,7 @@
 	jobs                   map[string]*job
 	active                 []*job
 	execs                  map[string]*executor
+	entries                entryReads
 	evacuation             evacuation
 	// dirty has the jobs whose progress is to be recorded with the next batch.
 	dirty map[string]*job
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -79,7 +79,9 @@
 	enforcesCapacity bool
 	// capacityReadAt is the last time as of which the entry states the capacity.
 	capacityReadAt tick.Time
-	runs           map[orders.Task]*run
+	// isEntryOld is true if the entry may be from before an outage of the store.
+	isEntryOld bool
+	runs       map[orders.Task]*run
 	// kept has the moving tasks for which room is kept until they start here.
 	kept map[*task]bool
 	// latencyCritical are the runs with a latency target, bestEffort the best-effort runs.
@@ -141,6 +143,7 @@
 // DiscoverAsOf applies a complete list that was up to date at the time readAt.
 func (c *Cell) DiscoverAsOf(now, readAt tick.Time, list []queue.Executor) {
 	c.expireSlow(now)
+	c.noteEntriesRead(readAt)
 	listed := make(map[string]bool, len(list))
 	// latest has the entry of the youngest process at each address. Entries may outlive their processes.
 	latest := make(map[string]queue.Executor, len(list))
@@ -171,6 +174,7 @@
 		next := newExecutor(e)
 		// A previous leader may have sent orders to the new incarnation.
 		next.isInherited = ok && x.isInherited
+		next.isEntryOld = c.entries.gapEndedAt == readAt
 		x = next
 		c.execs[e.ID] = x
 		c.emit(Event{Name: "executor-listed", Executor: e.ID, Detail: e.Address})
@@ -192,11 +196,12 @@
 		x.warmUp = ramp.Ramp{}
 	}
 	x.warmUp.Observe(now, time.Duration(e.ColdRemainingMS)*time.Millisecond)
+	c.noteCapacityRead(x, readAt, e)
 	x.entry = e
 	x.isListed = true
 	x.isEvacuated = c.evacuation.domains[e.Domain]
 	x.enforcesCapacity = c.enforcesCapacity(e.Service)
-	x.total, x.capacityReadAt = resources{e.MilliCPU, e.MemoryMB, e.GPUs}, readAt
+	x.total = resources{e.MilliCPU, e.MemoryMB, e.GPUs}
 	if !x.isRostered && !x.isTerminated && !x.entry.Draining && !c.retired[e.ID] {
 		c.pendingRosters[e.ID] = x
 	}
--- a/internal/state/cell/takeover_test.go
+++ b/internal/state/cell/takeover_test.go
@@ -128,7 +128,13 @@
 	e := bookEntry("j", nil)
 	e.Job.MaxAttempts = 3
 	h.cell.Load(h.now, testWallMS, e)
-	h.cell.Discover(h.now, []queue.Executor{testExecutor("x"), testExecutor("y")})
+	list := []queue.Executor{testExecutor("x"), testExecutor("y")}
+	h.cell.Discover(h.now, list)
+	// Without a configuration, the executors may not enforce their capacity, so their entries must be recent.
+	for range 2 {
+		h.advance(entryRewriteTime / 2)
+		h.cell.Discover(h.now, list)
+	}
 	h.commit()
 	h.reportRunning("x")
 	h.reportRunning("y")
