Log changes of capacities and count executors over theirs

The event executor-capacity-changed has the old and the new capacity. cell-usage and the gauge ibischute_cell_over_capacity_executors have the number of executors whose runs need more than they have.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -383,7 +383,8 @@
 		Int("waiting-short", u.WaitingShort).Int("waiting-lasting", u.WaitingLongRunning).
 		Int("waiting-filling", u.WaitingBestEffort).Int("serving", u.LatencyCritical).Int("over-target", u.OverTarget).
 		Int("filling", u.BestEffort).Int("slowed", u.Throttled).Int("awaited-executors", u.AwaitedExecutors).
-		Int("slow-executors", u.SlowExecutors).Int("placed", u.Placed).Int("delayed", countDelayed(u)).
+		Int("slow-executors", u.SlowExecutors).Int("placed", u.Placed).Int("over-capacity-executors", u.OverCapacity).
+		Int("delayed", countDelayed(u)).
 		Msg("cell-usage")
 }
 
@@ -421,6 +422,7 @@
 		"serving": int64(u.LatencyCritical), "over_target": int64(u.OverTarget),
 		"placed": int64(u.Placed), "filling": int64(u.BestEffort), "slowed": int64(u.Throttled),
 		"awaited_executors": int64(u.AwaitedExecutors), "slow_executors": int64(u.SlowExecutors),
+		"over_capacity_executors": int64(u.OverCapacity),
 	} {
 		t.opts.Meter.Gauge("cell_"+name, nil, float64(v))
 	}
--- a/internal/state/cell/capacity.go
+++ b/internal/state/cell/capacity.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/ibischute/ibischute/pkg/queue"
@@ -23,6 +24,22 @@
 	haveSequences bool
 }
 
+// String returns the resources for the log.
+func (r resources) String() string {
+	return fmt.Sprintf("%d mCPU, %d MB, %d GPUs", r.milliCPU, r.memoryMB, r.gpus)
+}
+
+// setCapacity applies the capacity that an entry states.
+func (c *Cell) setCapacity(x *executor, total resources) {
+	if x.isListed && x.total != total {
+		c.emit(Event{
+			Name: "executor-capacity-changed", Executor: x.entry.ID,
+			Detail: fmt.Sprintf("from %v to %v", x.total, total),
+		})
+	}
+	x.total = total
+}
+
 // enforcesCapacity reports whether the executors of the service refuse what exceeds their capacity. Those of a service
 // that the configuration does not name may not.
 func (c *Cell) enforcesCapacity(service string) bool {
--- a/internal/state/cell/capacity_test.go
+++ b/internal/state/cell/capacity_test.go
@@ -303,6 +303,20 @@
 	assert.Equal(t, len(startOrders(h.planAndConfirm())), 1)
 }
 
+// TestCapacityChangeIsReported checks the event about a changed capacity.
+func TestCapacityChangeIsReported(t *testing.T) {
+	h := newCapacityHarness(t)
+	h.acceptTasks("j", 3)
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 3)
+	h.cell.Events()
+	h.resize(4000)
+	events := h.cell.Events()
+	assert.Equal(t, len(events), 1)
+	assert.Equal(t, events[0].Name, "executor-capacity-changed")
+	assert.Equal(t, events[0].Detail, "from 8000 mCPU, 8000 MB, 0 GPUs to 4000 mCPU, 8000 MB, 0 GPUs")
+	assert.Equal(t, h.cell.Usage(h.now).OverCapacity, 1)
+}
+
 // TestDiagnosisNamesUnknownCapacity checks the reported cause of tasks that wait for a recent entry.
 func TestDiagnosisNamesUnknownCapacity(t *testing.T) {
 	h := newCapacityHarness(t)
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -197,11 +197,11 @@
 	}
 	x.warmUp.Observe(now, time.Duration(e.ColdRemainingMS)*time.Millisecond)
 	c.noteCapacityRead(x, readAt, e)
+	c.setCapacity(x, resources{e.MilliCPU, e.MemoryMB, e.GPUs})
 	x.entry = e
 	x.isListed = true
 	x.isEvacuated = c.evacuation.domains[e.Domain]
 	x.enforcesCapacity = c.enforcesCapacity(e.Service)
-	x.total = resources{e.MilliCPU, e.MemoryMB, e.GPUs}
 	if !x.isRostered && !x.isTerminated && !x.entry.Draining && !c.retired[e.ID] {
 		c.pendingRosters[e.ID] = x
 	}
--- a/internal/state/cell/usage.go
+++ b/internal/state/cell/usage.go
@@ -27,6 +27,8 @@
 	AwaitedExecutors int
 	// SlowExecutors counts the executors on which runs progress much more slowly than they should.
 	SlowExecutors int
+	// OverCapacity counts the executors whose runs need more than they have, since their capacity has shrunk.
+	OverCapacity int
 	// Durations are the ratios of actual to estimated durations of each queue with samples.
 	Durations []QueueDurations
 	// Delayed counts the steps that wait although an executor has the room, and the runs that no list shows, by cause, as
@@ -55,6 +57,7 @@
 		if x.isTerminated || !x.isListed {
 			continue
 		}
+		u.countCapacity(x)
 		u.Cores += x.total.milliCPU / milliCPUPerCore
 		u.UsedCores += x.used.milliCPU / milliCPUPerCore
 		for _, r := range x.runs {
@@ -108,3 +111,9 @@
 		u.WaitingShort += s.waiting
 	}
 }
+
+func (u *Usage) countCapacity(x *executor) {
+	if !x.free().covers(resources{}) {
+		u.OverCapacity++
+	}
+}
