Let capacities of stand-in executors change, and check those that are not enforced

SetCapacity changes the capacity of an executor while it runs; what runs there continues. AddUnenforced starts an executor that starts whatever it is told to: a start that brings it over its capacity is a violation, with a grace of 4.1 s (contact and one heartbeat) after a capacity has shrunk. An order that is carried out late counts as of the earliest time at which it can have been sent, which its deadline tells.

--- a/internal/stand/memex/memex.go
+++ b/internal/stand/memex/memex.go
@@ -1,5 +1,6 @@
 // Package memex is an in-process stand-in for executors. It records a violation when a task runs twice at the same
-// time, again after it is done, after its last permitted failure, or on an executor with too many tasks of its step.
+// time, again after it is done, after its last permitted failure, or on an executor with too many tasks of its step,
+// and when a start brings an executor that does not enforce its capacity over it.
 //
 // The spec of a job determines how its tasks behave (see Behavior).
 //
@@ -54,8 +55,11 @@
 type executor struct {
 	incarnation int64
 	startedAt   tick.Time
-	// capacity limits the runs unless it is nil.
+	// capacity limits the runs unless it is nil. former are the capacities before, oldest first. isUnenforced is true if
+	// the executor starts what exceeds its capacity.
 	capacity     *Capacity
+	former       []formerCapacity
+	isUnenforced bool
 	epoch        uint64
 	endCount     uint64
 	leaseUntilMS int64
@@ -310,7 +314,7 @@
 			r.Outcome = orders.Outdated
 		case o.DeadlineMS <= r.ClockMS:
 			r.Outcome = orders.Late
-		case !x.hasRoom(ParseBehavior(o.Spec)):
+		case !x.isUnenforced && !x.hasRoom(ParseBehavior(o.Spec)):
 			x.extendLease(r.ClockMS, o.DeadlineMS)
 			r.Outcome = orders.InsufficientResources
 		default:
@@ -330,16 +334,13 @@
 	if x.capacity == nil {
 		return true
 	}
-	free := *x.capacity
-	for _, r := range x.runs {
-		free = free.minus(r.behavior.Capacity)
-	}
-	return free.covers(b.Capacity)
+	return x.free(*x.capacity).covers(b.Capacity)
 }
 
 func (f *Fleet) beginRun(id string, x *executor, o orders.Start, clockMS int64) {
 	b := ParseBehavior(o.Spec)
 	f.checkStart(id, x, o.Run, b)
+	f.checkCapacity(id, x, o, b)
 	f.starts++
 	f.startsOn[id]++
 	f.startedJobs[o.Run.Task.Job] = true
