Run schedules of the model with changing capacities

TestCapacityChanges runs the schedules of TestModel on executors that do not enforce their capacity, with larger jobs, a quarter of them best-effort. Entries are written with each heartbeat, some of them seconds late, and are neither written nor read while the store is down. Randomness comes from a generator of its own, so the schedules of TestModel stay.

The existing check of starts against the resources of their executor is the one that is used: in these schedules it allows former capacities for 4.1 s after a change, for late orders as of their sending. It is unchanged in all others.

--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -140,6 +140,9 @@
 }
 
 func (l *simLeader) discover() {
+	if l.sim.capacities != nil && l.sim.isStoreDown {
+		return
+	}
 	var list []queue.Executor
 	for _, x := range l.sim.execs {
 		if l.sim.isEntryMissing(x) {
@@ -152,6 +155,10 @@
 
 // isEntryMissing reports whether service discovery does not list the executor.
 func (sim *simulation) isEntryMissing(x *simExecutor) bool {
+	if sim.capacities != nil {
+		_, ok := sim.capacities.entry(x)
+		return !ok
+	}
 	if sim.hasDiscovery {
 		return x.isDown && !sim.now.Before(x.entryExpiresAt)
 	}
@@ -160,6 +167,15 @@
 
 // entry returns the executor's entry in service discovery.
 func (x *simExecutor) entry() queue.Executor {
+	if x.sim.capacities != nil {
+		e, _ := x.sim.capacities.entry(x)
+		return e
+	}
+	return x.currentEntry()
+}
+
+// currentEntry returns the entry that the executor would write now.
+func (x *simExecutor) currentEntry() queue.Executor {
 	e := queue.Executor{
 		ID: x.id, Address: x.address, Service: "svc", Labels: x.labels, Domain: x.domain,
 		ColdRemainingMS: max(0, x.warmUp-x.sim.now.Sub(x.startedAt)).Milliseconds(),
@@ -190,6 +206,7 @@
 		l.sim.stopCalls++
 	}
 	sent := l.sim.now
+	l.sim.capacities.noteSent(o)
 	if o.Start != nil {
 		if slices.Contains(l.evacuated, x.domain) {
 			l.sim.recordViolation("epoch %d orders %v in the evacuated domain %s", l.epoch, o.Start.Run, x.domain)
