Test that reservations of shrunk executors delay small tasks for a bounded time

It passes on the code before as well: a reservation that can no longer be met expires, and the step reserves nothing again while no executor is large enough for it.

--- a/internal/state/cell/capacity_test.go
+++ b/internal/state/cell/capacity_test.go
@@ -1,6 +1,9 @@
 package cell
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -326,3 +329,30 @@
 	assert.Equal(t, len(events), 1)
 	assert.Equal(t, events[0].Detail, "capacity-unknown for 3s, started 0 times; executors: capacity-unknown 1")
 }
+
+// TestShrunkExecutorsDoNotStayReserved guards against small tasks that wait behind the reservation of a task that no
+// executor is large enough for since the capacities have shrunk.
+func TestShrunkExecutorsDoNotStayReserved(t *testing.T) {
+	const longestSmallWait = 3 * time.Second
+	r := newAheadRig(t, testExecutor("a"), testExecutor("b"))
+	r.stream("early", smallStreamInterval, 2*time.Second, smallStep())
+	r.submit("large", "q", fullExecutorStep(1000))
+	for i := 0; r.countEvents("reserved") == 0; i++ {
+		r.stream(fmt.Sprintf("overtaking%d-", i), smallStreamInterval, smallStreamInterval, smallStep())
+	}
+	_, hasStarted := r.waitOf("large")
+	assert.Assert(t, !hasStarted)
+	shrunk := slices.Clone(r.executors)
+	for i := range shrunk {
+		shrunk[i].MilliCPU /= 2
+	}
+	r.cell.Discover(r.now, shrunk)
+	r.stream("small", 3*smallStreamInterval, 8*time.Second, smallStep())
+	for job := range r.acceptedAt {
+		wait, ok := r.waitOf(job)
+		if !strings.HasPrefix(job, "small") || !ok && r.now.Sub(r.acceptedAt[job]) < longestSmallWait {
+			continue
+		}
+		assert.Assert(t, ok && wait < longestSmallWait, "%s started %t after %v", job, ok, wait)
+	}
+}
