--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -282,13 +282,14 @@
 func (t *term) discoverLoop(ctx context.Context) {
 	reader := config.NewExecutorReader(t.opts.Log, t.decodeExecutor, t.opts.Logger)
 	for round := 1; ctx.Err() == nil; round++ {
+		sent := tick.Now()
 		list, err := reader.Read(ctx, callTimeout)
 		if err != nil && ctx.Err() == nil {
 			t.opts.Logger.Warn().Err(err).Msg("discovery-read-failed")
 		}
 		t.mu.Lock()
 		if err == nil {
-			t.cell.Discover(tick.Now(), list)
+			t.cell.DiscoverAsOf(tick.Now(), sent, list)
 		}
 		t.cell.Diagnose(tick.Now())
 		usage := t.cell.Usage(tick.Now())
@@ -319,7 +320,8 @@
 		Int("waiting-filling", u.WaitingBestEffort).Int("serving", u.LatencyCritical).Int("over-target", u.OverTarget).
 		Int("filling", u.BestEffort).Int("slowed", u.Throttled).Int("awaited-executors", u.AwaitedExecutors).
 		Int("slow-executors", u.SlowExecutors).Int("crashing-tasks", u.CrashingTasks).
-		Int("placed", u.Placed).Int("delayed", countDelayed(u)).
+		Int("placed", u.Placed).Int("over-capacity-executors", u.OverCapacity).
+		Int("delayed", countDelayed(u)).
 		Msg("cell-usage")
 }
 
@@ -357,7 +359,8 @@
 		"serving": int64(u.LatencyCritical), "over_target": int64(u.OverTarget),
 		"placed": int64(u.Placed), "filling": int64(u.BestEffort), "slowed": int64(u.Throttled),
 		"awaited_executors": int64(u.AwaitedExecutors), "slow_executors": int64(u.SlowExecutors),
-		"crashing_tasks": int64(u.CrashingTasks),
+		"crashing_tasks":          int64(u.CrashingTasks),
+		"over_capacity_executors": int64(u.OverCapacity),
 	} {
 		t.opts.Meter.Gauge("cell_"+name, nil, float64(v))
 	}
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -74,6 +74,7 @@
 	jobs              map[string]*job
 	active            []*job
 	execs             map[string]*executor
+	entries           entryReads
 	evacuation        evacuation
 	// dirty has the jobs whose progress is to be recorded with the next batch.
 	dirty map[string]*job
@@ -157,6 +158,9 @@
 	c.config = cfg
 	// Jobs of a queue that was removed keep its policy service.
 	c.needsAdvice = c.needsAdvice || slices.ContainsFunc(cfg.Queues, func(q queue.Queue) bool { return q.Advice != nil })
+	for _, x := range c.execs {
+		x.enforcesCapacity = c.enforcesCapacity(x.entry.Service)
+	}
 	for _, j := range c.active {
 		j.configure(cfg)
 	}
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -75,7 +75,13 @@
 	listedClockMS int64
 
 	total, used resources
-	runs        map[orders.Task]*run
+	// enforcesCapacity is true if the executor refuses what exceeds its capacity.
+	enforcesCapacity bool
+	// capacityReadAt is the last time as of which the entry states the capacity.
+	capacityReadAt tick.Time
+	// isEntryOld is true if the entry may be from before an outage of the store.
+	isEntryOld bool
+	runs       map[orders.Task]*run
 	// kept has the moving tasks for which room is kept until they start here.
 	kept map[*task]bool
 	// latencyCritical are the runs with a latency target, bestEffort the best-effort runs.
@@ -134,9 +140,13 @@
 // satisfies reports whether the executor has the label that a step requires. An empty label is always satisfied.
 func (x *executor) satisfies(label string) bool { return label == "" || x.hasLabel(label) }
 
-// Discover applies the complete list of executors from service discovery.
-func (c *Cell) Discover(now tick.Time, list []queue.Executor) {
+// Discover applies the complete list of executors from service discovery, as of now.
+func (c *Cell) Discover(now tick.Time, list []queue.Executor) { c.DiscoverAsOf(now, now, list) }
+
+// DiscoverAsOf applies a complete list that was up to date at the time readAt.
+func (c *Cell) DiscoverAsOf(now, readAt tick.Time, list []queue.Executor) {
 	c.expireSlow(now)
+	c.noteEntriesRead(readAt)
 	listed := make(map[string]bool, len(list))
 	// latest has the entry of the youngest process at each address. Entries may outlive their processes.
 	latest := make(map[string]queue.Executor, len(list))
@@ -145,7 +155,7 @@
 		if e.StartedMS > latest[e.Address].StartedMS {
 			latest[e.Address] = e
 		}
-		c.applyEntry(now, e)
+		c.applyEntry(now, readAt, e)
 	}
 	for id, x := range c.execs {
 		if !listed[id] && x.isListed {
@@ -162,16 +172,22 @@
 	}
 }
 
-func (c *Cell) applyEntry(now tick.Time, e queue.Executor) {
+func (c *Cell) applyEntry(now, readAt tick.Time, e queue.Executor) {
 	x, ok := c.execs[e.ID]
 	if !ok || x.isTerminated && x.isSucceededBy(e) {
 		next := newExecutor(e)
 		// A previous leader may have sent orders to the new incarnation.
 		next.isInherited = ok && x.isInherited
+		next.isEntryOld = c.entries.gapEndedAt == readAt
 		x = next
 		c.execs[e.ID] = x
 		c.emit(Event{Name: "executor-listed", Executor: e.ID, Detail: e.Address})
 	}
+	if x.isNewerThan(e) {
+		// The store may carry out a write after a later one. The next entry replaces both.
+		x.isListed = true
+		return
+	}
 	if e.Draining && !x.entry.Draining {
 		x.drainDeadline = now.Add(time.Duration(e.RemainingMS) * time.Millisecond)
 		c.emit(Event{Name: "executor-draining", Executor: e.ID})
@@ -187,15 +203,23 @@
 		x.warmUp = ramp.Ramp{}
 	}
 	x.warmUp.Observe(now, time.Duration(e.ColdRemainingMS)*time.Millisecond)
+	c.noteCapacityRead(x, readAt, e)
+	c.setCapacity(x, resources{e.MilliCPU, e.MemoryMB, e.GPUs})
 	x.entry = e
 	x.isListed = true
 	x.isEvacuated = c.evacuation.domains[e.Domain]
-	x.total = resources{e.MilliCPU, e.MemoryMB, e.GPUs}
+	x.enforcesCapacity = c.enforcesCapacity(e.Service)
 	if !x.isRostered && !x.isTerminated && !x.entry.Draining && !c.retired[e.ID] {
 		c.pendingRosters[e.ID] = x
 	}
 }
 
+// isNewerThan reports whether the known entry was written after e by the same process.
+func (x *executor) isNewerThan(e queue.Executor) bool {
+	isSameProcess := e.StartedMS != 0 && e.StartedMS == x.entry.StartedMS && e.Address == x.entry.Address
+	return isSameProcess && e.Sequence != 0 && e.Sequence < x.entry.Sequence
+}
+
 // isSucceededBy reports whether the entry belongs to a later incarnation of the executor.
 func (x *executor) isSucceededBy(e queue.Executor) bool {
 	return e.Address != x.entry.Address || e.StartedMS != 0 && e.StartedMS != x.entry.StartedMS
@@ -296,5 +320,5 @@
 func (x *executor) isUsable(now tick.Time) bool {
 	isRegistered := x.isListed && x.isRostered && x.hasResponded && x.hasClock
 	isAvailable := !x.isTerminated && !x.isUnresponsive && !x.entry.Draining && len(x.orphaned) == 0
-	return isRegistered && isAvailable && !x.isEvacuated && !now.Before(x.quarantinedUntil)
+	return isRegistered && isAvailable && !x.isEvacuated && x.knowsCapacity(now) && !now.Before(x.quarantinedUntil)
 }
--- a/internal/state/cell/takeover_test.go
+++ b/internal/state/cell/takeover_test.go
@@ -19,7 +19,9 @@
 	t.Helper()
 	h := &harness{t: t, now: tick.Time(time.Hour)}
 	h.cell = New(Params{MaxHold: 6 * time.Second, Retention: time.Minute}, 7, h.now.Add(10*time.Second))
-	h.cell.Configure(&queue.Configuration{Version: 1, Queues: []queue.Queue{{Name: "q", Service: "svc", MaxAttempts: 3}}})
+	h.cell.Configure(&queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
+		{Name: "q", Service: "svc", MaxAttempts: 3},
+	}})
 	for _, id := range []string{"x", "y"} {
 		h.cell.LoadRoster(&jobpb.Roster{Executor: id, Address: id})
 	}
@@ -126,7 +128,13 @@
 	e := bookEntry("j", nil)
 	e.Job.MaxAttempts = 3
 	h.cell.Load(h.now, testWallMS, e)
-	h.cell.Discover(h.now, []queue.Executor{testExecutor("x"), testExecutor("y")})
+	list := []queue.Executor{testExecutor("x"), testExecutor("y")}
+	h.cell.Discover(h.now, list)
+	// Without a configuration, the executors may not enforce their capacity, so their entries must be recent.
+	for range 2 {
+		h.advance(entryRewriteTime / 2)
+		h.cell.Discover(h.now, list)
+	}
 	h.commit()
 	h.reportRunning("x")
 	h.reportRunning("y")
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -51,6 +51,9 @@
 	// may crash it runs there and the waiting task may do so too.
 	WaitGuarded      WaitCause = "guarded"
 	WaitOtherSuspect WaitCause = "other-suspect"
+	// WaitCapacityUnknown means that the executor does not enforce its capacity, and its entry does not tell the present
+	// one.
+	WaitCapacityUnknown WaitCause = "capacity-unknown"
 )
 
 // WaitCauses returns the causes that Usage.Delayed may count.
@@ -59,6 +62,7 @@
 		WaitTakeover, WaitStartRecord, WaitOrphan, WaitRun, WaitOrphans, WaitQuarantine, WaitSuspect, WaitNoTicket,
 		WaitFailedOn, WaitNearTarget, WaitStartPause, WaitInterference, WaitNotPlanned, WaitReserved,
 		WaitCrash, WaitTrial, WaitGuarded, WaitOtherSuspect,
+		WaitCapacityUnknown,
 	}
 }
 
@@ -239,6 +243,8 @@
 		return WaitEvacuated
 	case len(x.orphaned) > 0:
 		return WaitOrphans
+	case !x.knowsCapacity(p.now):
+		return WaitCapacityUnknown
 	case !x.isUsable(p.now):
 		return WaitQuarantine
 	case !x.suspicion.admits(p.now, s):
