--- a/internal/stand/memex/behavior.go
+++ b/internal/stand/memex/behavior.go
@@ -30,6 +30,9 @@
 	MaxAttempts int
 	// MaxPerExecutor is the number of tasks of a step that may run on one executor; 0 means that there is no limit.
 	MaxPerExecutor int
+	// CrashesAfter is how long after its start a run crashes its executor; 0 means that it does not. A run that ends
+	// sooner does not crash it.
+	CrashesAfter time.Duration
 }
 
 // The keys of the specs.
@@ -43,6 +46,7 @@
 	keyFailsWithinMS  = "fails_within_ms"
 	keyMaxAttempts    = "max_attempts"
 	keyMaxPerExecutor = "anti_affinity"
+	keyCrashesAfterMS = "crashes_executor"
 
 	defaultDuration = 400 * time.Millisecond
 )
@@ -62,6 +66,7 @@
 	set(keyFailsWithinMS, b.FailsWithin.Milliseconds())
 	set(keyMaxAttempts, int64(b.MaxAttempts))
 	set(keyMaxPerExecutor, int64(b.MaxPerExecutor))
+	set(keyCrashesAfterMS, b.CrashesAfter.Milliseconds())
 	if b.LongRunning {
 		v.Set(keyLongRunning, strconv.FormatBool(true))
 	}
@@ -86,6 +91,7 @@
 		Duration: time.Duration(number(keyDurationMS)) * time.Millisecond, LongRunning: v.Get(keyLongRunning) == "true",
 		MaxFailures: int(number(keyMaxFailures)), FailsWithin: time.Duration(number(keyFailsWithinMS)) * time.Millisecond,
 		MaxAttempts: int(number(keyMaxAttempts)), MaxPerExecutor: int(number(keyMaxPerExecutor)),
+		CrashesAfter: time.Duration(number(keyCrashesAfterMS)) * time.Millisecond,
 	}
 	b.FailureRate, _ = strconv.ParseFloat(v.Get(keyFailureRate), 64)
 	if b.Duration == 0 {
@@ -109,6 +115,13 @@
 	ackedFailures int
 	// lastRanAt is when the last run ended.
 	lastRanAt tick.Time
+	// crashes counts the executors that runs of the task have crashed, startsAfterLimit the starts after crashLimit of
+	// them.
+	crashes, startsAfterLimit int
+	// losses counts the runs that were lost because a task, this one or another, crashed their executor. lostAt is when
+	// the last one was; 0 if none was.
+	losses int
+	lostAt tick.Time
 }
 
 func (f *Fleet) task(t orders.Task) *taskHistory {
--- a/internal/stand/memex/memex.go
+++ b/internal/stand/memex/memex.go
@@ -1,5 +1,6 @@
 // Package memex is an in-process stand-in for executors. It records a violation when a task runs twice at the same
-// time, again after it is done, after its last permitted failure, or on an executor with too many tasks of its step.
+// time, again after it is done, after its last permitted failure, too often after it has crashed three executors, or on
+// an executor with too many tasks of its step.
 //
 // The spec of a job determines how its tasks behave (see Behavior).
 //
@@ -79,6 +80,9 @@
 	seed     uint64
 	// areFailuresOff means that runs that start from now on do not fail, except those that always do.
 	areFailuresOff bool
+	// onCrash is called after a run has crashed the executor with the id. If it is nil, the executor restarts after
+	// crashDowntime.
+	onCrash func(id string)
 }
 
 // New returns a Fleet without executors.
@@ -123,6 +127,11 @@
 func (f *Fleet) add(id string, c *Capacity) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.startExecutor(id, c)
+}
+
+// startExecutor starts an executor. The caller holds the mutex.
+func (f *Fleet) startExecutor(id string, c *Capacity) {
 	now := tick.Now()
 	f.executors[id] = &executor{
 		incarnation: int64(now), startedAt: now, capacity: c, runs: map[orders.Task]activeRun{},
@@ -134,10 +143,13 @@
 func (f *Fleet) Remove(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	x, ok := f.executors[id]
-	if !ok {
-		return
+	if x, ok := f.executors[id]; ok {
+		f.remove(id, x)
 	}
+}
+
+// remove ends an executor. The caller holds the mutex.
+func (f *Fleet) remove(id string, x *executor) {
 	now := tick.Now()
 	f.advance(x, now)
 	for t := range x.runs {
@@ -352,6 +364,9 @@
 		r.endsAt, r.endReason = r.startedAt.Add(duration), reason
 	}
 	x.runs[o.Run.Task] = r
+	if b.CrashesAfter > 0 {
+		f.scheduleCrash(id, x, r)
+	}
 }
 
 // checkStart records a violation if the task must not run again, is running on any executor, or exceeds the number of
@@ -365,6 +380,7 @@
 	if b.MaxAttempts > 0 && h.ackedFailures >= b.MaxAttempts {
 		f.violations = append(f.violations, fmt.Sprintf("%v started on %s after %d failed runs", run, id, h.ackedFailures))
 	}
+	f.checkCrashes(id, run)
 	if n := x.countStep(run.Task); b.MaxPerExecutor > 0 && n >= b.MaxPerExecutor {
 		f.violations = append(f.violations, fmt.Sprintf("%v started on %s beside %d tasks of its step", run, id, n))
 	}
--- a/internal/stand/memex/state.go
+++ b/internal/stand/memex/state.go
@@ -16,6 +16,12 @@
 	IsDone         bool
 	// LastRanAt is when the last run ended; 0 if none has.
 	LastRanAt tick.Time
+	// Crashes counts the executors that runs of the task have crashed, StartsAfterLimit the starts after three of them.
+	Crashes, StartsAfterLimit int
+	// Losses counts the runs that were lost because a task, this one or another, crashed their executor. LostAt is when
+	// the last one was; 0 if none was.
+	Losses int
+	LostAt tick.Time
 }
 
 // TaskStates returns the states of the tasks.
@@ -26,7 +32,10 @@
 	out := make([]TaskState, len(tasks))
 	for i, t := range tasks {
 		h := f.task(t)
-		out[i] = TaskState{Task: t, Runs: h.runs, Failures: h.failures, IsDone: h.wasDone, LastRanAt: h.lastRanAt}
+		out[i] = TaskState{
+			Task: t, Runs: h.runs, Failures: h.failures, IsDone: h.wasDone, LastRanAt: h.lastRanAt, Crashes: h.crashes,
+			StartsAfterLimit: h.startsAfterLimit, Losses: h.losses, LostAt: h.lostAt,
+		}
 		for id, x := range f.executors {
 			if _, ok := x.runs[t]; ok {
 				out[i].IsRunning, out[i].RunsOn = true, id
