Add a model of tasks that crash their executors

TestCrashingTasks runs schedules like those of TestModel on 16 executors in two domains of two racks each, with jobs whose tasks crash their executors, losses of a whole domain or rack twice, paused leaders and changes of leader. A task must not start a third time after it has crashed three executors; its job must fail, and no other. TestLossesOfDomains runs the same without crashing tasks.

--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -32,7 +32,9 @@
 	isIsolated bool
 	// isPartitioned is true if the leader reaches only the partitioned executors.
 	isPartitioned bool
-	isCommitting  bool
+	// pausedUntil is when the process of the leader continues after a pause.
+	pausedUntil  tick.Time
+	isCommitting bool
 	// unstoredSince is when the store last took records or there were none.
 	unstoredSince tick.Time
 	isHolding     map[string]bool
@@ -77,6 +79,10 @@
 	if l.isKilled || l.cell.IsFenced() {
 		return
 	}
+	if l.sim.now.Before(l.pausedUntil) {
+		l.deliver(l.loop)
+		return
+	}
 	l.sim.after(loopInterval, l.loop)
 	if !l.isIsolated {
 		if !l.sim.isStoreDown {
@@ -209,9 +215,11 @@
 	}
 	if o.Start != nil {
 		l.sim.after(simOverdue, func() {
-			if !l.isKilled {
-				l.cell.DoubtStart(l.sim.now, o)
-			}
+			l.deliver(func() {
+				if !l.isKilled {
+					l.cell.DoubtStart(l.sim.now, o)
+				}
+			})
 		})
 	}
 	l.sim.call(l, x, func() func() {
@@ -290,8 +298,8 @@
 		longest = 600 * time.Millisecond
 	}
 	l.sim.after(l.sim.randomDuration(5*time.Millisecond, longest), func() {
-		l.isCommitting = false
 		if l.sim.fenceEpoch > l.epoch {
+			l.isCommitting = false
 			return
 		}
 		for _, r := range l.storable(b.Records) {
@@ -299,10 +307,13 @@
 				l.sim.recordViolation("apply progress record: %v", err)
 			}
 		}
-		l.unstoredSince = l.sim.now
-		if !l.isKilled {
-			l.cell.Commit(l.sim.now, b)
-		}
+		l.deliver(func() {
+			l.isCommitting = false
+			l.unstoredSince = l.sim.now
+			if !l.isKilled {
+				l.cell.Commit(l.sim.now, b)
+			}
+		})
 	})
 }
 
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -113,6 +113,8 @@
 	moves     int
 	// serveDelay is how long a long-running task takes to be at work after its start.
 	serveDelay time.Duration
+	// crashModel has the tasks that crash their executors; nil if there are none.
+	crashModel *crashModel
 }
 
 // crossLink returns how long a message waits for and takes on the leader's link.
@@ -331,6 +333,7 @@
 	}
 	r := &simRun{id: o.Run, step: step, remaining: total, total: total, startedAt: sim.now, checkpoint: o.Checkpoint}
 	x.runs[o.Run.Task] = r
+	sim.crashModel.handleStart(x, r)
 	if step.LongRunning {
 		x.limitServing(r)
 		return
@@ -435,7 +438,7 @@
 	sim.after(simCallTimeout+wait, func() {
 		if !answered {
 			answered = true
-			onTimeout()
+			l.deliver(onTimeout)
 		}
 	})
 	x = sim.processAt(x)
@@ -463,7 +466,7 @@
 				return
 			}
 			answered = true
-			onReply()
+			l.deliver(onReply)
 		})
 	}
 	sim.after(delay, func() {
