--- a/internal/state/cell/crashing_test.go
+++ b/internal/state/cell/crashing_test.go
@@ -30,7 +30,7 @@
 		s.startsAfterLimit += total(m.startsAfterLimit)
 		s.groupLosses += m.groupLosses
 		if len(sim.violations) > 0 {
-			t.Errorf("seed %d:\n%s", seed, strings.Join(sim.violations[:min(maxPrinted, len(sim.violations))], "\n"))
+			t.Errorf("seed %d: %v\n%s", seed, m, strings.Join(sim.violations[:min(maxPrinted, len(sim.violations))], "\n"))
 		}
 	}
 	t.Logf("%+v", s)
--- a/internal/state/cell/simcrash_test.go
+++ b/internal/state/cell/simcrash_test.go
@@ -17,6 +17,8 @@
 	maxStartsAfterLimit = 2
 	// soonCrash is the usual time from the start of a crashing task to the crash.
 	soonCrash = 10 * time.Millisecond
+	// lateCrash is the longest such time. Runs of crashing tasks take longer, so that each crashes its executor.
+	lateCrash = 3 * time.Second
 )
 
 // crashModel has the tasks of a simulation that crash their executors, and counts the crashes.
@@ -136,7 +138,7 @@
 
 // randomSteps returns the steps of a job whose tasks crash their executors.
 func (m *crashModel) randomSteps() []*jobpb.Step {
-	s := &jobpb.Step{Count: 1, MilliCpu: uint32(500 + m.rnd.IntN(3000)), MemoryMb: 500, EstimateMs: 4000}
+	s := &jobpb.Step{Count: 1, MilliCpu: uint32(500 + m.rnd.IntN(3000)), MemoryMb: 500, EstimateMs: 6000}
 	switch m.rnd.IntN(6) {
 	case 0, 1:
 		s.Count = uint32(2 + m.rnd.IntN(3))
@@ -153,7 +155,7 @@
 // randomDelay returns the time from a start to the crash, which is long for some jobs.
 func (m *crashModel) randomDelay() time.Duration {
 	if m.rnd.IntN(4) == 0 {
-		return m.randomDuration(soonCrash, 3*time.Second)
+		return m.randomDuration(soonCrash, lateCrash)
 	}
 	return soonCrash
 }
@@ -223,12 +225,22 @@
 	for _, id := range m.sim.jobIDs() {
 		_, isCrashing := m.delays[id]
 		if hasFailed := m.sim.hasFailed(id); hasFailed != isCrashing {
-			m.sim.recordViolation("job %s with crashing tasks (%t) has failed (%t): crashes %v", id, isCrashing, hasFailed,
-				m.crashes)
+			m.sim.recordViolation("job %s, a crashing one (%t), has failed (%t)", id, isCrashing, hasFailed)
 		}
 	}
 }
 
+// String describes the crashing jobs and the number of crashes of each task.
+func (m *crashModel) String() string {
+	out := ""
+	for _, id := range m.sim.jobIDs() {
+		if delay, ok := m.delays[id]; ok {
+			out += fmt.Sprintf("%s after %v: %v; ", id, delay, m.sim.jobs[id].Steps)
+		}
+	}
+	return out + fmt.Sprint(m.crashes)
+}
+
 // total returns the sum of the counts.
 func total(counts map[orders.Task]int) int {
 	sum := 0
