--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -115,6 +115,8 @@
 	serveDelay time.Duration
 	// capacities is set if the capacities of the executors change.
 	capacities *simCapacities
+	// crashModel has the tasks that crash their executors; nil if there are none.
+	crashModel *crashModel
 }
 
 // crossLink returns how long a message waits for and takes on the leader's link.
@@ -333,6 +335,7 @@
 	}
 	r := &simRun{id: o.Run, step: step, remaining: total, total: total, startedAt: sim.now, checkpoint: o.Checkpoint}
 	x.runs[o.Run.Task] = r
+	sim.crashModel.handleStart(x, r)
 	if step.LongRunning {
 		x.limitServing(r)
 		return
@@ -437,7 +440,7 @@
 	sim.after(simCallTimeout+wait, func() {
 		if !answered {
 			answered = true
-			onTimeout()
+			l.deliver(onTimeout)
 		}
 	})
 	x = sim.processAt(x)
@@ -465,7 +468,7 @@
 				return
 			}
 			answered = true
-			onReply()
+			l.deliver(onReply)
 		})
 	}
 	sim.after(delay, func() {
