Repeat an append of the leader while its response is overdue

With 60 % of the responses lost, each lost one doubled the timeout of the commit loop, up to 1.2 s, although the log answers a repeat at once by its sequence number. The append is now repeated while earlier attempts are pending, with doubling delays; the first repeats follow each other after 0.1 s only while the store is known to lose responses. Latency samples are taken per attempt, and a rejected attempt ends all others.

--- a/internal/services/leader/commits.go
+++ b/internal/services/leader/commits.go
@@ -146,20 +146,44 @@
 	return ctx.Err()
 }
 
-// append makes one attempt with the next sequence number, by which the log recognizes a repeated append.
+// append sends the records with the next sequence number until an attempt succeeds. The log recognizes repeats by that
+// number, so an append whose response is overdue is repeated while it is pending: the response alone may be lost. It
+// returns an error if the log rejects the append, or if an attempt fails while no other is pending.
 func (t *term) append(ctx context.Context, records []logs.Record) error {
-	callCtx, cancel := context.WithTimeout(ctx, t.appendTimeout.Timeout())
-	defer cancel()
-	sent := tick.Now()
-	_, err := t.opts.Log.Append(callCtx, logs.Progress, t.opts.Part, records, logs.Condition{
-		Producer: producer, Epoch: t.epoch, Sequence: t.sequence,
+	condition := logs.Condition{Producer: producer, Epoch: t.epoch, Sequence: t.sequence}
+	a := newAttempts(ctx, func(ctx context.Context) error {
+		_, err := t.opts.Log.Append(ctx, logs.Progress, t.opts.Part, records, condition)
+		return err
 	})
-	switch {
-	case err == nil:
-		t.appendTimeout.Observe(tick.Now().Sub(sent))
-	case callCtx.Err() != nil:
-		t.appendTimeout.BackOff()
+	defer a.end()
+	a.send()
+	delays := t.repeats.begin(t.appendTimeout.Timeout())
+	overdue := time.NewTimer(delays.next())
+	defer overdue.Stop()
+	for {
+		select {
+		case r := <-a.results:
+			a.pending--
+			if r.err == nil {
+				t.repeats.observe(r.took, a.sent)
+				t.appendTimeout.Observe(r.took)
+				return nil
+			}
+			if a.pending == 0 || isRejection(r.err) {
+				return t.handleAppendError(r.err)
+			}
+		case <-overdue.C:
+			if a.pending < maxPendingAttempts && ctx.Err() == nil {
+				t.opts.Logger.Warn().Uint64("sequence", t.sequence).Int("pending", a.pending).Msg("progress-append-repeated")
+				a.send()
+			}
+			overdue.Reset(delays.next())
+		}
 	}
+}
+
+// handleAppendError corrects a sequence number that is too low.
+func (t *term) handleAppendError(err error) error {
 	var sequence *logs.SequenceError
 	if errors.As(err, &sequence) && sequence.Expected > t.sequence {
 		t.opts.Logger.Warn().Uint64("expected", sequence.Expected).Uint64("sequence", t.sequence).Msg("sequence-corrected")
@@ -169,6 +193,12 @@
 	return err
 }
 
+// isRejection reports whether each further attempt would get the same error.
+func isRejection(err error) bool {
+	var sequence *logs.SequenceError
+	return isFencedError(err) || errors.As(err, &sequence)
+}
+
 func isFencedError(err error) bool {
 	var f *logs.FencedError
 	return errors.As(err, &f)
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -126,6 +126,8 @@
 	startResponses *rtrip.Estimator
 	// appendTimeout is the timeout of an append of records. Only takeOver and commitLoop use it.
 	appendTimeout *rtrip.Estimator
+	// repeats has the same users.
+	repeats repeats
 	// querying has the executors that a query is sent to.
 	querying map[string]bool
 	wg       sync.WaitGroup
