Acknowledge records that are read in the log while their append is pending

An accepted job waited for the response to its append, up to 2.8 s, although the instance or the leader had read the record. A cancellation was never recognized that way, so that its caller got 504 for one that had taken effect. An instance now looks into its replica while an append is pending, and so does the leader for a forwarded record. A record that is known before is acknowledged without an append, a cancellation as well as a job.

--- a/internal/services/intake/append.go
+++ b/internal/services/intake/append.go
@@ -23,6 +23,9 @@
 	slowForwardShare = 2.0 / 3
 	// forwardLimit limits a call to the leader while the store is slow; the deadline of the caller is mostly shorter.
 	forwardLimit = 10 * time.Second
+	// storedCheckInterval is the interval of the checks whether a record was read whose append has no response. An append
+	// to a healthy store takes less.
+	storedCheckInterval = 20 * time.Millisecond
 	// repeatInterval is the pause before a record whose outcome is unknown is appended again.
 	repeatInterval = 200 * time.Millisecond
 	// maxRepeating limits the records whose appending is repeated, and with them the requests that wait for it.
@@ -43,14 +46,14 @@
 
 // storeAndApply stores a record and applies it to the local replica. If no append was sent or each was refused, also
 // for former submissions of the record, it returns at once with an error marked as not run. If the outcome is unknown,
-// it repeats the append until it succeeds, isStored reports that the record is in the log, or the context ends.
-func (i *Intake) storeAndApply(ctx context.Context, rec logs.Record, isStored func() bool) error {
+// it repeats the append until it succeeds, the record is read in the log, or the context ends.
+func (i *Intake) storeAndApply(ctx context.Context, rec logs.Record) error {
 	if limit := i.opts.MaxRecordBytes; limit > 0 && len(rec.Key)+len(rec.Value)+framingBytes > limit {
 		return fault.New(fault.CodeBadRequest, fault.NotRun, "the job is larger than a record of the store may be")
 	}
-	err := i.inDoubtError(rec, i.store(ctx, rec))
+	err := i.inDoubtError(rec, i.untilStored(ctx, rec, i.store))
 	if err != nil && !fault.IsErrNotRun(err) {
-		err = i.repeat(ctx, rec, isStored, err)
+		err = i.repeat(ctx, rec, err)
 	}
 	if err != nil {
 		return i.refuse(tick.Now(), rec, err)
@@ -60,6 +63,35 @@
 	return nil
 }
 
+// untilStored calls a function that stores a record. It cancels the call and succeeds as soon as the record is read in
+// the log, because the response to an append that has taken effect may be lost.
+func (i *Intake) untilStored(
+	ctx context.Context, rec logs.Record, store func(ctx context.Context, rec logs.Record) error,
+) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan struct{})
+	var result error
+	go func() {
+		result = store(ctx, rec)
+		close(ended)
+	}()
+	check := time.NewTicker(storedCheckInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-ended:
+			return result
+		case <-check.C:
+			if i.opts.Replica.HasSubmission(rec.Key) {
+				cancel()
+				<-ended
+				return nil
+			}
+		}
+	}
+}
+
 // inDoubtError returns the error of a record with the outcome of all its appends from this instance: it is unknown if
 // that of this append or of a former one is. It remembers the record then.
 func (i *Intake) inDoubtError(rec logs.Record, err error) error {
@@ -81,21 +113,21 @@
 
 // repeat appends a record again whose first append failed with an unknown outcome. No refusal of a later append shows
 // that the first one was not carried out or will not be, so that the outcome stays unknown until an append succeeds.
-func (i *Intake) repeat(ctx context.Context, rec logs.Record, isStored func() bool, err error) error {
+func (i *Intake) repeat(ctx context.Context, rec logs.Record, err error) error {
 	defer i.repeating.Add(-1)
 	if i.repeating.Add(1) > maxRepeating {
 		return err
 	}
 	for {
 		tick.Pause(ctx, repeatInterval)
-		if isStored() {
+		if i.opts.Replica.HasSubmission(rec.Key) {
 			return nil
 		}
 		if ctx.Err() != nil {
 			return err
 		}
 		i.opts.Meter.Count("intake_retried", nil, 1)
-		if i.store(ctx, rec) == nil || i.appendDespiteOutage(ctx, rec) == nil {
+		if i.untilStored(ctx, rec, i.store) == nil || i.untilStored(ctx, rec, i.appendDespiteOutage) == nil {
 			i.opts.Logger.Info().Str("key", rec.Key).Msg("intake-stored-by-retry")
 			return nil
 		}
--- a/internal/services/intake/intake.go
+++ b/internal/services/intake/intake.go
@@ -124,7 +124,7 @@
 
 // Accept records a job. An error marked as not run means that the job will never run.
 func (i *Intake) Accept(ctx context.Context, j *jobpb.Job) error {
-	if _, isKnown := i.opts.Replica.Job(j.Id); isKnown {
+	if i.opts.Replica.HasSubmission(book.JobKey(j.Id)) {
 		// The submission is a repeat of one that was stored.
 		return nil
 	}
@@ -132,19 +132,19 @@
 	if err != nil {
 		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode job")
 	}
-	return i.storeAndApply(ctx, logs.Record{Key: book.JobKey(j.Id), Value: v}, func() bool {
-		_, isKnown := i.opts.Replica.Job(j.Id)
-		return isKnown
-	})
+	return i.storeAndApply(ctx, logs.Record{Key: book.JobKey(j.Id), Value: v})
 }
 
 // Cancel records the cancellation of a job, whether or not the job is known to this instance.
 func (i *Intake) Cancel(ctx context.Context, id string) error {
+	if i.opts.Replica.HasSubmission(book.CancelKey(id)) {
+		return nil
+	}
 	v, err := proto.Marshal(&jobpb.Intake{Cancel: true})
 	if err != nil {
 		return fault.Wrap(err, fault.CodeInternal, fault.NotRun, "encode cancel")
 	}
-	return i.storeAndApply(ctx, logs.Record{Key: book.CancelKey(id), Value: v}, func() bool { return false })
+	return i.storeAndApply(ctx, logs.Record{Key: book.CancelKey(id), Value: v})
 }
 
 // leaderClient returns a client for the leader. It returns false if no leader is known, if this instance is the leader,
--- a/internal/services/intake/peer.go
+++ b/internal/services/intake/peer.go
@@ -51,7 +51,10 @@
 	if err := book.CheckSubmission(rec); err != nil {
 		return nil, twirp.WrapError(twirp.NewError(twirp.InvalidArgument, err.Error()), err)
 	}
-	if err := p.intake.inDoubtError(rec, p.intake.append(ctx, rec)); err != nil {
+	if p.intake.opts.Replica.HasSubmission(rec.Key) {
+		return &jobpb.RecordResponse{}, nil
+	}
+	if err := p.intake.inDoubtError(rec, p.intake.untilStored(ctx, rec, p.intake.append)); err != nil {
 		code := twirp.Unknown
 		if fault.IsErrNotRun(err) {
 			code = twirp.Unavailable
--- a/internal/services/replic/replic.go
+++ b/internal/services/replic/replic.go
@@ -304,6 +304,13 @@
 	return e.State(), true
 }
 
+// HasSubmission reports whether an intake record with the key is known to be stored.
+func (r *Replica) HasSubmission(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.HasSubmission(key)
+}
+
 // Waiting returns the number of jobs of a queue that have no recorded start.
 func (r *Replica) Waiting(queue string) int {
 	r.mu.Lock()
--- a/internal/state/book/book.go
+++ b/internal/state/book/book.go
@@ -247,6 +247,21 @@
 	return e, true
 }
 
+// HasSubmission reports whether an intake record with the key was applied: a job, or the cancellation of a job, which
+// need not be known.
+func (b *Book) HasSubmission(key string) bool {
+	if id, ok := strings.CutPrefix(key, prefixCancel); ok {
+		e, isKnown := b.entries[id]
+		return isKnown && e.Cancelled
+	}
+	id, ok := strings.CutPrefix(key, prefixJob)
+	if !ok {
+		return false
+	}
+	_, isKnown := b.Job(id)
+	return isKnown
+}
+
 // Jobs calls f for each accepted job, ordered by ID.
 func (b *Book) Jobs(f func(e *Entry)) {
 	for _, id := range slices.Sorted(maps.Keys(b.entries)) {
