Take the latency of group appends from the attempt that is answered

The latency of a group was counted from its first attempt. If the response to that was lost, each group was repeated later than the one before, although the store was fast.

TestLostResponsesDoNotDelayRetries, every other response lost: the third record took 0.7 s before; all are stored within 0.5 s now. The delay and the number of attempts are unchanged, and so are the appends at a slow store (TestSlowStoreGetsFewRetries: 50, 26, 14 and 10 in 10 s before and after).

--- a/internal/services/group/group.go
+++ b/internal/services/group/group.go
@@ -191,15 +191,23 @@
 	return err
 }
 
+// attemptResult is the outcome of one attempt to append a group. took is the latency of the attempt itself: a repeat
+// that is answered at once after a lost response does not show a slow store.
+type attemptResult struct {
+	err  error
+	took time.Duration
+}
+
 // append sends the records in up to maxAttempts parallel attempts, until one succeeds or all have failed.
 func (c *Committer) append(ctx context.Context, records []logs.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
 	defer cancel()
 	started := tick.Now()
-	results := make(chan error, maxAttempts)
+	results := make(chan attemptResult, maxAttempts)
 	attempt := func() {
+		sent := tick.Now()
 		_, err := c.opts.Log.Append(ctx, c.opts.Topic, c.opts.Part, records, logs.Condition{})
-		results <- err
+		results <- attemptResult{err, tick.Now().Sub(sent)}
 	}
 	go attempt()
 	attempts := 1
@@ -208,12 +216,12 @@
 	defer check.Stop()
 	for {
 		select {
-		case err := <-results:
-			if err == nil {
-				c.observeLatency(tick.Now().Sub(started))
+		case r := <-results:
+			if r.err == nil {
+				c.observeLatency(r.took)
 				return nil
 			}
-			if failed.record(err); failed.count == attempts {
+			if failed.record(r.err); failed.count == attempts {
 				return failed.err()
 			}
 		case <-check.C:
--- a/internal/services/group/group_test.go
+++ b/internal/services/group/group_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,14 +27,21 @@
 
 // run calls f in virtual time while a Committer serves.
 func run(t *testing.T, f func(t *testing.T, s setup)) {
+	t.Helper()
+	runWith(t, func(l logs.Log) logs.Log { return l }, f)
+}
+
+// runWith is like run with a Committer whose access to the log is wrapped.
+func runWith(t *testing.T, wrap func(l logs.Log) logs.Log, f func(t *testing.T, s setup)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		defer tick.SetSource(func() tick.Time { return tick.Time(time.Now().UnixNano()) })()
 		s := setup{log: memlog.New(rand.New(rand.NewPCG(3, 4)))}
 		s.view = s.log.View()
 		s.committer = group.New(group.Options{
-			Log: s.view, Topic: logs.Intake, LastStoreResponseAt: s.view.LastResponseAt, ReportSilence: func(tick.Time) {},
-			HasOtherPath: func() bool { return false },
+			Log: wrap(s.view), Topic: logs.Intake, LastStoreResponseAt: s.view.LastResponseAt,
+			ReportSilence: func(tick.Time) {},
+			HasOtherPath:  func() bool { return false },
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
@@ -102,6 +111,97 @@
 	})
 }
 
+// outcome is how the records of many callers ended: the median and the 90th percentile of the durations, in which
+// failed ones count as well.
+type outcome struct {
+	median, p90 time.Duration
+	failed      int
+}
+
+// submitMany submits records at equal intervals.
+func (s setup) submitMany(t *testing.T, records int, interval time.Duration) outcome {
+	t.Helper()
+	type result struct {
+		took time.Duration
+		err  error
+	}
+	results := make(chan result, records)
+	for i := range records {
+		go func() {
+			began := time.Now()
+			err := s.submit(t, i)
+			results <- result{time.Since(began), err}
+		}()
+		time.Sleep(interval)
+	}
+	var out outcome
+	var took []time.Duration
+	for range records {
+		r := <-results
+		took = append(took, r.took)
+		if r.err != nil {
+			out.failed++
+		}
+	}
+	slices.Sort(took)
+	out.median, out.p90 = took[records/2], took[records*9/10]
+	return out
+}
+
+// alternatingLog loses the response to every other append, beginning with the first one.
+type alternatingLog struct {
+	logs.Log
+	appends atomic.Int64
+}
+
+func (l *alternatingLog) Append(
+	ctx context.Context, t logs.Topic, p logs.Part, records []logs.Record, c logs.Condition,
+) (logs.Offset, error) {
+	isLost := l.appends.Add(1)%2 == 1
+	offset, err := l.Log.Append(ctx, t, p, records, c)
+	if isLost {
+		<-ctx.Done()
+		return 0, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "the answer was lost")
+	}
+	return offset, err
+}
+
+// TestLostResponsesDoNotDelayRetries guards against lost responses that count as a slow store: the latency of a
+// repeated append was taken from its first attempt, so that each group was repeated later than the one before.
+func TestLostResponsesDoNotDelayRetries(t *testing.T) {
+	const records, maxWait = 20, 500 * time.Millisecond
+	runWith(t, func(l logs.Log) logs.Log { return &alternatingLog{Log: l} }, func(t *testing.T, s setup) {
+		for i := range records {
+			began := time.Now()
+			err := s.submit(t, i)
+			took := time.Since(began)
+			assert.Assert(t, err == nil && took <= maxWait, "record %d: %v after %v", i, err, took)
+		}
+	})
+}
+
+// TestSlowStoreGetsFewRetries guards against repeated appends that make a slow store slower.
+func TestSlowStoreGetsFewRetries(t *testing.T) {
+	for _, c := range []struct {
+		appendTime time.Duration
+		maxAppends int
+	}{
+		{200 * time.Millisecond, 52},
+		{400 * time.Millisecond, 28},
+		{800 * time.Millisecond, 16},
+		{1200 * time.Millisecond, 12},
+	} {
+		t.Run(c.appendTime.String(), func(t *testing.T) {
+			run(t, func(t *testing.T, s setup) {
+				s.view.SetFaults(memlog.Faults{AppendTime: c.appendTime})
+				out := s.submitMany(t, 400, 25*time.Millisecond)
+				t.Logf("%+v, %d appends", out, s.log.Appends())
+				assert.Assert(t, s.log.Appends() <= c.maxAppends, "%d appends", s.log.Appends())
+			})
+		})
+	}
+}
+
 func TestUnresponsiveStoreTimesOut(t *testing.T) {
 	run(t, func(t *testing.T, s setup) {
 		s.view.SetFaults(memlog.Faults{Unresponsive: true})
