End a group commit once its records are read in the log

Groups are appended one at a time, so that the records behind a group whose append had taken effect without a response waited for it, up to 2.6 s. A group now ends when all of its records were read, before its append is repeated.

TestGroupWaitsForEachOfItsRecords guards the condition; it fails if one record of the group suffices.

--- a/internal/services/group/group.go
+++ b/internal/services/group/group.go
@@ -58,6 +58,9 @@
 	// HasOtherPath reports whether the callers can have their records appended by another instance. Then an append without
 	// a response is sent again much later, because repeats from many instances keep a slow store busy.
 	HasOtherPath func() bool
+	// IsStored reports whether the record with a key was read in the log. A group whose records were all read ends without
+	// a response to its append. nil means that this is never known.
+	IsStored func(key string) bool
 	// Spread is in [0, 1) and differs between instances; see slow.New.
 	Spread float64
 	// MaxBytes is the total size of the values after which no further record is added to a group; 0 means 1 MiB.
@@ -225,6 +228,9 @@
 				return failed.err()
 			}
 		case <-check.C:
+			if c.areStored(records) {
+				return nil
+			}
 			waited := tick.Now().Sub(started)
 			if waited > noResponseTimeout && c.opts.LastStoreResponseAt().Before(started) {
 				c.opts.ReportSilence(started)
@@ -238,6 +244,19 @@
 	}
 }
 
+// areStored reports whether all records of a group were read in the log.
+func (c *Committer) areStored(records []logs.Record) bool {
+	if c.opts.IsStored == nil {
+		return false
+	}
+	for _, r := range records {
+		if !c.opts.IsStored(r.Key) {
+			return false
+		}
+	}
+	return true
+}
+
 // failures collects the failed attempts of one group.
 type failures struct {
 	count int
--- a/internal/services/group/group_test.go
+++ b/internal/services/group/group_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -28,21 +29,23 @@
 // run calls f in virtual time while a Committer serves.
 func run(t *testing.T, f func(t *testing.T, s setup)) {
 	t.Helper()
-	runWith(t, func(l logs.Log) logs.Log { return l }, f)
+	runWith(t, func(*group.Options) {}, f)
 }
 
-// runWith is like run with a Committer whose access to the log is wrapped.
-func runWith(t *testing.T, wrap func(l logs.Log) logs.Log, f func(t *testing.T, s setup)) {
+// runWith is like run with a Committer whose options are edited.
+func runWith(t *testing.T, edit func(o *group.Options), f func(t *testing.T, s setup)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		defer tick.SetSource(func() tick.Time { return tick.Time(time.Now().UnixNano()) })()
 		s := setup{log: memlog.New(rand.New(rand.NewPCG(3, 4)))}
 		s.view = s.log.View()
-		s.committer = group.New(group.Options{
-			Log: wrap(s.view), Topic: logs.Intake, LastStoreResponseAt: s.view.LastResponseAt,
+		o := group.Options{
+			Log: s.view, Topic: logs.Intake, LastStoreResponseAt: s.view.LastResponseAt,
 			ReportSilence: func(tick.Time) {},
 			HasOtherPath:  func() bool { return false },
-		})
+		}
+		edit(&o)
+		s.committer = group.New(o)
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan struct{})
 		go func() {
@@ -170,7 +173,7 @@
 // repeated append was taken from its first attempt, so that each group was repeated later than the one before.
 func TestLostResponsesDoNotDelayRetries(t *testing.T) {
 	const records, maxWait = 20, 500 * time.Millisecond
-	runWith(t, func(l logs.Log) logs.Log { return &alternatingLog{Log: l} }, func(t *testing.T, s setup) {
+	runWith(t, func(o *group.Options) { o.Log = &alternatingLog{Log: o.Log} }, func(t *testing.T, s setup) {
 		for i := range records {
 			began := time.Now()
 			err := s.submit(t, i)
@@ -180,6 +183,71 @@
 	})
 }
 
+// unansweredLog loses the responses to all appends, and knows the keys that are stored.
+type unansweredLog struct {
+	logs.Log
+	stored  sync.Map
+	appends atomic.Int64
+}
+
+func (l *unansweredLog) Append(
+	ctx context.Context, t logs.Topic, p logs.Part, records []logs.Record, c logs.Condition,
+) (logs.Offset, error) {
+	l.appends.Add(1)
+	if _, err := l.Log.Append(ctx, t, p, records, c); err != nil {
+		return 0, err
+	}
+	for _, r := range records {
+		l.stored.Store(r.Key, true)
+	}
+	<-ctx.Done()
+	return 0, fault.New(fault.CodeUnknownOutcome, fault.Unknown, "the answer was lost")
+}
+
+func (l *unansweredLog) has(key string) bool {
+	_, ok := l.stored.Load(key)
+	return ok
+}
+
+// TestGroupEndsOnceItsRecordsAreRead guards against records that wait for a group whose append has taken effect without
+// a response, and against its repeats.
+func TestGroupEndsOnceItsRecordsAreRead(t *testing.T) {
+	const records, maxWait = 10, 250 * time.Millisecond
+	l := &unansweredLog{}
+	edit := func(o *group.Options) {
+		l.Log = o.Log
+		o.Log, o.IsStored = l, l.has
+	}
+	runWith(t, edit, func(t *testing.T, s setup) {
+		for i := range records {
+			began := time.Now()
+			err := s.submit(t, i)
+			took := time.Since(began)
+			assert.Assert(t, err == nil && took <= maxWait, "record %d: %v after %v", i, err, took)
+		}
+		assert.Equal(t, l.appends.Load(), int64(records))
+	})
+}
+
+// TestGroupWaitsForEachOfItsRecords guards against an acknowledgement of a record that is not stored, because another
+// one of its group is.
+func TestGroupWaitsForEachOfItsRecords(t *testing.T) {
+	edit := func(o *group.Options) { o.IsStored = func(key string) bool { return key == "j/0" } }
+	runWith(t, edit, func(t *testing.T, s setup) {
+		s.view.SetFaults(memlog.Faults{Unresponsive: true})
+		results := make(chan error, 3)
+		// The first group holds record 2 alone, the second one the others.
+		for _, i := range []int{2, 0, 1} {
+			go func() { results <- s.submit(t, i) }()
+			synctest.Wait()
+		}
+		for range cap(results) {
+			err := <-results
+			assert.Assert(t, err != nil, "a record is acknowledged that is not stored")
+		}
+	})
+}
+
 // TestSlowStoreGetsFewRetries guards against repeated appends that make a slow store slower.
 func TestSlowStoreGetsFewRetries(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/services/leader/lost_record_test.go
+++ b/internal/services/leader/lost_record_test.go
@@ -50,6 +50,38 @@
 	}
 }
 
+// TestRecordsBehindLostAnswersAreAcknowledged guards against records that wait behind a group whose append has taken
+// effect without a response.
+func TestRecordsBehindLostAnswersAreAcknowledged(t *testing.T) {
+	const jobs, loss, maxWait = 200, 0.6, time.Second
+	for _, on := range []string{"leader", "other"} {
+		t.Run(on, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, n := newSystemWithLeader(t)
+				if on == "other" {
+					n = s.others(n)[0]
+				}
+				s.setFaults(memlog.Faults{LoseAnswers: loss})
+				results := make(chan time.Duration, jobs)
+				for id := range jobs {
+					go func() {
+						began := time.Now()
+						assert.Check(t, s.submit(n, id) == nil)
+						results <- time.Since(began)
+					}()
+					time.Sleep(slowInterval)
+				}
+				var longest time.Duration
+				for range jobs {
+					longest = max(longest, <-results)
+				}
+				t.Logf("longest %v", longest)
+				assert.Assert(t, longest <= maxWait, "acknowledged after %v", longest)
+			})
+		})
+	}
+}
+
 // TestForwardedRecordWithoutAnswerIsAcknowledged guards against a leader that waits for the response to the append of a
 // forwarded record, which it has read in the log. The instance that forwards it is cut off from the store.
 func TestForwardedRecordWithoutAnswerIsAcknowledged(t *testing.T) {
--- a/internal/services/leader/system_test.go
+++ b/internal/services/leader/system_test.go
@@ -161,6 +161,7 @@
 	})
 	committer := group.New(group.Options{
 		Log: log, Topic: logs.Intake, LastStoreResponseAt: log.Circuit().LastResponseAt, ReportSilence: log.ReportSilence,
+		IsStored:     replica.HasSubmission,
 		HasOtherPath: func() bool { return n.intake.CanForward() }, Spread: float64(len(s.instances)%10) / 10,
 	})
 	n.intake = intake.New(intake.Options{
