Wait for the attempts of a group commit to end

An append that was cancelled after the end of its group outlived it. With the race detector, TestLostResponseIsRetried and TestSlowStoreGetsFewRetries failed since the attempts read the clock; they pass now.

--- a/internal/services/group/group.go
+++ b/internal/services/group/group.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -204,6 +205,8 @@
 // append sends the records in up to maxAttempts parallel attempts, until one succeeds or all have failed.
 func (c *Committer) append(ctx context.Context, records []logs.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	defer cancel()
 	started := tick.Now()
 	results := make(chan attemptResult, maxAttempts)
@@ -212,7 +215,7 @@
 		_, err := c.opts.Log.Append(ctx, c.opts.Topic, c.opts.Part, records, logs.Condition{})
 		results <- attemptResult{err, tick.Now().Sub(sent)}
 	}
-	go attempt()
+	wg.Go(attempt)
 	attempts := 1
 	failed := failures{ran: fault.NotRun}
 	check := time.NewTicker(checkInterval)
@@ -238,7 +241,7 @@
 			}
 			if attempts < maxAttempts && waited > c.retryDelay()*time.Duration(attempts) {
 				attempts++
-				go attempt()
+				wg.Go(attempt)
 			}
 		}
 	}
