--- a/internal/services/group/group.go
+++ b/internal/services/group/group.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -58,6 +59,9 @@
 	// HasOtherPath reports whether the callers can have their records appended by another instance. Then an append without
 	// a response is sent again much later, because repeats from many instances keep a slow store busy.
 	HasOtherPath func() bool
+	// IsStored reports whether the record with a key was read in the log. A group whose records were all read ends without
+	// a response to its append. nil means that this is never known.
+	IsStored func(key string) bool
 	// Spread is in [0, 1) and differs between instances; see slow.New.
 	Spread float64
 	// MaxBytes is the total size of the values after which no further record is added to a group; 0 means 1 MiB.
@@ -191,32 +195,45 @@
 	return err
 }
 
+// attemptResult is the outcome of one attempt to append a group. took is the latency of the attempt itself: a repeat
+// that is answered at once after a lost response does not show a slow store.
+type attemptResult struct {
+	err  error
+	took time.Duration
+}
+
 // append sends the records in up to maxAttempts parallel attempts, until one succeeds or all have failed.
 func (c *Committer) append(ctx context.Context, records []logs.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	defer cancel()
 	started := tick.Now()
-	results := make(chan error, maxAttempts)
+	results := make(chan attemptResult, maxAttempts)
 	attempt := func() {
+		sent := tick.Now()
 		_, err := c.opts.Log.Append(ctx, c.opts.Topic, c.opts.Part, records, logs.Condition{})
-		results <- err
+		results <- attemptResult{err, tick.Now().Sub(sent)}
 	}
-	go attempt()
+	wg.Go(attempt)
 	attempts := 1
 	failed := failures{ran: fault.NotRun}
 	check := time.NewTicker(checkInterval)
 	defer check.Stop()
 	for {
 		select {
-		case err := <-results:
-			if err == nil {
-				c.observeLatency(tick.Now().Sub(started))
+		case r := <-results:
+			if r.err == nil {
+				c.observeLatency(r.took)
 				return nil
 			}
-			if failed.record(err); failed.count == attempts {
+			if failed.record(r.err); failed.count == attempts {
 				return failed.err()
 			}
 		case <-check.C:
+			if c.areStored(records) {
+				return nil
+			}
 			waited := tick.Now().Sub(started)
 			if waited > noResponseTimeout && c.opts.LastStoreResponseAt().Before(started) {
 				c.opts.ReportSilence(started)
@@ -224,12 +241,25 @@
 			}
 			if attempts < maxAttempts && waited > c.retryDelay()*time.Duration(attempts) {
 				attempts++
-				go attempt()
+				wg.Go(attempt)
 			}
 		}
 	}
 }
 
+// areStored reports whether all records of a group were read in the log.
+func (c *Committer) areStored(records []logs.Record) bool {
+	if c.opts.IsStored == nil {
+		return false
+	}
+	for _, r := range records {
+		if !c.opts.IsStored(r.Key) {
+			return false
+		}
+	}
+	return true
+}
+
 // failures collects the failed attempts of one group.
 type failures struct {
 	count int
