--- a/internal/services/leader/commits.go
+++ b/internal/services/leader/commits.go
@@ -150,11 +150,7 @@
 // number, so an append whose response is overdue is repeated while it is pending: the response alone may be lost. It
 // returns an error if the log rejects the append, or if an attempt fails while no other is pending.
 func (t *term) append(ctx context.Context, records []logs.Record) error {
-	condition := logs.Condition{Producer: producer, Epoch: t.epoch, Sequence: t.sequence}
-	a := newAttempts(ctx, func(ctx context.Context) error {
-		_, err := t.opts.Log.Append(ctx, logs.Progress, t.opts.Part, records, condition)
-		return err
-	})
+	a := newAttempts(ctx, func(ctx context.Context) error { return t.appendOnce(ctx, records) })
 	defer a.end()
 	a.send()
 	delays := t.repeats.begin(t.appendTimeout.Timeout())
@@ -182,6 +178,14 @@
 	}
 }
 
+// appendOnce makes one attempt of an append. The sequence number does not change while attempts are pending.
+func (t *term) appendOnce(ctx context.Context, records []logs.Record) error {
+	_, err := t.opts.Log.Append(ctx, logs.Progress, t.opts.Part, records, logs.Condition{
+		Producer: producer, Epoch: t.epoch, Sequence: t.sequence,
+	})
+	return err
+}
+
 // handleAppendError corrects a sequence number that is too low.
 func (t *term) handleAppendError(err error) error {
 	var sequence *logs.SequenceError
--- a/internal/services/leader/takeover.go
+++ b/internal/services/leader/takeover.go
@@ -11,9 +11,9 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// minFenceTimeout is the timeout of the first append that fences former leaders. It doubles with each one that fails,
-// as the store may be slow.
-const minFenceTimeout = 200 * time.Millisecond
+// fenceRepeatInterval is the time without a response after which an append that fences former leaders is repeated. It
+// has no effect but that of the first, so the repeats need not wait for each other.
+const fenceRepeatInterval = 150 * time.Millisecond
 
 // takeOver fences former leaders and builds the cell from the log.
 func (t *term) takeOver(ctx context.Context, et elect.Term) error {
@@ -68,15 +68,28 @@
 
 // fence makes the log reject the records of former leaders, by an append of no records with the new epoch.
 func (t *term) fence(ctx context.Context) error {
-	for timeout := minFenceTimeout; ctx.Err() == nil; timeout = min(2*timeout, callTimeout) {
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
-		err := t.append(callCtx, nil)
-		cancel()
-		if err == nil || isFencedError(err) {
-			return err
+	a := newAttempts(ctx, func(ctx context.Context) error { return t.appendOnce(ctx, nil) })
+	defer a.end()
+	repeat := time.NewTicker(fenceRepeatInterval)
+	defer repeat.Stop()
+	a.send()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case r := <-a.results:
+			a.pending--
+			if r.err == nil {
+				t.appendTimeout.Observe(r.took)
+			}
+			if r.err == nil || isFencedError(r.err) {
+				return r.err
+			}
+			t.opts.Logger.Warn().Err(r.err).Msg("fence-append-failed")
+		case <-repeat.C:
+			if a.pending < maxPendingAttempts {
+				a.send()
+			}
 		}
-		t.opts.Logger.Warn().Err(err).Msg("fence-append-failed")
-		tick.Pause(ctx, retryDelay)
 	}
-	return ctx.Err()
 }
