--- a/internal/state/cell/model_test.go
+++ b/internal/state/cell/model_test.go
@@ -159,3 +159,11 @@
 	}
 	assert.Assert(t, moves > *modelSeeds/2, "only %d moves", moves)
 }
+
+// TestMovesOfEvacuationKeepMayMiss runs a schedule in which an evacuation moves a second task of a long-running step
+// while another one is away.
+func TestMovesOfEvacuationKeepMayMiss(t *testing.T) {
+	const seed = 989
+	sim := runScheduleWith(seed, func(sim *simulation, length time.Duration) { sim.addEvacuations(seed, length) })
+	assert.Assert(t, len(sim.violations) == 0, strings.Join(sim.violations, "\n"))
+}
