--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -77,19 +77,14 @@
 }
 
 // The classes of lateness. Long-running tasks come after tasks that release their resources soon, but before jobs whose
-// completion no longer has any value. Once they have waited for longRunningPatience they come first: on a full fleet,
-// short tasks would otherwise take every place that becomes free.
+// completion no longer has any value.
 const (
-	overdueLongRunning = iota
-	onTime
+	onTime = iota
 	late
 	longRunning
 	tooLate
 )
 
-// longRunningPatience is half of the time for which a due task may have no run.
-const longRunningPatience = 1500 * time.Millisecond
-
 // tooLateFactor is the multiple of a job's latency target after which its completion no longer has any value.
 const tooLateFactor = 3
 
@@ -100,10 +95,8 @@
 	latencyTarget := c.latencyTargetOf(j)
 	left := time.Duration(float64(j.remainingCriticalPath()) * ratio)
 	slack := j.acceptedAt.Add(latencyTarget).Sub(now) - left
-	u := urgency{priority: j.queue.Priority, lateness: onTime, remaining: left}
+	u := urgency{priority: j.queue.Priority, remaining: left}
 	switch {
-	case j.hasOverdueLongRunning(now):
-		u.lateness = overdueLongRunning
 	case j.isLongRunning():
 		u.lateness = longRunning
 	case j.pb.RepeatCount > 0:
@@ -144,18 +137,6 @@
 	return false
 }
 
-// hasOverdueLongRunning reports whether long-running tasks of the job have waited for longRunningPatience.
-func (j *job) hasOverdueLongRunning(now tick.Time) bool {
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if s.pb.LongRunning && s.waitingSince != 0 && now.Sub(s.waitingSince) >= longRunningPatience {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // remainingCriticalPath estimates the duration of the longest chain of unfinished steps in the oldest unfinished
 // occurrence.
 func (j *job) remainingCriticalPath() time.Duration {
@@ -210,12 +191,8 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if s.waiting == 0 || !s.isReady() {
-				s.waitingSince = 0
 				continue
 			}
-			if s.waitingSince == 0 {
-				s.waitingSince = now
-			}
 			if s.readyAt == 0 {
 				s.readyAt = now
 			}
--- a/internal/state/cell/task.go
+++ b/internal/state/cell/task.go
@@ -24,8 +24,6 @@
 	gangFailures []uint64
 	// readyAt is when a plan first found the step ready; 0 before.
 	readyAt tick.Time
-	// waitingSince is since when plans have found tasks of the ready step without a run; 0 if there is none.
-	waitingSince tick.Time
 	// waitsSince is since when Diagnose has seen a due task of the step without a run; 0 if there is none.
 	// waitReportedAt is when it last reported the cause.
 	waitsSince, waitReportedAt tick.Time
