Log how long starts take by queue and stage, and how the plan loop spends its time

Change: start-delays (by queue: placing, recording, ordering), plan-times, placed-cores in cell-usage, the histogram queue_wait_seconds. The reports move from leader.go to usage.go.

--- a/internal/services/leader/firstwait_test.go
+++ b/internal/services/leader/firstwait_test.go
@@ -13,7 +13,7 @@
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 )
 
-// TestWaitsAreReportedBySize guards against starts that the histogram of waits by size does not count.
+// TestWaitsAreReportedBySize guards against starts that the histograms of waits by size and by queue do not count.
 func TestWaitsAreReportedBySize(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
@@ -28,6 +28,7 @@
 		for _, line := range []string{
 			`ibischute_task_wait_seconds_count{kind="short",size="gang"} 2`,
 			`ibischute_task_wait_seconds_count{kind="short",size="small"} 1`,
+			`ibischute_queue_wait_seconds_count{queue="q"} 3`,
 		} {
 			assert.Assert(t, strings.Contains(w.Body.String(), line), "%s is missing in:\n%s", line, waitLines(w.Body.String()))
 		}
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -25,6 +25,7 @@
 	"github.com/ibischute/ibischute/internal/state/aimd"
 	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/internal/state/cell"
+	"github.com/ibischute/ibischute/internal/state/delay"
 	"github.com/ibischute/ibischute/internal/state/fresh"
 	"github.com/ibischute/ibischute/internal/state/rtrip"
 	"github.com/ibischute/ibischute/pkg/fault"
@@ -99,7 +100,7 @@
 }
 
 // term is the state of one term. Its mutex guards cell, evacuated, evacuationGate, holdSenders, startWindow,
-// startResponses, querying and storingSince.
+// startResponses, startDelays, planTimes, querying and storingSince.
 type term struct {
 	*Leader
 	epoch uint64
@@ -128,6 +129,9 @@
 	appendTimeout *rtrip.Estimator
 	// repeats has the same users.
 	repeats repeats
+	// startDelays and planTimes have what discoverLoop reports about starts and plans.
+	startDelays *delay.Sums
+	planTimes   planTimes
 	// querying has the executors that a query is sent to.
 	querying map[string]bool
 	wg       sync.WaitGroup
@@ -149,7 +153,7 @@
 		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts, slowOrder),
 		startResponses: rtrip.New(minOverdue, orderTimeout), querying: map[string]bool{},
 		appendTimeout:  rtrip.New(minAppendTimeout, callTimeout),
-		evacuationGate: fresh.New(maxEvacuationsAge, l.opts.EvacuateWithin),
+		evacuationGate: fresh.New(maxEvacuationsAge, l.opts.EvacuateWithin), startDelays: delay.New(),
 	}
 	if err := tm.takeOver(ctx, t); err != nil {
 		return err
@@ -301,69 +305,17 @@
 			t.cell.SaveModel()
 		}
 		ids := t.cell.Executors()
+		delays, times := t.startDelays.Take(), t.planTimes
+		t.planTimes = planTimes{}
 		t.mu.Unlock()
 		t.startHoldSenders(ctx, ids)
 		t.logUsage(usage)
 		t.logEvacuations(evacuations)
 		t.logStartWindow(window, pending)
+		t.logStartDelays(delays)
+		t.logPlanTimes(times)
 		t.wakePlan()
 		t.wakeCommit()
 		tick.Pause(ctx, discoveryInterval)
 	}
 }
-
-// logUsage reports the usage in the log and in the metrics. Their names differ from the fields: lasting means
-// long-running, filling best-effort, serving latency-critical, and slowed throttled.
-func (t *term) logUsage(u cell.Usage) {
-	t.setUsageGauges(u)
-	t.opts.Logger.Info().Uint64("epoch", t.epoch).Int("jobs", u.Jobs).Int64("cores", u.Cores).
-		Int64("used-cores", u.UsedCores).Int64("lasting-cores", u.LongRunningCores).Int64("filling-cores", u.BestEffortCores).
-		Int("waiting-short", u.WaitingShort).Int("waiting-lasting", u.WaitingLongRunning).
-		Int("waiting-filling", u.WaitingBestEffort).Int("serving", u.LatencyCritical).Int("over-target", u.OverTarget).
-		Int("filling", u.BestEffort).Int("slowed", u.Throttled).Int("awaited-executors", u.AwaitedExecutors).
-		Int("slow-executors", u.SlowExecutors).Int("crashing-tasks", u.CrashingTasks).
-		Int("placed", u.Placed).Int("over-capacity-executors", u.OverCapacity).
-		Int("delayed", countDelayed(u)).
-		Msg("cell-usage")
-}
-
-// logStartWindow reports the limit of the start orders in flight and their number. It logs them only if the limit is
-// below its highest value.
-func (t *term) logStartWindow(limit, inFlight int) {
-	t.opts.Meter.Gauge("start_window_limit", nil, float64(limit))
-	t.opts.Meter.Gauge("start_window_in_flight", nil, float64(inFlight))
-	if limit < maxStarts {
-		t.opts.Logger.Info().Uint64("epoch", t.epoch).Int("limit", limit).Int("in-flight", inFlight).Msg("start-window")
-	}
-}
-
-// countDelayed returns the number of delayed steps and runs of all causes.
-func countDelayed(u cell.Usage) int {
-	n := 0
-	for _, k := range u.Delayed {
-		n += k
-	}
-	return n
-}
-
-func (t *term) setUsageGauges(u cell.Usage) {
-	for _, cause := range cell.WaitCauses() {
-		t.opts.Meter.Gauge("cell_delayed", map[string]string{"cause": string(cause)}, float64(u.Delayed[cause]))
-	}
-	for _, d := range u.Durations {
-		t.opts.Meter.Gauge("duration_ratio", map[string]string{"queue": d.Queue, "quantile": "median"}, d.Median)
-		t.opts.Meter.Gauge("duration_ratio", map[string]string{"queue": d.Queue, "quantile": "high"}, d.High)
-	}
-	for name, v := range map[string]int64{
-		"jobs": int64(u.Jobs), "cores": u.Cores, "cores_used": u.UsedCores, "cores_lasting": u.LongRunningCores,
-		"cores_filling": u.BestEffortCores, "waiting_short": int64(u.WaitingShort),
-		"waiting_lasting": int64(u.WaitingLongRunning), "waiting_filling": int64(u.WaitingBestEffort),
-		"serving": int64(u.LatencyCritical), "over_target": int64(u.OverTarget),
-		"placed": int64(u.Placed), "filling": int64(u.BestEffort), "slowed": int64(u.Throttled),
-		"awaited_executors": int64(u.AwaitedExecutors), "slow_executors": int64(u.SlowExecutors),
-		"crashing_tasks":          int64(u.CrashingTasks),
-		"over_capacity_executors": int64(u.OverCapacity),
-	} {
-		t.opts.Meter.Gauge("cell_"+name, nil, float64(v))
-	}
-}
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -39,7 +39,9 @@
 		if t.opts.HoldsLease(started) {
 			t.plan(ctx)
 		}
-		tick.Pause(ctx, planPause(tick.Now().Sub(started)))
+		pause := planPause(tick.Now().Sub(started))
+		t.notePlanPause(pause)
+		tick.Pause(ctx, pause)
 		timer.Reset(maxPlanWait)
 	}
 }
@@ -50,7 +52,14 @@
 	return min(maxPlanPause, max(minPlanPause, planPauseFactor*took))
 }
 
+func (t *term) notePlanPause(pause time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.planTimes.pausing += pause
+}
+
 func (t *term) plan(ctx context.Context) {
+	called := tick.Now()
 	t.mu.Lock()
 	now := tick.Now()
 	t.applyEvacuations(now)
@@ -66,6 +75,8 @@
 	isFenced := t.cell.IsFenced()
 	hasChanges := t.cell.HasChanges()
 	hasUnrecordedRuns := t.cell.HasUnrecordedRuns()
+	t.planTimes.add(now.Sub(called), tick.Now().Sub(now))
+	t.countStarts(events)
 	t.mu.Unlock()
 	t.logEvents(events)
 	if isFenced {
@@ -120,6 +131,7 @@
 		if w := e.FirstWait; w != nil {
 			labels := map[string]string{"kind": string(w.Kind), "size": string(w.Size)}
 			t.opts.Meter.Observe("task_wait_seconds", labels, w.Duration)
+			t.opts.Meter.Observe("queue_wait_seconds", map[string]string{"queue": string(e.Queue)}, w.Duration)
 		}
 		l := t.opts.Logger.Info().Uint64("epoch", t.epoch)
 		if e.Task.Job != "" {
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -28,6 +28,7 @@
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/delay"
 	"github.com/ibischute/ibischute/internal/state/interf"
 	"github.com/ibischute/ibischute/internal/state/quant"
 	"github.com/ibischute/ibischute/internal/state/ramp"
@@ -129,6 +130,9 @@
 	Detail   string
 	// FirstWait is set for the first start of a task by this leader.
 	FirstWait *FirstWait
+	// Queue and Stages are set with FirstWait: the queue of the task and the parts of the wait.
+	Queue  queue.Name
+	Stages delay.Stages
 }
 
 // maxEvents bounds the events between two calls of Events.
--- a/internal/state/cell/firstwait.go
+++ b/internal/state/cell/firstwait.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/ibischute/ibischute/internal/state/delay"
+	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
@@ -41,14 +43,24 @@
 )
 
 // startEvent returns the event of a start that is made now.
-func startEvent(now tick.Time, t *task, x *executor, number uint64) Event {
-	e := Event{Name: "start", Task: t.id, Run: number, Executor: x.entry.ID}
+func startEvent(now tick.Time, r *run) Event {
+	t, x := r.task, r.exec
+	e := Event{Name: "start", Task: t.id, Run: r.id.Number, Executor: x.entry.ID}
 	if t.startCount == 1 && t.step.readyAt != 0 {
 		e.FirstWait = &FirstWait{Duration: now.Sub(t.step.readyAt), Kind: t.step.kind(), Size: t.step.sizeOn(x)}
+		e.Queue = queue.Name(t.step.job.pb.Queue)
+		e.Stages = r.stages(now)
 	}
 	return e
 }
 
+// stages returns the stages of a first start that is made now.
+func (r *run) stages(now tick.Time) delay.Stages {
+	return delay.Stages{
+		Placing: r.createdAt.Sub(r.task.step.readyAt), Recording: r.recordedAt.Sub(r.createdAt), Ordering: now.Sub(r.recordedAt),
+	}
+}
+
 func (s *step) kind() TaskKind {
 	switch {
 	case s.pb.Fills:
--- a/internal/state/cell/placed.go
+++ b/internal/state/cell/placed.go
@@ -40,6 +40,7 @@
 	c.placements.placed = append(c.placements.placed, r)
 	// The record of a task with losses also names the run.
 	r.isRecorded = t.recordedOn == x.hash && t.batchedOn == x.hash && t.crashes.IsEmpty()
+	r.recordedAt = now
 	if !r.isRecorded {
 		c.dirty[j.id] = j
 	}
@@ -214,7 +215,7 @@
 		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
 	}
 	c.speed.Begin(now, x.entry.ID, r.id)
-	c.emit(startEvent(now, t, x, r.id.Number))
+	c.emit(startEvent(now, r))
 	return Order{Target: x.target(), Start: &orders.Start{
 		Run: r.id, Spec: t.step.job.pb.Spec, Checkpoint: t.checkpoint, DeadlineMS: c.extendLease(now, x), Epoch: c.epoch,
 		Ticket: t.step.ticketFor(x),
@@ -328,13 +329,15 @@
 }
 
 // commitPlacements applies that the batch is stored to the placement of tasks.
-func (c *Cell) commitPlacements(b *Batch) {
+func (c *Cell) commitPlacements(now tick.Time, b *Batch) {
 	c.placements.isTermStored = c.placements.isTermStored || b.hasTerm
 	for j := range b.states {
 		j.forEachTask(func(t *task) { t.recordedOn = t.batchedOn })
 	}
 	for _, r := range b.placed {
-		r.isRecorded = true
+		if !r.isRecorded {
+			r.isRecorded, r.recordedAt = true, now
+		}
 	}
 }
 
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -175,7 +175,7 @@
 
 // Commit records that the batch is stored.
 func (c *Cell) Commit(now tick.Time, b *Batch) {
-	c.commitPlacements(b)
+	c.commitPlacements(now, b)
 	for j, s := range b.states {
 		j.startRecord = startRecorded
 		if book.IsFinal(s) {
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -29,7 +29,9 @@
 	// isPlaced is true from the choice of the executor until the order to start the run is made. isBatched is true once a
 	// batch names the executor, isRecorded once a stored record does. idleSince is that of the job before the placement.
 	isPlaced, isBatched, isRecorded bool
-	idleSince                       tick.Time
+	// recordedAt is when a stored record first named the executor, or when the run was placed if one did already.
+	recordedAt tick.Time
+	idleSince  tick.Time
 	// createdAt is when the run was placed or adopted.
 	createdAt tick.Time
 	// confirmedAt is when the executor confirmed that it has the run; 0 before.
--- a/internal/state/cell/usage.go
+++ b/internal/state/cell/usage.go
@@ -18,8 +18,9 @@
 	// BestEffort counts the best-effort runs, Throttled those of them below their full pace.
 	BestEffort, Throttled int
 	// Placed counts the tasks whose executor is chosen and whose start order is not made yet. Their cores are used, but
-	// they are in no other figure.
-	Placed int
+	// they are in no other figure. PlacedCores are the cores of those that are not best-effort.
+	Placed      int
+	PlacedCores int64
 	// Jobs is the number of jobs that have not ended.
 	Jobs int
 	// AwaitedExecutors counts the executors that have not responded to this leader and may run tasks of a former one.
@@ -65,6 +66,7 @@
 		for _, r := range x.runs {
 			if r.isPlaced {
 				u.Placed++
+				u.PlacedCores += r.resources.milliCPU / milliCPUPerCore
 				continue
 			}
 			u.countRun(r)
