Show short jobs that starve on a nearly full fleet

A third of the large deployment in virtual time: long-running tasks take most of the cores, best-effort tasks start at 390 a second, short jobs come at 4.5 a second.

--- a/internal/state/cell/bench_test.go
+++ b/internal/state/cell/bench_test.go
@@ -87,7 +87,7 @@
 }
 
 func BenchmarkPlan(b *testing.B) {
-	for _, n := range []int{66, 490} {
+	for _, n := range []int{66, 490, 890} {
 		b.Run(fmt.Sprintf("executors-%d", n), func(b *testing.B) {
 			c, now := loadedCell(b, n)
 			b.ReportAllocs()
--- a/internal/state/cell/starve_test.go
+++ b/internal/state/cell/starve_test.go
@@ -57,6 +57,9 @@
 	// hopelessShare is the share of short jobs of which every run fails, failureRate the share of the other runs that
 	// fail, and longRunningFailures the failures of each long-running task per second.
 	hopelessShare, failureRate, longRunningFailures float64
+	// planInterval is the time between two plans, maxStarts the most start orders of one plan.
+	planInterval time.Duration
+	maxStarts    int
 }
 
 func largeDeployment(executors int) starveLoad {
@@ -64,21 +67,26 @@
 		executors: executors, length: 60 * time.Second, usualWeight: 0.004, heavyFactor: 4.5, ownLoad: 0.45, swing: 0.5,
 		longRunningJobs: 0.77, bestEffortJobs: 0.085, shortJobs: 0.078, tailNoise: 0.05,
 		hopelessShare: 0.03, failureRate: 0.005, longRunningFailures: 0.01,
+		planInterval: starveTick, maxStarts: unbounded.MaxStarts,
 	}
 }
 
 type starveSim struct {
 	starveLoad
-	rnd    *rand.Rand
-	now    tick.Time
-	start  tick.Time
-	cell   *Cell
-	execs  []*starveExecutor
-	byID   map[string]*starveExecutor
-	jobs   []*starveJob
-	byJob  map[string]*starveJob
-	batch  *Batch
-	nextID int
+	rnd   *rand.Rand
+	now   tick.Time
+	start tick.Time
+	// plannedAt is when the last plan was made.
+	plannedAt tick.Time
+	cell      *Cell
+	execs     []*starveExecutor
+	byID      map[string]*starveExecutor
+	jobs      []*starveJob
+	byJob     map[string]*starveJob
+	batch     *Batch
+	nextID    int
+	// ignoresWaits is true if it does not matter why tasks wait, which takes long to find out on a large fleet.
+	ignoresWaits bool
 	// onTick is called at each tick with the time since the start; it may be nil.
 	onTick func(since time.Duration)
 	// phases has the phase of the own load of each latency-critical image, weights that of each pair of images.
@@ -123,8 +131,11 @@
 	isHopeless bool
 	cancelAt   tick.Time
 	isOver     bool
-	movedAt    tick.Time
-	moves      int
+	acceptedAt tick.Time
+	// took is the time from the acceptance of the job until it was shown as completed; 0 before.
+	took    time.Duration
+	movedAt tick.Time
+	moves   int
 	// waitsSince is since when each task of a long-running job, or the whole of another job, has waited.
 	waitsSince map[uint32]tick.Time
 }
@@ -238,7 +249,7 @@
 	s.nextID++
 	j.id, j.kind = fmt.Sprintf("%s-%d", q, s.nextID), q
 	j.pb = &jobpb.Job{Id: j.id, Queue: q, Service: "svc", Steps: steps}
-	j.waitsSince = map[uint32]tick.Time{}
+	j.waitsSince, j.acceptedAt = map[uint32]tick.Time{}, s.now
 	s.jobs = append(s.jobs, j)
 	s.byJob[j.id] = j
 	s.result.jobs[q]++
@@ -296,8 +307,9 @@
 			x.advance()
 			x.exchange()
 		}
-		for _, o := range s.cell.Plan(s.now, testWallMS, unbounded) {
-			s.cell.HandleReply(s.now, o, s.byID[o.Target.ID].execute(o))
+		if s.now.Sub(s.plannedAt) >= s.planInterval {
+			s.plannedAt = s.now
+			s.plan()
 		}
 		s.commit()
 		s.countEvents()
@@ -306,6 +318,12 @@
 	return &s.result
 }
 
+func (s *starveSim) plan() {
+	for _, o := range s.cell.Plan(s.now, testWallMS, PlanLimits{MaxStarts: s.maxStarts, IsSoleLeader: true}) {
+		s.cell.HandleReply(s.now, o, s.byID[o.Target.ID].execute(o))
+	}
+}
+
 func (s *starveSim) commit() {
 	if s.batch != nil {
 		s.cell.Commit(s.now, s.batch)
@@ -606,6 +624,9 @@
 		c := s.cell.jobs[j.id]
 		if c == nil || book.IsFinal(c.state) {
 			j.isOver = true
+			if c != nil && c.state == jobpb.State_STATE_COMPLETED {
+				j.took = s.now.Sub(j.acceptedAt)
+			}
 			continue
 		}
 		if j.kind == "long-running" {
@@ -635,6 +656,9 @@
 }
 
 func (s *starveSim) checkWait(j *starveJob, index uint32, t *task, waits bool, bound time.Duration) {
+	if s.ignoresWaits {
+		return
+	}
 	if !waits || !s.hasRoomTwice(t) {
 		delete(j.waitsSince, index)
 		return
