Start placed runs by priority

What callers saw: short jobs of priority 0 were late by the time that their placed tasks waited for a start order, which was that of best-effort tasks of priority 2.

Cause: placed runs were started in the order of their placement. A plan sends at most as many orders as the limit of orders in flight permits (128). When plans are rare, up to 1,024 runs are placed, and each short task waits for all of them, keeping its cores. Ruled out: the record, which takes 15 to 60 ms then.

Change: placed runs are kept by priority, in the order of their placement within it.

TestPlacedRunsStartByPriority fails without the change.

--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -168,4 +168,5 @@
 	for _, j := range c.active {
 		j.configure(cfg)
 	}
+	c.placements.sort()
 }
--- a/internal/state/cell/placed.go
+++ b/internal/state/cell/placed.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
@@ -18,7 +19,7 @@
 	chain chain.Chain
 	// needsTerm is true if the leader writes a term record, which no start order precedes.
 	needsTerm, isTermBatched, isTermStored bool
-	// placed has the placed runs, oldest first: those whose start order is not made yet.
+	// placed has the placed runs by priority, oldest first: those whose start order is not made yet.
 	placed []*run
 	// held has the tasks that may run on executors that have not responded, by the hash of the executor.
 	held map[uint32][]*task
@@ -26,6 +27,25 @@
 
 func (p *placements) isTermDue() bool { return p.needsTerm && !p.isTermBatched }
 
+// add adds a placed run behind those of the same or a higher priority.
+func (p *placements) add(r *run) {
+	i, _ := slices.BinarySearchFunc(p.placed, r.priority(), func(o *run, priority int) int {
+		if o.priority() <= priority {
+			return -1
+		}
+		return 1
+	})
+	p.placed = slices.Insert(p.placed, i, r)
+}
+
+// sort restores the order after priorities have changed.
+func (p *placements) sort() {
+	slices.SortStableFunc(p.placed, func(a, b *run) int { return cmp.Compare(a.priority(), b.priority()) })
+}
+
+// priority returns the rank of the run's queue; lower values go first.
+func (r *run) priority() int { return r.task.step.job.queue.Priority }
+
 // placeRun creates a run whose start order is made once a stored record names its executor.
 func (c *Cell) placeRun(now tick.Time, t *task, x *executor, number uint64) {
 	j := t.step.job
@@ -37,7 +57,7 @@
 	if t.step.pb.Fills {
 		x.noBestEffortUntil = max(x.noBestEffortUntil, now.Add(bestEffortStartInterval))
 	}
-	c.placements.placed = append(c.placements.placed, r)
+	c.placements.add(r)
 	// The record of a task with losses also names the run.
 	r.isRecorded = t.recordedOn == x.hash && t.batchedOn == x.hash && t.crashes.IsEmpty()
 	r.recordedAt = now
@@ -168,8 +188,8 @@
 	return s.trial != nil && r.task.step.pb.Gang && s.trial.task.step == r.task.step
 }
 
-// startRecorded returns the orders to start placed runs whose executor is recorded, in the order of their
-// placement. A gang starts as one, which may exceed the limit.
+// startRecorded returns the orders to start placed runs whose executor is recorded, by priority and in the order of
+// their placement. A gang starts as one, which may exceed the limit.
 func (c *Cell) startRecorded(now tick.Time, maxStarts int) []Order {
 	if c.placements.needsTerm && !c.placements.isTermStored {
 		return nil
--- a/internal/state/cell/placed_test.go
+++ b/internal/state/cell/placed_test.go
@@ -404,3 +404,28 @@
 		running = next
 	}
 }
+
+// planStarts plans with a limit of start orders and returns the jobs of which tasks start.
+func (h *harness) planStarts(limit int) []string {
+	return startedJobs(h.confirm(h.cell.Plan(h.now, testWallMS, PlanLimits{MaxStarts: limit, IsSoleLeader: true})))
+}
+
+// TestPlacedRunsStartByPriority guards against an urgent task whose order waits behind those of tasks that were placed
+// before it, also after the priorities were changed.
+func TestPlacedRunsStartByPriority(t *testing.T) {
+	h := newHarness(t, testExecutor("x"))
+	h.accept("low1", "low", smallStep())
+	h.accept("low2", "low", smallStep())
+	h.planStarts(0)
+	h.accept("urgent", "q", smallStep())
+	h.planStarts(0)
+	h.commit()
+	assert.DeepEqual(t, h.planStarts(1), []string{"urgent"})
+	h.cell.Configure(&queue.Configuration{Version: 2, Services: enforcing, Queues: []queue.Queue{
+		{Name: "q", Service: "svc", MaxAttempts: 3, Priority: 1}, {Name: "low", Service: "svc", MaxAttempts: 3},
+	}})
+	h.accept("late", "q", smallStep())
+	h.planStarts(0)
+	h.commit()
+	assert.DeepEqual(t, h.planStarts(3), []string{"low1", "low2", "late"})
+}
