Start placed runs without waiting for the next plan

Cause: start orders were sent with plans only, at most 128 in flight. On a slow processor it falls below the rate at which tasks become ready, and each task waits for two plans.

Change: startLoop sends the orders of placed runs once their record is stored, and once an order in flight is over if the limit kept runs back. Crashes are judged and unfit placements withdrawn before, as in a plan.

--- a/internal/services/leader/commits.go
+++ b/internal/services/leader/commits.go
@@ -79,6 +79,7 @@
 	for _, h := range senders {
 		wake.Send(h.wakeup)
 	}
+	wake.Send(t.startWake)
 	t.wakePlan()
 	return nil
 }
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -114,6 +114,7 @@
 	evacuationGate *fresh.Gate
 	planWake       chan struct{}
 	commitWake     chan struct{}
+	startWake      chan struct{}
 	// placementWake ends the pause after a commit early, because placed runs wait for a record.
 	placementWake chan struct{}
 	adviceWake    chan struct{}
@@ -123,6 +124,8 @@
 	orderSemaphore chan struct{}
 	// startWindow limits the start orders in flight.
 	startWindow *aimd.Window
+	// isStartLimited is true if the limit of start orders in flight has kept placed runs back.
+	isStartLimited bool
 	// startResponses estimates when the response to a start order is overdue.
 	startResponses *rtrip.Estimator
 	// appendTimeout is the timeout of an append of records. Only takeOver and commitLoop use it.
@@ -148,6 +151,7 @@
 	defer cancel()
 	tm := &term{
 		Leader: l, epoch: t.Epoch, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
+		startWake:  make(chan struct{}, 1),
 		adviceWake: make(chan struct{}, 1), placementWake: make(chan struct{}, 1),
 		failed: make(chan error, 1), holdSenders: map[string]*holdSender{},
 		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts, slowOrder),
@@ -159,6 +163,7 @@
 		return err
 	}
 	tm.spawn(ctx, tm.planLoop)
+	tm.spawn(ctx, tm.startLoop)
 	tm.spawn(ctx, tm.commitLoop)
 	tm.spawn(ctx, tm.discoverLoop)
 	tm.spawn(ctx, tm.configLoop)
--- a/internal/services/leader/loops.go
+++ b/internal/services/leader/loops.go
@@ -52,6 +52,46 @@
 	return min(maxPlanPause, max(minPlanPause, planPauseFactor*took))
 }
 
+// startLoop sends the start orders of placed runs once their executors are recorded, or once the limit of start orders
+// in flight permits, without a plan.
+func (t *term) startLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.startWake:
+		}
+		if t.opts.HoldsLease(tick.Now()) {
+			t.startRecorded(ctx)
+		}
+		tick.Pause(ctx, minPlanPause)
+	}
+}
+
+func (t *term) startRecorded(ctx context.Context) {
+	t.mu.Lock()
+	now := tick.Now()
+	t.applyEvacuations(now)
+	room := t.startRoom(now)
+	list := t.cell.StartRecorded(now, room)
+	t.isStartLimited = len(list) >= room
+	events := t.cell.Events()
+	t.countStarts(events)
+	t.mu.Unlock()
+	t.logEvents(events)
+	for _, o := range list {
+		t.sendOrder(ctx, o)
+	}
+}
+
+// startRoom returns how many start orders may be sent. The caller must hold the mutex.
+func (t *term) startRoom(now tick.Time) int {
+	if !t.knowsEvacuations(now) {
+		return 0
+	}
+	return t.startWindow.Room(now)
+}
+
 func (t *term) notePlanPause(pause time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -63,14 +103,12 @@
 	t.mu.Lock()
 	now := tick.Now()
 	t.applyEvacuations(now)
-	room := 0
-	if t.knowsEvacuations(now) {
-		room = t.startWindow.Room(now)
-	}
+	room := t.startRoom(now)
 	list := t.cell.Plan(now, tick.Wall().UnixMilli(), cell.PlanLimits{
 		MaxStarts: room, IsSoleLeader: t.opts.IsSoleLeader(now),
 		IsStoreStalled: t.storingSince != 0 && now.Sub(t.storingSince) >= storeStallTimeout,
 	})
+	t.isStartLimited = countStartOrders(list) >= room
 	events := t.cell.Events()
 	isFenced := t.cell.IsFenced()
 	hasChanges := t.cell.HasChanges()
@@ -271,11 +309,26 @@
 	return t.opts.Executors.Pace(ctx, o.Target, *o.Pace)
 }
 
+// countStartOrders returns the number of start orders in the list.
+func countStartOrders(list []cell.Order) int {
+	n := 0
+	for _, o := range list {
+		if o.Start != nil {
+			n++
+		}
+	}
+	return n
+}
+
 func (t *term) handleReply(o cell.Order, r orders.Reply) {
 	t.mu.Lock()
 	t.cell.HandleReply(tick.Now(), o, r)
+	isStartLimited := t.isStartLimited
 	h := t.holdSenders[o.Target.ID]
 	t.mu.Unlock()
+	if o.Start != nil && isStartLimited {
+		wake.Send(t.startWake)
+	}
 	if h != nil {
 		// The order may have made the next hold due earlier.
 		wake.Send(h.wakeup)
--- a/internal/state/cell/model_test.go
+++ b/internal/state/cell/model_test.go
@@ -149,6 +149,20 @@
 	assert.Assert(t, starts > *modelSeeds*50, "only %d starts", starts)
 }
 
+// TestModelWithStartsBetweenPlans runs the same schedules with leaders that start placed runs without a plan, also in
+// evacuated domains and on cold executors.
+func TestModelWithStartsBetweenPlans(t *testing.T) {
+	for seed := *modelFirst; seed < *modelFirst+uint64(*modelSeeds); seed++ {
+		sim := runScheduleWith(seed, func(sim *simulation, length time.Duration) {
+			sim.startsBetweenPlans = true
+			if seed%2 == 0 {
+				sim.addEvacuations(seed, length)
+			}
+		})
+		assert.Assert(t, len(sim.violations) == 0, "seed %d:\n%s", seed, strings.Join(sim.violations, "\n"))
+	}
+}
+
 // TestModelWithEvacuations runs the same schedules with evacuated domains and cold executors.
 func TestModelWithEvacuations(t *testing.T) {
 	moves := 0
--- a/internal/state/cell/placed.go
+++ b/internal/state/cell/placed.go
@@ -188,6 +188,17 @@
 	return s.trial != nil && r.task.step.pb.Gang && s.trial.task.step == r.task.step
 }
 
+// StartRecorded returns the orders to start placed runs whose executor was recorded since the last plan, or that the
+// limit of start orders kept back, so that they do not wait for the next plan.
+func (c *Cell) StartRecorded(now tick.Time, maxStarts int) []Order {
+	if c.isFenced {
+		return nil
+	}
+	c.judgeCrashes(now)
+	c.withdrawUnfit(now)
+	return c.startRecorded(now, maxStarts)
+}
+
 // startRecorded returns the orders to start placed runs whose executor is recorded, by priority and in the order of
 // their placement. A gang starts as one, which may exceed the limit.
 func (c *Cell) startRecorded(now tick.Time, maxStarts int) []Order {
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -107,15 +107,36 @@
 	if !l.sim.now.Before(l.leaseUntil) {
 		return
 	}
-	list := l.cell.Plan(l.sim.now, l.sim.wallMS(),
+	l.sendAll(l.cell.Plan(l.sim.now, l.sim.wallMS(),
 		PlanLimits{
 			MaxStarts: l.startWindow.Room(l.sim.now), IsSoleLeader: l.sim.now.Before(l.soleLeaderUntil),
 			IsStoreStalled: l.isStoreStalled(),
-		})
+		}))
+	l.noteEvents()
+	for _, x := range l.sim.execs {
+		l.hold(x)
+	}
+	l.commit()
+}
+
+// startRecorded sends the start orders of placed runs whose record has just been stored.
+func (l *simLeader) startRecorded() {
+	isActive := !l.isKilled && !l.cell.IsFenced() && !l.sim.now.Before(l.pausedUntil) && l.sim.now.Before(l.leaseUntil)
+	if !l.sim.startsBetweenPlans || !isActive {
+		return
+	}
+	l.sendAll(l.cell.StartRecorded(l.sim.now, l.startWindow.Room(l.sim.now)))
+	l.noteEvents()
+}
+
+func (l *simLeader) sendAll(list []Order) {
 	slices.SortFunc(list, compareOrders)
 	for _, o := range list {
 		l.send(o)
 	}
+}
+
+func (l *simLeader) noteEvents() {
 	for _, e := range l.cell.Events() {
 		l.sim.noteMove(e)
 		if l.sim.onEvent != nil {
@@ -125,10 +146,6 @@
 			fmt.Printf("%8.3f epoch %d %+v\n", float64(l.sim.now)/1e9, l.epoch, e)
 		}
 	}
-	for _, x := range l.sim.execs {
-		l.hold(x)
-	}
-	l.commit()
 }
 
 // simStallTimeout is how long the store may take for records until the leader treats it as stalled.
@@ -341,6 +358,7 @@
 			l.unstoredSince = l.sim.now
 			if !l.isKilled {
 				l.cell.Commit(l.sim.now, b)
+				l.startRecorded()
 			}
 		})
 	})
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -102,6 +102,8 @@
 	onEvent func(e Event)
 	// hasLongPolls is true if executors delay their responses to holds until a run ends, as holds ask for.
 	hasLongPolls bool
+	// startsBetweenPlans is true if leaders start placed runs as soon as their record is stored.
+	startsBetweenPlans bool
 	// hasDiscovery is true if entries of service discovery state the start of their process and outlive it for a while.
 	hasDiscovery bool
 	// formerVersions has the leaders, counted from 0, that are of a version without placement records.
