--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -34,22 +34,12 @@
 )
 
 const (
-	// maxPlanWait is how long planLoop waits for a wake-up before it plans anyway. minPlanPause and maxPlanPause are the
-	// shortest and the longest pause after a plan.
-	maxPlanWait  = 100 * time.Millisecond
-	minPlanPause = 4 * time.Millisecond
-	maxPlanPause = 500 * time.Millisecond
 	// discoveryInterval is how often the entries of the executors are read.
 	discoveryInterval = 500 * time.Millisecond
 	// modelSaveRounds is the number of discovery rounds after which the model is recorded.
 	modelSaveRounds = 6
 	callTimeout     = 1200 * time.Millisecond
 	retryDelay      = 100 * time.Millisecond
-	// maxStarts is the highest limit of the start orders in flight. Further ones stay in the cell, which keeps them in
-	// order.
-	maxStarts = 128
-	// maxOrders limits all orders in flight.
-	maxOrders = 1024
 	// The defaults of Options.MaxRecordBytes and Options.MaxAppendBytes.
 	defaultMaxRecordBytes = 256 << 10
 	defaultMaxAppendBytes = 2 << 20
--- a/internal/services/leader/usage.go
+++ b/internal/services/leader/usage.go
@@ -112,3 +112,29 @@
 		Dur("planning-ms", p.planning).Dur("longest-planning-ms", p.longestPlanning).Dur("pausing-ms", p.pausing).
 		Msg("plan-times")
 }
+
+func (t *term) logEvents(events []cell.Event) {
+	for _, e := range events {
+		t.opts.Meter.Count("decisions", map[string]string{"event": e.Name}, 1)
+		if w := e.FirstWait; w != nil {
+			labels := map[string]string{"kind": string(w.Kind), "size": string(w.Size)}
+			t.opts.Meter.Observe("task_wait_seconds", labels, w.Duration)
+			t.opts.Meter.Observe("queue_wait_seconds", map[string]string{"queue": string(e.Queue)}, w.Duration)
+		}
+		l := t.opts.Logger.Info().Uint64("epoch", t.epoch)
+		if e.Task.Job != "" {
+			l = l.Str("job", e.Task.Job).Uint32("occurrence", e.Task.Occurrence).Uint32("step", e.Task.Step).
+				Uint32("task", e.Task.Index)
+		}
+		if e.Run != 0 {
+			l = l.Uint64("run", e.Run)
+		}
+		if e.Executor != "" {
+			l = l.Str("executor", e.Executor)
+		}
+		if e.Detail != "" {
+			l = l.Str("detail", e.Detail)
+		}
+		l.Msg(e.Name)
+	}
+}
