--- a/internal/services/leader/startrate_test.go
+++ b/internal/services/leader/startrate_test.go
@@ -31,7 +31,9 @@
 			}
 		}
 		r.decode = func(id string, _ []byte) (queue.Executor, error) {
-			return queue.Executor{ID: id, Address: id, Service: "svc", MilliCPU: 1000 * wideTasks, MemoryMB: 100 * wideTasks}, nil
+			return queue.Executor{
+				ID: id, Address: id, Service: "svc", MilliCPU: 1000 * wideTasks, MemoryMB: 100 * wideTasks,
+			}, nil
 		}
 		r.startNodes(1)
 		since := time.Now()
--- a/internal/state/cell/firstwait.go
+++ b/internal/state/cell/firstwait.go
@@ -57,7 +57,8 @@
 // stages returns the stages of a first start that is made now.
 func (r *run) stages(now tick.Time) delay.Stages {
 	return delay.Stages{
-		Placing: r.createdAt.Sub(r.task.step.readyAt), Recording: r.recordedAt.Sub(r.createdAt), Ordering: now.Sub(r.recordedAt),
+		Placing: r.createdAt.Sub(r.task.step.readyAt), Recording: r.recordedAt.Sub(r.createdAt),
+		Ordering: now.Sub(r.recordedAt),
 	}
 }
 
