--- a/internal/services/leader/commits.go
+++ b/internal/services/leader/commits.go
@@ -121,8 +121,8 @@
 // countFitting returns how many of the records fit one append, at least one.
 func countFitting(records []logs.Record, maxBytes int) int {
 	size := 0
-	for i, r := range records {
-		size += framingBytes + len(r.Key) + len(r.Value)
+	for i := range records {
+		size += sizeOf(records[i : i+1])
 		if i > 0 && size > maxBytes {
 			return i
 		}
@@ -130,12 +130,23 @@
 	return len(records)
 }
 
+// sizeOf returns the size of the records in an append.
+func sizeOf(records []logs.Record) int {
+	size := 0
+	for _, r := range records {
+		size += framingBytes + len(r.Key) + len(r.Value)
+	}
+	return size
+}
+
 // storeRecords retries an append until it succeeds or the log fences this leader.
 func (t *term) storeRecords(ctx context.Context, records []logs.Record) error {
 	for ctx.Err() == nil {
+		sent := tick.Now()
 		err := t.append(ctx, records)
 		if err == nil {
 			t.sequence++
+			t.noteAppend(records, tick.Now().Sub(sent))
 			return nil
 		}
 		if isFencedError(err) {
@@ -147,6 +158,12 @@
 	return ctx.Err()
 }
 
+func (t *term) noteAppend(records []logs.Record, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.appendTimes.add(sizeOf(records), took)
+}
+
 // append sends the records with the next sequence number until an attempt succeeds. The log recognizes repeats by that
 // number, so an append whose response is overdue is repeated while it is pending: the response alone may be lost. It
 // returns an error if the log rejects the append, or if an attempt fails while no other is pending.
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -125,6 +125,8 @@
 	// startDelays and planTimes have what discoverLoop reports about starts and plans.
 	startDelays *delay.Sums
 	planTimes   planTimes
+	// appendTimes and startTimes are the answered appends of records and start orders.
+	appendTimes, startTimes callTimes
 	// querying has the executors that a query is sent to.
 	querying map[string]bool
 	wg       sync.WaitGroup
@@ -301,7 +303,8 @@
 		}
 		ids := t.cell.Executors()
 		delays, times := t.startDelays.Take(), t.planTimes
-		t.planTimes = planTimes{}
+		appends, starts := t.appendTimes, t.startTimes
+		t.planTimes, t.appendTimes, t.startTimes = planTimes{}, callTimes{}, callTimes{}
 		t.mu.Unlock()
 		t.startHoldSenders(ctx, ids)
 		t.logUsage(usage)
@@ -309,6 +312,7 @@
 		t.logStartWindow(window, pending)
 		t.logStartDelays(delays)
 		t.logPlanTimes(times)
+		t.logCallTimes(appends, starts)
 		t.wakePlan()
 		t.wakeCommit()
 		tick.Pause(ctx, discoveryInterval)
--- a/internal/services/leader/starts.go
+++ b/internal/services/leader/starts.go
@@ -103,6 +103,7 @@
 		return
 	}
 	t.startWindow.Answered(now, sent)
+	t.startTimes.add(0, now.Sub(sent))
 	if r.Outcome != orders.NotSent && r.Outcome != orders.Withheld {
 		t.startResponses.Observe(now.Sub(sent))
 	}
--- a/internal/services/leader/usage.go
+++ b/internal/services/leader/usage.go
@@ -99,6 +99,29 @@
 	p.longestPlanning = max(p.longestPlanning, planning)
 }
 
+// callTimes are the calls of one kind since they were last reported.
+type callTimes struct {
+	calls, bytes  int
+	took, longest time.Duration
+}
+
+func (c *callTimes) add(bytes int, took time.Duration) {
+	c.calls++
+	c.bytes += bytes
+	c.took += took
+	c.longest = max(c.longest, took)
+}
+
+// mean returns the mean duration of a call.
+func (c *callTimes) mean() time.Duration { return c.took / time.Duration(max(1, c.calls)) }
+
+// logCallTimes reports the appends of records and the responses to start orders.
+func (t *term) logCallTimes(appends, starts callTimes) {
+	t.summary().Int("appends", appends.calls).Int("append-bytes", appends.bytes).Dur("append-ms", appends.mean()).
+		Dur("longest-append-ms", appends.longest).Int("start-responses", starts.calls).
+		Dur("start-response-ms", starts.mean()).Dur("longest-start-response-ms", starts.longest).Msg("call-times")
+}
+
 // countStarts adds the stages of first starts to startDelays. The caller must hold the mutex.
 func (t *term) countStarts(events []cell.Event) {
 	for _, e := range events {
