Limit placed runs by priority

Cause: at most 1,024 runs are placed, of whatever priority. While best-effort runs wait for their orders, they take the whole limit, and a short task gets no executor before some of them have started.

Change: the limit of a priority counts the placed runs of this and higher priorities.

Measured: TestPlacedRunsKeepUrgentTaskFromExecutor fails before.

--- a/internal/state/cell/evacuation.go
+++ b/internal/state/cell/evacuation.go
@@ -312,8 +312,8 @@
 	return n
 }
 
-// finishMoves places the tasks whose runs have stopped where room is kept for them. It returns their number.
-func (c *Cell) finishMoves(now tick.Time, p *pass, limit int) int {
+// finishMoves places the tasks whose runs have stopped where room is kept for them, at most the limit.
+func (c *Cell) finishMoves(now tick.Time, p *pass, limit int) {
 	n := 0
 	c.evacuation.moves = slices.DeleteFunc(c.evacuation.moves, func(m *move) bool {
 		if c.isObsolete(now, m) {
@@ -328,7 +328,6 @@
 		n += c.finishMove(now, p, m)
 		return true
 	})
-	return n
 }
 
 // isObsolete reports whether the room for a move need no longer be kept.
--- a/internal/state/cell/placed.go
+++ b/internal/state/cell/placed.go
@@ -10,10 +10,13 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// maxPlaced bounds the placed runs. A store that takes half a second for a batch must not limit a fleet to fewer than
-// 2,000 starts a second.
+// maxPlaced bounds the placed runs of each priority together with those of higher ones. A store that takes half a
+// second for a batch must not limit a fleet to fewer than 2,000 starts a second.
 const maxPlaced = 1024
 
+// highestPriority is the rank of the queues that come first.
+const highestPriority = 0
+
 // placements is what the cell keeps about the records that name the executors of tasks.
 type placements struct {
 	chain chain.Chain
@@ -29,15 +32,24 @@
 
 // add adds a placed run behind those of the same or a higher priority.
 func (p *placements) add(r *run) {
-	i, _ := slices.BinarySearchFunc(p.placed, r.priority(), func(o *run, priority int) int {
-		if o.priority() <= priority {
-			return -1
-		}
-		return 1
-	})
+	i, _ := slices.BinarySearchFunc(p.placed, r.priority(), compareToPriority)
 	p.placed = slices.Insert(p.placed, i, r)
 }
 
+// room returns how many more runs of the priority may be placed. Runs of lower priorities do not count.
+func (p *placements) room(priority int) int {
+	before, _ := slices.BinarySearchFunc(p.placed, priority, compareToPriority)
+	return maxPlaced - before
+}
+
+// compareToPriority compares a placed run with the place behind the last run of the priority.
+func compareToPriority(r *run, priority int) int {
+	if r.priority() <= priority {
+		return -1
+	}
+	return 1
+}
+
 // sort restores the order after priorities have changed.
 func (p *placements) sort() {
 	slices.SortStableFunc(p.placed, func(a, b *run) int { return cmp.Compare(a.priority(), b.priority()) })
@@ -69,12 +81,14 @@
 	}
 }
 
-// placeRecorded places waiting tasks on the executors that their records name, at most the limit.
-func (c *Cell) placeRecorded(now tick.Time, p *pass, limit int) {
+// placeRecorded places waiting tasks on the executors that their records name, as many as the limit of placed runs
+// permits.
+func (c *Cell) placeRecorded(now tick.Time, p *pass) {
 	for _, s := range c.waitingSteps(now) {
 		if s.pb.Gang {
 			continue
 		}
+		limit := c.placements.room(s.job.queue.Priority)
 		cands := p.candidates(s)
 		for _, t := range s.tasks {
 			if limit <= 0 {
--- a/internal/state/cell/placed_test.go
+++ b/internal/state/cell/placed_test.go
@@ -429,3 +429,20 @@
 	h.commit()
 	assert.DeepEqual(t, h.planStarts(3), []string{"low1", "low2", "late"})
 }
+
+// TestPlacedRunsKeepUrgentTaskFromExecutor guards against an urgent task that gets no executor while as many runs of
+// lower priorities are placed as may be.
+func TestPlacedRunsKeepUrgentTaskFromExecutor(t *testing.T) {
+	const taskMB = 100
+	x := testExecutor("x")
+	x.MilliCPU, x.MemoryMB = 2000*maxPlaced, 2*taskMB*maxPlaced
+	h := newHarness(t, x)
+	h.accept("low", "low", &jobpb.Step{Count: 2 * maxPlaced, MilliCpu: 500, MemoryMb: taskMB, EstimateMs: 1000})
+	h.planStarts(0)
+	assert.Equal(t, h.cell.Usage(h.now).Placed, maxPlaced)
+	h.accept("urgent", "q", smallStep())
+	h.planStarts(0)
+	h.commit()
+	assert.DeepEqual(t, h.planStarts(1), []string{"urgent"})
+	assert.Equal(t, h.cell.Usage(h.now).Placed, maxPlaced)
+}
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -42,17 +42,16 @@
 	p := c.newPass(now)
 	c.beginLookAhead(now)
 	out := c.adjustPaces(now, p, nil)
-	limit := maxPlaced - len(c.placements.placed)
 	if limits.IsStoreStalled {
-		c.placeRecorded(now, p, limit)
+		c.placeRecorded(now, p)
 	} else {
-		limit -= c.finishMoves(now, p, limit)
+		c.finishMoves(now, p, c.placements.room(highestPriority))
 		mayMove := limits.MaxStarts > 0 && c.isMoveSearchDue(now)
 		if mayMove && c.mayMoveLongRunning(now) {
 			// Long-running tasks come first, as waiting tasks would take all room on a full fleet.
 			c.planMoves(now, p, true)
 		}
-		c.placeWaiting(now, p, limit)
+		c.placeWaiting(now, p)
 		if mayMove {
 			c.planMoves(now, p, false)
 		}
@@ -202,22 +201,22 @@
 	return steps
 }
 
-// placeWaiting places waiting tasks, at most the limit and the rest of a gang.
-func (c *Cell) placeWaiting(now tick.Time, p *pass, limit int) {
+// placeWaiting places waiting tasks, as many as the limit of placed runs permits and the rest of a gang.
+func (c *Cell) placeWaiting(now tick.Time, p *pass) {
 	c.evacuation.isShortOfRoom = false
 	for _, s := range c.waitingSteps(now) {
+		limit := c.placements.room(s.job.queue.Priority)
 		if limit <= 0 {
 			return
 		}
 		if s.pb.Gang {
-			limit -= c.placeGang(now, p, s)
+			c.placeGang(now, p, s)
 			continue
 		}
 		placed := c.placeTasks(now, p, s, limit)
 		if placed == 0 && s.pb.Fills && s.job.isOverdue(now) {
-			placed = c.placeOverdue(now, p, s)
+			c.placeOverdue(now, p, s)
 		}
-		limit -= placed
 	}
 }
 
