Hand the lead of a small instance over to a much larger one

Cause: only delays of the claims (300 ms times the missing cores) prefer large instances. When a small one is first all the same, it leads as long as it lives: with 0.192 cores and a link of 20 Mbit/s, on which appends and responses take 90 ms in place of 10.

Change: an instance with at least 1.5 times the cores of the leader asks it to yield, with its cores in the request. The leader gives up the lead before the other claims, as where its heartbeats are not stored.

Measured: TestSmallInstanceKeepsLeadBesideLargerOnes fails before (the small instance still leads after 20 s); the tests of elect and leader pass.

--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -90,9 +90,10 @@
 	IsEligible func() bool
 	// MaxExecutorLease is the longest time for which an executor keeps running tasks without a leader.
 	MaxExecutorLease time.Duration
-	// AskYield asks the instance at the address to give up the lead of the epoch. It returns true if that instance no
-	// longer acts as its leader. If it is nil, this instance waits for the election timeout.
-	AskYield func(ctx context.Context, address string, epoch uint64) (bool, error)
+	// AskYield asks the instance at the address to give up the lead of the epoch, given the processor capacity of this
+	// one. It returns true if that instance no longer acts as its leader. If it is nil, this instance waits for the
+	// election timeout.
+	AskYield func(ctx context.Context, address string, epoch uint64, cores float64) (bool, error)
 	// RunTerm runs while this instance is the leader. Its context ends with the term.
 	RunTerm func(ctx context.Context, t Term) error
 	Logger  zerolog.Logger
@@ -106,6 +107,8 @@
 	// lastRecord is the newest record and lastRecordAt the time it was read.
 	lastRecord   *jobpb.Lead
 	lastRecordAt tick.Time
+	// epochReadAt is when the first record of the epoch of lastRecord was read.
+	epochReadAt tick.Time
 	// earlierLeasesUntil is when the leadership leases of the leaders before that of lastRecord have expired.
 	earlierLeasesUntil tick.Time
 	// isLastUnknown is true if newer records than lastRecord were unreadable or are no longer retained.
@@ -312,6 +315,7 @@
 		if e.lastRecord == nil || e.lastRecord.Epoch != l.Epoch {
 			e.earlierLeasesUntil = e.formerLeaseUntil(now)
 			e.recognizeClaim(isOwn)
+			e.epochReadAt = now
 			e.opts.Logger.Info().Str("leader", l.Instance).Uint64("epoch", l.Epoch).Msg("leader-changed")
 		}
 		if isOwn && e.isLeader {
--- a/internal/services/elect/yield_test.go
+++ b/internal/services/elect/yield_test.go
@@ -22,13 +22,13 @@
 	callTime = time.Millisecond
 )
 
-func (n *network) askYield(ctx context.Context, address string, epoch uint64) (bool, error) {
+func (n *network) askYield(ctx context.Context, address string, epoch uint64, cores float64) (bool, error) {
 	tick.Pause(ctx, callTime)
 	p := n.process(address)
 	if p == nil {
 		return false, fault.New(fault.CodeNotSent, fault.NotRun, "no such process")
 	}
-	hasYielded := p.Yield(tick.Now(), epoch)
+	hasYielded := p.Yield(tick.Now(), epoch, cores)
 	tick.Pause(ctx, callTime)
 	return hasYielded, nil
 }
@@ -97,17 +97,17 @@
 		n := newNetwork()
 		first, second, term := startPair(t, n)
 		n.set("a", nil)
-		assert.Assert(t, !first.Yield(tick.Now(), term.Epoch), "heartbeats are stored")
+		assert.Assert(t, !first.Yield(tick.Now(), term.Epoch, 1), "heartbeats are stored")
 		first.view.SetFaults(memlog.Faults{Down: true})
 		time.Sleep(1350 * time.Millisecond)
-		assert.Assert(t, !first.Yield(tick.Now(), term.Epoch+1))
-		assert.Assert(t, !first.Yield(tick.Now(), 0))
-		assert.Assert(t, !second.Yield(tick.Now(), term.Epoch), "another instance cannot answer for the leader")
+		assert.Assert(t, !first.Yield(tick.Now(), term.Epoch+1, 1))
+		assert.Assert(t, !first.Yield(tick.Now(), 0, 1))
+		assert.Assert(t, !second.Yield(tick.Now(), term.Epoch, 1), "another instance cannot answer for the leader")
 		assert.Assert(t, first.IsLeader(tick.Now()))
-		assert.Assert(t, first.Yield(tick.Now(), term.Epoch))
+		assert.Assert(t, first.Yield(tick.Now(), term.Epoch, 1))
 		assert.Assert(t, !first.IsLeader(tick.Now()))
 		assert.Assert(t, !first.IsSoleLeader(tick.Now()))
-		assert.Assert(t, first.Yield(tick.Now(), term.Epoch), "a repeated request gets the same answer")
+		assert.Assert(t, first.Yield(tick.Now(), term.Epoch, 1), "a repeated request gets the same answer")
 		next := <-second.terms
 		assert.Assert(t, next.ExecutorLeasesExpireAt.Sub(tick.Now()) > maxExecutorLease,
 			"an instance that got no answer waits for the leadership lease")
@@ -122,7 +122,7 @@
 		first.view.SetFaults(memlog.Faults{Down: true})
 		time.Sleep(820 * time.Millisecond)
 		// The leader has yielded to a request whose answer was lost.
-		assert.Assert(t, first.Yield(tick.Now(), term.Epoch) || !first.IsLeader(tick.Now()))
+		assert.Assert(t, first.Yield(tick.Now(), term.Epoch, 1) || !first.IsLeader(tick.Now()))
 		next := <-second.terms
 		assert.Assert(t, next.ExecutorLeasesExpireAt.Sub(tick.Now()) <= maxExecutorLease)
 	})
@@ -147,7 +147,7 @@
 		first, second, term := startPair(t, n)
 		second.stop()
 		first.view.SetFaults(memlog.Faults{AppendTime: 850 * time.Millisecond})
-		for !first.Yield(tick.Now(), term.Epoch) {
+		for !first.Yield(tick.Now(), term.Epoch, 1) {
 			time.Sleep(10 * time.Millisecond)
 		}
 		for range 100 {
@@ -176,3 +176,41 @@
 		assert.Assert(t, wait > elect.LeaseDuration+maxExecutorLease-time.Second, "waits %v", wait)
 	})
 }
+
+// TestSmallInstanceKeepsLeadBesideLargerOnes guards against a leader that is too small for the fleet and leads as long
+// as it lives, because it was the first to claim.
+func TestSmallInstanceKeepsLeadBesideLargerOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, log := newNetwork(), newLog(t)
+		small := n.start(t, log, "small", 0.2, 0)
+		former := <-small.terms
+		large, larger := n.start(t, log, "large", 0.8, 0), n.start(t, log, "larger", 0.9, 0)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, !small.IsLeader(tick.Now()))
+		assert.Assert(t, large.IsLeader(tick.Now()) != larger.IsLeader(tick.Now()), "one of the two leads")
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, len(large.terms)+len(larger.terms)+len(small.terms), 1, "the lead does not change again")
+		var term elect.Term
+		select {
+		case term = <-large.terms:
+		case term = <-larger.terms:
+		}
+		assert.Equal(t, term.PreviousEpoch, former.Epoch)
+	})
+}
+
+// TestLargerInstanceWithoutStoreLeavesTheLead checks that an instance which the store refuses takes no lead over.
+func TestLargerInstanceWithoutStoreLeavesTheLead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, log := newNetwork(), newLog(t)
+		small := n.start(t, log, "small", 0.2, 0)
+		<-small.terms
+		large := n.start(t, log, "large", 0.8, 0)
+		large.view.SetFaults(memlog.Faults{Down: true})
+		time.Sleep(20 * time.Second)
+		assert.Assert(t, small.IsLeader(tick.Now()))
+		large.view.SetFaults(memlog.Faults{})
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, large.IsLeader(tick.Now()))
+	})
+}
--- a/internal/services/intake/peer.go
+++ b/internal/services/intake/peer.go
@@ -68,13 +68,16 @@
 
 // Yield implements jobpb.Jobs.
 func (p *PeerServer) Yield(_ context.Context, r *jobpb.YieldRequest) (*jobpb.YieldResponse, error) {
-	return &jobpb.YieldResponse{Yielded: p.intake.opts.Elector.Yield(tick.Now(), r.Epoch)}, nil
+	return &jobpb.YieldResponse{Yielded: p.intake.opts.Elector.Yield(tick.Now(), r.Epoch, r.Cores)}, nil
 }
 
 // AskYield returns a function that asks the instance at an address to give up the lead of an epoch.
-func AskYield(client *http.Client) func(ctx context.Context, address string, epoch uint64) (bool, error) {
-	return func(ctx context.Context, address string, epoch uint64) (bool, error) {
-		res, err := jobpb.NewJobsProtobufClient("http://"+address, client).Yield(ctx, &jobpb.YieldRequest{Epoch: epoch})
+func AskYield(
+	client *http.Client,
+) func(ctx context.Context, address string, epoch uint64, cores float64) (bool, error) {
+	return func(ctx context.Context, address string, epoch uint64, cores float64) (bool, error) {
+		request := &jobpb.YieldRequest{Epoch: epoch, Cores: cores}
+		res, err := jobpb.NewJobsProtobufClient("http://"+address, client).Yield(ctx, request)
 		if err != nil {
 			return false, translateLeaderError(err)
 		}
