--- a/internal/modules/orders/orders.go
+++ b/internal/modules/orders/orders.go
@@ -80,7 +80,7 @@
 	DeadlineMS int64
 	Epoch      uint64
 	// MaySend reports whether the order may still be sent; nil permits it. It is called right before the order is sent,
-	// because an order may wait for a connection.
+	// because an order may wait for a connection, and not after Start has returned.
 	MaySend func() bool
 }
 
--- a/internal/services/leader/evacuation.go
+++ b/internal/services/leader/evacuation.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
@@ -67,18 +66,14 @@
 		return orders.Reply{Outcome: orders.Withheld, Detail: blockedBy}
 	}
 	start := *o.Start
-	// The check is repeated in a goroutine of the transport, which may still run when the call has ended.
-	var blockedBy atomic.Pointer[string]
+	blockedBy := ""
 	start.MaySend = func() bool {
-		reason := t.startBlockedBy(o.Target.ID)
-		if reason != "" {
-			blockedBy.Store(&reason)
-		}
-		return reason == ""
+		blockedBy = t.startBlockedBy(o.Target.ID)
+		return blockedBy == ""
 	}
 	reply := t.opts.Executors.Start(ctx, o.Target, start)
-	if reason := blockedBy.Load(); reason != nil && reply.Outcome == orders.NotSent {
-		return orders.Reply{Outcome: orders.Withheld, Detail: *reason}
+	if blockedBy != "" && reply.Outcome == orders.NotSent {
+		return orders.Reply{Outcome: orders.Withheld, Detail: blockedBy}
 	}
 	return reply
 }
