--- a/internal/modules/logkv/format.go
+++ b/internal/modules/logkv/format.go
@@ -11,7 +11,7 @@
 
 // formatter writes events as key=value pairs. It needs less processor time for each line than zerolog.ConsoleWriter.
 type formatter struct {
-	out    io.Writer
+	out    io.WriteCloser
 	parser fastjson.Parser
 	line   []byte
 }
@@ -46,6 +46,9 @@
 	return len(p), nil
 }
 
+// Close closes the output.
+func (f *formatter) Close() error { return f.out.Close() }
+
 // appendPair appends a key=value pair and a space to the line.
 func (f *formatter) appendPair(key string, v *fastjson.Value) {
 	if v == nil {
--- a/internal/modules/logkv/logkv.go
+++ b/internal/modules/logkv/logkv.go
@@ -52,10 +52,11 @@
 	pollInterval = 0
 )
 
-// NewBounded returns a logger that never blocks on its output and limits the lines written per second. Closing it
-// flushes the buffer. onDrop is called with the number of lines dropped because the buffer was full.
+// NewBounded returns a logger that never blocks on its output and limits the lines written per second. It writes the
+// lines of a short time together. Closing it flushes the buffer. onDrop is called with the number of lines dropped
+// because the buffer was full.
 func NewBounded(w io.Writer, level string, name ident.Instance, onDrop func(n int)) (zerolog.Logger, io.Closer, error) {
-	buffer := diode.NewWriter(&formatter{out: w}, bufferLines, pollInterval, onDrop)
+	buffer := diode.NewWriter(&formatter{out: &batch{out: w}}, bufferLines, pollInterval, onDrop)
 	l, err := newLogger(buffer, level, name)
 	if err != nil {
 		return l, buffer, err
--- a/internal/modules/logkv/logkv_test.go
+++ b/internal/modules/logkv/logkv_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -55,8 +56,48 @@
 	assert.Assert(t, lines <= 2*maxLinesPerSecond, "%d lines", lines)
 }
 
+// countingWriter counts the writes and the lines.
+type countingWriter struct{ writes, lines int }
+
+func (c *countingWriter) Write(p []byte) (int, error) {
+	c.writes++
+	c.lines += bytes.Count(p, []byte("\n"))
+	return len(p), nil
+}
+
+// TestEachLineIsWrittenAlone guards against a system call for each line of a leader, which logs thousands a second.
+func TestEachLineIsWrittenAlone(t *testing.T) {
+	out := &countingWriter{}
+	l, closer, err := NewBounded(out, "info", "n-1", func(int) {})
+	assert.NilError(t, err)
+	const lines = 1000
+	for range lines {
+		l.Info().Msg("x")
+	}
+	assert.NilError(t, closer.Close())
+	assert.Equal(t, out.lines, lines)
+	assert.Assert(t, out.writes <= lines/20, "%d writes", out.writes)
+}
+
+// TestLineIsWrittenSoon guards against lines that wait for others that do not come.
+func TestLineIsWrittenSoon(t *testing.T) {
+	read, write := io.Pipe()
+	l, _, err := NewBounded(write, "info", "n-1", func(int) {})
+	assert.NilError(t, err)
+	since := time.Now()
+	l.Info().Msg("x")
+	_, err = read.Read(make([]byte, 256))
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(since) < time.Second)
+}
+
+// discard is an output that keeps nothing.
+type discard struct{ io.Writer }
+
+func (discard) Close() error { return nil }
+
 func BenchmarkFormatter(b *testing.B) {
-	f := &formatter{out: &bytes.Buffer{}}
+	f := &formatter{out: discard{io.Discard}}
 	line := []byte(`{"level":"info","instance":"n-1","epoch":7,"job":"5c0e7a21d94b36f8","step":1,"task":17,` +
 		`"executor":"i-7f3a91c2","time":"2026-05-09T12:15:58.010Z","message":"start"}`)
 	b.ReportAllocs()
@@ -64,6 +105,5 @@
 		if _, err := f.Write(line); err != nil {
 			b.Fatal(err)
 		}
-		f.out.(*bytes.Buffer).Reset()
 	}
 }
