--- a/internal/services/leader/rig_test.go
+++ b/internal/services/leader/rig_test.go
@@ -52,6 +52,7 @@
 	// evacuateWithin is the limit of the time for which a request to evacuate a domain may be without effect.
 	evacuateWithin time.Duration
 	meter          *meter.Meter
+	logger         zerolog.Logger
 	nodes          []*rigNode
 }
 
@@ -75,6 +76,7 @@
 		queues:    []queue.Queue{{Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000}},
 		services:  enforcing,
 		meter:     meter.New(),
+		logger:    zerolog.Nop(),
 	}
 	r.record(logs.Operator, "config", []byte("1"))
 	for i := range executors {
@@ -111,7 +113,7 @@
 func (r *rig) start(name string) *rigNode {
 	n := &rigNode{ended: make(chan struct{})}
 	log := r.wrapLog(r.log)
-	logger := zerolog.Nop()
+	logger := r.logger
 	decode := func(string, []byte) (*queue.Configuration, error) {
 		return &queue.Configuration{Version: 1, Queues: r.queues, Services: r.services}, nil
 	}
