Limit the start orders that queue for the leader's processor

Callers saw short jobs done late once best-effort jobs used up the leader's processor: up to 128 start orders were in flight, and their responses, most of them of best-effort tasks, waited their turn on it before all else that a short job needs.

Cause: the window of start orders looks at the response time as if it told about the path or the executor.

Change: the window has at most 32 start orders beyond those that 1,000 starts a second take at the fastest response time of the term.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -146,7 +146,7 @@
 		startWake:  make(chan struct{}, 1),
 		adviceWake: make(chan struct{}, 1), placementWake: make(chan struct{}, 1),
 		failed: make(chan error, 1), holdSenders: map[string]*holdSender{},
-		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts, slowOrder),
+		orderSemaphore: make(chan struct{}, maxOrders), startWindow: aimd.New(maxStarts, slowOrder).WithQueue(maxQueuedStarts, startsPerSecond),
 		startResponses: rtrip.New(minOverdue, orderTimeout), querying: map[string]bool{},
 		appendTimeout:  rtrip.New(minAppendTimeout, callTimeout),
 		evacuationGate: fresh.New(maxEvacuationsAge, l.opts.EvacuateWithin), startDelays: delay.New(),
--- a/internal/services/leader/starts.go
+++ b/internal/services/leader/starts.go
@@ -13,6 +13,10 @@
 	// maxStarts is the highest limit of the start orders in flight. Further ones stay in the cell, which keeps them in
 	// order.
 	maxStarts = 128
+	// maxQueuedStarts is the limit of those whose responses may wait for the processor of this instance, and startsPerSecond
+	// the rate of starts that is possible without them.
+	maxQueuedStarts = 32
+	startsPerSecond = 1000
 	// slowOrder is the response time of an order above which fewer start orders are sent.
 	slowOrder = orderTimeout / 2
 	// minOverdue is the shortest time after which the response to a start order counts as overdue. A processor quota may
--- a/internal/services/leader/usage.go
+++ b/internal/services/leader/usage.go
@@ -32,11 +32,11 @@
 }
 
 // logStartWindow reports the limit of the start orders in flight and their number. It logs them only if the limit is
-// below its highest value.
+// below maxQueuedStarts.
 func (t *term) logStartWindow(limit, inFlight int) {
 	t.opts.Meter.Gauge("start_window_limit", nil, float64(limit))
 	t.opts.Meter.Gauge("start_window_in_flight", nil, float64(inFlight))
-	if limit < maxStarts {
+	if limit < maxQueuedStarts {
 		t.summary().Int("limit", limit).Int("in-flight", inFlight).Msg("start-window")
 	}
 }
--- a/internal/state/aimd/aimd.go
+++ b/internal/state/aimd/aimd.go
@@ -4,11 +4,15 @@
 // It is designed for bursts that exceed the capacity of the caller's link or processor. Without a limit, every call of
 // the burst times out, and the calls that the timeouts cause keep the path saturated after the burst. Lost calls and
 // callees that do not respond are no sign of such a burst: calls that were sent later still get fast responses. Such
-// overtaken calls do not lower the limit. Once they are slow, they no longer count as in flight.
+// overtaken calls do not lower the limit, and soon no longer count as in flight.
+//
+// Calls that are answered faster than the caller gets to their responses queue for its processor, before all else that
+// it has to do. WithQueue limits how many do: the calls in flight are then at most those that a rate takes at the fastest
+// response time, and the queue.
 //
 // # Usage
 //
-//	w := aimd.New(128, 400*time.Millisecond)
+//	w := aimd.New(128, 400*time.Millisecond).WithQueue(32, 1000)
 //	if w.Room(now) > 0 {
 //		w.Sent(now)
 //		send()
@@ -18,6 +22,7 @@
 package aimd
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -28,6 +33,9 @@
 	// minLimit keeps calls going while every one of them times out, so that the end of the overload is noticed.
 	minLimit       = 2
 	decreaseFactor = 0.5
+	// overtakenShare is the share of the time of a slow response after which an overtaken call no longer counts as in
+	// flight.
+	overtakenShare = 0.25
 )
 
 // Window is the limit of the calls in flight.
@@ -39,6 +47,11 @@
 	fastSentAt tick.Time
 	// inFlight has the times at which the calls without an outcome were sent, in ascending order.
 	inFlight []tick.Time
+	// queue is the limit of the calls that wait for the caller, and perSecond the rate that is possible without them; 0 if
+	// there is no such limit.
+	queue, perSecond int
+	// fastest is the shortest response time; 0 before the first response.
+	fastest time.Duration
 }
 
 // New returns a Window with its limit at highest, which it never exceeds. Responses that take longer than slow indicate
@@ -47,8 +60,21 @@
 	return &Window{limit: float64(highest), highest: float64(highest), slow: slow}
 }
 
+// WithQueue limits the calls in flight to those that a rate of perSecond takes at the fastest response time, and queue
+// more.
+func (w *Window) WithQueue(queue, perSecond int) *Window {
+	w.queue, w.perSecond = queue, perSecond
+	return w
+}
+
 // Limit returns how many calls may be in flight.
-func (w *Window) Limit() int { return int(w.limit) }
+func (w *Window) Limit() int {
+	if w.queue == 0 {
+		return int(w.limit)
+	}
+	needed := int(math.Ceil(float64(w.perSecond) * w.fastest.Seconds()))
+	return min(int(w.limit), w.queue+needed)
+}
 
 // Room returns how many calls may be sent now.
 func (w *Window) Room(now tick.Time) int { return max(0, w.Limit()-w.InFlight(now)) }
@@ -56,8 +82,9 @@
 // InFlight returns the number of calls that the path may still carry.
 func (w *Window) InFlight(now tick.Time) int {
 	n := 0
+	overtakenAfter := time.Duration(overtakenShare * float64(w.slow))
 	for _, sent := range w.inFlight {
-		if !w.isOvertaken(sent) || now.Sub(sent) <= w.slow {
+		if !w.isOvertaken(sent) || now.Sub(sent) <= overtakenAfter {
 			n++
 		}
 	}
@@ -74,6 +101,9 @@
 // for each limit's worth of them, slow ones lower it unless the call was overtaken.
 func (w *Window) Answered(now, sent tick.Time) {
 	w.remove(sent)
+	if took := now.Sub(sent); w.fastest == 0 || took < w.fastest {
+		w.fastest = took
+	}
 	if now.Sub(sent) > w.slow {
 		w.decreaseUnlessOvertaken(now, sent)
 		return
