Search executors by their free room instead of rating all for each waiting step

Cause: a plan rated every usable executor for every waiting step, although on a full fleet hardly any has the room, and sorted the pools by id each time. Each rating of a best-effort task looked at each latency-critical run and searched the images of its regression.

Change: the executors are kept in the order of their ids (fleet). A tree of the highest free amounts (package cover) yields the executors of a pool that cover a need, in that order; runs and kept room that are added or removed update it. CPU for best-effort tasks counts only where no latency-critical run is near its target (above it, for overdue tasks), except on reserved executors, whose rating the look-ahead notes. The runs of an executor are summarized to one headroom for each regression, and a weight is looked up once in a pass. Conditions that depend on the time are checked as before.

Decisions are unchanged: TestSearchByRoomSkipsNoCandidate compares lists, costs and the choice for overdue tasks with loops over all executors and runs in random cells. It fails if a removed run or a list does not update the tree or the summary. Two tests that set tail latencies of runs directly have the summary forgotten; their checks are the same.

--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -74,9 +74,14 @@
 	config            *queue.Configuration
 	jobs              map[string]*job
 	active            []*job
-	execs             map[string]*executor
-	entries           entryReads
-	evacuation        evacuation
+	// execs has the executors by their ids, fleet in the order of these.
+	execs map[string]*executor
+	fleet fleet
+	// rooms has the rooms of the last pass by service. ratings counts the executors that it has rated.
+	rooms      map[string]*rooms
+	ratings    int
+	entries    entryReads
+	evacuation evacuation
 	// dirty has the jobs whose progress is to be recorded with the next batch.
 	dirty map[string]*job
 	// pendingRosters has the executors whose roster records are to be stored. No run is started on an executor before
@@ -113,7 +118,7 @@
 func New(p Params, epoch uint64, previousLeasesExpireAt tick.Time) *Cell {
 	return &Cell{
 		params: p, epoch: epoch, previousLeasesExpireAt: previousLeasesExpireAt, isTakingOver: true,
-		jobs: map[string]*job{}, execs: map[string]*executor{},
+		jobs: map[string]*job{}, execs: map[string]*executor{}, rooms: map[string]*rooms{},
 		dirty: map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
 		stopping: map[*run]bool{}, evacuation: evacuation{moved: map[string]int{}, futileSearches: map[bool]int{}},
 		durations: quant.New(), speed: speed.New(), interference: interf.New(),
--- a/internal/state/cell/evacuation.go
+++ b/internal/state/cell/evacuation.go
@@ -288,6 +288,7 @@
 	if t.step.pb.Fills {
 		x.bestEffortMilliCPU += int64(t.step.pb.MilliCpu)
 	}
+	x.updateRoom()
 }
 
 func (x *executor) releaseRoom(t *task) {
@@ -299,6 +300,7 @@
 	if t.step.pb.Fills {
 		x.bestEffortMilliCPU -= int64(t.step.pb.MilliCpu)
 	}
+	x.updateRoom()
 }
 
 // countKept returns the number of tasks of the step for which room is kept on the executor.
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -88,6 +88,8 @@
 	latencyCritical, bestEffort []*run
 	// latencyCriticalMilliCPU and bestEffortMilliCPU are the CPU requests of these runs.
 	latencyCriticalMilliCPU, bestEffortMilliCPU int64
+	// tolerance summarizes the runs with a latency target.
+	tolerance tolerance
 	// orphaned has the listed runs that this leader does not track, which must end. The value is true once the order to
 	// stop the run was sent.
 	orphaned map[orders.Run]bool
@@ -127,6 +129,9 @@
 	throttledTailRatio float64
 	// drainDeadline is when the draining executor may leave.
 	drainDeadline tick.Time
+	// rooms are those that the executor belongs to since a pass has searched them, at the position.
+	rooms    *rooms
+	position int
 }
 
 func (x *executor) target() orders.Target {
@@ -180,7 +185,7 @@
 		next.isInherited = ok && x.isInherited
 		next.isEntryOld = c.entries.gapEndedAt == readAt
 		x = next
-		c.execs[e.ID] = x
+		c.setExecutor(x)
 		c.emit(Event{Name: "executor-listed", Executor: e.ID, Detail: e.Address})
 	}
 	if x.isNewerThan(e) {
@@ -237,7 +242,7 @@
 		c.retired[id] = true
 	}
 	if !x.isListed && (x.isTerminated || now.After(x.leaseExpiresBy)) {
-		delete(c.execs, id)
+		c.dropExecutor(id)
 		c.speed.Drop(id)
 	}
 }
--- a/internal/state/cell/overdue.go
+++ b/internal/state/cell/overdue.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/ibischute/ibischute/internal/state/interf"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
@@ -65,15 +66,15 @@
 	avoids := t.avoidsFailedOn(p)
 	var best *executor
 	highest := math.Inf(-1)
-	for _, x := range p.pools[s.job.queue.Service] {
+	p.forEachWithRoom(s, need, nearTarget, func(x *executor) {
 		isCandidate := p.hasRoomFor(s, need, x) && x.takesOverdue(p.now, s.job)
 		if !isCandidate || avoids && t.hasFailedOn(x) {
-			continue
+			return
 		}
 		if share := x.toleratedShare(s); share > highest {
 			best, highest = x, share
 		}
-	}
+	})
 	return best, max(paceStepPercent, int(highest*fullPacePercent)/paceStepPercent*paceStepPercent)
 }
 
@@ -96,27 +97,23 @@
 
 // hasRunOverTarget reports whether a latency-critical run of the executor exceeds its target.
 func (x *executor) hasRunOverTarget() bool {
-	for _, r := range x.latencyCritical {
-		if r.usage > int64(r.task.step.pb.TargetMs) {
-			return true
-		}
-	}
-	return false
+	return x.knownTolerance().isOverTarget
 }
 
 // toleratedShare returns the share of its full pace at which the latency-critical runs tolerate a task of the step. It
 // is at most 1, and negative if there is no headroom.
 func (x *executor) toleratedShare(s *step) float64 {
 	share := 1.0
-	for _, r := range x.latencyCritical {
-		if added := r.addedLoad(s); added > 0 {
-			share = min(share, r.headroom/added)
+	for _, l := range x.knownTolerance().limits {
+		if added := addedLoad(l.regression, s); added > 0 {
+			share = min(share, l.headroom/added)
 		}
 	}
 	return share
 }
 
-// addedLoad returns the load that a best-effort task of the step adds to a latency-critical run at its full pace.
-func (r *run) addedLoad(s *step) float64 {
-	return r.regression.Weight(s.pb.Image) * float64(s.pb.MilliCpu) / milliCPUPerCore
+// addedLoad returns the load that a best-effort task of the step adds at its full pace to a latency-critical run with
+// the regression.
+func addedLoad(g *interf.Regression, s *step) float64 {
+	return g.Weight(s.pb.Image) * float64(s.pb.MilliCpu) / milliCPUPerCore
 }
--- a/internal/state/cell/pacing.go
+++ b/internal/state/cell/pacing.go
@@ -63,6 +63,7 @@
 
 // updateModel updates the interference model with the tail latencies of a new list.
 func (c *Cell) updateModel(now tick.Time, x *executor) {
+	x.forgetTolerance()
 	if len(x.latencyCritical) == 0 {
 		return
 	}
@@ -328,21 +329,7 @@
 // toleratesBestEffort reports whether the latency-critical runs of an executor tolerate one more best-effort task, and
 // returns the load that it would add.
 func toleratesBestEffort(now tick.Time, x *executor, s *step) (float64, bool) {
-	if len(x.latencyCritical) == 0 {
-		return 0, true
-	}
-	highest := 0.0
-	for _, r := range x.latencyCritical {
-		if r.isNearTarget {
-			return 0, false
-		}
-		added := r.addedLoad(s)
-		highest = max(highest, added)
-		if added >= negligibleInterference && (added > r.headroom || now.Before(x.noBestEffortUntil)) {
-			return 0, false
-		}
-	}
-	return highest, true
+	return x.tolerates(now, func(g *interf.Regression) float64 { return addedLoad(g, s) })
 }
 
 // negligibleInterference is the added load below which a best-effort task needs no headroom and no pause since the last
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -11,9 +11,10 @@
 // pass is one planning pass: it finds executors for waiting tasks.
 type pass struct {
 	now tick.Time
-	// executors has all executors, pools the usable ones of each service.
+	// executors has all executors, pools the usable ones of each service, and rooms those of the pools that were searched.
 	executors []*executor
 	pools     map[string][]*executor
+	rooms     map[string]*rooms
 	// unplaceable has, for each service, requests for which no executor was found. They rule out all requests that need at
 	// least as much.
 	unplaceable map[string][]request
@@ -22,6 +23,8 @@
 	// wasMovedFrom returns a function that reports whether the executor is slow and the task was just moved from such a
 	// one.
 	wasMovedFrom func(t *task) func(x *executor) bool
+	// weights has the weights that were looked up, by best-effort image.
+	weights map[string]weights
 	// extremes has the results of extremesOf.
 	extremes map[string]extremes
 	cell     *Cell
@@ -56,30 +59,33 @@
 const maxUnplaceable = 32
 
 func (c *Cell) newPass(now tick.Time) *pass {
+	c.ratings = 0
 	p := &pass{
-		now: now, pools: map[string][]*executor{}, unplaceable: map[string][]request{}, cell: c,
+		now: now, cell: c, executors: c.fleet, pools: map[string][]*executor{}, rooms: map[string]*rooms{},
+		unplaceable:  map[string][]request{},
+		weights:      map[string]weights{},
 		extremes:     map[string]extremes{},
 		isAvoided:    func(x *executor) bool { return c.isAvoided(now, x) },
 		wasMovedFrom: func(t *task) func(x *executor) bool { return c.wasMovedFrom(now, t) },
 	}
-	for _, x := range c.execs {
-		p.executors = append(p.executors, x)
+	for _, x := range c.fleet {
 		x.coldLimit, x.isCold = x.warmUp.Limit(now, c.params.Cold, float64(x.total.milliCPU)/milliCPUPerCore)
 		if x.isUsable(now) {
-			p.pools[x.entry.Service] = append(p.pools[x.entry.Service], x)
+			p.addToPool(x)
 		}
 	}
-	for _, pool := range p.pools {
-		slices.SortFunc(pool, func(a, b *executor) int {
-			if a.entry.ID < b.entry.ID {
-				return -1
-			}
-			return 1
-		})
-	}
 	return p
 }
 
+// addToPool adds a usable executor to the pool of its service.
+func (p *pass) addToPool(x *executor) {
+	pool, ok := p.pools[x.entry.Service]
+	if !ok {
+		pool = make([]*executor, 0, len(p.executors))
+	}
+	p.pools[x.entry.Service] = append(pool, x)
+}
+
 // candidate is an executor that can take a task of a step, with its cost.
 type candidate struct {
 	exec *executor
@@ -105,11 +111,11 @@
 		return c
 	}
 	p.isLimitedByReservation = false
-	for _, x := range p.pools[service] {
+	p.forEachWithRoom(s, c.need, belowTarget, func(x *executor) {
 		if cost, ok := p.rateExecutor(s, c.need, x); ok {
 			c.list = append(c.list, candidate{x, cost})
 		}
-	}
+	})
 	// The result applies to other steps unless it may be due to this step's tickets, to its anti-affinity, to
 	// reservations, or to the resources that earlier members of its gang hold temporarily.
 	isReusable := s.advice == nil && s.pb.MaxPerExecutor == 0 && !s.pb.Gang && !p.isLimitedByReservation
@@ -131,7 +137,7 @@
 	if !s.pb.Fills {
 		return cost, true
 	}
-	load, ok := toleratesBestEffort(p.now, x, s)
+	load, ok := x.tolerates(p.now, p.loadOf(s))
 	if !ok {
 		return 0, false
 	}
@@ -140,6 +146,7 @@
 
 // hasRoomFor reports whether the executor can take a task of the step, regardless of interference.
 func (p *pass) hasRoomFor(s *step, need resources, x *executor) bool {
+	p.cell.ratings++
 	if !x.allows(s, need) || !s.isPermittedOn(p.now, x) || !x.suspicion.admits(p.now, s) {
 		return false
 	}
--- a/internal/state/cell/reservations.go
+++ b/internal/state/cell/reservations.go
@@ -100,6 +100,9 @@
 		return c.describeRoom(now, x, s), true
 	})
 	for _, m := range made {
+		if x, ok := c.execs[m.Executor]; ok {
+			x.updateRoom()
+		}
 		c.emitReservation("reserved", m, "expected in "+inMillis(m.RoomAt.Sub(now)).String())
 	}
 }
--- /dev/null
+++ b/internal/state/cell/rooms_test.go
@@ -0,0 +1,313 @@
+package cell
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/pkg/queue"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+// plainCandidates returns the candidates for a step by a loop over all usable executors.
+func (p *pass) plainCandidates(s *step) []candidate {
+	need := resourcesOf(s.pb)
+	var list []candidate
+	for _, x := range p.plainPool(s) {
+		if !p.hasRoomFor(s, need, x) {
+			continue
+		}
+		cost := x.cost(s, need)
+		if p.isAvoided(x) {
+			cost += costSlow
+		}
+		if s.pb.Fills {
+			load, ok := plainTolerates(p.now, x, s)
+			if !ok {
+				continue
+			}
+			cost += costPerLoad * load
+		}
+		list = append(list, candidate{x, cost})
+	}
+	return list
+}
+
+// plainPool returns the usable executors of the step's service in the order of their ids.
+func (p *pass) plainPool(s *step) []*executor {
+	var pool []*executor
+	for _, x := range p.cell.execs {
+		if x.isUsable(p.now) && x.entry.Service == s.job.queue.Service {
+			pool = append(pool, x)
+		}
+	}
+	slices.SortFunc(pool, func(a, b *executor) int {
+		if a.entry.ID < b.entry.ID {
+			return -1
+		}
+		return 1
+	})
+	return pool
+}
+
+// plainTolerates is toleratesBestEffort by a loop over all latency-critical runs.
+func plainTolerates(now tick.Time, x *executor, s *step) (float64, bool) {
+	highest := 0.0
+	for _, r := range x.latencyCritical {
+		if r.isNearTarget {
+			return 0, false
+		}
+		added := addedLoad(r.regression, s)
+		highest = max(highest, added)
+		if added >= negligibleInterference && (added > r.headroom || now.Before(x.noBestEffortUntil)) {
+			return 0, false
+		}
+	}
+	return highest, true
+}
+
+// plainMostHeadroom is mostHeadroom by loops over all usable executors and their runs.
+func (p *pass) plainMostHeadroom(t *task) *executor {
+	avoids := t.avoidsFailedOn(p)
+	var best *executor
+	highest := math.Inf(-1)
+	for _, x := range p.plainPool(t.step) {
+		isOverTarget := slices.ContainsFunc(x.latencyCritical, func(r *run) bool {
+			return r.usage > int64(r.task.step.pb.TargetMs)
+		})
+		isUrgent := p.now.Sub(t.step.job.idleSince) >= maxBestEffortDeferral+maxThrottledDeferral
+		isCandidate := p.hasRoomFor(t.step, resourcesOf(t.step.pb), x) && !isOverTarget && (isUrgent || !x.hasThrottledRun())
+		if !isCandidate || avoids && t.hasFailedOn(x) {
+			continue
+		}
+		share := 1.0
+		for _, r := range x.latencyCritical {
+			if added := addedLoad(r.regression, t.step); added > 0 {
+				share = min(share, r.headroom/added)
+			}
+		}
+		if share > highest {
+			best, highest = x, share
+		}
+	}
+	return best
+}
+
+// roomsSim is a cell with random executors and jobs, whose executors start, fail and end runs at random.
+type roomsSim struct {
+	t    *testing.T
+	rnd  *rand.Rand
+	now  tick.Time
+	cell *Cell
+	jobs int
+	// candidates and rejected count the candidates and the steps without any that were compared.
+	candidates, rejected int
+}
+
+func newRoomsSim(t *testing.T, seed uint64) *roomsSim {
+	t.Helper()
+	s := &roomsSim{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), now: tick.Time(time.Hour)}
+	s.cell = New(Params{
+		MaxHold: 6 * time.Second, StopTimeout: time.Second, Retention: time.Minute, LookAhead: true,
+	}, 1, s.now)
+	s.cell.Configure(&queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
+		{Name: "q0", Service: "svc", MaxAttempts: 9, StretchFactor: 2, TargetMS: 500},
+		{Name: "q1", Service: "svc", MaxAttempts: 9, StretchFactor: 2, TargetMS: 1000, Priority: 1},
+		{Name: "q2", Service: "other", MaxAttempts: 9, StretchFactor: 2, TargetMS: 500},
+	}})
+	s.discover(3 + s.rnd.IntN(30))
+	return s
+}
+
+// discover lists the executors, of which some are left out or draining.
+func (s *roomsSim) discover(n int) {
+	var list []queue.Executor
+	for i := range n {
+		e := queue.Executor{
+			ID: fmt.Sprintf("x%03d", i), Address: fmt.Sprintf("a%d", i), Service: "svc", Domain: string(rune('a' + i%3)),
+			MilliCPU: int64(16000 * (1 + i%3)), MemoryMB: 64000, GPUs: int64(i % 2),
+		}
+		if i%5 == 0 {
+			e.Service = "other"
+		}
+		if i%4 == 0 {
+			e.Labels = []string{"l"}
+		}
+		if s.rnd.IntN(40) > 0 {
+			list = append(list, e)
+		}
+	}
+	s.cell.Discover(s.now, list)
+	s.commit()
+}
+
+func (s *roomsSim) commit() {
+	b, err := s.cell.NextBatch()
+	assert.NilError(s.t, err)
+	s.cell.Commit(s.now, b)
+}
+
+func (s *roomsSim) submit() {
+	s.jobs++
+	pb := &jobpb.Step{
+		Count: uint32(1 + s.rnd.IntN(6)), MilliCpu: uint32(500 + s.rnd.IntN(12000)),
+		MemoryMb: uint32(100 + s.rnd.IntN(20000)), EstimateMs: uint32(200 + s.rnd.IntN(4000)),
+	}
+	switch s.rnd.IntN(8) {
+	case 0, 1:
+		pb.LongRunning, pb.TargetMs, pb.Image = true, 50, fmt.Sprintf("web%d", s.rnd.IntN(4))
+	case 2, 3, 4:
+		pb.Fills, pb.Image, pb.Checkpointing = true, fmt.Sprintf("sum%d", s.rnd.IntN(5)), true
+	case 5:
+		pb.Gang = true
+	case 6:
+		pb.Gpus = uint32(s.rnd.IntN(2))
+	}
+	if s.rnd.IntN(4) == 0 {
+		pb.MaxPerExecutor = 1
+	}
+	if s.rnd.IntN(5) == 0 {
+		pb.RequiresLabel = "l"
+	}
+	name := fmt.Sprintf("q%d", s.rnd.IntN(3))
+	service := "svc"
+	if name == "q2" {
+		service = "other"
+	}
+	s.cell.Accept(s.now, &jobpb.Job{
+		Id: fmt.Sprintf("j%05d", s.jobs), Queue: name, Service: service, Steps: []*jobpb.Step{pb},
+	})
+}
+
+// advance plans, replies to the orders and applies the lists of most executors.
+func (s *roomsSim) advance() {
+	for _, o := range s.cell.Plan(s.now, testWallMS, unbounded) {
+		outcome := orders.Done
+		if s.rnd.IntN(30) == 0 {
+			outcome = orders.InsufficientResources
+		}
+		s.cell.HandleReply(s.now, o, orders.Reply{Outcome: outcome, ClockMS: 1})
+	}
+	s.commit()
+	for _, x := range slices.Clone(s.cell.fleet) {
+		if s.rnd.IntN(4) == 0 {
+			continue
+		}
+		h, _, _ := s.cell.Hold(s.now, x.entry.ID)
+		s.cell.HandleHoldReply(s.now, s.now, x.entry.ID, h, s.lists(x), orders.Reply{Outcome: orders.Done, ClockMS: 1})
+	}
+	s.commit()
+	s.cell.Events()
+}
+
+func (s *roomsSim) lists(x *executor) orders.Lists {
+	l := orders.Lists{StartedMS: 1}
+	cursor := x.appliedCursor
+	for _, r := range x.runs {
+		if r.isPlaced {
+			continue
+		}
+		if s.rnd.IntN(12) == 0 || r.isMarkedForStopping {
+			cursor++
+			reason := orders.EndedDone
+			if r.isMarkedForStopping || s.rnd.IntN(4) == 0 {
+				reason = orders.EndedFailed
+			}
+			l.Ended = append(l.Ended, orders.EndedRun{Run: r.id, Cursor: cursor, Reason: reason})
+			continue
+		}
+		usage := int64(10 + s.rnd.IntN(30))
+		if s.rnd.IntN(20) == 0 {
+			usage = int64(40 + s.rnd.IntN(30))
+		}
+		if r.task.step.pb.TargetMs == 0 {
+			usage = int64(r.task.step.pb.MilliCpu)
+		}
+		l.Running = append(l.Running, orders.Running{Run: r.id, Percent: min(100, r.percent+10), Usage: usage})
+	}
+	return l
+}
+
+// compare compares the candidates of all waiting steps in one pass, in which a task of each step takes the room of a
+// candidate and some of these give it back.
+func (s *roomsSim) compare() {
+	p := s.cell.newPass(s.now)
+	s.cell.beginLookAhead(s.now)
+	var placed []*run
+	for _, st := range s.cell.waitingSteps(s.now) {
+		if p.isUnplaceable(st.job.queue.Service, resourcesOf(st.pb), st) {
+			// A step before has found nothing, since which runs may have given back room.
+			continue
+		}
+		cands := p.candidates(st)
+		s.compareList(cands.list, p.plainCandidates(st))
+		t := st.firstStartable(s.now)
+		if t == nil {
+			continue
+		}
+		if st.pb.Fills {
+			x, _ := p.mostHeadroom(t)
+			assert.Equal(s.t, executorID(x), executorID(p.plainMostHeadroom(t)))
+		}
+		if x := cands.best(t); x != nil {
+			placed = append(placed, s.cell.createRun(s.now, t, x, s.cell.nextRunNumber(t)))
+			cands.update(x)
+			s.compareList(cands.list, p.plainCandidates(st))
+		} else {
+			s.cell.awaitRoom(s.now, p, st)
+		}
+		if len(placed) > 0 && s.rnd.IntN(3) == 0 {
+			i := s.rnd.IntN(len(placed))
+			s.cell.detachRun(placed[i])
+			placed = slices.Delete(placed, i, i+1)
+		}
+	}
+	for _, r := range placed {
+		s.cell.detachRun(r)
+	}
+}
+
+func (s *roomsSim) compareList(got, want []candidate) {
+	s.t.Helper()
+	s.candidates += len(want)
+	if len(want) == 0 {
+		s.rejected++
+	}
+	assert.Equal(s.t, len(got), len(want))
+	for i := range want {
+		assert.Assert(s.t, got[i] == want[i], "%s at %v, not %s at %v", got[i].exec.entry.ID, got[i].cost,
+			want[i].exec.entry.ID, want[i].cost)
+	}
+}
+
+// TestSearchByRoomSkipsNoCandidate guards against executors that the search by room passes over or rates differently
+// from a loop over all executors and runs, also when runs are added and removed within the pass.
+func TestSearchByRoomSkipsNoCandidate(t *testing.T) {
+	const seeds, rounds, roundTime, jobsPerRound = 60, 40, 200 * time.Millisecond, 4
+	candidates, rejected := 0, 0
+	for seed := range uint64(seeds) {
+		s := newRoomsSim(t, seed)
+		for round := range rounds {
+			s.now = s.now.Add(roundTime)
+			for range jobsPerRound {
+				s.submit()
+			}
+			if round%10 == 9 {
+				s.discover(3 + s.rnd.IntN(30))
+				s.cell.SetEvacuated(s.now, []string{"b"}[:s.rnd.IntN(2)])
+			}
+			s.compare()
+			s.advance()
+		}
+		candidates, rejected = candidates+s.candidates, rejected+s.rejected
+	}
+	t.Logf("%d candidates, %d steps without any", candidates, rejected)
+	assert.Assert(t, candidates > seeds*rounds && rejected > seeds*rounds)
+}
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -119,7 +119,9 @@
 	case pb.TargetMs > 0:
 		x.latencyCritical = append(x.latencyCritical, r)
 		x.latencyCriticalMilliCPU += int64(pb.MilliCpu)
+		x.forgetTolerance()
 	}
+	x.updateRoom()
 }
 
 // removeRun removes a run and its resources.
@@ -135,7 +137,9 @@
 	case pb.TargetMs > 0:
 		x.latencyCritical = slices.DeleteFunc(x.latencyCritical, is)
 		x.latencyCriticalMilliCPU -= int64(pb.MilliCpu)
+		x.forgetTolerance()
 	}
+	x.updateRoom()
 }
 
 // markForStopping has the run stopped. A placed run is withdrawn.
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -22,7 +22,7 @@
 	x, ok := c.execs[r.Executor]
 	if !ok {
 		x = newExecutor(queue.Executor{ID: r.Executor, Address: r.Address})
-		c.execs[r.Executor] = x
+		c.setExecutor(x)
 	}
 	x.isRostered = true
 	x.isInherited = true
--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -400,6 +400,7 @@
 		for _, r := range x.latencyCritical {
 			r.isNearTarget = true
 		}
+		x.forgetTolerance()
 	}
 	h.accept("best-effort", "q", &jobpb.Step{
 		Count: 1, MilliCpu: 8000, MemoryMb: 100, EstimateMs: 1000, Fills: true, Image: "batch",
@@ -420,6 +421,7 @@
 		for _, r := range x.latencyCritical {
 			r.isNearTarget = true
 		}
+		x.forgetTolerance()
 	}
 	h.accept("best-effort", "q", &jobpb.Step{
 		Count: 1, MilliCpu: 8000, MemoryMb: 100, EstimateMs: 1000, Fills: true, Image: "batch",
@@ -432,6 +434,7 @@
 		for _, r := range h.cell.execs[id].latencyCritical {
 			r.usage = int64(servers.TargetMs) + 1
 		}
+		h.cell.execs[id].forgetTolerance()
 	}
 	h.cell.HandleAdvice(h.now, h.now, q, a, nil)
 	started := h.waitForPermittedStart(longestWait, func(string) bool { return true })
