Count the wait for the next plan among the stages of a start

Change: a step is ready when its job is accepted or the steps before it are done.

Measured: TestWaitForPlanIsPartOfFirstWait, red before ("a task that waited 400ms for a plan counts as waiting 0s").

--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -62,7 +62,10 @@
 	if _, ok := c.jobs[pb.Id]; ok {
 		return
 	}
-	c.addJob(now, pb)
+	j := c.addJob(now, pb)
+	for _, o := range j.occurrences {
+		o.noteReady(now)
+	}
 	c.emit(Event{Name: "job-queued", Task: orders.Task{Job: pb.Id}, Detail: describeSteps(pb)})
 }
 
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -241,6 +241,9 @@
 			m.markDone()
 		}
 	}
+	if t.step.unfinished == 0 {
+		t.step.occurrence.noteReady(now)
+	}
 	if j.isComplete() {
 		c.endJob(now, j, jobpb.State_STATE_COMPLETED)
 	}
--- a/internal/state/cell/task.go
+++ b/internal/state/cell/task.go
@@ -22,7 +22,7 @@
 	advice *stepAdvice
 	// gangFailures are the run numbers of the gang's failed attempts.
 	gangFailures []uint64
-	// readyAt is when a plan first found the step ready; 0 before.
+	// readyAt is when the step became ready, or when a plan of a new leader first found it so; 0 before.
 	readyAt tick.Time
 	// waitsSince is since when Diagnose has seen a due task of the step without a run; 0 if there is none.
 	// waitReportedAt is when it last reported the cause.
@@ -116,6 +116,15 @@
 	return false
 }
 
+// noteReady notes which steps of the occurrence have become ready.
+func (o *occurrence) noteReady(now tick.Time) {
+	for _, s := range o.steps {
+		if s.readyAt == 0 && s.isReady() {
+			s.readyAt = now
+		}
+	}
+}
+
 func (t *task) markDone() {
 	t.done = true
 	t.step.unfinished--
