Bound the pause after a plan by 50 ms

Callers saw short jobs late: on a leader whose processor quota is used up, a plan that a suspension of 60 ms interrupts was followed by a pause of four times that, up to 500 ms, and nothing was placed meanwhile.

Cause: the pause takes time on the clock for processor time.

Change: the pause is at most 50 ms, and at least 10 ms, so that a calm fleet is planned for 100 times a second at the most. The loops of starts and commits keep their 4 ms.

Measured: TestSuspendedLeaderStartsJobsInTime, red before (18 of 100 jobs later than 250 ms, the last after 308 ms).

--- a/internal/services/leader/plans.go
+++ b/internal/services/leader/plans.go
@@ -14,8 +14,8 @@
 	// maxPlanWait is how long planLoop waits for a wake-up before it plans anyway. minPlanPause and maxPlanPause are the
 	// shortest and the longest pause after a plan.
 	maxPlanWait  = 100 * time.Millisecond
-	minPlanPause = 4 * time.Millisecond
-	maxPlanPause = 500 * time.Millisecond
+	minPlanPause = 10 * time.Millisecond
+	maxPlanPause = 50 * time.Millisecond
 	// planPauseFactor is the ratio of the pause after a plan to the time that the plan took.
 	planPauseFactor = 4
 )
@@ -43,7 +43,8 @@
 }
 
 // planPause returns the pause after a plan. It grows with the time that the plan took, to leave processor time for
-// handling the replies that planning needs. It is bounded, because that time includes any suspension of the process.
+// handling the replies that planning needs. It has a low bound, because that time includes the suspensions of a process
+// that has used up its processor quota.
 func planPause(took time.Duration) time.Duration {
 	return min(maxPlanPause, max(minPlanPause, planPauseFactor*took))
 }
--- a/internal/services/leader/starts.go
+++ b/internal/services/leader/starts.go
@@ -17,6 +17,8 @@
 	// the rate of starts that is possible without them.
 	maxQueuedStarts = 32
 	startsPerSecond = 1000
+	// minLoopPause is the shortest pause between two rounds of startLoop or commitLoop.
+	minLoopPause = 4 * time.Millisecond
 	// slowOrder is the response time of an order above which fewer start orders are sent.
 	slowOrder = orderTimeout / 2
 	// minOverdue is the shortest time after which the response to a start order counts as overdue. A processor quota may
@@ -36,7 +38,7 @@
 		if t.opts.HoldsLease(tick.Now()) {
 			t.startRecorded(ctx)
 		}
-		tick.Pause(ctx, minPlanPause)
+		tick.Pause(ctx, minLoopPause)
 	}
 }
 
