Look only at the placed runs that can start when a start order is over

Change: a run is checked when its order is made, and plans withdraw those that are not fit any more.

Measured: the tests of cell and leader; no figure of its own.

--- a/internal/state/cell/placed.go
+++ b/internal/state/cell/placed.go
@@ -203,13 +203,12 @@
 }
 
 // StartRecorded returns the orders to start placed runs whose executor was recorded since the last plan, or that the
-// limit of start orders kept back, so that they do not wait for the next plan.
+// limit of start orders kept back, so that they do not wait for the next plan, which withdraws those that are not fit.
 func (c *Cell) StartRecorded(now tick.Time, maxStarts int) []Order {
 	if c.isFenced {
 		return nil
 	}
 	c.judgeCrashes(now)
-	c.withdrawUnfit(now)
 	return c.startRecorded(now, maxStarts)
 }
 
@@ -224,7 +223,7 @@
 		if len(out) >= maxStarts {
 			break
 		}
-		if !r.isPlaced || !isGroupReady(now, r) {
+		if !r.isPlaced || !isGroupReady(now, r) || !isGroupFit(now, r) {
 			continue
 		}
 		for _, t := range r.startGroup() {
@@ -233,7 +232,9 @@
 			}
 		}
 	}
-	c.placements.placed = slices.DeleteFunc(c.placements.placed, func(r *run) bool { return !r.isPlaced })
+	if len(out) > 0 {
+		c.placements.placed = slices.DeleteFunc(c.placements.placed, func(r *run) bool { return !r.isPlaced })
+	}
 	return out
 }
 
@@ -249,6 +250,16 @@
 	return true
 }
 
+// isGroupFit reports whether the placed run and those of its gang may still start on their executors.
+func isGroupFit(now tick.Time, r *run) bool {
+	for _, t := range r.startGroup() {
+		if t.run != nil && t.run.isPlaced && !t.run.isFit(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // startRun returns the order to start a placed run.
 func (c *Cell) startRun(now tick.Time, r *run) Order {
 	t, x := r.task, r.exec
