Look for the causes of waits every two seconds and at 16 steps

Change: every fourth round of discovery, as often as a step is reported, and as many steps as are reported.

Measured: the tests of cell and leader; no figure of its own.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -36,6 +36,8 @@
 const (
 	// discoveryInterval is how often the entries of the executors are read.
 	discoveryInterval = 500 * time.Millisecond
+	// diagnoseRounds is the number of discovery rounds after which the causes of waits are looked for.
+	diagnoseRounds = 4
 	// modelSaveRounds is the number of discovery rounds after which the model is recorded.
 	modelSaveRounds = 6
 	callTimeout     = 1200 * time.Millisecond
@@ -294,7 +296,9 @@
 		if err == nil {
 			t.cell.DiscoverAsOf(tick.Now(), sent, list)
 		}
-		t.cell.Diagnose(tick.Now())
+		if round%diagnoseRounds == 0 {
+			t.cell.Diagnose(tick.Now())
+		}
 		usage := t.cell.Usage(tick.Now())
 		evacuations := t.cell.Evacuations()
 		window, pending := t.startWindow.Limit(), t.startWindow.InFlight(tick.Now())
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -76,7 +76,7 @@
 	waitReportInterval = 2 * time.Second
 	// maxWaitReports bounds the reports of one call of Diagnose, maxWaitChecks the steps that it looks at.
 	maxWaitReports = 16
-	maxWaitChecks  = 64
+	maxWaitChecks  = 16
 )
 
 // Diagnose emits an event with the cause for each due task that has had no run, and for each run that no list has
