Adjust paces and look for ends only on executors that have replied

Cause: each plan looked at the best-effort runs of every executor for paces to adjust, and the question after each reply to a hold whether there is something to store looked at every executor for ends that are in no batch.

Change: a reply puts its executor on a list whose paces the next plan adjusts, since paces depend on replies only; an end that is applied puts it into a set. If more runs are to be moved than one plan searches for, those go first whose executors replied first; the order was that of a map before.

TestPlanMissesNoReply checks after plans in random cells that no pace is left to adjust, and compares the answer about ends with a loop over all executors. It fails if a reply to an order, a list or an end is not noted.

--- a/internal/state/cell/bench_test.go
+++ b/internal/state/cell/bench_test.go
@@ -140,6 +140,17 @@
 	}
 }
 
+// BenchmarkHasChanges measures the question after each hold of a fleet whether there is something to store.
+func BenchmarkHasChanges(b *testing.B) {
+	c, _ := loadedCell(b, 890)
+	b.ReportAllocs()
+	for b.Loop() {
+		if c.HasChanges() {
+			b.Fatal("there are changes")
+		}
+	}
+}
+
 // BenchmarkLookAhead measures the part of a plan that looks ahead, with 3,000 executors that are full of short tasks
 // and 64 large tasks that wait. Smaller work overtakes the large tasks before each pass, so that each pass searches.
 func BenchmarkLookAhead(b *testing.B) {
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -82,6 +82,10 @@
 	ratings    int
 	entries    entryReads
 	evacuation evacuation
+	// replied has the executors that have replied since paces were last adjusted, in the order of their replies.
+	replied []*executor
+	// unbatched has the executors that may have listed ends that are in no batch yet.
+	unbatched map[*executor]bool
 	// dirty has the jobs whose progress is to be recorded with the next batch.
 	dirty map[string]*job
 	// pendingRosters has the executors whose roster records are to be stored. No run is started on an executor before
@@ -119,7 +123,8 @@
 	return &Cell{
 		params: p, epoch: epoch, previousLeasesExpireAt: previousLeasesExpireAt, isTakingOver: true,
 		jobs: map[string]*job{}, execs: map[string]*executor{}, rooms: map[string]*rooms{},
-		dirty: map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
+		unbatched: map[*executor]bool{},
+		dirty:     map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
 		stopping: map[*run]bool{}, evacuation: evacuation{moved: map[string]int{}, futileSearches: map[bool]int{}},
 		durations: quant.New(), speed: speed.New(), interference: interf.New(),
 		placements: placements{held: map[uint32][]*task{}}, lookAhead: newLookAhead(p), crashes: newCrashes(),
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -120,6 +120,8 @@
 	suspicion        suspicion
 	// guarded is the last run here of a task that has counted crashes.
 	guarded *run
+	// hasReplied is true if the executor has replied since paces were last adjusted.
+	hasReplied bool
 	// pacesAdjustedAt is the lastResponseAt of the list for which paces were last adjusted. No best-effort task starts
 	// before noBestEffortUntil.
 	pacesAdjustedAt, noBestEffortUntil tick.Time
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -160,6 +160,7 @@
 		listed[e.Run] = true
 		if e.Cursor > x.appliedCursor {
 			x.appliedCursor = e.Cursor
+			c.unbatched[x] = true
 			c.applyEnded(now, x, e)
 		}
 	}
@@ -177,6 +178,7 @@
 // applyReply updates the executor from any reply and reports whether the order, which was sent to the address, was
 // carried out by the executor's present incarnation.
 func (c *Cell) applyReply(now tick.Time, x *executor, address string, reply orders.Reply) bool {
+	c.noteReply(x)
 	switch {
 	case reply.Outcome == orders.NoResponse, reply.Outcome == orders.NotSent, reply.Outcome == orders.Withheld:
 		return false
@@ -318,8 +320,9 @@
 // releaseExpired releases the runs of executors whose lease has certainly expired. A run that may have been done before
 // is kept while service discovery lists its executor, whose next list tells: a second run would repeat its effects.
 func (c *Cell) releaseExpired(now tick.Time) {
-	for _, x := range c.execs {
-		if now.After(max(x.leaseExpiresBy, x.lastResponseAt.Add(c.params.LongestLease()))) {
+	longest := c.params.LongestLease()
+	for _, x := range c.fleet {
+		if now.After(max(x.leaseExpiresBy, x.lastResponseAt.Add(longest))) {
 			// Orphaned runs end with the lease, even if the executor has listed them later than expected.
 			clear(x.orphaned)
 		}
--- a/internal/state/cell/pacing.go
+++ b/internal/state/cell/pacing.go
@@ -95,7 +95,7 @@
 // targets.
 func (c *Cell) adjustPaces(now tick.Time, p *pass, out []Order) []Order {
 	searches := 0
-	for _, x := range c.execs {
+	for _, x := range c.takeReplied() {
 		out = c.throttleStarted(now, x, out)
 		if x.isTerminated || x.lastResponseAt == x.pacesAdjustedAt {
 			continue
@@ -115,6 +115,24 @@
 	return out
 }
 
+// noteReply has the paces of the executor adjusted by the next plan. They depend on its replies only.
+func (c *Cell) noteReply(x *executor) {
+	if !x.hasReplied {
+		x.hasReplied = true
+		c.replied = append(c.replied, x)
+	}
+}
+
+// takeReplied returns the executors that have replied since the last call. The result is valid until the next reply.
+func (c *Cell) takeReplied() []*executor {
+	replied := c.replied
+	c.replied = c.replied[:0]
+	for _, x := range replied {
+		x.hasReplied = false
+	}
+	return slices.DeleteFunc(replied, func(x *executor) bool { return c.execs[x.entry.ID] != x })
+}
+
 // throttleStarted sets the paces of runs that were to start throttled, as soon as they are confirmed, because executors
 // start each run at its full pace.
 func (c *Cell) throttleStarted(now tick.Time, x *executor, out []Order) []Order {
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -34,10 +34,11 @@
 // hasUnbatchedEnds reports whether an executor has listed ends that are in no batch yet. Such ends may have changed no
 // record and only need to be acknowledged.
 func (c *Cell) hasUnbatchedEnds() bool {
-	for _, x := range c.execs {
-		if x.appliedCursor > x.batchedCursor {
+	for x := range c.unbatched {
+		if x.appliedCursor > x.batchedCursor && c.execs[x.entry.ID] == x {
 			return true
 		}
+		delete(c.unbatched, x)
 	}
 	return false
 }
@@ -168,6 +169,7 @@
 		c.dirty[j.id] = j
 		for x := range b.cursors {
 			x.batchedCursor = x.storedCursor
+			c.unbatched[x] = true
 		}
 		clear(b.cursors)
 	}
--- a/internal/state/cell/rooms_test.go
+++ b/internal/state/cell/rooms_test.go
@@ -107,8 +107,9 @@
 	now  tick.Time
 	cell *Cell
 	jobs int
-	// candidates and rejected count the candidates and the steps without any that were compared.
-	candidates, rejected int
+	// candidates and rejected count the candidates and the steps without any that were compared, throttled the throttled
+	// runs after plans.
+	candidates, rejected, throttled int
 }
 
 func newRoomsSim(t *testing.T, seed uint64) *roomsSim {
@@ -149,11 +150,37 @@
 }
 
 func (s *roomsSim) commit() {
+	assert.Equal(s.t, s.cell.hasUnbatchedEnds(), s.hasPlainUnbatchedEnds())
 	b, err := s.cell.NextBatch()
 	assert.NilError(s.t, err)
+	assert.Assert(s.t, !s.cell.hasUnbatchedEnds())
 	s.cell.Commit(s.now, b)
 }
 
+// hasPlainUnbatchedEnds is hasUnbatchedEnds by a loop over all executors.
+func (s *roomsSim) hasPlainUnbatchedEnds() bool {
+	for _, x := range s.cell.execs {
+		if x.appliedCursor > x.batchedCursor {
+			return true
+		}
+	}
+	return false
+}
+
+// checkPaces checks that a plan has left no executor whose paces are to be adjusted.
+func (s *roomsSim) checkPaces() {
+	for _, x := range s.cell.execs {
+		assert.Assert(s.t, x.isTerminated || x.pacesAdjustedAt == x.lastResponseAt, "%s", x.entry.ID)
+		for _, r := range x.bestEffort {
+			isThrottleDue := r.isPaceUnconfirmed && r.confirmedAt != 0 && r.firstListedAt == 0
+			assert.Assert(s.t, !isThrottleDue, "run %v", r.id)
+			if r.pace < fullPacePercent {
+				s.throttled++
+			}
+		}
+	}
+}
+
 func (s *roomsSim) submit() {
 	s.jobs++
 	pb := &jobpb.Step{
@@ -188,7 +215,9 @@
 
 // advance plans, replies to the orders and applies the lists of most executors.
 func (s *roomsSim) advance() {
-	for _, o := range s.cell.Plan(s.now, testWallMS, unbounded) {
+	plan := s.cell.Plan(s.now, testWallMS, unbounded)
+	s.checkPaces()
+	for _, o := range plan {
 		outcome := orders.Done
 		if s.rnd.IntN(30) == 0 {
 			outcome = orders.InsufficientResources
@@ -287,6 +316,26 @@
 	}
 }
 
+// TestPlanMissesNoReply guards against replies, lists and ends that plans or batches miss as they do not look at all
+// executors.
+func TestPlanMissesNoReply(t *testing.T) {
+	const seeds, rounds, roundTime, jobsPerRound = 30, 60, 300 * time.Millisecond, 4
+	throttled := 0
+	for seed := range uint64(seeds) {
+		s := newRoomsSim(t, seed)
+		for range rounds {
+			s.now = s.now.Add(roundTime)
+			for range jobsPerRound {
+				s.submit()
+			}
+			s.advance()
+		}
+		throttled += s.throttled
+	}
+	t.Logf("%d throttled runs", throttled)
+	assert.Assert(t, throttled > seeds*rounds)
+}
+
 // TestSearchByRoomSkipsNoCandidate guards against executors that the search by room passes over or rates differently
 // from a loop over all executors and runs, also when runs are added and removed within the pass.
 func TestSearchByRoomSkipsNoCandidate(t *testing.T) {
