Plan without allocations for each executor and waiting job

Cause: beside the search, a plan allocated steps, pools and paths for each job and executor, sorted the waiting jobs stably with copies of large values, and iterated over maps of all executors.

Change: the lists of waiting jobs and steps are reused, the sort falls back on the place of a job instead of being stable, pools are allocated once, and loops over all executors go over the slice in the order of ids. Confirmed and open losses are grouped only if there are any.

TestPlanMissesNoReply also checks the order of the waiting jobs. It fails if the sort ignores the place.

--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -86,6 +86,8 @@
 	replied []*executor
 	// unbatched has the executors that may have listed ends that are in no batch yet.
 	unbatched map[*executor]bool
+	// waiting is reused to order the waiting jobs.
+	waiting waitingJobs
 	// dirty has the jobs whose progress is to be recorded with the next batch.
 	dirty map[string]*job
 	// pendingRosters has the executors whose roster records are to be stored. No run is started on an executor before
--- a/internal/state/cell/crashes.go
+++ b/internal/state/cell/crashes.go
@@ -153,6 +153,18 @@
 // judgeCrashes judges the confirmed crashes after judgeDelay, those of one executor together, and ends the jobs of the
 // tasks that are given up.
 func (c *Cell) judgeCrashes(now tick.Time) {
+	if len(c.crashes.confirmed) > 0 || len(c.crashes.opened) > 0 {
+		c.judgeLosses(now)
+	}
+	for _, t := range c.crashes.givenUp {
+		c.giveUp(now, t)
+	}
+	c.crashes.givenUp = nil
+	c.pruneCrashes(now)
+}
+
+// judgeLosses judges the confirmed crashes that are due.
+func (c *Cell) judgeLosses(now tick.Time) {
 	groups := map[crashKey][]*lostRun{}
 	due := map[crashKey]bool{}
 	for _, k := range c.crashes.confirmed {
@@ -177,11 +189,6 @@
 		}
 		c.judgeGroup(now, j, key, groups[key])
 	}
-	for _, t := range c.crashes.givenUp {
-		c.giveUp(now, t)
-	}
-	c.crashes.givenUp = nil
-	c.pruneCrashes(now)
 }
 
 // markCommon notes which of the open losses have a common cause. Their tasks need not wait, nor be kept apart.
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -70,20 +70,28 @@
 	}
 	for _, x := range c.fleet {
 		x.coldLimit, x.isCold = x.warmUp.Limit(now, c.params.Cold, float64(x.total.milliCPU)/milliCPUPerCore)
-		if x.isUsable(now) {
-			p.addToPool(x)
-		}
 	}
+	p.fillPools()
 	return p
 }
 
-// addToPool adds a usable executor to the pool of its service.
-func (p *pass) addToPool(x *executor) {
-	pool, ok := p.pools[x.entry.Service]
-	if !ok {
-		pool = make([]*executor, 0, len(p.executors))
+// fillPools adds the usable executors to the pools of their services.
+func (p *pass) fillPools() {
+	service, pool := "", make([]*executor, 0, len(p.executors))
+	for _, x := range p.executors {
+		if !x.isUsable(p.now) {
+			continue
+		}
+		if x.entry.Service != service && len(pool) > 0 {
+			p.pools[service] = pool
+			pool = p.pools[x.entry.Service]
+		}
+		service = x.entry.Service
+		pool = append(pool, x)
+	}
+	if len(pool) > 0 {
+		p.pools[service] = pool
 	}
-	p.pools[x.entry.Service] = append(pool, x)
 }
 
 // candidate is an executor that can take a task of a step, with its cost.
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -121,9 +121,13 @@
 		}
 		return 1
 	}
-	return cmp.Or(
-		cmp.Compare(u.priority, v.priority), cmp.Compare(u.lateness, v.lateness), cmp.Compare(u.remaining, v.remaining),
-	)
+	switch {
+	case u.priority != v.priority:
+		return cmp.Compare(u.priority, v.priority)
+	case u.lateness != v.lateness:
+		return cmp.Compare(u.lateness, v.lateness)
+	}
+	return cmp.Compare(u.remaining, v.remaining)
 }
 
 // isLongRunning reports whether the job has tasks that run until it is cancelled.
@@ -136,6 +140,9 @@
 	return false
 }
 
+// stepsOfMostJobs is the number of steps that few jobs exceed.
+const stepsOfMostJobs = 16
+
 // remainingCriticalPath estimates the duration of the longest chain of unfinished steps in the oldest unfinished
 // occurrence.
 func (j *job) remainingCriticalPath() time.Duration {
@@ -143,7 +150,11 @@
 		if o.unfinished == 0 {
 			continue
 		}
-		ends := make([]time.Duration, len(o.steps))
+		var few [stepsOfMostJobs]time.Duration
+		ends := few[:]
+		if len(o.steps) > len(few) {
+			ends = make([]time.Duration, len(o.steps))
+		}
 		longest := time.Duration(0)
 		for i, s := range o.steps {
 			for _, d := range s.pb.DependsOn {
@@ -161,32 +172,39 @@
 	return j.criticalPath
 }
 
-// waitingSteps returns the ready steps with waiting tasks, those of the most urgent jobs first.
+// waitingSteps returns the ready steps with waiting tasks, those of the most urgent jobs first. The result is valid
+// until the next call.
 func (c *Cell) waitingSteps(now tick.Time) []*step {
-	var entries []waitingJob
+	w := &c.waiting
+	w.jobs, w.steps, w.ordered = w.jobs[:0], w.steps[:0], w.ordered[:0]
 	for _, j := range c.active {
 		if c.isTakingOver && j.isInherited {
 			continue
 		}
-		steps := j.waitingSteps(now)
+		first := len(w.steps)
+		w.steps = j.appendWaitingSteps(now, w.steps)
+		steps := w.steps[first:]
 		j.updateIdle(now, len(steps) > 0)
 		if len(steps) > 0 {
 			c.countWaiting(now, j)
-			entries = append(entries, waitingJob{j, c.urgencyOf(now, j), steps})
+			w.jobs = append(w.jobs, waitingJob{j, c.urgencyOf(now, j), steps, len(w.jobs)})
 		}
 	}
-	c.moveUpAged(now, entries)
-	slices.SortStableFunc(entries, func(a, b waitingJob) int { return a.urgency.compare(b.urgency) })
-	var out []*step
-	for _, e := range entries {
-		out = append(out, e.steps...)
+	c.moveUpAged(now, w.jobs)
+	slices.SortFunc(w.jobs, func(a, b waitingJob) int {
+		if n := a.urgency.compare(b.urgency); n != 0 {
+			return n
+		}
+		return cmp.Compare(a.place, b.place)
+	})
+	for _, e := range w.jobs {
+		w.ordered = append(w.ordered, e.steps...)
 	}
-	return out
+	return w.ordered
 }
 
-// waitingSteps returns the ready steps of the job with waiting tasks.
-func (j *job) waitingSteps(now tick.Time) []*step {
-	var steps []*step
+// appendWaitingSteps appends the ready steps of the job with waiting tasks.
+func (j *job) appendWaitingSteps(now tick.Time, steps []*step) []*step {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if s.waiting == 0 || !s.isReady() {
--- a/internal/state/cell/reservations.go
+++ b/internal/state/cell/reservations.go
@@ -215,6 +215,14 @@
 	job     *job
 	urgency urgency
 	steps   []*step
+	// place is the place among the waiting jobs by acceptance.
+	place int
+}
+
+// waitingJobs are the waiting jobs of one pass with their steps, ordered has the steps by urgency.
+type waitingJobs struct {
+	jobs           []waitingJob
+	steps, ordered []*step
 }
 
 // moveUpAged moves up one job of each priority: the one that has waited longest relative to its latency target, if it
--- a/internal/state/cell/rooms_test.go
+++ b/internal/state/cell/rooms_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -317,7 +318,7 @@
 }
 
 // TestPlanMissesNoReply guards against replies, lists and ends that plans or batches miss as they do not look at all
-// executors.
+// executors, and against waiting jobs in another order than by urgency and acceptance.
 func TestPlanMissesNoReply(t *testing.T) {
 	const seeds, rounds, roundTime, jobsPerRound = 30, 60, 300 * time.Millisecond, 4
 	throttled := 0
@@ -329,6 +330,10 @@
 				s.submit()
 			}
 			s.advance()
+			s.cell.waitingSteps(s.now)
+			assert.Assert(t, slices.IsSortedFunc(s.cell.waiting.jobs, func(a, b waitingJob) int {
+				return cmp.Or(a.urgency.compare(b.urgency), cmp.Compare(a.place, b.place))
+			}))
 		}
 		throttled += s.throttled
 	}
--- a/internal/state/cell/stops.go
+++ b/internal/state/cell/stops.go
@@ -24,7 +24,10 @@
 			out = append(out, c.stopOrder(r.exec, r.id))
 		}
 	}
-	for _, x := range c.execs {
+	for _, x := range c.fleet {
+		if len(x.orphaned) == 0 {
+			continue
+		}
 		for id, isSent := range x.orphaned {
 			if !isSent && !x.isTerminated {
 				x.orphaned[id] = true
@@ -55,7 +58,7 @@
 
 // stopDraining stops the runs that will not be done before their executor leaves.
 func (c *Cell) stopDraining(now tick.Time) {
-	for _, x := range c.execs {
+	for _, x := range c.fleet {
 		if !x.entry.Draining || x.isTerminated {
 			continue
 		}
