--- a/internal/services/leader/commits.go
+++ b/internal/services/leader/commits.go
@@ -18,8 +18,9 @@
 	// repeated soon. Placed runs wait for it.
 	minAppendTimeout = 200 * time.Millisecond
 	// commitPause is the pause after a commit, so that many changes share one record. It ends early if placed runs wait
-	// for their record. The next plan then collects what has become startable, so it lasts minLoopPause at least.
-	commitPause = 20 * time.Millisecond
+	// for their record. The next plan then collects what has become startable, so it lasts minCommitPause at least.
+	commitPause    = 20 * time.Millisecond
+	minCommitPause = 4 * time.Millisecond
 	// storeStallTimeout is how long the store may take for records until only tasks start that need none. A store that is
 	// slow takes several hundred milliseconds for each batch, and starts must go on then.
 	storeStallTimeout = 800 * time.Millisecond
@@ -46,8 +47,8 @@
 			t.fail(err)
 			return
 		}
-		tick.Pause(ctx, minLoopPause)
-		wake.Wait(ctx, t.placementWake, commitPause-minLoopPause)
+		tick.Pause(ctx, minCommitPause)
+		wake.Wait(ctx, t.placementWake, commitPause-minCommitPause)
 	}
 }
 
--- a/internal/services/leader/plans.go
+++ b/internal/services/leader/plans.go
@@ -17,7 +17,7 @@
 	minPlanPause = 10 * time.Millisecond
 	maxPlanPause = 50 * time.Millisecond
 	// planPauseFactor is the ratio of the pause after a plan to the time that the plan took.
-	planPauseFactor = 4
+	planPauseFactor = 9
 )
 
 // planLoop plans and sends the orders of the cell.
--- a/internal/services/leader/starts.go
+++ b/internal/services/leader/starts.go
@@ -15,10 +15,10 @@
 	maxStarts = 128
 	// maxQueuedStarts is the limit of those whose responses may wait for the processor of this instance, and startsPerSecond
 	// the rate of starts that is possible without them.
-	maxQueuedStarts = 32
+	maxQueuedStarts = 48
 	startsPerSecond = 1000
-	// minLoopPause is the shortest pause between two rounds of startLoop or commitLoop.
-	minLoopPause = 4 * time.Millisecond
+	// minStartPause is the shortest pause between two rounds of startLoop.
+	minStartPause = time.Millisecond
 	// slowOrder is the response time of an order above which fewer start orders are sent.
 	slowOrder = orderTimeout / 2
 	// minOverdue is the shortest time after which the response to a start order counts as overdue. A processor quota may
@@ -38,7 +38,7 @@
 		if t.opts.HoldsLease(tick.Now()) {
 			t.startRecorded(ctx)
 		}
-		tick.Pause(ctx, minLoopPause)
+		tick.Pause(ctx, minStartPause)
 	}
 }
 
