Log how long the leader waits for its processor, and the ends that are listed

Change: plan-times has by how much the pauses of planLoop ended late, call-times the answered holds and queries and the ends in them.

--- a/internal/services/leader/holds.go
+++ b/internal/services/leader/holds.go
@@ -65,6 +65,7 @@
 	lists, reply := t.opts.Executors.Hold(ctx, to, o)
 	t.dropInvalidCheckpoints(h.id, &lists)
 	t.mu.Lock()
+	t.listTimes.add(len(lists.Ended), tick.Now().Sub(sent))
 	t.cell.HandleHoldReply(tick.Now(), sent, h.id, o, lists, reply)
 	hasChanges := t.cell.HasChanges()
 	pause := t.cell.RetryPause(h.id)
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -127,8 +127,9 @@
 	// startDelays and planTimes have what discoverLoop reports about starts and plans.
 	startDelays *delay.Sums
 	planTimes   planTimes
-	// appendTimes and startTimes are the answered appends of records and start orders.
-	appendTimes, startTimes callTimes
+	// appendTimes, startTimes and listTimes are the answered appends of records, start orders, and holds and queries.
+	// Their sizes are bytes, 0 and ends.
+	appendTimes, startTimes, listTimes callTimes
 	// querying has the executors that a query is sent to.
 	querying map[string]bool
 	wg       sync.WaitGroup
@@ -307,8 +308,8 @@
 		}
 		ids := t.cell.Executors()
 		delays, times := t.startDelays.Take(), t.planTimes
-		appends, starts := t.appendTimes, t.startTimes
-		t.planTimes, t.appendTimes, t.startTimes = planTimes{}, callTimes{}, callTimes{}
+		appends, starts, lists := t.appendTimes, t.startTimes, t.listTimes
+		t.planTimes, t.appendTimes, t.startTimes, t.listTimes = planTimes{}, callTimes{}, callTimes{}, callTimes{}
 		t.mu.Unlock()
 		t.startHoldSenders(ctx, ids)
 		t.logUsage(usage)
@@ -316,7 +317,7 @@
 		t.logStartWindow(window, pending)
 		t.logStartDelays(delays)
 		t.logPlanTimes(times)
-		t.logCallTimes(appends, starts)
+		t.logCallTimes(appends, starts, lists)
 		t.wakePlan()
 		t.wakeCommit()
 		tick.Pause(ctx, discoveryInterval)
--- a/internal/services/leader/plans.go
+++ b/internal/services/leader/plans.go
@@ -35,9 +35,10 @@
 		if t.opts.HoldsLease(started) {
 			t.plan(ctx)
 		}
-		pause := planPause(tick.Now().Sub(started))
-		t.notePlanPause(pause)
+		planned := tick.Now()
+		pause := planPause(planned.Sub(started))
 		tick.Pause(ctx, pause)
+		t.notePlanPause(pause, tick.Now().Sub(planned)-pause)
 		timer.Reset(maxPlanWait)
 	}
 }
@@ -49,10 +50,12 @@
 	return min(maxPlanPause, max(minPlanPause, planPauseFactor*took))
 }
 
-func (t *term) notePlanPause(pause time.Duration) {
+// notePlanPause counts a pause and how late it ended.
+func (t *term) notePlanPause(pause, late time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.planTimes.pausing += pause
+	t.planTimes.late.add(0, late)
 }
 
 func (t *term) plan(ctx context.Context) {
--- a/internal/services/leader/usage.go
+++ b/internal/services/leader/usage.go
@@ -90,6 +90,8 @@
 	// locking is the wait for the mutex, planning the time in the cell, and pausing the pause after a plan.
 	locking, planning, pausing time.Duration
 	longestPlanning            time.Duration
+	// late is by how much pauses ended later than due: the time that a goroutine waits for the processor.
+	late callTimes
 }
 
 func (p *planTimes) add(locking, planning time.Duration) {
@@ -101,13 +103,15 @@
 
 // callTimes are the calls of one kind since they were last reported.
 type callTimes struct {
-	calls, bytes  int
+	calls int
+	// size is the sum of their sizes, in a unit that depends on the kind.
+	size          int
 	took, longest time.Duration
 }
 
-func (c *callTimes) add(bytes int, took time.Duration) {
+func (c *callTimes) add(size int, took time.Duration) {
 	c.calls++
-	c.bytes += bytes
+	c.size += size
 	c.took += took
 	c.longest = max(c.longest, took)
 }
@@ -115,11 +119,12 @@
 // mean returns the mean duration of a call.
 func (c *callTimes) mean() time.Duration { return c.took / time.Duration(max(1, c.calls)) }
 
-// logCallTimes reports the appends of records and the responses to start orders.
-func (t *term) logCallTimes(appends, starts callTimes) {
-	t.summary().Int("appends", appends.calls).Int("append-bytes", appends.bytes).Dur("append-ms", appends.mean()).
+// logCallTimes reports the appends of records, the responses to start orders, and the lists with the ends in them.
+func (t *term) logCallTimes(appends, starts, lists callTimes) {
+	t.summary().Int("appends", appends.calls).Int("append-bytes", appends.size).Dur("append-ms", appends.mean()).
 		Dur("longest-append-ms", appends.longest).Int("start-responses", starts.calls).
-		Dur("start-response-ms", starts.mean()).Dur("longest-start-response-ms", starts.longest).Msg("call-times")
+		Dur("start-response-ms", starts.mean()).Dur("longest-start-response-ms", starts.longest).
+		Int("lists", lists.calls).Int("listed-ends", lists.size).Msg("call-times")
 }
 
 // countStarts adds the stages of first starts to startDelays. The caller must hold the mutex.
@@ -134,7 +139,7 @@
 func (t *term) logPlanTimes(p planTimes) {
 	t.summary().Int("plans", p.plans).Dur("locking-ms", p.locking).
 		Dur("planning-ms", p.planning).Dur("longest-planning-ms", p.longestPlanning).Dur("pausing-ms", p.pausing).
-		Msg("plan-times")
+		Dur("processor-wait-ms", p.late.mean()).Dur("longest-processor-wait-ms", p.late.longest).Msg("plan-times")
 }
 
 func (t *term) logEvents(events []cell.Event) {
