Search for requests to the policy service by free room

Cause: each search for the next request, after each plan, looked at every executor for each waiting step of a queue with a policy service, until one had a candidate. On a full fleet that is the waiting steps times the executors.

Change: the search looks only at executors that have the room, as plans do, with the limits of cold executors as of the last plan, as before.

Random cells of TestSearchByRoomSkipsNoCandidate now have a queue with a policy service and compare the candidates with those of a search of all executors.

--- a/internal/state/cell/advice.go
+++ b/internal/state/cell/advice.go
@@ -51,11 +51,12 @@
 	if !c.needsAdvice || c.isAdvicePending || now.Before(c.nextAdviceAt) || c.isFenced {
 		return AdviceRequest{}, false
 	}
+	p := c.newSearch(now)
 	for _, s := range c.waitingSteps(now) {
 		if s.job.queue.Advice == nil {
 			continue
 		}
-		ids := c.adviceCandidates(now, s)
+		ids := p.adviceCandidates(s)
 		if len(ids) == 0 {
 			continue
 		}
@@ -68,25 +69,23 @@
 }
 
 // adviceCandidates returns the executors to include in a request, or none if the tickets of the step suffice.
-func (c *Cell) adviceCandidates(now tick.Time, s *step) []string {
+func (p *pass) adviceCandidates(s *step) []string {
+	now := p.now
 	if s.advice == nil {
 		s.advice = &stepAdvice{tickets: map[string]ticket{}, rejected: map[string]bool{}}
 	}
 	need := resourcesOf(s.pb)
 	var permitted, candidates []*executor
-	for _, x := range c.execs {
-		if !x.isUsable(now) || x.entry.Service != s.job.queue.Service || s.advice.rejected[x.entry.ID] {
-			continue
-		}
-		if !x.allows(s, need) || !x.hasBestEffortCPU(s) {
-			continue
-		}
-		if s.isPermittedOn(now, x) {
+	p.forEachWithRoom(s, need, anyTarget, func(x *executor) {
+		p.cell.ratings++
+		switch {
+		case s.advice.rejected[x.entry.ID], !x.allows(s, need), !x.hasBestEffortCPU(s):
+		case s.isPermittedOn(now, x):
 			permitted = append(permitted, x)
-			continue
+		default:
+			candidates = append(candidates, x)
 		}
-		candidates = append(candidates, x)
-	}
+	})
 	if s.hasSufficientTickets(now, permitted, candidates) {
 		return nil
 	}
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -77,7 +77,7 @@
 	// execs has the executors by their ids, fleet in the order of these.
 	execs map[string]*executor
 	fleet fleet
-	// rooms has the rooms of the last pass by service. ratings counts the executors that it has rated.
+	// rooms has the rooms of the last pass by service. ratings counts the executors that it has looked at.
 	rooms      map[string]*rooms
 	ratings    int
 	entries    entryReads
--- a/internal/state/cell/crowded_test.go
+++ b/internal/state/cell/crowded_test.go
@@ -157,6 +157,36 @@
 	assert.Check(t, c.ratings <= maxRatings, "%d executors rated after the list of one", c.ratings)
 }
 
+// adviseCrowdedFleet has the policy service decide on each start in a crowded fleet.
+func adviseCrowdedFleet(c *Cell) {
+	cfg := &queue.Configuration{Version: c.config.Version + 1, Services: c.config.Services}
+	for _, q := range c.config.Queues {
+		q.Advice = &queue.AdviceTiming{DecisionMS: 5, PeriodMS: 1, ValidityMS: 3000}
+		cfg.Queues = append(cfg.Queues, q)
+	}
+	c.Configure(cfg)
+}
+
+// TestAdviceForFullFleetLooksAtFewExecutors guards against the search for a request to the policy service whose work
+// grows with the executors times the waiting steps that find no room.
+func TestAdviceForFullFleetLooksAtFewExecutors(t *testing.T) {
+	c, now := crowdedFleet(t)
+	adviseCrowdedFleet(c)
+	_, ok := c.NextAdviceRequest(now)
+	assert.Check(t, c.ratings <= 2*crowdedExecutors, "%d executors looked at, request %t", c.ratings, ok)
+}
+
+// BenchmarkNextAdviceRequest measures the search for a request to the policy service in a crowded fleet.
+func BenchmarkNextAdviceRequest(b *testing.B) {
+	c, now := crowdedFleet(b)
+	adviseCrowdedFleet(c)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.NextAdviceRequest(now)
+		c.isAdvicePending = false
+	}
+}
+
 // BenchmarkPlanOverload measures a plan of a crowded fleet on which 160 steps wait.
 func BenchmarkPlanOverload(b *testing.B) {
 	c, now := crowdedFleet(b)
@@ -167,3 +197,21 @@
 		c.Events()
 	}
 }
+
+// BenchmarkPlanOverloadAdvised measures the same for steps that the policy service has permitted on all executors.
+func BenchmarkPlanOverloadAdvised(b *testing.B) {
+	c, now := crowdedFleet(b)
+	adviseCrowdedFleet(c)
+	for _, s := range c.waitingSteps(now) {
+		s.advice = &stepAdvice{tickets: map[string]ticket{}, rejected: map[string]bool{}}
+		for id := range c.execs {
+			s.advice.tickets[id] = ticket{value: "ticket", until: now.Add(time.Hour)}
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(100 * time.Microsecond)
+		c.Plan(now, testWallMS, unbounded)
+		c.Events()
+	}
+}
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -58,7 +58,16 @@
 // maxUnplaceable bounds the unplaceable requests remembered for each service in one pass.
 const maxUnplaceable = 32
 
+// newPass begins a planning pass.
 func (c *Cell) newPass(now tick.Time) *pass {
+	for _, x := range c.fleet {
+		x.coldLimit, x.isCold = x.warmUp.Limit(now, c.params.Cold, float64(x.total.milliCPU)/milliCPUPerCore)
+	}
+	return c.newSearch(now)
+}
+
+// newSearch returns a pass with the limits of cold executors as of the last planning pass.
+func (c *Cell) newSearch(now tick.Time) *pass {
 	c.ratings = 0
 	p := &pass{
 		now: now, cell: c, executors: c.fleet, pools: map[string][]*executor{}, rooms: map[string]*rooms{},
@@ -68,9 +77,6 @@
 		isAvoided:    func(x *executor) bool { return c.isAvoided(now, x) },
 		wasMovedFrom: func(t *task) func(x *executor) bool { return c.wasMovedFrom(now, t) },
 	}
-	for _, x := range c.fleet {
-		x.coldLimit, x.isCold = x.warmUp.Limit(now, c.params.Cold, float64(x.total.milliCPU)/milliCPUPerCore)
-	}
 	p.fillPools()
 	return p
 }
--- a/internal/state/cell/rooms.go
+++ b/internal/state/cell/rooms.go
@@ -44,18 +44,19 @@
 	}
 }
 
-// The indexes of the CPU that is free for best-effort tasks: none of them is on executors with a latency-critical run
-// near its target, or with one that exceeds it. Overdue tasks may start near the target.
+// The indexes of the CPU that is free for best-effort tasks: on all executors, on those without a latency-critical run
+// above its target, where overdue tasks may start, and on those without one near it.
 const (
-	belowTarget = iota + 3
+	anyTarget = iota + 3
 	nearTarget
+	belowTarget
 )
 
 // roomAmounts returns the free amounts that allows and hasBestEffortCPU compare with a need. On a reserved executor,
 // the tail latencies make no difference, since the look-ahead notes each task that a reservation delays.
 func (c *Cell) roomAmounts(x *executor) cover.Amounts {
 	free, bestEffort := x.free(), x.freeBestEffortMilliCPU()
-	a := cover.Amounts{free.milliCPU, free.memoryMB, free.gpus, bestEffort, bestEffort}
+	a := cover.Amounts{free.milliCPU, free.memoryMB, free.gpus, bestEffort, bestEffort, bestEffort}
 	if c.lookAhead != nil && c.lookAhead.planner.IsReserved(x.entry.ID) {
 		return a
 	}
@@ -71,7 +72,7 @@
 
 // neededAmounts returns the amounts that a task of the step needs, for a best-effort task with the CPU at the index.
 func neededAmounts(s *step, need resources, index int) cover.Amounts {
-	a := cover.Amounts{need.milliCPU, need.memoryMB, need.gpus, cover.Lowest, cover.Lowest}
+	a := cover.Amounts{need.milliCPU, need.memoryMB, need.gpus, cover.Lowest, cover.Lowest, cover.Lowest}
 	if s.pb.Fills {
 		a[index] = int64(s.pb.MilliCpu)
 	}
--- a/internal/state/cell/rooms_test.go
+++ b/internal/state/cell/rooms_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/internal/state/cover"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -111,6 +112,8 @@
 	// candidates and rejected count the candidates and the steps without any that were compared, throttled the throttled
 	// runs after plans.
 	candidates, rejected, throttled int
+	// advised counts the answers of the policy service.
+	advised int
 }
 
 func newRoomsSim(t *testing.T, seed uint64) *roomsSim {
@@ -121,7 +124,10 @@
 	}, 1, s.now)
 	s.cell.Configure(&queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
 		{Name: "q0", Service: "svc", MaxAttempts: 9, StretchFactor: 2, TargetMS: 500},
-		{Name: "q1", Service: "svc", MaxAttempts: 9, StretchFactor: 2, TargetMS: 1000, Priority: 1},
+		{
+			Name: "q1", Service: "svc", MaxAttempts: 9, StretchFactor: 2, TargetMS: 1000, Priority: 1,
+			Advice: &queue.AdviceTiming{DecisionMS: 5, PeriodMS: 1, ValidityMS: 1000},
+		},
 		{Name: "q2", Service: "other", MaxAttempts: 9, StretchFactor: 2, TargetMS: 500},
 	}})
 	s.discover(3 + s.rnd.IntN(30))
@@ -214,8 +220,41 @@
 	})
 }
 
+// advise has the policy service permit half of the executors to some steps.
+func (s *roomsSim) advise() {
+	for range 3 {
+		q, ok := s.cell.NextAdviceRequest(s.now)
+		if !ok {
+			return
+		}
+		a := orders.Advice{Tickets: map[string]string{}, Validity: time.Second}
+		for _, id := range q.Executors {
+			if s.rnd.IntN(2) == 0 {
+				a.Tickets[id] = "ticket"
+			}
+		}
+		s.cell.HandleAdvice(s.now, s.now, q, a, nil)
+		s.advised++
+	}
+}
+
+// plainAdviceCandidates is adviceCandidates with rooms that have room for everything.
+func (p *pass) plainAdviceCandidates(s *step) []string {
+	searched := p.rooms
+	defer func() { p.rooms = searched }()
+	service := s.job.queue.Service
+	all := &rooms{pool: p.plainPool(s)}
+	all.tree.Reset(len(all.pool), func(int) cover.Amounts {
+		const most = math.MaxInt64
+		return cover.Amounts{most, most, most, most, most, most}
+	})
+	p.rooms = map[string]*rooms{service: all}
+	return p.adviceCandidates(s)
+}
+
 // advance plans, replies to the orders and applies the lists of most executors.
 func (s *roomsSim) advance() {
+	s.advise()
 	plan := s.cell.Plan(s.now, testWallMS, unbounded)
 	s.checkPaces()
 	for _, o := range plan {
@@ -272,6 +311,9 @@
 	s.cell.beginLookAhead(s.now)
 	var placed []*run
 	for _, st := range s.cell.waitingSteps(s.now) {
+		if st.job.queue.Advice != nil {
+			assert.DeepEqual(s.t, p.adviceCandidates(st), p.plainAdviceCandidates(st))
+		}
 		if p.isUnplaceable(st.job.queue.Service, resourcesOf(st.pb), st) {
 			// A step before has found nothing, since which runs may have given back room.
 			continue
@@ -321,7 +363,7 @@
 // executors, and against waiting jobs in another order than by urgency and acceptance.
 func TestPlanMissesNoReply(t *testing.T) {
 	const seeds, rounds, roundTime, jobsPerRound = 30, 60, 300 * time.Millisecond, 4
-	throttled := 0
+	throttled, advised := 0, 0
 	for seed := range uint64(seeds) {
 		s := newRoomsSim(t, seed)
 		for range rounds {
@@ -335,10 +377,10 @@
 				return cmp.Or(a.urgency.compare(b.urgency), cmp.Compare(a.place, b.place))
 			}))
 		}
-		throttled += s.throttled
+		throttled, advised = throttled+s.throttled, advised+s.advised
 	}
-	t.Logf("%d throttled runs", throttled)
-	assert.Assert(t, throttled > seeds*rounds)
+	t.Logf("%d throttled runs, %d answers of the policy service", throttled, advised)
+	assert.Assert(t, throttled > seeds*rounds && advised > seeds*rounds)
 }
 
 // TestSearchByRoomSkipsNoCandidate guards against executors that the search by room passes over or rates differently
--- a/internal/state/cover/cover.go
+++ b/internal/state/cover/cover.go
@@ -14,7 +14,7 @@
 import "math"
 
 // Dimensions is the number of amounts of an entry.
-const Dimensions = 5
+const Dimensions = 6
 
 // Amounts are the amounts of an entry, or those of a need.
 type Amounts [Dimensions]int64
@@ -23,14 +23,20 @@
 const Lowest = math.MinInt64 + 1
 
 // nothing are the amounts of places without an entry. They cover no need.
-var nothing = Amounts{math.MinInt64, math.MinInt64, math.MinInt64, math.MinInt64, math.MinInt64}
+var nothing = Amounts{
+	math.MinInt64, math.MinInt64, math.MinInt64, math.MinInt64, math.MinInt64, math.MinInt64,
+}
 
 func (a *Amounts) covers(need *Amounts) bool {
-	return a[0] >= need[0] && a[1] >= need[1] && a[2] >= need[2] && a[3] >= need[3] && a[4] >= need[4]
+	return a[0] >= need[0] && a[1] >= need[1] && a[2] >= need[2] &&
+		a[3] >= need[3] && a[4] >= need[4] && a[5] >= need[5]
 }
 
 func highest(a, b *Amounts) Amounts {
-	return Amounts{max(a[0], b[0]), max(a[1], b[1]), max(a[2], b[2]), max(a[3], b[3]), max(a[4], b[4])}
+	return Amounts{
+		max(a[0], b[0]), max(a[1], b[1]), max(a[2], b[2]),
+		max(a[3], b[3]), max(a[4], b[4]), max(a[5], b[5]),
+	}
 }
 
 // Tree has the amounts of the entries of a list. The zero value is that of an empty list. It is not safe for concurrent
