--- a/internal/services/leader/plans.go
+++ b/internal/services/leader/plans.go
@@ -44,8 +44,8 @@
 }
 
 // planPause returns the pause after a plan. It grows with the time that the plan took, to leave processor time for
-// handling the replies that planning needs. It has a low bound, because that time includes the suspensions of a process
-// that has used up its processor quota.
+// handling the replies that planning needs. It is at most maxPlanPause, because that time includes the suspensions of a
+// process that has used up its processor quota.
 func planPause(took time.Duration) time.Duration {
 	return min(maxPlanPause, max(minPlanPause, planPauseFactor*took))
 }
--- a/internal/services/leader/starts.go
+++ b/internal/services/leader/starts.go
@@ -13,8 +13,8 @@
 	// maxStarts is the highest limit of the start orders in flight. Further ones stay in the cell, which keeps them in
 	// order.
 	maxStarts = 128
-	// maxQueuedStarts is the limit of those whose responses may wait for the processor of this instance, and startsPerSecond
-	// the rate of starts that is possible without them.
+	// maxQueuedStarts limits the start orders in flight beyond those that the path needs, whose responses wait for the
+	// processor of this instance. startsPerSecond is the rate that the path must permit.
 	maxQueuedStarts = 48
 	startsPerSecond = 1000
 	// minStartPause is the shortest pause between two rounds of startLoop.
@@ -108,9 +108,11 @@
 		t.startWindow.Failed(now, sent)
 		return
 	}
+	if r.Outcome == orders.NotSent || r.Outcome == orders.Withheld {
+		t.startWindow.Withdrawn(sent)
+		return
+	}
 	t.startWindow.Answered(now, sent)
 	t.startTimes.add(0, now.Sub(sent))
-	if r.Outcome != orders.NotSent && r.Outcome != orders.Withheld {
-		t.startResponses.Observe(now.Sub(sent))
-	}
+	t.startResponses.Observe(now.Sub(sent))
 }
--- a/internal/state/aimd/aimd.go
+++ b/internal/state/aimd/aimd.go
@@ -4,11 +4,10 @@
 // It is designed for bursts that exceed the capacity of the caller's link or processor. Without a limit, every call of
 // the burst times out, and the calls that the timeouts cause keep the path saturated after the burst. Lost calls and
 // callees that do not respond are no sign of such a burst: calls that were sent later still get fast responses. Such
-// overtaken calls do not lower the limit, and soon no longer count as in flight.
+// overtaken calls do not lower the limit. Once they are slow, they no longer count as in flight.
 //
-// Calls that are answered faster than the caller gets to their responses queue for its processor, before all else that
-// it has to do. WithQueue limits how many do: the calls in flight are then at most those that a rate takes at the fastest
-// response time, and the queue.
+// Responses that arrive faster than the caller handles them wait for its processor. WithQueue bounds their number: the
+// calls in flight are then at most those that a rate takes at the fastest response time, and the queue.
 //
 // # Usage
 //
@@ -33,9 +32,8 @@
 	// minLimit keeps calls going while every one of them times out, so that the end of the overload is noticed.
 	minLimit       = 2
 	decreaseFactor = 0.5
-	// overtakenShare is the share of the time of a slow response after which an overtaken call no longer counts as in
-	// flight.
-	overtakenShare = 0.25
+	// fastestPeriod is how long a response time counts as the fastest at least, and twice that at most.
+	fastestPeriod = 5 * time.Second
 )
 
 // Window is the limit of the calls in flight.
@@ -50,8 +48,10 @@
 	// queue is the limit of the calls that wait for the caller, and perSecond the rate that is possible without them; 0 if
 	// there is no such limit.
 	queue, perSecond int
-	// fastest is the shortest response time; 0 before the first response.
-	fastest time.Duration
+	// fastest is the shortest response time of the present period, which began at periodAt, and formerFastest that of the
+	// period before; 0 without a response.
+	fastest, formerFastest time.Duration
+	periodAt               tick.Time
 }
 
 // New returns a Window with its limit at highest, which it never exceeds. Responses that take longer than slow indicate
@@ -72,19 +72,36 @@
 	if w.queue == 0 {
 		return int(w.limit)
 	}
-	needed := int(math.Ceil(float64(w.perSecond) * w.fastest.Seconds()))
+	needed := int(math.Ceil(float64(w.perSecond) * w.fastestResponse().Seconds()))
 	return min(int(w.limit), w.queue+needed)
 }
 
+// fastestResponse returns the shortest response time of late.
+func (w *Window) fastestResponse() time.Duration {
+	if w.formerFastest == 0 || w.fastest == 0 {
+		return max(w.fastest, w.formerFastest)
+	}
+	return min(w.fastest, w.formerFastest)
+}
+
+// noteResponse applies a response time to the shortest one.
+func (w *Window) noteResponse(now tick.Time, took time.Duration) {
+	if now.Sub(w.periodAt) >= fastestPeriod {
+		w.formerFastest, w.fastest, w.periodAt = w.fastest, 0, now
+	}
+	if w.fastest == 0 || took < w.fastest {
+		w.fastest = took
+	}
+}
+
 // Room returns how many calls may be sent now.
 func (w *Window) Room(now tick.Time) int { return max(0, w.Limit()-w.InFlight(now)) }
 
 // InFlight returns the number of calls that the path may still carry.
 func (w *Window) InFlight(now tick.Time) int {
 	n := 0
-	overtakenAfter := time.Duration(overtakenShare * float64(w.slow))
 	for _, sent := range w.inFlight {
-		if !w.isOvertaken(sent) || now.Sub(sent) <= overtakenAfter {
+		if !w.isOvertaken(sent) || now.Sub(sent) <= w.slow {
 			n++
 		}
 	}
@@ -101,9 +118,7 @@
 // for each limit's worth of them, slow ones lower it unless the call was overtaken.
 func (w *Window) Answered(now, sent tick.Time) {
 	w.remove(sent)
-	if took := now.Sub(sent); w.fastest == 0 || took < w.fastest {
-		w.fastest = took
-	}
+	w.noteResponse(now, now.Sub(sent))
 	if now.Sub(sent) > w.slow {
 		w.decreaseUnlessOvertaken(now, sent)
 		return
@@ -112,6 +127,9 @@
 	w.limit = min(w.highest, w.limit+1/w.limit)
 }
 
+// Withdrawn removes a call that was not made.
+func (w *Window) Withdrawn(sent tick.Time) { w.remove(sent) }
+
 // Failed lowers the limit for a call that was sent at the time sent and got no response by now, unless it was overtaken
 // or failed fast: a broken connection says nothing about the capacity of the path.
 func (w *Window) Failed(now, sent tick.Time) {
