--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -98,8 +98,10 @@
 	retired map[string]bool
 	// stopping has the runs that are marked for stopping and those whose start is unconfirmed.
 	stopping map[*run]bool
-	// delayed counts the tasks and runs that Diagnose has found, by cause.
+	// delayed counts the tasks and runs that Diagnose has found, by cause. nextChecked is the index in active of the job
+	// with which its next call begins.
 	delayed      map[WaitCause]int
+	nextChecked  int
 	events       []Event
 	durations    *quant.Model
 	speed        *speed.Model
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -84,17 +84,11 @@
 func (c *Cell) Diagnose(now tick.Time) {
 	c.delayed = map[WaitCause]int{}
 	p := c.newPass(now)
-	checks, reports := 0, 0
-	for _, j := range c.active {
-		for _, s := range j.delayedSteps(now) {
-			if checks == maxWaitChecks {
-				break
-			}
-			checks++
-			if c.diagnoseStep(p, s) && reports < maxWaitReports {
-				reports++
-				c.reportStep(p, s)
-			}
+	reports := 0
+	for _, s := range c.stepsToCheck(now) {
+		if c.diagnoseStep(p, s) && reports < maxWaitReports {
+			reports++
+			c.reportStep(p, s)
 		}
 	}
 	for _, x := range c.execs {
@@ -107,6 +101,23 @@
 	}
 }
 
+// stepsToCheck returns the delayed steps, maxWaitChecks at most. A call begins with the jobs after those of the call
+// before.
+func (c *Cell) stepsToCheck(now tick.Time) []*step {
+	var out []*step
+	next := c.nextChecked
+	for i := range c.active {
+		at := (c.nextChecked + i) % len(c.active)
+		steps := c.active[at].delayedSteps(now)
+		if len(out) < maxWaitChecks && len(steps) > 0 {
+			out = append(out, steps[:min(len(steps), maxWaitChecks-len(out))]...)
+			next = at + 1
+		}
+	}
+	c.nextChecked = next
+	return out
+}
+
 // delayedSteps returns the steps of the job that have due tasks without a run and have had them for waitReportDelay.
 // Waiting tasks of a job of which others run are not delayed, unless they are long-running.
 func (j *job) delayedSteps(now tick.Time) []*step {
--- a/internal/state/interf/dense_test.go
+++ b/internal/state/interf/dense_test.go
@@ -97,8 +97,8 @@
 			continue
 		}
 		for i := range truth {
-			off := math.Abs(r.Weight(imageName(i)) - d.weights[i])
-			assert.Assert(t, off <= 0.0005, "difference %d, image %d: %.5f, dense %.5f", n, i, r.Weight(imageName(i)), d.weights[i])
+			got, want := r.Weight(imageName(i)), d.weights[i]
+			assert.Assert(t, math.Abs(got-want) <= 0.0005, "difference %d, image %d: %.5f, dense %.5f", n, i, got, want)
 		}
 	}
 }
--- a/internal/state/interf/interf.go
+++ b/internal/state/interf/interf.go
@@ -37,8 +37,8 @@
 	// NormalMatrix and NormalVector are the sums of the normal equations, multiplied by the scale.
 	NormalMatrix [][]float64
 	NormalVector []float64
-	// scale is the weight of the newest difference. It grows with each one, in place of a discount on all older sums, so
-	// that a difference costs what it concerns and not what the regression knows. 0 stands for 1.
+	// scale is the weight of the newest difference, which grows with each one; 0 stands for 1. The older differences count
+	// less by it, without a change of their sums.
 	scale float64
 	// unswept is the number of differences since the last sweep over all weights.
 	unswept int
