Share the cores that are placed with long-running tasks that have waited

What callers see: on a full fleet, a long-running task has no run for 10 to 30 s although there is room for it (LOST).

Cause: within a priority, short tasks in time or late came before long-running ones, without ageing, so that short tasks took each place that became free.

Change: long-running tasks that have waited for 1.5 s get a third of the cores that are placed while short ones wait, by a deficit counter for each priority. Without such tasks the order of placing is as before, and without short ones they take what is there, as before.

--- a/internal/state/cell/fullfleet_test.go
+++ b/internal/state/cell/fullfleet_test.go
@@ -40,7 +40,9 @@
 type fullFleet struct {
 	*starveSim
 	// longRunningShare is the share of the cores that long-running jobs ask for.
-	longRunningShare               float64
+	longRunningShare float64
+	// measuredFrom and measuredTo bound the acceptance of the jobs that are measured.
+	measuredFrom, measuredTo       time.Duration
 	cores, longRunningCores        float64
 	nextShortAt, nextBestEffortAt  time.Duration
 	shortRand, bestEffortRand, own *rand.Rand
@@ -54,7 +56,7 @@
 	f := &fullFleet{
 		starveSim: newStarveSim(l, seed), longRunningShare: longRunningShare,
 		shortRand: rand.New(rand.NewPCG(seed, 2)), bestEffortRand: rand.New(rand.NewPCG(seed, 3)),
-		own: rand.New(rand.NewPCG(seed, 4)),
+		own: rand.New(rand.NewPCG(seed, 4)), measuredFrom: fullFleetMeasuredFrom, measuredTo: fullFleetMeasuredTo,
 	}
 	for _, x := range f.execs {
 		f.cores += float64(x.total.milliCPU) / milliCPUPerCore
@@ -134,7 +136,7 @@
 	owed, inTime := 0, 0
 	for _, j := range f.jobs {
 		since := j.acceptedAt.Sub(f.start)
-		if j.kind != "short" || since < fullFleetMeasuredFrom || since > fullFleetMeasuredTo {
+		if j.kind != "short" || since < f.measuredFrom || since > f.measuredTo {
 			continue
 		}
 		owed++
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -163,6 +163,15 @@
 
 // waitingSteps returns the ready steps with waiting tasks, those of the most urgent jobs first.
 func (c *Cell) waitingSteps(now tick.Time) []*step {
+	var out []*step
+	for _, e := range c.waitingJobs(now) {
+		out = append(out, e.steps...)
+	}
+	return out
+}
+
+// waitingJobs returns the jobs with ready steps that have waiting tasks, the most urgent first.
+func (c *Cell) waitingJobs(now tick.Time) []waitingJob {
 	var entries []waitingJob
 	for _, j := range c.active {
 		if c.isTakingOver && j.isInherited {
@@ -177,11 +186,7 @@
 	}
 	c.moveUpAged(now, entries)
 	slices.SortStableFunc(entries, func(a, b waitingJob) int { return a.urgency.compare(b.urgency) })
-	var out []*step
-	for _, e := range entries {
-		out = append(out, e.steps...)
-	}
-	return out
+	return entries
 }
 
 // waitingSteps returns the ready steps of the job with waiting tasks.
@@ -190,8 +195,10 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if s.waiting == 0 || !s.isReady() {
+				s.waitingSince = 0
 				continue
 			}
+			s.noteWaitingSince(now)
 			if s.readyAt == 0 {
 				s.readyAt = now
 			}
@@ -204,22 +211,30 @@
 // placeWaiting places waiting tasks, as many as the limit of placed runs permits and the rest of a gang.
 func (c *Cell) placeWaiting(now tick.Time, p *pass) {
 	c.evacuation.isShortOfRoom = false
-	for _, s := range c.waitingSteps(now) {
-		limit := c.placements.room(s.job.queue.Priority)
-		if limit <= 0 {
-			return
-		}
-		if s.pb.Gang {
-			c.placeGang(now, p, s)
-			continue
-		}
-		placed := c.placeTasks(now, p, s, limit)
-		if placed == 0 && s.pb.Fills && s.job.isOverdue(now) {
-			c.placeOverdue(now, p, s)
+	for list := c.waitingJobs(now); len(list) > 0; {
+		g := c.nextGroup(now, &list)
+		for s, limit := g.next(); s != nil; s, limit = g.next() {
+			room := c.placements.room(g.priority)
+			if room <= 0 {
+				return
+			}
+			g.placed(c.placeStep(now, p, s, min(limit, room)))
 		}
 	}
 }
 
+// placeStep places tasks of the step and returns their number. A gang is placed as one, which may exceed the limit.
+func (c *Cell) placeStep(now tick.Time, p *pass, s *step, limit int) int {
+	if s.pb.Gang {
+		return c.placeGang(now, p, s)
+	}
+	placed := c.placeTasks(now, p, s, limit)
+	if placed == 0 && s.pb.Fills && s.job.isOverdue(now) {
+		placed = c.placeOverdue(now, p, s)
+	}
+	return placed
+}
+
 // placeTasks places tasks of the step and returns their number.
 func (c *Cell) placeTasks(now tick.Time, p *pass, s *step, limit int) int {
 	n := 0
--- a/internal/state/cell/starve_test.go
+++ b/internal/state/cell/starve_test.go
@@ -60,6 +60,8 @@
 	// planInterval is the time between two plans, maxStarts the most start orders of one plan.
 	planInterval time.Duration
 	maxStarts    int
+	// storeTime is how long the store takes for a batch. If it is 0, placed runs start with the next plan.
+	storeTime time.Duration
 }
 
 func largeDeployment(executors int) starveLoad {
@@ -84,6 +86,8 @@
 	jobs      []*starveJob
 	byJob     map[string]*starveJob
 	batch     *Batch
+	// batchedAt is when the batch was given to the store.
+	batchedAt tick.Time
 	nextID    int
 	// ignoresWaits is true if it does not matter why tasks wait, which takes long to find out on a large fleet.
 	ignoresWaits bool
@@ -319,18 +323,34 @@
 }
 
 func (s *starveSim) plan() {
-	for _, o := range s.cell.Plan(s.now, testWallMS, PlanLimits{MaxStarts: s.maxStarts, IsSoleLeader: true}) {
-		s.cell.HandleReply(s.now, o, s.byID[o.Target.ID].execute(o))
+	s.execute(s.cell.Plan(s.now, testWallMS, PlanLimits{MaxStarts: s.maxStarts, IsSoleLeader: true}))
+}
+
+// execute carries out orders at once. Executors that are lost do not respond.
+func (s *starveSim) execute(list []Order) {
+	for _, o := range list {
+		reply := orders.Reply{Outcome: orders.NoResponse}
+		if x, ok := s.byID[o.Target.ID]; ok {
+			reply = x.execute(o)
+		}
+		s.cell.HandleReply(s.now, o, reply)
 	}
 }
 
 func (s *starveSim) commit() {
+	if s.batch != nil && s.now.Sub(s.batchedAt) < s.storeTime {
+		return
+	}
 	if s.batch != nil {
 		s.cell.Commit(s.now, s.batch)
 		s.batch = nil
+		if s.storeTime > 0 {
+			s.execute(s.cell.StartRecorded(s.now, s.maxStarts))
+		}
 	}
 	if s.cell.HasChanges() {
 		s.batch, _ = s.cell.NextBatch()
+		s.batchedAt = s.now
 	}
 }
 
