Share the starts of placed runs with long-running tasks that have waited

What callers see: long-running tasks whose executors are lost have no run for 15 s and more on a leader short of processor (LOST).

Cause: placed runs of one priority start in the order of their placement, up to 1,024 of short tasks before theirs.

Change: every third of the runs that start next within a priority is that of a long-running task that has waited for 1.5 s, as long as there are any. Its wait counts from the last response of an executor whose lease has expired, and a withdrawn run keeps its wait. Else the order is that of placement, as before.

TestOverdueLongRunningTasksShareStarts (new): 3 of 9 starts.

--- a/internal/state/cell/groups_test.go
+++ b/internal/state/cell/groups_test.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// countLongRunning returns how many of the jobs are the long-running one.
+func countLongRunning(jobs []string) int {
+	n := 0
+	for _, j := range jobs {
+		if j == "long-running" {
+			n++
+		}
+	}
+	return n
+}
+
 // TestOverdueLongRunningTasksShareRoom guards against one kind of task that takes every place that becomes free:
 // hundreds of long-running tasks that have waited, or short ones.
 func TestOverdueLongRunningTasksShareRoom(t *testing.T) {
@@ -78,3 +89,20 @@
 		assert.Check(t, longRunning == c.want, "%v: %d long-running", c, longRunning)
 	}
 }
+
+// TestOverdueLongRunningTasksShareStarts guards against long-running tasks that are placed and wait for their order
+// behind all short ones that were placed before, and against short ones that wait for all long-running ones.
+func TestOverdueLongRunningTasksShareStarts(t *testing.T) {
+	h := newHarness(t)
+	h.acceptContending(0, contendedPlaces/2)
+	h.addContended()
+	h.planStarts(0)
+	h.acceptContending(contendedPlaces/2, 0)
+	h.planStarts(0)
+	h.commit()
+	assert.Equal(t, countLongRunning(h.planStarts(6)), 0)
+	h.advance(longRunningPatience)
+	h.reportContended()
+	assert.Equal(t, countLongRunning(h.planStarts(9)), 3)
+	assert.Equal(t, countLongRunning(h.planStarts(9)), 3)
+}
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -56,6 +56,7 @@
 			c.planMoves(now, p, false)
 		}
 	}
+	c.placements.moveUpOverdue(now)
 	started := c.startRecorded(now, limits.MaxStarts)
 	if len(started) < limits.MaxStarts && !limits.IsStoreStalled {
 		c.moveFromSlow(now, p)
