--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -184,8 +184,8 @@
 	return w.ordered
 }
 
-// waitingJobs returns the jobs with ready steps that have waiting tasks, the most urgent first. The result is valid until
-// the next call.
+// waitingJobs returns the jobs with ready steps that have waiting tasks, the most urgent first. The result is valid
+// until the next call.
 func (c *Cell) waitingJobs(now tick.Time) []waitingJob {
 	w := &c.waiting
 	w.jobs, w.steps = w.jobs[:0], w.steps[:0]
