Back off when an executor answers no hold

Review of the design: holds that fail at once were repeated every 50 ms for each executor with runs. A domain of 178 executors that refuses connections took 3,500 calls and new connections a second, while the others wait.

Change: the pause doubles with each hold without a response, up to 0.4 s.

--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -106,8 +106,10 @@
 	aliveAt, orderRepliedAt tick.Time
 	// heldAddress is the address for which the last hold was returned; empty before the first one.
 	heldAddress string
-	// isUnresponsive is true if the last hold got no response or was refused.
-	isUnresponsive bool
+	// isUnresponsive is true if the last hold got no response or was refused, and unansweredHolds the number of such holds
+	// since the last response.
+	isUnresponsive  bool
+	unansweredHolds int
 
 	// Ended runs are numbered by cursors. appliedCursor is the last one applied from the executor's lists,
 	// batchedCursor the last one in a batch, storedCursor the last one stored, and ackSentCursor the last one
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -18,10 +18,10 @@
 	maxWatchesPerSecond = 600
 	// pendingRecordPause is the longest delay of the next hold while the ends in the last list are not yet stored.
 	pendingRecordPause = 250 * time.Millisecond
-	// unresponsiveRetryPause is the pause after a hold without a response, and idleRetryPause the same for an executor
-	// without runs.
+	// unresponsiveRetryPause is the pause after a hold without a response. It doubles with each further one, up to
+	// maxRetryPause, which is also the pause for an executor without runs.
 	unresponsiveRetryPause = 50 * time.Millisecond
-	idleRetryPause         = 400 * time.Millisecond
+	maxRetryPause          = 400 * time.Millisecond
 	// ackValidity is how long after a response its cursors certainly belong to the process that still runs. Cursors start
 	// over when an executor restarts, so a later acknowledgement could make the new process discard other ends.
 	ackValidity = 250 * time.Millisecond
@@ -98,6 +98,10 @@
 		return
 	}
 	x.isUnresponsive = reply.Outcome != orders.Done
+	x.unansweredHolds++
+	if !x.isUnresponsive {
+		x.unansweredHolds = 0
+	}
 	isLost := reply.Outcome == orders.NoResponse || reply.Outcome == orders.NotSent
 	if isLost && x.hasResponded {
 		c.noteOutage(now, x, false)
@@ -349,10 +353,15 @@
 
 // RetryPause returns the pause after a hold that the executor did not carry out.
 func (c *Cell) RetryPause(id string) time.Duration {
-	if x, ok := c.execs[id]; ok && len(x.runs) > 0 {
-		return unresponsiveRetryPause
+	x, ok := c.execs[id]
+	if !ok || len(x.runs) == 0 {
+		return maxRetryPause
+	}
+	pause := unresponsiveRetryPause
+	for n := 1; n < x.unansweredHolds && pause < maxRetryPause; n++ {
+		pause *= 2
 	}
-	return idleRetryPause
+	return min(pause, maxRetryPause)
 }
 
 // IsAckDue reports whether there are stored ends that have not been acknowledged to the executor.
