--- a/internal/state/cell/liveness_schedule_test.go
+++ b/internal/state/cell/liveness_schedule_test.go
@@ -331,6 +331,13 @@
 	}
 }
 
+// TestDoneTaskOfRestartedExecutorStaysDone runs a schedule in which an executor restarts under its id while the end of a
+// run is acknowledged.
+func TestDoneTaskOfRestartedExecutorStaysDone(t *testing.T) {
+	sim := runDueSchedule(178)
+	assert.Check(t, len(sim.violations) == 0, "%s", strings.Join(sim.violations, "\n"))
+}
+
 // TestDueTasksStartOnSuspectExecutors runs schedules in which tasks of a job that always fails have room on two suspect
 // executors only. Each trial waits for its record, which takes up to 600 ms in one of five commits of the simulation.
 func TestDueTasksStartOnSuspectExecutors(t *testing.T) {
