--- a/internal/state/cell/advice.go
+++ b/internal/state/cell/advice.go
@@ -76,7 +76,7 @@
 	}
 	need := resourcesOf(s.pb)
 	var permitted, candidates []*executor
-	p.forEachWithRoom(s, need, anyTarget, func(x *executor) {
+	p.forEachWithRoom(s, need, bestEffortCPU, func(x *executor) {
 		p.cell.ratings++
 		switch {
 		case s.advice.rejected[x.entry.ID], !x.allows(s, need), !x.hasBestEffortCPU(s):
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -78,11 +78,11 @@
 	// execs has the executors by their ids, fleet in the order of these.
 	execs map[string]*executor
 	fleet fleet
-	// rooms has the rooms of the last pass by service. ratings counts the executors that it has looked at.
-	rooms      map[string]*rooms
-	ratings    int
-	entries    entryReads
-	evacuation evacuation
+	// roomIndexes has those of the last pass by service. ratings counts the executors that the pass has rated, for tests.
+	roomIndexes map[string]*roomIndex
+	ratings     int
+	entries     entryReads
+	evacuation  evacuation
 	// replied has the executors that have replied since paces were last adjusted, in the order of their replies.
 	replied []*executor
 	// unbatched has the executors that may have listed ends that are in no batch yet.
@@ -129,7 +129,7 @@
 func New(p Params, epoch uint64, previousLeasesExpireAt tick.Time) *Cell {
 	return &Cell{
 		params: p, epoch: epoch, previousLeasesExpireAt: previousLeasesExpireAt, isTakingOver: true,
-		jobs: map[string]*job{}, execs: map[string]*executor{}, rooms: map[string]*rooms{},
+		jobs: map[string]*job{}, execs: map[string]*executor{}, roomIndexes: map[string]*roomIndex{},
 		unbatched: map[*executor]bool{},
 		dirty:     map[string]*job{}, pendingRosters: map[string]*executor{}, retired: map[string]bool{},
 		stopping: map[*run]bool{}, evacuation: evacuation{moved: map[string]int{}, futileSearches: map[bool]int{}},
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -133,9 +133,9 @@
 	throttledTailRatio float64
 	// drainDeadline is when the draining executor may leave.
 	drainDeadline tick.Time
-	// rooms are those that the executor belongs to since a pass has searched them, at the position.
-	rooms    *rooms
-	position int
+	// roomIndex is the last one that the executor was in, at the position.
+	roomIndex *roomIndex
+	position  int
 }
 
 func (x *executor) target() orders.Target {
--- a/internal/state/cell/liveness_schedule_test.go
+++ b/internal/state/cell/liveness_schedule_test.go
@@ -331,8 +331,8 @@
 	}
 }
 
-// TestDoneTaskOfRestartedExecutorStaysDone runs a schedule in which an executor restarts under its id while the end of a
-// run is acknowledged.
+// TestDoneTaskOfRestartedExecutorStaysDone runs a schedule in which an executor restarts under its id while the end of
+// a run is acknowledged.
 func TestDoneTaskOfRestartedExecutorStaysDone(t *testing.T) {
 	sim := runDueSchedule(178)
 	assert.Check(t, len(sim.violations) == 0, "%s", strings.Join(sim.violations, "\n"))
--- a/internal/state/cell/overdue.go
+++ b/internal/state/cell/overdue.go
@@ -66,7 +66,7 @@
 	avoids := t.avoidsFailedOn(p)
 	var best *executor
 	highest := math.Inf(-1)
-	p.forEachWithRoom(s, need, nearTarget, func(x *executor) {
+	p.forEachWithRoom(s, need, bestEffortCPUAtTargets, func(x *executor) {
 		isCandidate := p.hasRoomFor(s, need, x) && x.takesOverdue(p.now, s.job)
 		if !isCandidate || avoids && t.hasFailedOn(x) {
 			return
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -11,10 +11,11 @@
 // pass is one planning pass: it finds executors for waiting tasks.
 type pass struct {
 	now tick.Time
-	// executors has all executors, pools the usable ones of each service, and rooms those of the pools that were searched.
-	executors []*executor
-	pools     map[string][]*executor
-	rooms     map[string]*rooms
+	// executors has all executors, pools the usable ones of each service, and roomIndexes those of the
+	// pools that were searched.
+	executors   []*executor
+	pools       map[string][]*executor
+	roomIndexes map[string]*roomIndex
 	// unplaceable has, for each service, requests for which no executor was found. They rule out all requests that need at
 	// least as much.
 	unplaceable map[string][]request
@@ -70,7 +71,7 @@
 func (c *Cell) newSearch(now tick.Time) *pass {
 	c.ratings = 0
 	p := &pass{
-		now: now, cell: c, executors: c.fleet, pools: map[string][]*executor{}, rooms: map[string]*rooms{},
+		now: now, cell: c, executors: c.fleet, pools: map[string][]*executor{}, roomIndexes: map[string]*roomIndex{},
 		unplaceable:  map[string][]request{},
 		weights:      map[string]weights{},
 		extremes:     map[string]extremes{},
@@ -125,7 +126,7 @@
 		return c
 	}
 	p.isLimitedByReservation = false
-	p.forEachWithRoom(s, c.need, belowTarget, func(x *executor) {
+	p.forEachWithRoom(s, c.need, bestEffortCPUBelowTargets, func(x *executor) {
 		if cost, ok := p.rateExecutor(s, c.need, x); ok {
 			c.list = append(c.list, candidate{x, cost})
 		}
--- a/internal/state/cell/rooms.go
+++ b/internal/state/cell/rooms.go
@@ -2,35 +2,35 @@
 
 import "github.com/ibischute/ibischute/internal/state/cover"
 
-// rooms finds the executors of a pool that have the room for a task, in the order of their ids. The room is that at
+// roomIndex finds the executors of a pool that have the room for a task, in the order of their ids. The room is that at
 // present: each run that is added or removed changes it.
-type rooms struct {
+type roomIndex struct {
 	cell *Cell
 	pool []*executor
 	tree cover.Tree
 }
 
-// newRooms returns the rooms of the pool. It replaces those of the service's last pass.
-func (c *Cell) newRooms(service string, pool []*executor) *rooms {
-	m, ok := c.rooms[service]
+// newRoomIndex returns the index of the pool. It replaces that of the service's last pass.
+func (c *Cell) newRoomIndex(service string, pool []*executor) *roomIndex {
+	m, ok := c.roomIndexes[service]
 	if !ok {
-		m = &rooms{cell: c}
-		c.rooms[service] = m
+		m = &roomIndex{cell: c}
+		c.roomIndexes[service] = m
 	}
 	m.pool = pool
 	m.tree.Reset(len(pool), func(i int) cover.Amounts {
-		pool[i].rooms, pool[i].position = m, i
+		pool[i].roomIndex, pool[i].position = m, i
 		return c.roomAmounts(pool[i])
 	})
 	return m
 }
 
-// roomsOf returns the rooms of the usable executors of the service.
-func (p *pass) roomsOf(service string) *rooms {
-	m, ok := p.rooms[service]
+// roomIndexOf returns the index of the usable executors of the service.
+func (p *pass) roomIndexOf(service string) *roomIndex {
+	m, ok := p.roomIndexes[service]
 	if !ok {
-		m = p.cell.newRooms(service, p.pools[service])
-		p.rooms[service] = m
+		m = p.cell.newRoomIndex(service, p.pools[service])
+		p.roomIndexes[service] = m
 	}
 	return m
 }
@@ -38,18 +38,18 @@
 // forEachWithRoom calls f for each usable executor that has the resources for a task of the step, in the order of
 // their ids. For a best-effort task, the CPU at the index bestEffort counts. f must not change the room.
 func (p *pass) forEachWithRoom(s *step, need resources, bestEffort int, f func(x *executor)) {
-	m, amounts := p.roomsOf(s.job.queue.Service), neededAmounts(s, need, bestEffort)
+	m, amounts := p.roomIndexOf(s.job.queue.Service), neededAmounts(s, need, bestEffort)
 	for i := m.tree.Next(0, amounts); i < len(m.pool); i = m.tree.Next(i+1, amounts) {
 		f(m.pool[i])
 	}
 }
 
-// The indexes of the CPU that is free for best-effort tasks: on all executors, on those without a latency-critical run
-// above its target, where overdue tasks may start, and on those without one near it.
+// The indexes in cover.Amounts of the CPU that is free for best-effort tasks: on all executors, on those of which no
+// latency-critical run exceeds its target, where overdue tasks may start, and on those of which none is near it.
 const (
-	anyTarget = iota + 3
-	nearTarget
-	belowTarget
+	bestEffortCPU = iota + 3
+	bestEffortCPUAtTargets
+	bestEffortCPUBelowTargets
 )
 
 // roomAmounts returns the free amounts that allows and hasBestEffortCPU compare with a need. On a reserved executor,
@@ -62,10 +62,10 @@
 	}
 	t := x.knownTolerance()
 	if t.isNearTarget {
-		a[belowTarget] = cover.Lowest
+		a[bestEffortCPUBelowTargets] = cover.Lowest
 	}
 	if t.isOverTarget {
-		a[nearTarget] = cover.Lowest
+		a[bestEffortCPUAtTargets] = cover.Lowest
 	}
 	return a
 }
@@ -79,9 +79,9 @@
 	return a
 }
 
-// updateRoom applies a change of the executor's free resources to the rooms that it belongs to, if any.
+// updateRoom applies a change of the executor's free resources to the index that it belongs to, if any.
 func (x *executor) updateRoom() {
-	m := x.rooms
+	m := x.roomIndex
 	if m != nil && x.position < len(m.pool) && m.pool[x.position] == x {
 		m.tree.Set(x.position, m.cell.roomAmounts(x))
 	}
--- a/internal/state/cell/rooms_test.go
+++ b/internal/state/cell/rooms_test.go
@@ -240,15 +240,15 @@
 
 // plainAdviceCandidates is adviceCandidates with rooms that have room for everything.
 func (p *pass) plainAdviceCandidates(s *step) []string {
-	searched := p.rooms
-	defer func() { p.rooms = searched }()
+	searched := p.roomIndexes
+	defer func() { p.roomIndexes = searched }()
 	service := s.job.queue.Service
-	all := &rooms{pool: p.plainPool(s)}
+	all := &roomIndex{pool: p.plainPool(s)}
 	all.tree.Reset(len(all.pool), func(int) cover.Amounts {
 		const most = math.MaxInt64
 		return cover.Amounts{most, most, most, most, most, most}
 	})
-	p.rooms = map[string]*rooms{service: all}
+	p.roomIndexes = map[string]*roomIndex{service: all}
 	return p.adviceCandidates(s)
 }
 
--- a/internal/state/cell/slowness.go
+++ b/internal/state/cell/slowness.go
@@ -113,7 +113,7 @@
 		return
 	}
 	searches := 0
-	// The order of a map gives each executor the same chance of a search.
+	// The random order of the map gives each executor the same chance of a search.
 	for _, x := range c.execs {
 		if !c.isSlow(x) || x.isTerminated || x.isUnresponsive {
 			continue
