--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -32,7 +32,6 @@
 	"github.com/ibischute/ibischute/internal/state/interf"
 	"github.com/ibischute/ibischute/internal/state/quant"
 	"github.com/ibischute/ibischute/internal/state/ramp"
-	"github.com/ibischute/ibischute/internal/state/share"
 	"github.com/ibischute/ibischute/internal/state/speed"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -108,9 +107,7 @@
 	speed        *speed.Model
 	interference *interf.Model
 	lookAhead    *lookAhead
-	// shares divide the resources of each priority between long-running tasks that have waited long and short ones.
-	shares   map[int]*share.Balance
-	isFenced bool
+	isFenced     bool
 	// needsAdvice is true if a queue has or had a policy service.
 	needsAdvice bool
 	// isAdvicePending is true while a request to the policy service is outstanding; nextAdviceAt is the earliest time for
@@ -135,7 +132,6 @@
 		stopping: map[*run]bool{}, evacuation: evacuation{moved: map[string]int{}, futileSearches: map[bool]int{}},
 		durations: quant.New(), speed: speed.New(), interference: interf.New(),
 		placements: placements{held: map[uint32][]*task{}}, lookAhead: newLookAhead(p), crashes: newCrashes(),
-		shares: map[int]*share.Balance{},
 	}
 }
 
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -336,7 +336,6 @@
 		for _, r := range x.runs {
 			if !r.isPlaced && (!x.isListed || !c.mayBeDone(r)) {
 				c.releaseLost(r, false)
-				r.task.step.noteWaitingSince(x.lastResponseAt)
 			}
 		}
 	}
--- a/internal/state/cell/placed.go
+++ b/internal/state/cell/placed.go
@@ -14,10 +14,6 @@
 // second for a batch must not limit a fleet to fewer than 2,000 starts a second.
 const maxPlaced = 1024
 
-// placedBetweenOverdue are the placed runs that start between two of overdue long-running tasks, so that these have
-// longRunningShare of the starts.
-const placedBetweenOverdue = 2
-
 // highestPriority is the rank of the queues that come first.
 const highestPriority = 0
 
@@ -40,34 +36,6 @@
 	p.placed = slices.Insert(p.placed, i, r)
 }
 
-// moveUpOverdue moves up the runs of long-running tasks that have waited for longRunningPatience, so that these have a
-// third of the next starts of each priority.
-func (p *placements) moveUpOverdue(now tick.Time) {
-	for i, r := range p.placed {
-		if !r.isOverdueLongRunning(now) || r.isMovedUp {
-			continue
-		}
-		to := p.nextPlaceOfOverdue(r.priority(), i)
-		copy(p.placed[to+1:i+1], p.placed[to:i])
-		p.placed[to], r.isMovedUp = r, true
-	}
-}
-
-// nextPlaceOfOverdue returns the index, up to the limit, behind two runs of short tasks that follow the last run of the
-// priority that was moved up.
-func (p *placements) nextPlaceOfOverdue(priority, limit int) int {
-	i, _ := slices.BinarySearchFunc(p.placed, priority-1, compareToPriority)
-	others := 0
-	for k := i; k < limit; k++ {
-		if p.placed[k].isMovedUp {
-			i, others = k+1, 0
-		} else if others < placedBetweenOverdue {
-			i, others = k+1, others+1
-		}
-	}
-	return i
-}
-
 // room returns how many more runs of the priority may be placed. Runs of lower priorities do not count.
 func (p *placements) room(priority int) int {
 	before, _ := slices.BinarySearchFunc(p.placed, priority, compareToPriority)
@@ -87,12 +55,6 @@
 	slices.SortStableFunc(p.placed, func(a, b *run) int { return cmp.Compare(a.priority(), b.priority()) })
 }
 
-// isOverdueLongRunning reports whether the placed run is that of a long-running task that has waited for
-// longRunningPatience.
-func (r *run) isOverdueLongRunning(now tick.Time) bool {
-	return r.task.step.pb.LongRunning && r.waitingSince != 0 && now.Sub(r.waitingSince) >= longRunningPatience
-}
-
 // priority returns the rank of the run's queue; lower values go first.
 func (r *run) priority() int { return r.task.step.job.queue.Priority }
 
@@ -101,7 +63,7 @@
 	j := t.step.job
 	idleSince := j.idleSince
 	r := c.createRun(now, t, x, number)
-	r.isPlaced, r.idleSince, r.waitingSince = true, idleSince, t.step.waitingSince
+	r.isPlaced, r.idleSince = true, idleSince
 	r.incarnation, t.unisolatedSince = x.startedMS, 0
 	c.noteStart(now, t)
 	if t.step.pb.Fills {
@@ -172,7 +134,6 @@
 	c.placements.placed = slices.DeleteFunc(c.placements.placed, func(o *run) bool { return o == r })
 	c.detachRun(r)
 	r.isPlaced = false
-	r.task.step.noteWaitingSince(r.waitingSince)
 	r.task.startCount--
 	if j := r.task.step.job; j.idleSince == 0 {
 		j.idleSince = r.idleSince
--- a/internal/state/cell/plan.go
+++ b/internal/state/cell/plan.go
@@ -56,7 +56,6 @@
 			c.planMoves(now, p, false)
 		}
 	}
-	c.placements.moveUpOverdue(now)
 	started := c.startRecorded(now, limits.MaxStarts)
 	if len(started) < limits.MaxStarts && !limits.IsStoreStalled {
 		c.moveFromSlow(now, p)
@@ -177,18 +176,7 @@
 // until the next call.
 func (c *Cell) waitingSteps(now tick.Time) []*step {
 	w := &c.waiting
-	w.ordered = w.ordered[:0]
-	for _, e := range c.waitingJobs(now) {
-		w.ordered = append(w.ordered, e.steps...)
-	}
-	return w.ordered
-}
-
-// waitingJobs returns the jobs with ready steps that have waiting tasks, the most urgent first. The result is valid
-// until the next call.
-func (c *Cell) waitingJobs(now tick.Time) []waitingJob {
-	w := &c.waiting
-	w.jobs, w.steps = w.jobs[:0], w.steps[:0]
+	w.jobs, w.steps, w.ordered = w.jobs[:0], w.steps[:0], w.ordered[:0]
 	for _, j := range c.active {
 		if c.isTakingOver && j.isInherited {
 			continue
@@ -204,9 +192,15 @@
 	}
 	c.moveUpAged(now, w.jobs)
 	slices.SortFunc(w.jobs, func(a, b waitingJob) int {
-		return cmp.Or(a.urgency.compare(b.urgency), cmp.Compare(a.place, b.place))
+		if n := a.urgency.compare(b.urgency); n != 0 {
+			return n
+		}
+		return cmp.Compare(a.place, b.place)
 	})
-	return w.jobs
+	for _, e := range w.jobs {
+		w.ordered = append(w.ordered, e.steps...)
+	}
+	return w.ordered
 }
 
 // appendWaitingSteps appends the ready steps of the job with waiting tasks.
@@ -214,10 +208,8 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if s.waiting == 0 || !s.isReady() {
-				s.waitingSince = 0
 				continue
 			}
-			s.noteWaitingSince(now)
 			if s.readyAt == 0 {
 				s.readyAt = now
 			}
@@ -230,30 +222,22 @@
 // placeWaiting places waiting tasks, as many as the limit of placed runs permits and the rest of a gang.
 func (c *Cell) placeWaiting(now tick.Time, p *pass) {
 	c.evacuation.isShortOfRoom = false
-	for list := c.waitingJobs(now); len(list) > 0; {
-		g := c.nextGroup(now, &list)
-		for s, limit := g.next(); s != nil; s, limit = g.next() {
-			room := c.placements.room(g.priority)
-			if room <= 0 {
-				return
-			}
-			g.placed(c.placeStep(now, p, s, min(limit, room)))
+	for _, s := range c.waitingSteps(now) {
+		limit := c.placements.room(s.job.queue.Priority)
+		if limit <= 0 {
+			return
+		}
+		if s.pb.Gang {
+			c.placeGang(now, p, s)
+			continue
+		}
+		placed := c.placeTasks(now, p, s, limit)
+		if placed == 0 && s.pb.Fills && s.job.isOverdue(now) {
+			c.placeOverdue(now, p, s)
 		}
 	}
 }
 
-// placeStep places tasks of the step and returns their number. A gang is placed as one, which may exceed the limit.
-func (c *Cell) placeStep(now tick.Time, p *pass, s *step, limit int) int {
-	if s.pb.Gang {
-		return c.placeGang(now, p, s)
-	}
-	placed := c.placeTasks(now, p, s, limit)
-	if placed == 0 && s.pb.Fills && s.job.isOverdue(now) {
-		placed = c.placeOverdue(now, p, s)
-	}
-	return placed
-}
-
 // placeTasks places tasks of the step and returns their number.
 func (c *Cell) placeTasks(now tick.Time, p *pass, s *step, limit int) int {
 	n := 0
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -32,9 +32,6 @@
 	// recordedAt is when a stored record first named the executor, or when the run was placed if one did already.
 	recordedAt tick.Time
 	idleSince  tick.Time
-	// waitingSince is that of the step before the placement, isMovedUp true if the run starts before older ones.
-	waitingSince tick.Time
-	isMovedUp    bool
 	// createdAt is when the run was placed or adopted.
 	createdAt tick.Time
 	// confirmedAt is when the executor confirmed that it has the run; 0 before.
--- a/internal/state/cell/task.go
+++ b/internal/state/cell/task.go
@@ -24,8 +24,6 @@
 	gangFailures []uint64
 	// readyAt is when the step became ready, or when a plan of a new leader first found it so; 0 before.
 	readyAt tick.Time
-	// waitingSince is since when tasks of the ready step have had no run, as far as known; 0 if there is none.
-	waitingSince tick.Time
 	// waitsSince is since when Diagnose has seen a due task of the step without a run; 0 if there is none.
 	// waitReportedAt is when it last reported the cause.
 	waitsSince, waitReportedAt tick.Time
@@ -127,13 +125,6 @@
 	}
 }
 
-// noteWaitingSince notes since when a task of the step may have had no run, unless it is unknown.
-func (s *step) noteWaitingSince(at tick.Time) {
-	if at != 0 && (s.waitingSince == 0 || at.Before(s.waitingSince)) {
-		s.waitingSince = at
-	}
-}
-
 func (t *task) markDone() {
 	t.done = true
 	t.step.unfinished--
