--- a/internal/services/leader/quota_test.go
+++ b/internal/services/leader/quota_test.go
@@ -1,6 +1,8 @@
 package leader_test
 
 import (
+	"maps"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,18 +26,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
 		r.queues[0].TargetMS = target.Milliseconds()
-		isLimited := false
+		var isLimited atomic.Bool
 		since := time.Now()
 		r.wrapLease = func(holdsLease func(tick.Time) bool) func(tick.Time) bool {
 			return func(now tick.Time) bool {
-				if phase := time.Since(since) % period; isLimited && phase >= period-suspended {
+				if phase := time.Since(since) % period; isLimited.Load() && phase >= period-suspended {
 					time.Sleep(period - phase)
 				}
 				return holdsLease(now)
 			}
 		}
 		r.startNodes(1)
-		isLimited = true
+		isLimited.Store(true)
 		submitted, waits := map[string]time.Time{}, map[string]time.Duration{}
 		r.calls.edit(func() {
 			r.calls.onStart = func(_ orders.Target, o orders.Start) {
@@ -48,9 +50,11 @@
 			time.Sleep(37 * time.Millisecond)
 		}
 		time.Sleep(dueLimit)
-		assert.Equal(t, len(waits), jobs)
+		var measured map[string]time.Duration
+		r.calls.edit(func() { measured = maps.Clone(waits) })
+		assert.Equal(t, len(measured), jobs)
 		late, longest := 0, time.Duration(0)
-		for _, w := range waits {
+		for _, w := range measured {
 			if w > target {
 				late++
 			}
