--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -61,12 +60,6 @@
 	lapse    *time.Timer
 	sequence int
 	changed  chan struct{}
-	tickets  map[string]ticket
-}
-
-type ticket struct {
-	value string
-	until time.Time
 }
 
 func (w *World) addExecutor(cpu, memMB int, labels ...string) *Executor {
@@ -75,7 +68,7 @@
 		world: w, id: fmt.Sprintf("i-%d%07x", n+1, time.Now().UnixNano()&0xfffffff), address: fmt.Sprintf("%s.%d:8080", w.net, 101+n),
 		service: "desk", zone: []string{"za", "zb", "zc"}[n%3], labels: append([]string{"a", fmt.Sprintf("r%d", n+1)}, labels...),
 		cpu: cpu, memMB: memMB, born: time.Now(), runs: map[string]*run{}, highest: map[string]uint64{},
-		changed: make(chan struct{}), tickets: map[string]ticket{},
+		changed: make(chan struct{}),
 	}
 	w.execs = append(w.execs, x)
 	w.serve(x.address, x)
@@ -114,7 +107,6 @@
 	DeadlineMS int64  `json:"deadline_ms"`
 	Fence      uint64 `json:"fencing_token"`
 	Checkpoint string `json:"checkpoint"`
-	Ticket     string `json:"ticket"`
 	AckCursor  uint64 `json:"ack_cursor"`
 	WaitMS     int64  `json:"wait_ms"`
 	Percent    int    `json:"percent"`
@@ -236,13 +228,6 @@
 	if o.DeadlineMS <= x.clock() {
 		return "late"
 	}
-	if job.Queue.Advice != nil {
-		t := x.tickets[stepName(o.Task)]
-		if t.value == "" || t.value != o.Ticket || time.Now().After(t.until) {
-			x.world.noteLocked("start %s run %d on %s rejected: ticket %q", o.Task, o.Run, x.id, o.Ticket)
-			return "ticket"
-		}
-	}
 	cpu, mem := s.CPU, s.MemMB
 	for _, r := range x.runs {
 		cpu, mem = cpu+r.step.CPU, mem+r.step.MemMB
@@ -415,45 +400,3 @@
 	}
 	return int(min(99, 100*time.Since(r.workingSince)/max(1, total)))
 }
-
-// Advise serves the policy service, which permits all executors here.
-type Advise struct {
-	world *World
-	busy  sync.Mutex
-}
-
-func (a *Advise) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var in struct {
-		Step    string   `json:"step"`
-		Workers []string `json:"workers"`
-	}
-	if json.NewDecoder(r.Body).Decode(&in) != nil || len(in.Workers) > 100 {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	a.busy.Lock()
-	defer a.busy.Unlock()
-	a.world.mu.Lock()
-	job := a.world.jobs[strings.Split(in.Step, ".")[0]]
-	a.world.mu.Unlock()
-	if job == nil || job.Queue.Advice == nil {
-		writeJSON(w, http.StatusOK, map[string]any{"good": [][]string{}, "validity_ms": 0})
-		return
-	}
-	t := job.Queue.Advice
-	time.Sleep(time.Duration(t.DecisionMS+t.PeriodMS*len(in.Workers)) * time.Millisecond)
-	good := [][]string{}
-	a.world.mu.Lock()
-	for _, id := range in.Workers {
-		for _, x := range a.world.execs {
-			if x.id == id {
-				value := fmt.Sprintf("t-%x", time.Now().UnixNano())
-				x.tickets[in.Step] = ticket{value, time.Now().Add(time.Duration(t.ValidityMS) * time.Millisecond)}
-				good = append(good, []string{id, value})
-			}
-		}
-	}
-	a.world.noteLocked("advice on %s for %v", in.Step, in.Workers)
-	a.world.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{"good": good, "validity_ms": t.ValidityMS})
-}
--- a/review/rig/node.go
+++ b/review/rig/node.go
@@ -46,7 +46,6 @@
 heartbeat_ms = 1500
 contracts = ["base","drain","config","cost","recover","sched","platform","advice","upkeep","sharing"]
 orders = "call"
-advice = %[5]q
 [zones]
 za = "home"
 zb = "home"
@@ -113,7 +112,7 @@
 partition_mb = 200
 min_ttl_ms = 1000
 [cloud_api]
-address = "%[6]s:8169"
+address = "%[5]s:8169"
 rate_per_s = 60.0
 duties = []
 duty_per_s = 60.0
@@ -123,7 +122,7 @@
 	i := len(w.nodes)
 	n := &Node{world: w, name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf("%s.%d", w.net, i+1)}
 	n.settings, n.logPath = filepath.Join(w.tmp, n.name+".toml"), filepath.Join(w.tmp, n.name+".log")
-	text := fmt.Sprintf(settingsText, n.name, n.ip, []string{"za", "zb", "zc"}[i%3], w.net+".100:8169", w.adviser, w.net+".99")
+	text := fmt.Sprintf(settingsText, n.name, n.ip, []string{"za", "zb", "zc"}[i%3], w.net+".100:8169", w.net+".99")
 	fail(os.WriteFile(n.settings, []byte(text), 0o600))
 	var err error
 	n.out, err = os.OpenFile(n.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -49,13 +49,6 @@
 	IntervalMS  int64  `json:"interval_ms,omitempty"`
 }
 
-// Advice is the timing of a queue's policy service.
-type Advice struct {
-	DecisionMS int `json:"decision_ms"`
-	PeriodMS   int `json:"period_ms"`
-	ValidityMS int `json:"validity_ms"`
-}
-
 // Queue is a route of the configuration.
 type Queue struct {
 	Name        string  `json:"name"`
@@ -68,7 +61,6 @@
 	Service     string  `json:"service"`
 	MaxAttempts int     `json:"max_attempts"`
 	Stretch     float64 `json:"stretch_factor"`
-	Advice      *Advice `json:"advice,omitempty"`
 }
 
 // World is one deployment with its stand-ins, and the record of what they saw.
@@ -85,7 +77,6 @@
 	jobs    map[string]*Job
 	queues  []*Queue
 	version int
-	adviser string
 	gangs   map[string]*gangRun
 	history map[string]*taskHistory
 	broken  []string
