--- a/review/rig/longhistory.go
+++ b/review/rig/longhistory.go
@@ -8,7 +8,7 @@
 func init() { cases["long-history"] = caseOf{"LOST", playLongHistory} }
 
 // historyJobs is the number of jobs that the deployment of playLongHistory has done before its processes are killed. At
-// 13 jobs a second, a deployment reaches it in 130 minutes.
+// 36 jobs a second, a deployment reaches it in 47 minutes.
 const historyJobs = 101000
 
 // historyRate is the number of jobs handed in each second, which the executors do at once.
--- a/review/rig/node.go
+++ b/review/rig/node.go
@@ -30,6 +30,7 @@
 	ended   chan struct{}
 }
 
+// settingsText has the bounds of kmkcb-ibis-grown and the limits of its larger machines.
 const settingsText = `node_name = %[1]q
 role = "entry"
 machine_class = "edge"
@@ -55,11 +56,11 @@
 ready = "%[2]s:8167"
 control = "%[2]s:8166"
 [limits]
-cpu_share = 0.4
+cpu_share = 0.8
 cores = 1
-memory_mb = 284
-max_fds = 4100
-link_mbps = 1000.0
+memory_mb = 536
+max_fds = 8192
+link_mbps = 200.0
 disk_mb = 0
 [fault_tolerance]
 machines = 2
@@ -68,40 +69,40 @@
 [bounds]
 seed_lag_s = 3
 addr_reuse_s = 2
-contact_ms = 3000
-ack_ms = 4000
-catch_up_s = 4
-drain_ms = 2000
+contact_ms = 4000
+ack_ms = 6000
+catch_up_s = 6
+drain_ms = 3000
 grace_s = 6
 loss_slack_ms = 200
-config_apply_ms = 2000
+config_apply_ms = 3000
 downgrade_ms = 250
-outer_ms = 5000
-recovery_s = 12
-max_hold_ms = 6000
-stop_timeout_ms = 400
-gang_timeout_ms = 3000
-cancel_ms = 3000
+outer_ms = 6000
+recovery_s = 15
+max_hold_ms = 10000
+stop_timeout_ms = 900
+gang_timeout_ms = 4000
+cancel_ms = 4000
 visible_ms = 3000
 early_ms = 250
 finish_s = 14
 status_s = 120
-remote_factor = 3
-checkpoint_s = 1
-restore_ms = 600
-notice_ms = 4500
+remote_factor = 1.5
+checkpoint_s = 2
+restore_ms = 100
+notice_ms = 5500
 migrate_s = 1.5
 maintenance_s = 2
 fencing_enforced = true
 lease_ms = 3000
 thaw_ms = 300
 pace_ms = 100
-interference_ms = 4000
+interference_ms = 4500
 [platform]
 address = %[4]q
 form = "log"
-writes_per_s = 800
-reads_per_s = 2000
+writes_per_s = 1200
+reads_per_s = 6000
 parts = 24
 append_ms = 1.0
 part_mb_per_s = 20.0
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -13,13 +13,13 @@
 	"time"
 )
 
-// The figures of the store, as in the settings of a small deployment.
+// The figures of the store, as in the settings.
 const (
 	storeLatency    = 4 * time.Millisecond
 	appendTime      = time.Millisecond
 	keepFor         = 20 * time.Second
-	writesPerSecond = 800
-	readsPerSecond  = 2000
+	writesPerSecond = 1200
+	readsPerSecond  = 6000
 	recordBytes     = 262144
 	requestBytes    = 2097152
 	pageRecords     = 500
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -13,11 +13,11 @@
 	"time"
 )
 
-// The bounds of a small deployment, as its settings state them.
+// The bounds of kmkcb-ibis-grown, as the settings state them.
 const (
-	maxHoldMS    = 6000
+	maxHoldMS    = 10000
 	stopTime     = 50 * time.Millisecond
-	gangTimeout  = 3 * time.Second
+	gangTimeout  = 4 * time.Second
 	beatInterval = 1500 * time.Millisecond
 	endsListed   = 500
 )
