Log the age of the previous leader's last record and how long a takeover took

The lines election-won and takeover-settled did not tell how much of a takeover's wait comes from the former leader's last record and how much from earlier leaders, nor how long it took. Tests of elect, leader and the takeovers of cell pass.

--- a/internal/services/elect/claim.go
+++ b/internal/services/elect/claim.go
@@ -26,6 +26,8 @@
 	sentAt tick.Time
 	// previousEpoch and recordedSince are those of the record before the claim; 0 if it is unknown.
 	previousEpoch, recordedSince uint64
+	// previousReadAt is when the record before the claim was read.
+	previousReadAt tick.Time
 }
 
 // noteAttempt notes that a record is sent for the offset.
@@ -112,8 +114,10 @@
 		Epoch: c.epoch, PreviousEpoch: c.previousEpoch, RecordedSince: c.recordedSince,
 		ExecutorLeasesExpireAt: e.earlierLeasesUntil.Add(e.opts.MaxExecutorLease),
 	}
-	e.opts.Logger.Info().Uint64("epoch", t.Epoch).
-		Dur("former-leases-expire-in", t.ExecutorLeasesExpireAt.Sub(tick.Now())).Msg("election-won")
+	now := tick.Now()
+	e.opts.Logger.Info().Uint64("epoch", t.Epoch).Uint64("previous-epoch", t.PreviousEpoch).
+		Dur("previous-record-age", now.Sub(c.previousReadAt)).
+		Dur("former-leases-expire-in", t.ExecutorLeasesExpireAt.Sub(now)).Msg("election-won")
 	return t
 }
 
@@ -155,7 +159,7 @@
 
 // claimed returns the claim of the epoch that follows the newest record. The caller must hold the mutex.
 func (e *Elector) claimed(epoch uint64, sentAt tick.Time) *claimed {
-	c := &claimed{epoch: epoch, sentAt: sentAt}
+	c := &claimed{epoch: epoch, sentAt: sentAt, previousReadAt: e.lastRecordAt}
 	if e.lastRecord != nil && !e.isLastUnknown {
 		c.previousEpoch, c.recordedSince = e.lastRecord.Epoch, e.lastRecord.RecordedSince
 	}
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -69,8 +69,8 @@
 	// previousLeasesExpireAt is the time from which no run of a previous leader can still hold a lease.
 	previousLeasesExpireAt tick.Time
 	isTakingOver           bool
-	// awaitedSince is when executors were first awaited in the takeover, and isAwaitedReported true once they are logged.
-	awaitedSince      tick.Time
+	// takeoverBeganAt is the time of the first plan, and isAwaitedReported true once the awaited executors are logged.
+	takeoverBeganAt   tick.Time
 	isAwaitedReported bool
 	config            *queue.Configuration
 	jobs              map[string]*job
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -100,6 +100,9 @@
 		c.releaseHeld(nil)
 		return
 	}
+	if c.takeoverBeganAt == 0 {
+		c.takeoverBeganAt = now
+	}
 	awaited := map[uint32]bool{}
 	for _, x := range c.execs {
 		if c.isAwaited(now, x) {
@@ -113,7 +116,8 @@
 	}
 	c.isTakingOver = false
 	left := max(0, c.previousLeasesExpireAt.Sub(now))
-	c.emit(Event{Name: "takeover-settled", Detail: fmt.Sprintf("former leases expire in %v", left)})
+	c.emit(Event{Name: "takeover-settled", Detail: fmt.Sprintf(
+		"after %v, former leases expire in %v", inMillis(now.Sub(c.takeoverBeganAt)), inMillis(left))})
 	for _, j := range c.active {
 		j.isInherited = false
 	}
@@ -121,10 +125,7 @@
 
 // reportAwaited logs once the executors for which tasks are held back.
 func (c *Cell) reportAwaited(now tick.Time) {
-	if c.awaitedSince == 0 {
-		c.awaitedSince = now
-	}
-	if c.isAwaitedReported || now.Sub(c.awaitedSince) < awaitedReportAfter {
+	if c.isAwaitedReported || now.Sub(c.takeoverBeganAt) < awaitedReportAfter {
 		return
 	}
 	c.isAwaitedReported = true
