Add tests of a second loss of the leader

The test loses a second leader 3.5 s after the first and the executor; the third one runs before, or starts at the second loss and reads all records at once. Its counterpart has the second leader extend the run, with and without stored records of it: there the wait must count from the second loss, and a start beside the run fails the test.

--- a/internal/services/leader/lost_executor_test.go
+++ b/internal/services/leader/lost_executor_test.go
@@ -11,10 +11,15 @@
 	"github.com/ibischute/ibischute/internal/modules/logs"
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/internal/stand/memex"
+	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// maxRestart is how long after the last loss a long-running task must have started again.
-const maxRestart = 7 * time.Second
+const (
+	// maxRestart is how long after the last loss a long-running task must have started again.
+	maxRestart = 7 * time.Second
+	// secondLossAt is when a second leader is lost after the first one.
+	secondLossAt = 3500 * time.Millisecond
+)
 
 // submitLongRunning submits a job of one long-running task and returns the executor on which it starts.
 func (r *rig) submitLongRunning(id int) (ranOn string) {
@@ -63,6 +68,18 @@
 	assert.Assert(r.t, took <= maxRestart, "the task starts again %v after the loss", took)
 }
 
+// leaderNow returns the instance that leads.
+func (r *rig) leaderNow() *rigNode {
+	r.t.Helper()
+	for _, n := range r.nodes {
+		if n.elector.IsSoleLeader(tick.Now()) {
+			return n
+		}
+	}
+	r.t.Fatal("no leader")
+	return nil
+}
+
 // TestTaskOfLostExecutorWaitsForTwoLeases guards against a task that also waits for the leadership lease.
 func TestTaskOfLostExecutorWaitsForTwoLeases(t *testing.T) {
 	for name, isDelisted := range map[string]bool{"listed": false, "delisted": true} {
@@ -77,3 +94,52 @@
 		})
 	}
 }
+
+// TestSecondLossOfLeaderBeginsWaitAnew guards against a wait for an executor that the second leader never reached.
+func TestSecondLossOfLeaderBeginsWaitAnew(t *testing.T) {
+	for name, isNew := range map[string]bool{"running": false, "new_process": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				first := r.startNodes(2)
+				if !isNew {
+					r.start("third")
+				}
+				executor := r.submitLongRunning(1)
+				lostAt := r.loseWithExecutor(first, executor, false)
+				time.Sleep(secondLossAt)
+				r.leaderNow().kill()
+				if isNew {
+					r.start("third")
+				}
+				r.checkRestart(jobID(1), lostAt)
+			})
+		})
+	}
+}
+
+// TestTaskStartsBesideRunThatSecondLeaderExtended guards against relying on the first loss if the second leader, which
+// stored records of it or not, has reached the executor.
+func TestTaskStartsBesideRunThatSecondLeaderExtended(t *testing.T) {
+	for name, wrapLog := range map[string]func(l logs.Log) logs.Log{
+		"recorded":   func(l logs.Log) logs.Log { return l },
+		"unrecorded": func(l logs.Log) logs.Log { return progressRefusal{l} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				first := r.startNodes(1)
+				executor := r.submitLongRunning(1)
+				r.wrapLog = wrapLog
+				second := r.start("second")
+				time.Sleep(time.Second)
+				first.kill()
+				time.Sleep(secondLossAt)
+				r.wrapLog = func(l logs.Log) logs.Log { return l }
+				r.start("third")
+				assert.Equal(t, r.leaderNow(), second)
+				r.checkRestart(jobID(1), r.loseWithExecutor(second, executor, false))
+			})
+		})
+	}
+}
