Count the leases of executors from the leader's last heartbeat

Cause: a wait made of two limits in a row. A leader granted whole leases until its own had ended, so its successor had to assume 5 s of the leadership lease and 6.17 s of an executor lease after the last record, for every executor that did not respond. A process that had just started counted from when it read old records.

Change: no executor lease outlasts the sending of the last stored heartbeat by more than the longest lease, so that the successor waits for 6.17 s after the last record, whoever it is.

The simulated leaders note their heartbeats.

--- a/internal/services/elect/claim.go
+++ b/internal/services/elect/claim.go
@@ -75,7 +75,8 @@
 	epoch := uint64(e.next) + 1
 	sent, timeout := tick.Now(), e.claimTimeout()
 	e.continueRecords(epoch)
-	err := e.append(ctx, timeout, e.record(epoch))
+	claim, formerLeasesUntil := e.claimRecord(sent, epoch)
+	err := e.append(ctx, timeout, claim)
 	if err != nil {
 		e.opts.Logger.Info().Err(err).Uint64("epoch", epoch).Msg("claim-failed")
 		if tick.Now().Sub(sent) >= timeout {
@@ -85,9 +86,9 @@
 		return Term{}, false
 	}
 	e.mu.Lock()
-	e.earlierLeasesUntil = e.formerLeaseUntil(sent)
 	c := e.claimed(epoch, sent)
-	e.lastRecord, e.lastRecordAt, e.isLastUnknown = e.record(epoch), sent, false
+	e.earlierLeasesUntil = formerLeasesUntil
+	e.lastRecord, e.lastRecordAt, e.isLastUnknown = claim, sent, false
 	e.mu.Unlock()
 	return e.beginTerm(c), true
 }
@@ -112,7 +113,7 @@
 	e.ownEpoch, e.yielding = c.epoch, make(chan struct{})
 	t := Term{
 		Epoch: c.epoch, PreviousEpoch: c.previousEpoch, RecordedSince: c.recordedSince,
-		ExecutorLeasesExpireAt: e.earlierLeasesUntil.Add(e.opts.MaxExecutorLease),
+		ExecutorLeasesExpireAt: e.earlierLeasesUntil,
 	}
 	now := tick.Now()
 	e.opts.Logger.Info().Uint64("epoch", t.Epoch).Uint64("previous-epoch", t.PreviousEpoch).
@@ -121,34 +122,40 @@
 	return t
 }
 
-// record returns a record that this instance leads with the epoch.
-func (e *Elector) record(epoch uint64) *jobpb.Lead {
-	return &jobpb.Lead{
-		Instance: e.opts.Instance, Address: e.opts.Address, Epoch: epoch, Cores: e.opts.Cores, Process: e.process,
-		RecordedSince: e.recordedSince,
-	}
+// claimRecord returns the claim of the epoch that is sent now, and when the executor leases of all leaders before it
+// have expired.
+func (e *Elector) claimRecord(now tick.Time, epoch uint64) (*jobpb.Lead, tick.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	until := e.executorLeasesUntil(now)
+	return e.record(epoch, until.Sub(now)), until
 }
 
-// formerLeaseUntil returns when the leases of all leaders up to that of the newest record have expired. A leader that
-// has resigned or yielded may have taken over from one whose lease lasts longer. The caller must hold the mutex.
-func (e *Elector) formerLeaseUntil(now tick.Time) tick.Time {
-	switch {
-	case e.lastRecord == nil && !e.isLastUnknown && e.next == 0:
-		// There was no leader yet.
-		return now
-	case e.lastRecord == nil || e.isLastUnknown:
-		// The last record is no longer retained or is unreadable.
-		return max(e.earlierLeasesUntil, now.Add(LeaseDuration))
-	case e.lastRecord.Resigned:
-		return max(e.earlierLeasesUntil, e.lastRecordAt)
-	case e.isYielded():
-		return max(e.earlierLeasesUntil, e.yieldedAt)
-	}
-	until := e.lastRecordAt.Add(LeaseDuration)
-	if e.isOfFormerProcess(e.lastRecord) {
-		until = min(until, e.startedAt)
+// heartbeatRecord returns the heartbeat of the epoch that is sent now.
+func (e *Elector) heartbeatRecord(now tick.Time, epoch uint64) *jobpb.Lead {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.record(epoch, e.earlierLeasesUntil.Sub(now))
+}
+
+// resignationRecord returns the record that ends the term of the epoch, sent now. The leases that this instance has
+// granted count from its last heartbeat.
+func (e *Elector) resignationRecord(now tick.Time, epoch uint64) *jobpb.Lead {
+	l := e.heartbeatRecord(now, epoch)
+	l.Address, l.Resigned = "", true
+	left := e.HeartbeatAt().Add(e.opts.MaxExecutorLease).Sub(now)
+	l.ExecutorLeaseMs = max(1, millisUp(left))
+	return l
+}
+
+// record returns a record that this instance leads with the epoch, while the executor leases of the leaders before last
+// for the given time.
+func (e *Elector) record(epoch uint64, formerLeases time.Duration) *jobpb.Lead {
+	return &jobpb.Lead{
+		Instance: e.opts.Instance, Address: e.opts.Address, Epoch: epoch, Cores: e.opts.Cores, Process: e.process,
+		RecordedSince: e.recordedSince, ExecutorLeaseMs: millisUp(e.opts.MaxExecutorLease),
+		FormerLeasesMs: millisUp(formerLeases),
 	}
-	return max(e.earlierLeasesUntil, until)
 }
 
 // isOfFormerProcess reports whether the record is of a process that has ended, because this one has bound its address.
--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -5,6 +5,10 @@
 // the election timeout. The epoch of a leader derives from the offset of its claim, so it is higher than the epoch of
 // every former leader.
 //
+// The leases that a leader grants to executors end within Options.MaxExecutorLease of the sending of its last stored
+// heartbeat, so the next leader knows from the log when they have expired. Records also state until when those of
+// earlier leaders may last.
+//
 // The leadership lease runs for LeaseDuration from the sending of the last heartbeat that was stored. When it expires,
 // the leader suspends its work. It resumes once its next heartbeat is stored, which proves that no other instance has
 // led in between, or ends its term if it reads the claim of another instance.
@@ -88,7 +92,8 @@
 	ClaimDelay time.Duration
 	// IsEligible reports whether this instance has the data that a leader needs.
 	IsEligible func() bool
-	// MaxExecutorLease is the longest time for which an executor keeps running tasks without a leader.
+	// MaxExecutorLease is the longest time for which an executor keeps running tasks without a leader. It counts from
+	// HeartbeatAt of the leader that granted the lease.
 	MaxExecutorLease time.Duration
 	// AskYield asks the instance at the address to give up the lead of the epoch, given the processor capacity of this
 	// one. It returns true if that instance no longer acts as its leader. If it is nil, this instance waits for the
@@ -109,7 +114,7 @@
 	lastRecordAt tick.Time
 	// epochReadAt is when the first record of the epoch of lastRecord was read.
 	epochReadAt tick.Time
-	// earlierLeasesUntil is when the leadership leases of the leaders before that of lastRecord have expired.
+	// earlierLeasesUntil is when the executor leases granted by the leaders before that of lastRecord have expired.
 	earlierLeasesUntil tick.Time
 	// isLastUnknown is true if newer records than lastRecord were unreadable or are no longer retained.
 	isLastUnknown bool
@@ -296,7 +301,7 @@
 	e.lastRecordAt = tick.Now()
 	e.isLastUnknown = true
 	// They may also include other leaders.
-	e.earlierLeasesUntil = max(e.earlierLeasesUntil, tick.Now().Add(LeaseDuration))
+	e.earlierLeasesUntil = max(e.earlierLeasesUntil, tick.Now().Add(LeaseDuration+e.opts.MaxExecutorLease))
 	return true
 }
 
@@ -313,11 +318,12 @@
 		}
 		isOwn := e.isAttempted(r.Offset, l)
 		if e.lastRecord == nil || e.lastRecord.Epoch != l.Epoch {
-			e.earlierLeasesUntil = e.formerLeaseUntil(now)
+			e.earlierLeasesUntil = e.executorLeasesUntil(now)
 			e.recognizeClaim(isOwn)
 			e.epochReadAt = now
 			e.opts.Logger.Info().Str("leader", l.Instance).Uint64("epoch", l.Epoch).Msg("leader-changed")
 		}
+		e.noteFormerLeases(now, l)
 		if isOwn && e.isLeader {
 			e.leaseUntil = max(e.leaseUntil, e.attempt.sentAt.Add(LeaseDuration))
 		}
--- a/internal/services/elect/heartbeat.go
+++ b/internal/services/elect/heartbeat.go
@@ -69,7 +69,7 @@
 // before the next heartbeat.
 func (e *Elector) sendHeartbeat(ctx context.Context, t Term) (bool, time.Duration) {
 	sent, timeout := tick.Now(), e.heartbeatTimeout.Timeout()
-	err := e.append(ctx, timeout, e.record(t.Epoch))
+	err := e.append(ctx, timeout, e.heartbeatRecord(sent, t.Epoch))
 	var conflict *logs.ConflictError
 	switch {
 	case err == nil:
@@ -130,8 +130,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	resignation := e.record(t.Epoch)
-	resignation.Address, resignation.Resigned = "", true
+	resignation := e.resignationRecord(tick.Now(), t.Epoch)
 	err := e.append(ctx, callTimeout, resignation)
 	var conflict *logs.ConflictError
 	for errors.As(err, &conflict) && ctx.Err() == nil && e.isStillLeader(ctx, t, callTimeout) {
--- a/internal/services/leader/holds.go
+++ b/internal/services/leader/holds.go
@@ -36,6 +36,7 @@
 	var target orders.Target
 	for ctx.Err() == nil {
 		t.mu.Lock()
+		t.cell.NoteHeartbeat(t.opts.HeartbeatAt())
 		order, to, pause := t.cell.Hold(tick.Now(), h.id)
 		isTerminated := to.ID == ""
 		if isTerminated {
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -60,6 +60,8 @@
 	Params  cell.Params
 	// HoldsLease reports whether this instance holds the leadership lease.
 	HoldsLease func(now tick.Time) bool
+	// HeartbeatAt returns when the last stored heartbeat of this instance was sent.
+	HeartbeatAt func() tick.Time
 	// IsSoleLeader reports whether no other instance can have become the leader.
 	IsSoleLeader func(now tick.Time) bool
 	// EvacuateWithin is the longest time from an operator's request to evacuate a failure domain until nothing starts in
--- a/internal/services/leader/rig_test.go
+++ b/internal/services/leader/rig_test.go
@@ -123,6 +123,7 @@
 		Log: log, Executors: r.calls, Advisor: r.advisor, Replica: n.replica, Config: follower, Decode: r.decode,
 		Params:         params,
 		HoldsLease:     r.wrapLease(func(now tick.Time) bool { return n.elector.IsLeader(now) }),
+		HeartbeatAt:    func() tick.Time { return n.elector.HeartbeatAt() },
 		IsSoleLeader:   func(now tick.Time) bool { return n.elector.IsSoleLeader(now) },
 		EvacuateWithin: r.evacuateWithin, Meter: r.meter, Logger: logger,
 	})
--- a/internal/services/leader/system_test.go
+++ b/internal/services/leader/system_test.go
@@ -152,6 +152,7 @@
 	n.leader = leader.New(leader.Options{
 		Log: log, Executors: s.fleet, Replica: replica, Config: follower, Decode: decodeExecutor, Params: params,
 		HoldsLease:   func(now tick.Time) bool { return n.elector.IsLeader(now) },
+		HeartbeatAt:  func() tick.Time { return n.elector.HeartbeatAt() },
 		IsSoleLeader: func(now tick.Time) bool { return n.elector.IsSoleLeader(now) }, Meter: s.meter, Logger: logger,
 	})
 	n.elector = elect.New(elect.Options{
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -69,12 +69,16 @@
 	// previousLeasesExpireAt is the time from which no run of a previous leader can still hold a lease.
 	previousLeasesExpireAt tick.Time
 	isTakingOver           bool
+	// heartbeatAt is when the last stored heartbeat of this leader was sent; 0 if it is not stated.
+	heartbeatAt tick.Time
 	// takeoverBeganAt is the time of the first plan, and isAwaitedReported true once the awaited executors are logged.
 	takeoverBeganAt   tick.Time
 	isAwaitedReported bool
-	config            *queue.Configuration
-	jobs              map[string]*job
-	active            []*job
+	// areInheritedRunsOver is true once no executor can still run a task for a previous leader unknown to this one.
+	areInheritedRunsOver bool
+	config               *queue.Configuration
+	jobs                 map[string]*job
+	active               []*job
 	// execs has the executors by their ids, fleet in the order of these.
 	execs map[string]*executor
 	fleet fleet
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -314,13 +314,26 @@
 }
 
 // leaseDuration returns the duration of a lease that begins now. It is shorter the longer the executor has not carried
-// out an order, so that a lease granted to one that has crashed meanwhile ends soon after the leases before.
+// out an order, so that a lease granted to one that has crashed meanwhile ends soon after the leases before. The next
+// leader counts the leases from the last heartbeat, so none outlasts that by more than the longest lease.
 func (c *Cell) leaseDuration(now tick.Time, x *executor) time.Duration {
 	age := max(0, now.Sub(x.aliveAt)-fullLeaseAge)
 	shortest := time.Duration(minLeaseRatio * float64(c.params.MaxHold))
-	return max(shortest, c.params.MaxHold-age)
+	return min(max(shortest, c.params.MaxHold-age), c.longestGrant(now))
 }
 
+// longestGrant is the duration of the longest lease that the leader may grant now; it is not positive once no lease may
+// begin.
+func (c *Cell) longestGrant(now tick.Time) time.Duration {
+	if c.heartbeatAt == 0 {
+		return c.params.MaxHold
+	}
+	return c.params.MaxHold - now.Sub(c.heartbeatAt)
+}
+
+// NoteHeartbeat states when the last stored heartbeat of this leader was sent.
+func (c *Cell) NoteHeartbeat(at tick.Time) { c.heartbeatAt = max(c.heartbeatAt, at) }
+
 // longestOnLocalClock is the longest time on the local clock for which a lease of the duration can last.
 func longestOnLocalClock(d time.Duration) time.Duration {
 	return time.Duration(float64(d)/(1-maxClockDrift)) + leaseExpiryMargin
--- a/internal/state/cell/holds.go
+++ b/internal/state/cell/holds.go
@@ -56,7 +56,9 @@
 		// query the executor, so that the lease eventually expires.
 		return h, x.target(), 0
 	}
-	h.DeadlineMS = c.extendLease(now, x)
+	if c.longestGrant(now) > 0 {
+		h.DeadlineMS = c.extendLease(now, x)
+	}
 	if hasRuns && !x.hasMoreEnds && x.appliedCursor <= x.storedCursor {
 		h.Wait = c.holdWait(x)
 	}
--- a/internal/state/cell/placed.go
+++ b/internal/state/cell/placed.go
@@ -214,7 +214,7 @@
 // startRecorded returns the orders to start placed runs whose executor is recorded, by priority and in the order of
 // their placement. A gang starts as one, which may exceed the limit.
 func (c *Cell) startRecorded(now tick.Time, maxStarts int) []Order {
-	if c.placements.needsTerm && !c.placements.isTermStored {
+	if c.placements.needsTerm && !c.placements.isTermStored || c.longestGrant(now) <= 0 {
 		return nil
 	}
 	var out []Order
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
@@ -13,6 +14,9 @@
 const (
 	// awaitedReportAfter is how long the takeover lasts before the executors are logged that have not responded.
 	awaitedReportAfter = time.Second
+	// unreachedEndsWait is how long after its lease an executor that has not responded is awaited, as it may list runs
+	// that were done before. Those of long-running tasks never are.
+	unreachedEndsWait = 5 * time.Second
 	// maxAwaitedReported bounds the executors that are logged.
 	maxAwaitedReported = 10
 )
@@ -29,16 +33,39 @@
 	delete(c.pendingRosters, r.Executor)
 }
 
+// mayRunInherited reports whether the executor may still run tasks that a previous leader started and this one does not
+// know of.
+func (c *Cell) mayRunInherited(now tick.Time, x *executor) bool {
+	return x.hasUnknownEnds() && now.Before(c.inheritedLeaseExpiry(x))
+}
+
 // isAwaited reports whether the executor may still run tasks that a previous leader started, or have ends of them that
-// it has not listed. Those ends count until its lease expires, which holds of this leader extend.
+// it has not listed. Those of an executor that has responded count until its lease expires, which holds of this leader
+// extend.
 func (c *Cell) isAwaited(now tick.Time, x *executor) bool {
-	switch {
-	case !x.isInherited || x.endsKnownAt != 0 || x.isTerminated:
+	if !x.hasUnknownEnds() {
 		return false
-	case x.hasResponded:
-		return !now.After(x.leaseExpiresBy)
 	}
-	return now.Before(c.previousLeasesExpireAt)
+	until := c.inheritedLeaseExpiry(x)
+	if !x.hasResponded {
+		until = until.Add(unreachedEndsWait)
+	}
+	return now.Before(until)
+}
+
+// hasUnknownEnds reports whether the executor may have runs of a previous leader, or ends of them, that it has not
+// listed.
+func (x *executor) hasUnknownEnds() bool {
+	return x.isInherited && x.endsKnownAt == 0 && !x.isTerminated
+}
+
+// inheritedLeaseExpiry returns when the executor's lease has certainly expired, so that it runs no task that a previous
+// leader started.
+func (c *Cell) inheritedLeaseExpiry(x *executor) tick.Time {
+	if x.hasResponded {
+		return x.leaseExpiresBy
+	}
+	return c.previousLeasesExpireAt
 }
 
 // LoadTerm states the last term record, or nil, the epoch of the previous leader, or 0 if it is unknown, and the epoch
@@ -72,45 +99,53 @@
 
 // releaseHeld lets the tasks start that were held back for executors on which they can neither run nor have been done.
 // A task that may have been done is held back even beyond the lease: a second run would repeat its effects.
-func (c *Cell) releaseHeld(awaited map[uint32]bool) {
+func (c *Cell) releaseHeld(now tick.Time) {
 	if len(c.placements.held) == 0 {
 		return
 	}
-	mayListEnds := map[uint32]bool{}
+	mayRun, mayListEnds := map[uint32]bool{}, map[uint32]bool{}
 	for _, x := range c.execs {
-		if x.mayListEnds() {
+		if c.mayRunInherited(now, x) {
+			mayRun[x.hash] = true
+		}
+		if x.mayListEnds() || c.isAwaited(now, x) {
 			mayListEnds[x.hash] = true
 		}
 	}
 	for hash, tasks := range c.placements.held {
-		if awaited[hash] || mayListEnds[hash] {
-			continue
-		}
-		for _, t := range tasks {
-			t.heldFor = 0
+		left := slices.DeleteFunc(tasks, func(t *task) bool {
+			isReleased := !mayRun[hash] && (t.step.pb.LongRunning || !mayListEnds[hash])
+			if isReleased {
+				t.heldFor = 0
+			}
+			return isReleased
+		})
+		c.placements.held[hash] = left
+		if len(left) == 0 {
+			delete(c.placements.held, hash)
 		}
-		delete(c.placements.held, hash)
 	}
 }
 
 // completeTakeover releases the tasks that no executor can still run for a previous leader unknown to this one, and
 // ends the takeover once that holds for all tasks.
 func (c *Cell) completeTakeover(now tick.Time) {
+	c.releaseHeld(now)
 	if !c.isTakingOver {
-		c.releaseHeld(nil)
 		return
 	}
 	if c.takeoverBeganAt == 0 {
 		c.takeoverBeganAt = now
 	}
-	awaited := map[uint32]bool{}
+	mayRun, isAwaited := false, false
 	for _, x := range c.execs {
-		if c.isAwaited(now, x) {
-			awaited[x.hash] = true
-		}
+		mayRun = mayRun || c.mayRunInherited(now, x)
+		isAwaited = isAwaited || c.isAwaited(now, x)
+	}
+	if !mayRun {
+		c.releaseLongRunning(now)
 	}
-	c.releaseHeld(awaited)
-	if len(awaited) > 0 {
+	if isAwaited {
 		c.reportAwaited(now)
 		return
 	}
@@ -123,6 +158,26 @@
 	}
 }
 
+// releaseLongRunning notes that no executor can still run a task for a previous leader. Jobs of long-running tasks need
+// not wait for ends, since none of these tasks is ever done.
+func (c *Cell) releaseLongRunning(now tick.Time) {
+	if c.areInheritedRunsOver {
+		return
+	}
+	c.areInheritedRunsOver = true
+	c.emit(Event{Name: "inherited-runs-over", Detail: fmt.Sprintf("after %v", inMillis(now.Sub(c.takeoverBeganAt)))})
+	for _, j := range c.active {
+		if j.hasOnlyLongRunning() {
+			j.isInherited = false
+		}
+	}
+}
+
+// hasOnlyLongRunning reports whether all tasks of the job run until it is cancelled.
+func (j *job) hasOnlyLongRunning() bool {
+	return !slices.ContainsFunc(j.pb.Steps, func(s *jobpb.Step) bool { return !s.LongRunning })
+}
+
 // reportAwaited logs once the executors for which tasks are held back.
 func (c *Cell) reportAwaited(now tick.Time) {
 	if c.isAwaitedReported || now.Sub(c.takeoverBeganAt) < awaitedReportAfter {
