Add a test of the wait after a leader of the former version

A leader of the former version extends executor leases until its leadership lease has ended, so that one executor lease from its last heartbeat is too short after it, also for the leader after the next one. The record of the test has the fields of today and is followed by a leader, and by a process that starts after that one is lost.

--- a/internal/services/elect/former_lease_test.go
+++ b/internal/services/elect/former_lease_test.go
@@ -5,8 +5,10 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/logs"
 	"github.com/ibischute/ibischute/internal/services/elect"
 	"github.com/ibischute/ibischute/internal/stand/memlog"
@@ -134,3 +136,22 @@
 		})
 	}
 }
+
+// TestLeaderOfFormerVersionIsAwaitedForOneLease guards against too short a wait for a leader that grants longer leases.
+func TestLeaderOfFormerVersionIsAwaitedForOneLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, at := newLog(t), logs.Offset(0)
+		b, err := proto.Marshal(&jobpb.Lead{Instance: "old", Address: "old", Epoch: 1, Process: 1, RecordedSince: 1})
+		assert.NilError(t, err)
+		sent := tick.Now()
+		_, err = log.View().Append(t.Context(), logs.Election, 0, []logs.Record{{Value: b}}, logs.Condition{At: &at})
+		assert.NilError(t, err)
+		for _, name := range []string{"a", "b"} {
+			p := start(t, log, name, 1, 0)
+			wait := (<-p.terms).ExecutorLeasesExpireAt.Sub(sent)
+			assert.Assert(t, wait >= elect.LeaseDuration+maxExecutorLease, "%s waits only for %v", name, wait)
+			time.Sleep(time.Second)
+			p.stop()
+		}
+	})
+}
