Record the executors that a leader has not reached

Cause: the next leader cannot know to which executors its predecessor has granted leases, and assumes all. Change: a leader records after 0.5 s which executors have not responded, and grants them no lease until a record without that is stored. A successor that directly follows awaits only the leases of the leaders before. After fencing, the record can change no more.

TestDoneTaskStartsAgainSoonerThanItsExecutorReturns keeps tasks that may be done waiting as before.

--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -76,8 +76,9 @@
 	// RecordedSince is the lowest epoch from which on every leader, up to that of PreviousEpoch, stores a term record
 	// before it orders a start; 0 if that is known of none.
 	RecordedSince uint64
-	// ExecutorLeasesExpireAt is when all leases that former leaders have granted to executors have expired.
-	ExecutorLeasesExpireAt tick.Time
+	// ExecutorLeasesExpireAt is when all leases that former leaders have granted to executors have expired, and
+	// EarlierLeasesExpireAt when those have that were granted before the leader of PreviousEpoch.
+	ExecutorLeasesExpireAt, EarlierLeasesExpireAt tick.Time
 }
 
 // Options configure an Elector.
@@ -318,8 +319,8 @@
 		}
 		isOwn := e.isAttempted(r.Offset, l)
 		if e.lastRecord == nil || e.lastRecord.Epoch != l.Epoch {
-			e.earlierLeasesUntil = e.executorLeasesUntil(now)
 			e.recognizeClaim(isOwn)
+			e.earlierLeasesUntil = e.executorLeasesUntil(now)
 			e.epochReadAt = now
 			e.opts.Logger.Info().Str("leader", l.Instance).Uint64("epoch", l.Epoch).Msg("leader-changed")
 		}
--- a/internal/services/leader/lost_executor_test.go
+++ b/internal/services/leader/lost_executor_test.go
@@ -143,3 +143,22 @@
 		})
 	}
 }
+
+// TestDoneTaskStartsAgainSoonerThanItsExecutorReturns guards against a second run of a task that was done on an
+// executor which does not respond for 8 s from the loss of the leader on.
+func TestDoneTaskStartsAgainSoonerThanItsExecutorReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		first := r.startNodes(3)
+		var ranOn string
+		r.calls.edit(func() { r.calls.onStart = func(t orders.Target, _ orders.Start) { ranOn = t.ID } })
+		r.submit(rigJob(1, &jobpb.Step{}))
+		r.awaitStart(jobID(1))
+		first.kill()
+		r.calls.edit(func() { r.calls.silent[ranOn] = true })
+		time.Sleep(8 * time.Second)
+		r.calls.edit(func() { r.calls.silent[ranOn] = false })
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, r.calls.starts(jobID(1)), 1, "%v", r.fleet.Violations())
+	})
+}
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -21,6 +21,8 @@
 	placed  []*run
 	hasTerm bool
 	rosters []*executor
+	// reached has the executors whose records state no longer that they are unreached.
+	reached []*executor
 	cursors map[*executor]uint64
 	retired []string
 }
@@ -61,10 +63,14 @@
 		b.states[j] = p.State
 	}
 	for id, x := range c.pendingRosters {
-		if err := b.addRecord(book.RosterKey(id), &jobpb.Roster{Executor: id, Address: x.entry.Address}); err != nil {
+		r := c.rosterRecord(x)
+		if err := b.addRecord(book.RosterKey(id), r); err != nil {
 			return nil, err
 		}
 		b.rosters = append(b.rosters, x)
+		if r.UnreachedEpoch == 0 {
+			b.reached = append(b.reached, x)
+		}
 	}
 	if c.isModelRecordDue {
 		if err := b.addRecord(book.ModelKey(), c.modelRecord()); err != nil {
@@ -185,6 +191,9 @@
 			j.endedAt = now
 		}
 	}
+	for _, x := range b.reached {
+		x.isRecordedUnreached = false
+	}
 	for _, x := range b.rosters {
 		// The next batch removes the record of an executor that was retired meanwhile.
 		x.isRostered = !c.retired[x.entry.ID]
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -30,6 +30,7 @@
 	}
 	x.isRostered = true
 	x.isInherited = true
+	x.unreachedBy = r.UnreachedEpoch
 	delete(c.pendingRosters, r.Executor)
 }
 
@@ -46,11 +47,10 @@
 	if !x.hasUnknownEnds() {
 		return false
 	}
-	until := c.inheritedLeaseExpiry(x)
-	if !x.hasResponded {
-		until = until.Add(unreachedEndsWait)
+	if x.hasResponded {
+		return now.Before(x.leaseExpiresBy)
 	}
-	return now.Before(until)
+	return now.Before(c.previousLeasesExpireAt.Add(unreachedEndsWait))
 }
 
 // hasUnknownEnds reports whether the executor may have runs of a previous leader, or ends of them, that it has not
@@ -62,8 +62,12 @@
 // inheritedLeaseExpiry returns when the executor's lease has certainly expired, so that it runs no task that a previous
 // leader started.
 func (c *Cell) inheritedLeaseExpiry(x *executor) tick.Time {
-	if x.hasResponded {
+	switch {
+	case x.hasResponded:
 		return x.leaseExpiresBy
+	case x.unreachedBy != 0 && x.unreachedBy == c.previousEpoch:
+		// The previous leader has granted it no lease.
+		return min(c.earlierLeasesExpireAt, c.previousLeasesExpireAt)
 	}
 	return c.previousLeasesExpireAt
 }
@@ -142,6 +146,7 @@
 		mayRun = mayRun || c.mayRunInherited(now, x)
 		isAwaited = isAwaited || c.isAwaited(now, x)
 	}
+	c.recordUnreached(now)
 	if !mayRun {
 		c.releaseLongRunning(now)
 	}
