--- a/internal/services/leader/outage_test.go
+++ b/internal/services/leader/outage_test.go
@@ -18,25 +18,6 @@
 	"github.com/ibischute/ibischute/pkg/fault"
 )
 
-// callerPatience is how long a caller waits, less the part that is reserved for the response.
-const callerPatience = 2900 * time.Millisecond
-
-// setFaults sets the faults of the log for all instances.
-func (s *system) setFaults(f memlog.Faults) {
-	for _, n := range s.instances {
-		n.view.SetFaults(f)
-	}
-}
-
-// submit submits a job with the deadline of a caller.
-func (s *system) submit(n *instance, id int) error { return s.acceptInTime(n, s.job(id)) }
-
-func (s *system) acceptInTime(n *instance, j *jobpb.Job) error {
-	ctx, cancel := context.WithTimeout(s.t.Context(), callerPatience)
-	defer cancel()
-	return n.intake.Accept(ctx, j)
-}
-
 // TestSubmissionsDuringOutageAreRefusedAtOnce guards against submissions as probes of a store that resets connections:
 // each instance got less than one request a second, so that every one of them was sent, reset and answered as unknown.
 func TestSubmissionsDuringOutageAreRefusedAtOnce(t *testing.T) {
--- a/internal/services/leader/slow_store_test.go
+++ b/internal/services/leader/slow_store_test.go
@@ -77,17 +77,6 @@
 	})
 }
 
-// others returns the instances except one.
-func (s *system) others(first *instance) []*instance {
-	var list []*instance
-	for _, n := range s.instances {
-		if n != first {
-			list = append(list, n)
-		}
-	}
-	return list
-}
-
 // TestSlowStoreWithoutLeader guards against records that wait for a leader that has gone while the store is slow: the
 // instances append themselves.
 func TestSlowStoreWithoutLeader(t *testing.T) {
--- a/internal/services/leader/system_test.go
+++ b/internal/services/leader/system_test.go
@@ -54,6 +54,13 @@
 	s.silent[name] = isSilent
 }
 
+// setFaults sets the faults of the log for all instances.
+func (s *system) setFaults(f memlog.Faults) {
+	for _, n := range s.instances {
+		n.view.SetFaults(f)
+	}
+}
+
 type instance struct {
 	name    string
 	view    *memlog.View
@@ -70,6 +77,9 @@
 
 const executors = 4
 
+// callerPatience is how long a caller waits, less the part that is reserved for the response.
+const callerPatience = 2900 * time.Millisecond
+
 func newSystem(t *testing.T, instances int) *system {
 	t.Helper()
 	restore := tick.SetSource(func() tick.Time { return tick.Time(time.Now().UnixNano()) })
@@ -212,16 +222,30 @@
 	return nil
 }
 
-// awaitOtherLeader waits until another instance is the leader.
-func (s *system) awaitOtherLeader(first *instance) {
+// others returns the instances except one.
+func (s *system) others(first *instance) []*instance {
+	var list []*instance
+	for _, n := range s.instances {
+		if n != first {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// awaitOtherLeader waits until another instance is the leader, which must take less than the limit.
+func (s *system) awaitOtherLeader(first *instance, limit time.Duration) {
+	s.t.Helper()
+	began := time.Now()
 	for s.leader() == nil || s.leader() == first {
 		time.Sleep(5 * time.Millisecond)
 	}
+	assert.Assert(s.t, time.Since(began) < limit, "took %v", time.Since(began))
 }
 
 func (s *system) job(id int) *jobpb.Job {
 	return &jobpb.Job{
-		Id: fmt.Sprintf("%016x", id), Queue: "q", Service: "svc", Spec: "s", AcceptedMs: time.Now().UnixMilli(),
+		Id: jobID(id), Queue: "q", Service: "svc", Spec: "s", AcceptedMs: time.Now().UnixMilli(),
 		Steps: []*jobpb.Step{
 			{Count: 3, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 400},
 			{Count: 2, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 400, DependsOn: []uint32{0}},
@@ -232,11 +256,21 @@
 func (s *system) state(n *instance, id int) (jobpb.State, bool) {
 	ctx, cancel := context.WithTimeout(s.t.Context(), 3*time.Second)
 	defer cancel()
-	st, known, err := n.intake.State(ctx, fmt.Sprintf("%016x", id))
+	st, known, err := n.intake.State(ctx, jobID(id))
 	assert.NilError(s.t, err)
 	return st, known
 }
 
+// submit submits a job with the deadline of a caller.
+func (s *system) submit(n *instance, id int) error { return s.acceptInTime(n, s.job(id)) }
+
+func (s *system) acceptInTime(n *instance, j *jobpb.Job) error {
+	ctx, cancel := context.WithTimeout(s.t.Context(), callerPatience)
+	defer cancel()
+	return n.intake.Accept(ctx, j)
+}
+
+// accept submits a job, which must be accepted.
 func (s *system) accept(n *instance, id int) {
 	ctx, cancel := context.WithTimeout(s.t.Context(), 3*time.Second)
 	defer cancel()
@@ -256,8 +290,7 @@
 
 func TestAnyInstanceServesCallers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSystem(t, 3)
-		time.Sleep(2 * time.Second)
+		s, _ := newSystemWithLeader(t)
 		for id := range 6 {
 			s.accept(s.instances[id%3], id)
 		}
@@ -276,9 +309,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		first.kill()
-		killed := time.Now()
-		s.awaitOtherLeader(first)
-		assert.Assert(t, time.Since(killed) < 2500*time.Millisecond, "took %v", time.Since(killed))
+		s.awaitOtherLeader(first, 2500*time.Millisecond)
 		time.Sleep(4 * time.Second)
 		s.checkCompleted(s.leader(), 10)
 	})
@@ -291,9 +322,7 @@
 			s.accept(first, id)
 		}
 		first.elector.Resign()
-		started := time.Now()
-		s.awaitOtherLeader(first)
-		assert.Assert(t, time.Since(started) < 500*time.Millisecond, "took %v", time.Since(started))
+		s.awaitOtherLeader(first, 500*time.Millisecond)
 		time.Sleep(3 * time.Second)
 		s.checkCompleted(s.leader(), 5)
 	})
@@ -305,9 +334,7 @@
 		for id := range 5 {
 			s.accept(first, id)
 		}
-		for _, n := range s.instances {
-			n.view.SetFaults(memlog.Faults{Down: true})
-		}
+		s.setFaults(memlog.Faults{Down: true})
 		// The outage is shorter than elect.LeaseDuration.
 		time.Sleep(4 * time.Second)
 		assert.Assert(t, s.leader() == first)
@@ -318,9 +345,7 @@
 		assert.Assert(t, fault.IsErrNotRun(err), "%v", err)
 		assert.Assert(t, fault.From(err).RetryAfter > 0)
 		assert.Assert(t, time.Since(started) < 100*time.Millisecond, "a refusal took %v", time.Since(started))
-		for _, n := range s.instances {
-			n.view.SetFaults(memlog.Faults{})
-		}
+		s.setFaults(memlog.Faults{})
 		time.Sleep(3 * time.Second)
 		assert.Assert(t, s.leader() == first)
 		s.checkCompleted(first, 5)
@@ -335,12 +360,7 @@
 		first.view.SetFaults(memlog.Faults{Unresponsive: true})
 		for id := range 5 {
 			time.Sleep(300 * time.Millisecond)
-			for _, n := range s.instances {
-				if n != first {
-					s.accept(n, id)
-					break
-				}
-			}
+			s.accept(s.others(first)[0], id)
 		}
 		time.Sleep(8 * time.Second)
 		assert.Assert(t, s.leader() != nil && s.leader() != first)
@@ -359,17 +379,12 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s, first := newSystemWithLeader(t)
-				other := s.instances[0]
-				if other == first {
-					other = s.instances[1]
-				}
+				other := s.others(first)[0]
 				for id := range 5 {
 					s.accept(other, id)
 				}
 				first.view.SetFaults(f)
-				began := time.Now()
-				s.awaitOtherLeader(first)
-				assert.Assert(t, time.Since(began) < maxReplacement, "took %v", time.Since(began))
+				s.awaitOtherLeader(first, maxReplacement)
 				for id := range 5 {
 					s.accept(other, 5+id)
 				}
@@ -382,22 +397,14 @@
 
 func TestUnresponsiveStoreFailsFastAfterFirstRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSystem(t, 3)
-		time.Sleep(2 * time.Second)
-		for _, n := range s.instances {
-			n.view.SetFaults(memlog.Faults{Unresponsive: true})
-		}
-		n := s.leader()
-		ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
-		defer cancel()
-		err := n.intake.Accept(ctx, s.job(0))
+		s, first := newSystemWithLeader(t)
+		s.setFaults(memlog.Faults{Unresponsive: true})
+		err := s.submit(first, 0)
 		assert.Assert(t, err != nil && !fault.IsErrNotRun(err), "the outcome must be reported as unknown: %v", err)
 		refused := 0
 		for id := 1; id < 10; id++ {
 			started := time.Now()
-			ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
-			err := n.intake.Accept(ctx, s.job(id))
-			cancel()
+			err := s.submit(first, id)
 			if fault.IsErrNotRun(err) {
 				assert.Assert(t, time.Since(started) < 20*time.Millisecond, "a refusal took %v", time.Since(started))
 				assert.Assert(t, fault.From(err).RetryAfter > 0)
@@ -410,16 +417,10 @@
 
 func TestInstanceRejectedByStoreForwardsToLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSystem(t, 3)
-		time.Sleep(2 * time.Second)
-		for _, n := range s.instances {
-			if n == s.leader() {
-				continue
-			}
-			n.view.SetFaults(memlog.Faults{Down: true})
-			s.accept(n, 0)
-			break
-		}
+		s, first := newSystemWithLeader(t)
+		n := s.others(first)[0]
+		n.view.SetFaults(memlog.Faults{Down: true})
+		s.accept(n, 0)
 		time.Sleep(2 * time.Second)
 		s.checkCompleted(s.leader(), 1)
 	})
@@ -427,17 +428,12 @@
 
 func TestLostStoreResponses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSystem(t, 3)
-		time.Sleep(2 * time.Second)
-		for _, n := range s.instances {
-			n.view.SetFaults(memlog.Faults{LoseAnswers: 0.35})
-		}
+		s, _ := newSystemWithLeader(t)
+		s.setFaults(memlog.Faults{LoseAnswers: 0.35})
 		accepted := 0
 		var refused []int
 		for id := range 12 {
-			ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
-			err := s.instances[id%3].intake.Accept(ctx, s.job(id))
-			cancel()
+			err := s.submit(s.instances[id%3], id)
 			if err == nil {
 				accepted++
 				continue
@@ -446,9 +442,7 @@
 				refused = append(refused, id)
 			}
 		}
-		for _, n := range s.instances {
-			n.view.SetFaults(memlog.Faults{})
-		}
+		s.setFaults(memlog.Faults{})
 		time.Sleep(8 * time.Second)
 		assert.Assert(t, accepted >= 10, "accepted %d of 12", accepted)
 		assert.Equal(t, len(refused), 0, "a job that may be stored is said not to run: %v", refused)
@@ -476,15 +470,14 @@
 
 func TestCancelStopsRunningTasks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSystem(t, 3)
-		time.Sleep(2 * time.Second)
+		s, _ := newSystemWithLeader(t)
 		n := s.instances[1]
 		s.accept(n, 0)
 		time.Sleep(100 * time.Millisecond)
 		assert.Assert(t, s.fleet.Running() > 0)
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
-		assert.NilError(t, n.intake.Cancel(ctx, fmt.Sprintf("%016x", 0)))
+		assert.NilError(t, n.intake.Cancel(ctx, jobID(0)))
 		time.Sleep(200 * time.Millisecond)
 		assert.Equal(t, s.fleet.Running(), 0)
 		for _, i := range s.instances {
