Share the outage of the logs of the evacuation tests

operatorOutage and storeOutage each had an end time, a check of it and a wait for the caller, and three tests the same three lines to set them up. logOutage now has the period and the wait, startNodesWithOutage the set-up.

--- a/internal/services/leader/evacuation_test.go
+++ b/internal/services/leader/evacuation_test.go
@@ -207,18 +207,43 @@
 	})
 }
 
-// operatorOutage is a log of which the operator's topic cannot be read while the outage lasts.
+// logOutage is a period in which a log does not answer.
+type logOutage struct{ until atomic.Int64 }
+
+// begin starts the outage.
+func (o *logOutage) begin(length time.Duration) { o.until.Store(int64(tick.Now().Add(length))) }
+
+// fail returns false if there is no outage. Otherwise it waits until the caller gives up and returns true.
+func (o *logOutage) fail(ctx context.Context) bool {
+	if !tick.Now().Before(tick.Time(o.until.Load())) {
+		return false
+	}
+	<-ctx.Done()
+	return true
+}
+
+// startNodesWithOutage starts two instances with logs of which an outage may begin. wrap returns the log with the
+// calls that fail during the outage.
+func (r *evacuationRig) startNodesWithOutage(wrap func(l logs.Log, o *logOutage) logs.Log) *logOutage {
+	o := &logOutage{}
+	r.wrapLog = func(l logs.Log) logs.Log { return wrap(l, o) }
+	r.startNodes(2)
+	return o
+}
+
+// operatorOutage is a log of which the operator's topic cannot be read during the outage.
 type operatorOutage struct {
 	logs.Log
-	until *atomic.Int64
+	outage *logOutage
 }
 
+func newOperatorOutage(l logs.Log, o *logOutage) logs.Log { return operatorOutage{l, o} }
+
 // Read implements logs.Log.
 func (l operatorOutage) Read(
 	ctx context.Context, t logs.Topic, p logs.Part, from logs.Offset, wait time.Duration,
 ) (logs.Page, error) {
-	if t == logs.Operator && tick.Now().Before(tick.Time(l.until.Load())) {
-		<-ctx.Done()
+	if t == logs.Operator && l.outage.fail(ctx) {
 		return logs.Page{}, ctx.Err()
 	}
 	return l.Log.Read(ctx, t, p, from, wait)
@@ -229,12 +254,10 @@
 func TestEvacuationOutlastsUnreadableTopic(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newEvacuationRig(t)
-		var until atomic.Int64
-		r.wrapLog = func(l logs.Log) logs.Log { return operatorOutage{l, &until} }
-		r.startNodes(2)
+		o := r.startNodesWithOutage(newOperatorOutage)
 		r.evacuate("a")
 		r.load(maxEvacuationDelay)
-		until.Store(int64(tick.Now().Add(12 * time.Second)))
+		o.begin(12 * time.Second)
 		r.checkStarts("a", 12*time.Second, false)
 		r.checkStarts("b", time.Second, true)
 		r.finish()
@@ -297,12 +320,10 @@
 func TestEvacuationRequestedWhileTopicIsUnreadable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newEvacuationRig(t)
-		var until atomic.Int64
-		r.wrapLog = func(l logs.Log) logs.Log { return operatorOutage{l, &until} }
-		r.startNodes(2)
+		o := r.startNodesWithOutage(newOperatorOutage)
 		r.load(time.Second)
 		const outage = 7 * time.Second
-		until.Store(int64(tick.Now().Add(outage)))
+		o.begin(outage)
 		// The read that waits for records when the outage begins ends.
 		const pendingRead = 1200 * time.Millisecond
 		r.load(pendingRead)
@@ -314,25 +335,19 @@
 	})
 }
 
-// storeOutage is a log that answers no call of any instance while the outage lasts.
+// storeOutage is a log that answers no call of any instance during the outage.
 type storeOutage struct {
 	logs.Log
-	until *atomic.Int64
+	outage *logOutage
 }
 
-func (l storeOutage) fail(ctx context.Context) bool {
-	if !tick.Now().Before(tick.Time(l.until.Load())) {
-		return false
-	}
-	<-ctx.Done()
-	return true
-}
+func newStoreOutage(l logs.Log, o *logOutage) logs.Log { return storeOutage{l, o} }
 
 // Append implements logs.Log.
 func (l storeOutage) Append(
 	ctx context.Context, t logs.Topic, p logs.Part, records []logs.Record, c logs.Condition,
 ) (logs.Offset, error) {
-	if l.fail(ctx) {
+	if l.outage.fail(ctx) {
 		return 0, ctx.Err()
 	}
 	return l.Log.Append(ctx, t, p, records, c)
@@ -342,7 +357,7 @@
 func (l storeOutage) Read(
 	ctx context.Context, t logs.Topic, p logs.Part, from logs.Offset, wait time.Duration,
 ) (logs.Page, error) {
-	if l.fail(ctx) {
+	if l.outage.fail(ctx) {
 		return logs.Page{}, ctx.Err()
 	}
 	return l.Log.Read(ctx, t, p, from, wait)
@@ -353,9 +368,7 @@
 func TestStoreOutageDuringEvacuation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newEvacuationRig(t)
-		var until atomic.Int64
-		r.wrapLog = func(l logs.Log) logs.Log { return storeOutage{l, &until} }
-		r.startNodes(2)
+		o := r.startNodesWithOutage(newStoreOutage)
 		r.evacuate("a")
 		r.load(maxEvacuationDelay)
 		// The tasks of this job occupy the other domain for longer than the outage.
@@ -363,7 +376,7 @@
 		time.Sleep(time.Second)
 		// The outage ends before the lease. Its last part is longer than maxEvacuationsAge after the last answer.
 		const outage, last = 4400 * time.Millisecond, 600 * time.Millisecond
-		until.Store(int64(tick.Now().Add(outage)))
+		o.begin(outage)
 		inA := r.startsIn("a")
 		time.Sleep(outage - last)
 		inB := r.startsIn("b")
