--- a/internal/state/cell/crashes_sim_test.go
+++ b/internal/state/cell/crashes_sim_test.go
@@ -107,6 +107,33 @@
 	return &jobpb.Step{Count: n, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000}
 }
 
+// serverStep returns a step of long-running tasks.
+func serverStep(n uint32) *jobpb.Step {
+	s := shortStep(n)
+	s.LongRunning = true
+	return s
+}
+
+// repeatLoss calls lose again and again, at most limit times, with the number of the call and an executor that runs the
+// first task of the job and is not cut off. It looks for one at the interval, and returns the number of calls so far.
+func (sim *simulation) repeatLoss(
+	job string, interval time.Duration, limit int, lose func(number int, x *simExecutor),
+) *int {
+	losses, task := 0, orders.Task{Job: job}
+	var watch func()
+	watch = func() {
+		sim.after(interval, watch)
+		i := slices.IndexFunc(sim.execs, func(x *simExecutor) bool { return x.runs[task] != nil && !x.isPartitioned })
+		if i < 0 || losses == limit {
+			return
+		}
+		losses++
+		lose(losses, sim.execs[i])
+	}
+	watch()
+	return &losses
+}
+
 // TestTaskThatCrashesEveryExecutorIsGivenUp checks that such a task is not started again for ever, and that its job is
 // shown as failed.
 func TestTaskThatCrashesEveryExecutorIsGivenUp(t *testing.T) {
@@ -127,15 +154,13 @@
 
 // TestKindsOfTasksThatCrashExecutorsAreGivenUp checks tasks whose ends are handled differently.
 func TestKindsOfTasksThatCrashExecutorsAreGivenUp(t *testing.T) {
-	longRunning := shortStep(1)
-	longRunning.LongRunning = true
 	gang := shortStep(3)
 	gang.Gang, gang.MaxPerExecutor = true, 1
 	for name, test := range map[string]struct {
 		step *jobpb.Step
 		bad  func(t orders.Task) bool
 	}{
-		"long-running task": {longRunning, isOfJob("bad")},
+		"long-running task": {serverStep(1), isOfJob("bad")},
 		"gang":              {gang, isOfJob("bad")},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -212,9 +237,7 @@
 	for i := range 8 {
 		sim.submitAfter(time.Duration(2+4*i)*time.Second, fmt.Sprintf("bad%d", i), shortStep(1))
 	}
-	server := shortStep(6)
-	server.LongRunning = true
-	sim.submitAfter(time.Second, "server", server)
+	sim.submitAfter(time.Second, "server", serverStep(6))
 	sim.submitAfter(2*time.Second, "good", shortStep(6))
 	sim.runUntil(90 * time.Second)
 	for i := range 8 {
@@ -231,27 +254,16 @@
 	for i, x := range sim.execs {
 		x.domain = fmt.Sprintf("d%d", i%3)
 	}
-	server := shortStep(1)
-	server.LongRunning = true
-	sim.submitAfter(3*time.Second, "server", server)
-	losses, task := 0, orders.Task{Job: "server"}
-	var watch func()
-	watch = func() {
-		sim.after(50*time.Millisecond, watch)
-		i := slices.IndexFunc(sim.execs, func(x *simExecutor) bool { return x.runs[task] != nil })
-		if i < 0 || losses == 5 {
-			return
-		}
-		losses++
+	sim.submitAfter(3*time.Second, "server", serverStep(1))
+	losses := sim.repeatLoss("server", 50*time.Millisecond, 5, func(_ int, first *simExecutor) {
 		for _, x := range sim.execs {
-			if x.domain == sim.execs[i].domain && !x.isDown {
+			if x.domain == first.domain && !x.isDown {
 				x.crashListed(2 * time.Second)
 			}
 		}
-	}
-	watch()
+	})
 	sim.runUntil(60 * time.Second)
-	assert.Equal(t, losses, 5)
+	assert.Equal(t, *losses, 5)
 	sim.assertState(t, "server", jobpb.State_STATE_RUNNING)
 }
 
@@ -259,25 +271,13 @@
 // crashed.
 func TestTaskThatIsOnlyCutOffIsNotGivenUp(t *testing.T) {
 	sim := newScenario(6)
-	server := shortStep(1)
-	server.LongRunning = true
-	sim.submitAfter(2*time.Second, "server", server)
-	losses, task := 0, orders.Task{Job: "server"}
-	var watch func()
-	watch = func() {
-		sim.after(100*time.Millisecond, watch)
-		i := slices.IndexFunc(sim.execs, func(x *simExecutor) bool { return x.runs[task] != nil && !x.isPartitioned })
-		if i < 0 || losses == 4 {
-			return
-		}
-		losses++
-		x := sim.execs[i]
+	sim.submitAfter(2*time.Second, "server", serverStep(1))
+	losses := sim.repeatLoss("server", 100*time.Millisecond, 4, func(_ int, x *simExecutor) {
 		x.isPartitioned = true
 		sim.after(8*time.Second, func() { x.isPartitioned = false })
-	}
-	watch()
+	})
 	sim.runUntil(80 * time.Second)
-	assert.Equal(t, losses, 4)
+	assert.Equal(t, *losses, 4)
 	sim.assertState(t, "server", jobpb.State_STATE_RUNNING)
 }
 
@@ -310,8 +310,8 @@
 // start soon after one of them has worked.
 func TestSoundStepIsSoonOffTrial(t *testing.T) {
 	sim := newScenario(12)
-	step := shortStep(8)
-	step.MaxPerExecutor, step.LongRunning = 1, true
+	step := serverStep(8)
+	step.MaxPerExecutor = 1
 	sim.submitAfter(2*time.Second, "job", step)
 	sim.after(2500*time.Millisecond, func() {
 		for _, x := range sim.execs {
@@ -336,32 +336,22 @@
 	for i, x := range sim.execs {
 		x.labels = []string{fmt.Sprintf("r%d", i%3)}
 	}
-	server := shortStep(1)
-	server.LongRunning = true
-	sim.submitAfter(3*time.Second, "server", server)
-	losses, task := 0, orders.Task{Job: "server"}
-	var watch func()
-	watch = func() {
-		sim.after(50*time.Millisecond, watch)
-		i := slices.IndexFunc(sim.execs, func(x *simExecutor) bool { return x.runs[task] != nil })
-		if i < 0 || losses == 5 {
-			return
-		}
-		if losses++; losses == 1 {
+	sim.submitAfter(3*time.Second, "server", serverStep(1))
+	losses := sim.repeatLoss("server", 50*time.Millisecond, 5, func(number int, first *simExecutor) {
+		if number == 1 {
 			// From this loss on, the records name the run.
-			sim.execs[i].crashListed(time.Second)
+			first.crashListed(time.Second)
 			return
 		}
 		for _, x := range sim.execs {
-			if x.labels[0] == sim.execs[i].labels[0] && !x.isDown {
+			if x.labels[0] == first.labels[0] && !x.isDown {
 				x.crashListed(4*time.Second + sim.randomDuration(0, time.Second))
 			}
 		}
 		sim.replaceLeader()
-	}
-	watch()
+	})
 	sim.runUntil(120 * time.Second)
-	assert.Equal(t, losses, 5)
+	assert.Equal(t, *losses, 5)
 	sim.assertState(t, "server", jobpb.State_STATE_RUNNING)
 }
 
@@ -381,8 +371,8 @@
 			to = sim.now
 		}
 	}
-	step := shortStep(6)
-	step.MaxPerExecutor, step.LongRunning = 1, true
+	step := serverStep(6)
+	step.MaxPerExecutor = 1
 	sim.submitAfter(2*time.Second, "job", step)
 	sim.after(3200*time.Millisecond, func() {
 		for i, x := range sim.execs {
--- a/internal/state/cell/evacuation_test.go
+++ b/internal/state/cell/evacuation_test.go
@@ -144,6 +144,15 @@
 	}
 }
 
+// submitFillingJobs submits jobs of short tasks every 10 ms from the given time on, which fill every executor.
+func (sim *simulation) submitFillingJobs(from time.Duration, jobs int, estimateMS uint32) {
+	for i := range jobs {
+		sim.submitAfter(from+time.Duration(i)*10*time.Millisecond, fmt.Sprintf("job%d", i), &jobpb.Step{
+			Count: 4, MilliCpu: 2000, MemoryMb: 100, EstimateMs: estimateMS,
+		})
+	}
+}
+
 // TestEvacuationMovesLongRunningTasksUnderLoad guards against long-running tasks that never leave the domain because
 // waiting tasks take all room as soon as there is some.
 func TestEvacuationMovesLongRunningTasksUnderLoad(t *testing.T) {
@@ -151,11 +160,7 @@
 	sim.submitAfter(time.Second, "server", &jobpb.Step{
 		Count: 6, MilliCpu: 2000, MemoryMb: 100, LongRunning: true, MaxPerExecutor: 6,
 	})
-	for i := range 800 {
-		sim.submitAfter(2*time.Second+time.Duration(i)*10*time.Millisecond, fmt.Sprintf("job%d", i), &jobpb.Step{
-			Count: 4, MilliCpu: 2000, MemoryMb: 100, EstimateMs: 300,
-		})
-	}
+	sim.submitFillingJobs(2*time.Second, 800, 300)
 	sim.runUntil(evacuatedAt + 6*time.Second)
 	assert.Equal(t, sim.countRuns("server", "a"), 0)
 	assert.Equal(t, sim.countRuns("server", "b"), 6)
@@ -171,11 +176,7 @@
 	})
 	// The record of the new executor may take 600 ms. Before that, the executor has room for nothing.
 	sim.after(evacuateAfter-900*time.Millisecond, sim.addDomainB)
-	for i := range 400 {
-		sim.submitAfter(evacuateAfter+time.Duration(i+5)*10*time.Millisecond, fmt.Sprintf("job%d", i), &jobpb.Step{
-			Count: 4, MilliCpu: 2000, MemoryMb: 100, EstimateMs: 500,
-		})
-	}
+	sim.submitFillingJobs(evacuateAfter+50*time.Millisecond, 400, 500)
 	longest := sim.trackAbsence("server", 4)
 	sim.runUntil(evacuatedAt + 15*time.Second)
 	assert.Equal(t, sim.moves, 4)
--- a/internal/state/cell/starve_check_test.go
+++ b/internal/state/cell/starve_check_test.go
@@ -209,8 +209,11 @@
 	quarantines map[string]int
 }
 
-func (r *starveResult) assertBestEffortStarts(t *testing.T) {
+// checkBestEffortStarts runs the simulation and checks that no best-effort job waits for longer than the bound.
+func (s *starveSim) checkBestEffortStarts(t *testing.T) {
 	t.Helper()
+	r := s.run()
+	r.log(t, fmt.Sprintf("%d executors", s.executors))
 	longest := r.longest["best-effort"]
 	assert.Assert(t, longest <= starveBound, "waited %v: %s", longest, r.detail["best-effort"])
 }
--- a/internal/state/cell/starve_test.go
+++ b/internal/state/cell/starve_test.go
@@ -40,9 +40,7 @@
 	s := newQuietSim(4)
 	s.weights[imagePair{"lc0", "be0"}] = 0.0234
 	s.acceptLargeAfterSmall("be0")
-	r := s.run()
-	r.log(t, "4 executors")
-	r.assertBestEffortStarts(t)
+	s.checkBestEffortStarts(t)
 }
 
 // TestForecastRefusesEveryExecutor guards against a best-effort job that never starts, since at any time one
@@ -52,9 +50,7 @@
 	s.acceptServing("lc1", math.Pi)
 	s.weights[imagePair{"lc0", "be0"}], s.weights[imagePair{"lc1", "be0"}] = 0.03, 0.03
 	s.acceptLargeAfterSmall("be0")
-	r := s.run()
-	r.log(t, "4 executors")
-	r.assertBestEffortStarts(t)
+	s.checkBestEffortStarts(t)
 }
 
 // TestDeploymentStartsBestEffortJobs guards against best-effort jobs that the forecast refuses on every executor of the
@@ -62,9 +58,7 @@
 func TestDeploymentStartsBestEffortJobs(t *testing.T) {
 	l := largeDeployment(66)
 	l.hopelessShare, l.failureRate, l.longRunningFailures = 0, 0, 0
-	r := newStarveSim(l, 2).run()
-	r.log(t, "66 executors")
-	r.assertBestEffortStarts(t)
+	newStarveSim(l, 2).checkBestEffortStarts(t)
 }
 
 // TestOverestimatedWeightIsNotCorrected guards against a best-effort job that waits because the weight of its image was
@@ -83,9 +77,7 @@
 			s.acceptFilling("be0", 1, 14000, 1000)
 		}
 	}
-	r := s.run()
-	r.log(t, "4 executors")
-	r.assertBestEffortStarts(t)
+	s.checkBestEffortStarts(t)
 }
 
 // TestStartsOfLightImageExcludeOthers guards against a best-effort job that waits as long as tasks of an image without
@@ -102,9 +94,7 @@
 			s.acceptFilling("be1", 1, 8000, 2000)
 		}
 	}
-	r := s.run()
-	r.log(t, "2 executors")
-	r.assertBestEffortStarts(t)
+	s.checkBestEffortStarts(t)
 }
 
 // TestFailingJobsQuarantineAllExecutors guards against a job that waits because runs of two jobs that always fail have
--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -384,6 +384,19 @@
 	assert.Assert(t, third.Target.ID >= "x10", "the task starts on %s, where it has failed", third.Target.ID)
 }
 
+// acceptBesideServersNearTarget lets all latency-critical runs be near their target and submits a best-effort task.
+func (h *harness) acceptBesideServersNearTarget() {
+	for _, x := range h.cell.execs {
+		for _, r := range x.latencyCritical {
+			r.isNearTarget = true
+		}
+		x.forgetTolerance()
+	}
+	h.accept("best-effort", "q", &jobpb.Step{
+		Count: 1, MilliCpu: 8000, MemoryMb: 100, EstimateMs: 1000, Fills: true, Image: "batch",
+	})
+}
+
 // TestAdviceIsRequestedBeyondInterference checks a best-effort task whose tickets are for executors with
 // latency-critical runs that are near their target.
 func TestAdviceIsRequestedBeyondInterference(t *testing.T) {
@@ -396,15 +409,7 @@
 	servers.Count, servers.MaxPerExecutor, servers.MemoryMb = minAdviceExecutors+2, 1, 2000
 	h.accept("servers", "q", servers)
 	h.waitForPermittedStart(longestWait, func(string) bool { return true })
-	for _, x := range h.cell.execs {
-		for _, r := range x.latencyCritical {
-			r.isNearTarget = true
-		}
-		x.forgetTolerance()
-	}
-	h.accept("best-effort", "q", &jobpb.Step{
-		Count: 1, MilliCpu: 8000, MemoryMb: 100, EstimateMs: 1000, Fills: true, Image: "batch",
-	})
+	h.acceptBesideServersNearTarget()
 	started := h.waitForPermittedStart(longestWait, func(string) bool { return true })
 	assert.Assert(t, h.cell.execs[started.Target.ID].hasLabel("a"))
 }
@@ -417,15 +422,7 @@
 	servers.Count, servers.MaxPerExecutor = uint32(len(h.cell.execs)), 1
 	h.accept("servers", "q", servers)
 	h.waitForPermittedStart(longestWait, func(string) bool { return true })
-	for _, x := range h.cell.execs {
-		for _, r := range x.latencyCritical {
-			r.isNearTarget = true
-		}
-		x.forgetTolerance()
-	}
-	h.accept("best-effort", "q", &jobpb.Step{
-		Count: 1, MilliCpu: 8000, MemoryMb: 100, EstimateMs: 1000, Fills: true, Image: "batch",
-	})
+	h.acceptBesideServersNearTarget()
 	q, ok := h.cell.NextAdviceRequest(h.now)
 	assert.Assert(t, ok)
 	a := orders.Advice{Tickets: map[string]string{}, Validity: testTicketValidity}
