Start successors of simulated leaders in one place

Five places computed when the leases of the previous leader expire and started its successor after the election timeout. electSuccessor does it now, and replaceLeader is used where the leader ends as well. The longest lease is read when the election begins instead of when it ends; it depends on Params.MaxHold only, which no schedule changes.

--- a/internal/state/cell/evacuation_test.go
+++ b/internal/state/cell/evacuation_test.go
@@ -224,11 +224,7 @@
 	sim.submitAfter(time.Second, "server", &jobpb.Step{
 		Count: 12, MilliCpu: 2000, MemoryMb: 100, LongRunning: true, MaxPerExecutor: 4, MayMiss: 1,
 	})
-	sim.after(evacuateAfter+2*time.Second, func() {
-		sim.currentLeader().isKilled = true
-		previousLeasesExpireAt := sim.now.Add(simLeaseDuration + sim.params.LongestLease())
-		sim.after(simElectionTimeout, func() { sim.newLeader(previousLeasesExpireAt) })
-	})
+	sim.after(evacuateAfter+2*time.Second, sim.replaceLeader)
 	sim.runUntil(evacuatedAt + 30*time.Second)
 	assert.Equal(t, sim.countRuns("server", "a"), 0)
 	assert.Equal(t, sim.countRuns("server", "b"), 12)
@@ -245,9 +241,7 @@
 	sim.after(3*time.Second, sim.addDomainB)
 	sim.after(evacuateAfter-500*time.Millisecond, func() {
 		sim.execs[2].crashForGood()
-		sim.currentLeader().isKilled = true
-		previousLeasesExpireAt := sim.now.Add(simLeaseDuration + sim.params.LongestLease())
-		sim.after(simElectionTimeout, func() { sim.newLeader(previousLeasesExpireAt) })
+		sim.replaceLeader()
 	})
 	longest := sim.trackAbsence("server", 4)
 	sim.runUntil(evacuatedAt + 20*time.Second)
--- a/internal/state/cell/reservations_model_test.go
+++ b/internal/state/cell/reservations_model_test.go
@@ -137,13 +137,3 @@
 	t.Logf("seed %d: the longest wait is %v", seed, c.longest)
 	assert.Check(t, len(sim.violations) == 0, "seed %d:\n%s", seed, strings.Join(sim.violations, "\n"))
 }
-
-// replaceLeader ends the leader and starts its successor after the election timeout. All executors answer, so that the
-// takeover takes no longer.
-func (sim *simulation) replaceLeader() {
-	sim.currentLeader().isKilled = true
-	lastHeartbeat := sim.now
-	sim.after(simElectionTimeout, func() {
-		sim.newLeader(lastHeartbeat.Add(simLeaseDuration + sim.params.LongestLease()))
-	})
-}
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -367,16 +367,24 @@
 // takeover replaces the leader. The previous one is killed, or continues without the store until its lease expires.
 func (sim *simulation) takeover() {
 	old := sim.currentLeader()
-	lastHeartbeat := sim.now
 	if sim.rnd.IntN(3) == 0 {
 		old.isIsolated = true
 	} else {
 		old.isKilled = true
 	}
-	sim.after(simElectionTimeout, func() {
-		leaseUntil := lastHeartbeat.Add(simLeaseDuration)
-		sim.newLeader(leaseUntil.Add(sim.params.LongestLease()))
-	})
+	sim.electSuccessor()
+}
+
+// replaceLeader ends the leader, which a new one replaces.
+func (sim *simulation) replaceLeader() {
+	sim.currentLeader().isKilled = true
+	sim.electSuccessor()
+}
+
+// electSuccessor starts a new leader after the election timeout. The last heartbeat of the previous one is now.
+func (sim *simulation) electSuccessor() {
+	previousLeasesExpireAt := sim.now.Add(simLeaseDuration + sim.params.LongestLease())
+	sim.after(simElectionTimeout, func() { sim.newLeader(previousLeasesExpireAt) })
 }
 
 // partition separates a third of the executors from the others, with or without the leader.
@@ -387,11 +395,7 @@
 	if sim.rnd.IntN(2) == 0 {
 		old := sim.currentLeader()
 		old.isIsolated, old.isPartitioned = true, true
-		lastHeartbeat := sim.now
-		sim.after(simElectionTimeout, func() {
-			leaseUntil := lastHeartbeat.Add(simLeaseDuration)
-			sim.newLeader(leaseUntil.Add(sim.params.LongestLease()))
-		})
+		sim.electSuccessor()
 	}
 	sim.after(sim.randomDuration(time.Second, 9*time.Second), func() {
 		for _, x := range sim.execs {
