--- /dev/null
+++ b/internal/state/cell/simelection_test.go
@@ -0,0 +1,91 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ibischute/ibischute/internal/state/aimd"
+	"github.com/ibischute/ibischute/internal/state/book"
+	"github.com/ibischute/ibischute/pkg/tick"
+)
+
+func (sim *simulation) currentLeader() *simLeader { return sim.leaders[len(sim.leaders)-1] }
+
+func (sim *simulation) newLeader(previousLeasesExpireAt tick.Time) *simLeader {
+	l := &simLeader{
+		sim: sim, epoch: uint64(len(sim.leaders)*3 + 1), leaseUntil: sim.now.Add(simLeaseDuration),
+		isHolding: map[string]bool{}, nextHoldAt: map[string]tick.Time{},
+		startWindow: aimd.New(simMaxStarts, simCallTimeout/2), formerLeasesExpireAt: previousLeasesExpireAt,
+	}
+	l.cell = New(sim.params, l.epoch, previousLeasesExpireAt)
+	l.cell.Configure(sim.config)
+	l.readEvacuations()
+	sim.fenceEpoch = l.epoch
+	previousEpoch := uint64(0)
+	if len(sim.leaders) > 0 {
+		previousEpoch = sim.currentLeader().epoch
+	}
+	if !sim.isFormerVersion(l.epoch) {
+		l.cell.LoadTerm(sim.book.Term(), previousEpoch, sim.recordedSince())
+	}
+	sim.book.Roster(l.cell.LoadRoster)
+	sim.book.Jobs(func(e *book.Entry) { l.cell.Load(sim.now, sim.wallMS(), e) })
+	sim.leaders = append(sim.leaders, l)
+	l.loop()
+	return l
+}
+
+// recordedSince returns the epoch since which no leader was of the former version, or 0 if the last one was.
+func (sim *simulation) recordedSince() uint64 {
+	since := uint64(0)
+	for _, l := range slices.Backward(sim.leaders) {
+		if sim.isFormerVersion(l.epoch) {
+			break
+		}
+		since = l.epoch
+	}
+	return since
+}
+
+// takeover replaces the leader. The previous one is killed, or continues without the store until its lease expires.
+func (sim *simulation) takeover() {
+	old := sim.currentLeader()
+	if sim.rnd.IntN(3) == 0 {
+		old.isIsolated = true
+	} else {
+		old.isKilled = true
+	}
+	sim.electSuccessor()
+}
+
+// replaceLeader ends the leader, which a new one replaces.
+func (sim *simulation) replaceLeader() {
+	sim.currentLeader().isKilled = true
+	sim.electSuccessor()
+}
+
+// electSuccessor starts a new leader after the election timeout. The last heartbeat of the previous one is now.
+func (sim *simulation) electSuccessor() {
+	previousLeasesExpireAt := sim.now.Add(simLeaseDuration + sim.params.LongestLease())
+	sim.after(simElectionTimeout, func() { sim.newLeader(previousLeasesExpireAt) })
+}
+
+// partition separates a third of the executors from the others, with or without the leader.
+func (sim *simulation) partition() {
+	for i, x := range sim.execs {
+		x.isPartitioned = i%3 == 0
+	}
+	if sim.rnd.IntN(2) == 0 {
+		old := sim.currentLeader()
+		old.isIsolated, old.isPartitioned = true, true
+		sim.electSuccessor()
+	}
+	sim.after(sim.randomDuration(time.Second, 9*time.Second), func() {
+		for _, x := range sim.execs {
+			x.isPartitioned = false
+		}
+		for _, l := range sim.leaders {
+			l.isPartitioned = false
+		}
+	})
+}
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -2,16 +2,12 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/ibischute/ibischute/internal/modules/jobpb"
-	"github.com/ibischute/ibischute/internal/modules/logs"
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/internal/state/aimd"
-	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -44,44 +40,6 @@
 	evacuated []string
 }
 
-func (sim *simulation) currentLeader() *simLeader { return sim.leaders[len(sim.leaders)-1] }
-
-func (sim *simulation) newLeader(previousLeasesExpireAt tick.Time) *simLeader {
-	l := &simLeader{
-		sim: sim, epoch: uint64(len(sim.leaders)*3 + 1), leaseUntil: sim.now.Add(simLeaseDuration),
-		isHolding: map[string]bool{}, nextHoldAt: map[string]tick.Time{},
-		startWindow: aimd.New(simMaxStarts, simCallTimeout/2), formerLeasesExpireAt: previousLeasesExpireAt,
-	}
-	l.cell = New(sim.params, l.epoch, previousLeasesExpireAt)
-	l.cell.Configure(sim.config)
-	l.readEvacuations()
-	sim.fenceEpoch = l.epoch
-	previousEpoch := uint64(0)
-	if len(sim.leaders) > 0 {
-		previousEpoch = sim.currentLeader().epoch
-	}
-	if !sim.isFormerVersion(l.epoch) {
-		l.cell.LoadTerm(sim.book.Term(), previousEpoch, sim.recordedSince())
-	}
-	sim.book.Roster(l.cell.LoadRoster)
-	sim.book.Jobs(func(e *book.Entry) { l.cell.Load(sim.now, sim.wallMS(), e) })
-	sim.leaders = append(sim.leaders, l)
-	l.loop()
-	return l
-}
-
-// recordedSince returns the epoch since which no leader was of the former version, or 0 if the last one was.
-func (sim *simulation) recordedSince() uint64 {
-	since := uint64(0)
-	for _, l := range slices.Backward(sim.leaders) {
-		if sim.isFormerVersion(l.epoch) {
-			break
-		}
-		since = l.epoch
-	}
-	return since
-}
-
 const (
 	loopInterval = 20 * time.Millisecond
 	simMaxStarts = 128
@@ -363,143 +321,3 @@
 		})
 	})
 }
-
-// takeover replaces the leader. The previous one is killed, or continues without the store until its lease expires.
-func (sim *simulation) takeover() {
-	old := sim.currentLeader()
-	if sim.rnd.IntN(3) == 0 {
-		old.isIsolated = true
-	} else {
-		old.isKilled = true
-	}
-	sim.electSuccessor()
-}
-
-// replaceLeader ends the leader, which a new one replaces.
-func (sim *simulation) replaceLeader() {
-	sim.currentLeader().isKilled = true
-	sim.electSuccessor()
-}
-
-// electSuccessor starts a new leader after the election timeout. The last heartbeat of the previous one is now.
-func (sim *simulation) electSuccessor() {
-	previousLeasesExpireAt := sim.now.Add(simLeaseDuration + sim.params.LongestLease())
-	sim.after(simElectionTimeout, func() { sim.newLeader(previousLeasesExpireAt) })
-}
-
-// partition separates a third of the executors from the others, with or without the leader.
-func (sim *simulation) partition() {
-	for i, x := range sim.execs {
-		x.isPartitioned = i%3 == 0
-	}
-	if sim.rnd.IntN(2) == 0 {
-		old := sim.currentLeader()
-		old.isIsolated, old.isPartitioned = true, true
-		sim.electSuccessor()
-	}
-	sim.after(sim.randomDuration(time.Second, 9*time.Second), func() {
-		for _, x := range sim.execs {
-			x.isPartitioned = false
-		}
-		for _, l := range sim.leaders {
-			l.isPartitioned = false
-		}
-	})
-}
-
-func (sim *simulation) submit(j *jobpb.Job) {
-	sim.jobs[j.Id] = j
-	j.AcceptedMs = sim.wallMS()
-	rec, err := intakeRecord(book.JobKey(j.Id), &jobpb.Intake{Job: j})
-	if err != nil {
-		sim.recordViolation("encode intake of a job: %v", err)
-		return
-	}
-	sim.intake(rec)
-}
-
-func (sim *simulation) cancel(id string) {
-	rec, err := intakeRecord(book.CancelKey(id), &jobpb.Intake{Cancel: true})
-	if err != nil {
-		sim.recordViolation("encode cancellation: %v", err)
-		return
-	}
-	sim.cancelled[id] = sim.now
-	sim.intake(rec)
-}
-
-func (sim *simulation) intake(rec logs.Record) {
-	id, err := sim.book.Intake(rec)
-	if err != nil {
-		sim.recordViolation("apply intake record: %v", err)
-		return
-	}
-	e, ok := sim.book.Job(id)
-	l := sim.currentLeader()
-	if !ok || l.isKilled || l.isIsolated {
-		return
-	}
-	l.cell.Accept(sim.now, e.Job)
-	if e.Cancelled {
-		l.cell.Cancel(sim.now, id)
-	}
-}
-
-// newEmptySimulation returns a simulation without executors, configuration and leader.
-func newEmptySimulation(seed uint64, f faults) *simulation {
-	return &simulation{
-		rnd: rand.New(rand.NewPCG(seed, 7)), faults: f, book: book.New(), jobs: map[string]*jobpb.Job{},
-		done: map[orders.Task]bool{}, acked: map[orders.Task]bool{}, cancelled: map[string]tick.Time{},
-		doneRuns: map[orders.Task]map[orders.Run]bool{}, lostEnds: map[orders.Task]bool{}, failingJobs: map[string]bool{},
-		evacuatedAt: map[string]tick.Time{}, movedAway: map[orders.Task]orders.Run{},
-		params: Params{
-			MaxHold: simMaxHold, StopTimeout: simStopTimeout, InterferenceBound: 4 * time.Second, Retention: time.Minute,
-			// Half of the schedules run with it.
-			LookAhead: seed%2 == 1,
-		},
-		now: tick.Time(time.Second), endsPerList: simEndsPerList,
-	}
-}
-
-func newSimulation(seed uint64, f faults) *simulation {
-	sim := newEmptySimulation(seed, f)
-	sim.config = &queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
-		{Name: "q", Service: "svc", MaxAttempts: 4, StretchFactor: 2, TargetMS: 1000},
-	}}
-	for i := range 6 {
-		x := &simExecutor{
-			sim: sim, id: fmt.Sprintf("x%d", i), address: fmt.Sprintf("x%d", i), labels: []string{string(rune('a' + i%2))},
-			total: resources{milliCPU: 16000, memoryMB: 64000}, clockRate: 0.98 + 0.02*sim.rnd.Float64(),
-			enforcesCapacity: sim.rnd.IntN(2) == 0,
-		}
-		x.restart()
-		sim.execs = append(sim.execs, x)
-	}
-	sim.newLeader(sim.now)
-	return sim
-}
-
-// randomJob returns the job with the index i, with random steps.
-func (sim *simulation) randomJob(i int) *jobpb.Job {
-	j := &jobpb.Job{Id: fmt.Sprintf("%016x", i), Queue: "q", Service: "svc", Spec: "s"}
-	for n := range 1 + sim.rnd.IntN(3) {
-		s := &jobpb.Step{
-			Count: uint32(1 + sim.rnd.IntN(4)), MilliCpu: uint32(500 + sim.rnd.IntN(4000)), MemoryMb: 1000,
-			EstimateMs: uint32(200 + sim.rnd.IntN(2500)), Checkpointing: sim.rnd.IntN(2) == 0,
-		}
-		if n > 0 {
-			s.DependsOn = []uint32{uint32(sim.rnd.IntN(n))}
-		}
-		if sim.rnd.IntN(4) == 0 {
-			s.MaxPerExecutor = 1
-		}
-		if sim.rnd.IntN(5) == 0 {
-			s.RequiresLabel = "a"
-		}
-		j.Steps = append(j.Steps, s)
-	}
-	if sim.rnd.IntN(6) == 0 {
-		j.Steps = []*jobpb.Step{{Count: 2, MilliCpu: 1000, MemoryMb: 500, LongRunning: true, TargetMs: 50, Image: "i"}}
-	}
-	return j
-}
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -121,6 +121,40 @@
 	crashModel *crashModel
 }
 
+// newEmptySimulation returns a simulation without executors, configuration and leader.
+func newEmptySimulation(seed uint64, f faults) *simulation {
+	return &simulation{
+		rnd: rand.New(rand.NewPCG(seed, 7)), faults: f, book: book.New(), jobs: map[string]*jobpb.Job{},
+		done: map[orders.Task]bool{}, acked: map[orders.Task]bool{}, cancelled: map[string]tick.Time{},
+		doneRuns: map[orders.Task]map[orders.Run]bool{}, lostEnds: map[orders.Task]bool{}, failingJobs: map[string]bool{},
+		evacuatedAt: map[string]tick.Time{}, movedAway: map[orders.Task]orders.Run{},
+		params: Params{
+			MaxHold: simMaxHold, StopTimeout: simStopTimeout, InterferenceBound: 4 * time.Second, Retention: time.Minute,
+			// Half of the schedules run with it.
+			LookAhead: seed%2 == 1,
+		},
+		now: tick.Time(time.Second), endsPerList: simEndsPerList,
+	}
+}
+
+func newSimulation(seed uint64, f faults) *simulation {
+	sim := newEmptySimulation(seed, f)
+	sim.config = &queue.Configuration{Version: 1, Services: enforcing, Queues: []queue.Queue{
+		{Name: "q", Service: "svc", MaxAttempts: 4, StretchFactor: 2, TargetMS: 1000},
+	}}
+	for i := range 6 {
+		x := &simExecutor{
+			sim: sim, id: fmt.Sprintf("x%d", i), address: fmt.Sprintf("x%d", i), labels: []string{string(rune('a' + i%2))},
+			total: resources{milliCPU: 16000, memoryMB: 64000}, clockRate: 0.98 + 0.02*sim.rnd.Float64(),
+			enforcesCapacity: sim.rnd.IntN(2) == 0,
+		}
+		x.restart()
+		sim.execs = append(sim.execs, x)
+	}
+	sim.newLeader(sim.now)
+	return sim
+}
+
 func (sim *simulation) after(d time.Duration, f func()) {
 	sim.seq++
 	heap.Push(&sim.queue, event{sim.now.Add(d), sim.seq, f})
