Build the domain of the tests of copies in one place

Four tests let a, b and c join, and three of them let c pull from all. newDomain and newPulledDomain do it now.

--- a/internal/state/copies/copies_test.go
+++ b/internal/state/copies/copies_test.go
@@ -40,6 +40,22 @@
 	d.apply(&wire.MemberRecord{Kind: &wire.MemberRecord_Leave{Leave: &wire.Leave{Member: wireMember(name, inc)}}})
 }
 
+// newDomain returns a domain that a, b and c have joined in this order, and the tracker of c.
+func newDomain() (*domain, *Tracker) {
+	d := &domain{}
+	d.join("a", 1)
+	d.join("b", 1)
+	d.join("c", 1)
+	return d, New("c")
+}
+
+// newPulledDomain returns the domain of newDomain with a tracker that has pulled from all earlier members.
+func newPulledDomain() (*domain, *Tracker) {
+	d, tr := newDomain()
+	pullAll(tr, d.v)
+	return d, tr
+}
+
 func pullAll(t *Tracker, v view.View) {
 	for _, m := range t.UpdateView(1, v, retention) {
 		t.Pulled(1, m, 0)
@@ -47,11 +63,7 @@
 }
 
 func TestJoinerPullsFromAllEarlierMembers(t *testing.T) {
-	d := &domain{}
-	d.join("a", 1)
-	d.join("b", 1)
-	d.join("c", 1)
-	tr := New("c")
+	d, tr := newDomain()
 	missing := tr.UpdateView(1, d.v, retention)
 	assert.Equal(t, len(missing), 2)
 	tr.Pulled(1, missing[0], 0)
@@ -61,12 +73,7 @@
 }
 
 func TestSequentialLossesLoseNoState(t *testing.T) {
-	d := &domain{}
-	d.join("a", 1)
-	d.join("b", 1)
-	d.join("c", 1)
-	tr := New("c")
-	pullAll(tr, d.v)
+	d, tr := newPulledDomain()
 	d.join("a", 2)
 	pullAll(tr, d.v)
 	d.join("b", 2)
@@ -75,12 +82,7 @@
 }
 
 func TestSimultaneousLossesAreDetected(t *testing.T) {
-	d := &domain{}
-	d.join("a", 1)
-	d.join("b", 1)
-	d.join("c", 1)
-	tr := New("c")
-	pullAll(tr, d.v)
+	d, tr := newPulledDomain()
 	d.join("a", 2)
 	d.join("b", 2)
 	tr.UpdateView(1, d.v, retention)
@@ -93,12 +95,7 @@
 }
 
 func TestGracefulLeaveIsNoLoss(t *testing.T) {
-	d := &domain{}
-	d.join("a", 1)
-	d.join("b", 1)
-	d.join("c", 1)
-	tr := New("c")
-	pullAll(tr, d.v)
+	d, tr := newPulledDomain()
 	d.leave("a", 1)
 	d.leave("b", 1)
 	tr.UpdateView(1, d.v, retention)
