Share the set-ups of slow executors and of listed runs

newSlowBench replaces the same four lines in five tests of speed, startListedTask three lines in two tests of the cell's durations.

--- a/internal/state/cell/durations_test.go
+++ b/internal/state/cell/durations_test.go
@@ -58,6 +58,14 @@
 	assert.Assert(t, wrong.compare(right) < 0, "remaining %v and %v", wrong.remaining, right.remaining)
 }
 
+// startListedTask starts a task on the executor a, which lists the run, and returns the start order.
+func (h *harness) startListedTask(estimateMS uint32) Order {
+	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: estimateMS})
+	o := startOrders(h.planAndConfirm())[0]
+	h.reportRunning("a", runningRow(o, 1000, 0))
+	return o
+}
+
 // TestDrainCountsOnHighQuantile guards against leaving a run on a draining executor because it would be done in time
 // by the mean of ratios that vary widely.
 func TestDrainCountsOnHighQuantile(t *testing.T) {
@@ -65,9 +73,7 @@
 	for range 10 {
 		h.runJobs(1, 1, 4)
 	}
-	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 1000})
-	o := startOrders(h.planAndConfirm())[0]
-	h.reportRunning("a", runningRow(o, 1000, 0))
+	h.startListedTask(1000)
 	draining := testExecutor("a")
 	draining.Draining, draining.RemainingMS = true, 3500
 	h.cell.Discover(h.now, []queue.Executor{draining})
@@ -81,9 +87,7 @@
 	for range 10 {
 		h.runJobs(1, 1, 0.1)
 	}
-	h.accept("j", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 40_000})
-	o := startOrders(h.planAndConfirm())[0]
-	h.reportRunning("a", runningRow(o, 1000, 0))
+	o := h.startListedTask(40_000)
 	r := h.cell.execs["a"].runs[o.Start.Run.Task]
 	assert.Assert(t, h.cell.mayBeDone(r), "a tenth of 40 s is less than the lease of %v", h.cell.params.MaxHold)
 }
--- a/internal/state/speed/speed_test.go
+++ b/internal/state/speed/speed_test.go
@@ -77,6 +77,15 @@
 	return out
 }
 
+// newSlowBench returns a bench and the runs of the executor x, which became slow after some lists.
+func newSlowBench() (*bench, []orders.Run) {
+	b := newBench()
+	runs := runsOfJobs(3, "j")
+	b.lists(4, "x", 1, runs...)
+	b.lists(3, "x", 0.2, runs...)
+	return b, runs
+}
+
 func runsOfJobs(n int, prefix string) (out []orders.Run) {
 	for i := range n {
 		out = append(out, runOf(fmt.Sprint(prefix, i), 0))
@@ -112,10 +121,7 @@
 
 // TestExecutorRecoversWhenRunsProgress checks that a slow executor is used again without a trial.
 func TestExecutorRecoversWhenRunsProgress(t *testing.T) {
-	b := newBench()
-	runs := runsOfJobs(3, "j")
-	b.lists(4, "x", 1, runs...)
-	b.lists(3, "x", 0.2, runs...)
+	b, runs := newSlowBench()
 	assert.Assert(t, b.model.IsSlow("x"))
 	assert.Equal(t, b.lists(2, "x", 1, runs...), speed.Recovered)
 	assert.Equal(t, b.model.Count(), 0)
@@ -124,10 +130,7 @@
 
 // TestTrialEndsOrProlongsSlowness checks an executor without runs: it gets one run after a pause, and the run decides.
 func TestTrialEndsOrProlongsSlowness(t *testing.T) {
-	b := newBench()
-	runs := runsOfJobs(3, "j")
-	b.lists(4, "x", 1, runs...)
-	b.lists(3, "x", 0.2, runs...)
+	b, runs := newSlowBench()
 	for _, r := range runs {
 		b.model.End(r)
 	}
@@ -263,10 +266,7 @@
 
 // TestRatingExpires guards against avoiding an executor for good whose runs are too short for a rate.
 func TestRatingExpires(t *testing.T) {
-	b := newBench()
-	runs := runsOfJobs(3, "j")
-	b.lists(4, "x", 1, runs...)
-	b.lists(3, "x", 0.2, runs...)
+	b, runs := newSlowBench()
 	for range 40 {
 		b.lists(1, "x", 0.2, runs...)
 		assert.Equal(t, len(b.model.Expire(b.now)), 0, "the runs are still slow")
@@ -287,10 +287,7 @@
 
 // TestLostTrialIsFollowedByAnother checks a trial of which no list ever shows a run.
 func TestLostTrialIsFollowedByAnother(t *testing.T) {
-	b := newBench()
-	runs := runsOfJobs(3, "j")
-	b.lists(4, "x", 1, runs...)
-	b.lists(3, "x", 0.2, runs...)
+	b, _ := newSlowBench()
 	b.now = b.now.Add(2 * time.Second)
 	trial := runOf("lost", 0)
 	b.model.Begin(b.now, "x", trial)
@@ -301,10 +298,7 @@
 
 // TestDroppedExecutorIsForgotten checks that a restarted executor is rated anew and that no state of runs is left.
 func TestDroppedExecutorIsForgotten(t *testing.T) {
-	b := newBench()
-	runs := runsOfJobs(3, "j")
-	b.lists(4, "x", 1, runs...)
-	b.lists(3, "x", 0.2, runs...)
+	b, runs := newSlowBench()
 	b.model.Drop("x")
 	assert.Assert(t, !b.model.IsSlow("x"))
 	assert.Equal(t, b.model.Count(), 0)
