--- a/internal/state/cell/scenario_test.go
+++ b/internal/state/cell/scenario_test.go
@@ -42,11 +42,7 @@
 	sim.submitAfter(2*time.Second, "server", server)
 	sim.submitAfter(9*time.Second, "job", step, next)
 	sim.after(9500*time.Millisecond, func() { sim.execs[3].crashForGood() })
-	sim.after(10*time.Second, func() {
-		sim.currentLeader().isKilled = true
-		previousLeasesExpireAt := sim.now.Add(sim.params.LongestLease())
-		sim.after(simElectionTimeout, func() { sim.newLeader(previousLeasesExpireAt) })
-	})
+	sim.after(10*time.Second, sim.replaceLeader)
 	check := sim.startLivenessCheck()
 	sim.runUntil(40 * time.Second)
 	check.checkSettled()
