Await the ends of unreached executors only while they are listed

Cause: the ends of a task that may be done were awaited as long for an executor that discovery no longer lists as for one that it lists. Within a term, a run on an unlisted executor is given up with its lease.

Change: the same rule in a takeover.

--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -14,8 +14,8 @@
 const (
 	// awaitedReportAfter is how long the takeover lasts before the executors are logged that have not responded.
 	awaitedReportAfter = time.Second
-	// unreachedEndsWait is how long after its lease an executor that has not responded is awaited, as it may list runs
-	// that were done before. Those of long-running tasks never are.
+	// unreachedEndsWait is how long after its lease an executor that has not responded is awaited while service discovery
+	// lists it, as it may list runs that were done before. Those of long-running tasks never are.
 	unreachedEndsWait = 5 * time.Second
 	// maxAwaitedReported bounds the executors that are logged.
 	maxAwaitedReported = 10
@@ -50,7 +50,11 @@
 	if x.hasResponded {
 		return now.Before(x.leaseExpiresBy)
 	}
-	return now.Before(c.previousLeasesExpireAt.Add(unreachedEndsWait))
+	until := c.previousLeasesExpireAt
+	if x.isListed {
+		until = until.Add(unreachedEndsWait)
+	}
+	return now.Before(until)
 }
 
 // hasUnknownEnds reports whether the executor may have runs of a previous leader, or ends of them, that it has not
