Record the placement of untrusted jobs after a takeover

Change: such records are stored anew when the takeover ends. TestUntrustedRecordIsKeptByTakeover failed before ("the placement of the job is not recorded").

--- a/internal/state/cell/placed_test.go
+++ b/internal/state/cell/placed_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -446,3 +447,22 @@
 	assert.DeepEqual(t, h.planStarts(1), []string{"urgent"})
 	assert.Equal(t, h.cell.Usage(h.now).Placed, maxPlaced)
 }
+
+// TestUntrustedRecordIsKeptByTakeover guards against a record that no later leader relies on either, so that the tasks
+// of the job wait for all executors after each change of leader.
+func TestUntrustedRecordIsKeptByTakeover(t *testing.T) {
+	entry := placedEntry("old", 2, "x")
+	entry.Job.Steps[0].LongRunning = true
+	h := newChainHarness(t, 5, &jobpb.Term{Epoch: 5, Since: 3}, entry)
+	h.reportRunning("x", orders.Running{Run: orders.Run{Task: orders.Task{Job: "old"}, Number: 1}, Percent: 100})
+	h.reportRunning("y")
+	h.cell.Plan(h.now, testWallMS, unbounded)
+	batch, err := h.cell.NextBatch()
+	assert.NilError(t, err)
+	i := slices.IndexFunc(batch.Records, func(r logs.Record) bool { return r.Key == book.ProgressKey("old") })
+	assert.Assert(t, i >= 0, "the placement of the job is not recorded")
+	p := &jobpb.Progress{}
+	assert.NilError(t, proto.Unmarshal(batch.Records[i].Value, p))
+	assert.Equal(t, p.PlacementEpoch, uint64(7))
+	assert.Equal(t, p.Tasks[0].Executor, chain.Hash("x"))
+}
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -163,7 +163,7 @@
 	c.emit(Event{Name: "takeover-settled", Detail: fmt.Sprintf(
 		"after %v, former leases expire in %v", inMillis(now.Sub(c.takeoverBeganAt)), inMillis(left))})
 	for _, j := range c.active {
-		j.isInherited = false
+		c.endInheritance(j)
 	}
 }
 
@@ -177,11 +177,20 @@
 	c.emit(Event{Name: "inherited-runs-over", Detail: fmt.Sprintf("after %v", inMillis(now.Sub(c.takeoverBeganAt)))})
 	for _, j := range c.active {
 		if j.hasOnlyLongRunning() {
-			j.isInherited = false
+			c.endInheritance(j)
 		}
 	}
 }
 
+// endInheritance notes that the placement of the job's tasks is known. Its record is stored anew, so that the next leader
+// relies on it.
+func (c *Cell) endInheritance(j *job) {
+	if j.isInherited {
+		j.isInherited = false
+		c.dirty[j.id] = j
+	}
+}
+
 // hasOnlyLongRunning reports whether all tasks of the job run until it is cancelled.
 func (j *job) hasOnlyLongRunning() bool {
 	return !slices.ContainsFunc(j.pb.Steps, func(s *jobpb.Step) bool { return !s.LongRunning })
