Record only executors as unreached that got no lease and no answer

An executor that restarts while discovery lists its former process counted as unreached although it had a lease (TestExecutorWithLeaseIsRecordedUnreached failed: UnreachedEpoch 7). Executors whose first answer takes 0.55 s were recorded, and with a store that takes 0.6 to 0.8 s their runs lapsed (TestRunsLapseBehindRecordsOfUnreachedExecutors failed at 600, 700, 800 ms). A removed roster record counted as stored.

Change: an executor is recorded after 1 s, if it has left a hold unanswered and never got a lease of this leader.

--- a/internal/services/leader/rig_test.go
+++ b/internal/services/leader/rig_test.go
@@ -54,10 +54,13 @@
 	meter          *meter.Meter
 	logger         zerolog.Logger
 	nodes          []*rigNode
+	// cores is the processor capacity of each instance; none asks another one to yield if it is nil.
+	cores map[string]float64
 }
 
 // rigNode is one instance of a rig.
 type rigNode struct {
+	name    string
 	elector *elect.Elector
 	leader  *leader.Leader
 	replica *replic.Replica
@@ -111,7 +114,7 @@
 }
 
 func (r *rig) start(name string) *rigNode {
-	n := &rigNode{ended: make(chan struct{})}
+	n := &rigNode{name: name, ended: make(chan struct{})}
 	log := r.wrapLog(r.log)
 	logger := r.logger
 	decode := func(string, []byte) (*queue.Configuration, error) {
@@ -129,6 +132,7 @@
 	})
 	n.elector = elect.New(elect.Options{
 		Log: log, Instance: name, Address: name, MaxExecutorLease: params.LongestLease(),
+		Cores: r.cores[name], AskYield: r.askYield(),
 		IsEligible: func() bool {
 			_, ok := follower.Current()
 			return ok
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -164,7 +164,8 @@
 
 // removeRecord removes what the record stands for from the changes that Commit applies.
 func (c *Cell) removeRecord(b *Batch, key string) {
-	b.rosters = slices.DeleteFunc(b.rosters, func(x *executor) bool { return book.RosterKey(x.entry.ID) == key })
+	isRemoved := func(x *executor) bool { return book.RosterKey(x.entry.ID) == key }
+	b.rosters, b.reached = slices.DeleteFunc(b.rosters, isRemoved), slices.DeleteFunc(b.reached, isRemoved)
 	for j := range b.states {
 		if book.ProgressKey(j.id) != key {
 			continue
--- a/internal/state/cell/unreached.go
+++ b/internal/state/cell/unreached.go
@@ -8,7 +8,7 @@
 )
 
 // unreachedAfter is how long the takeover lasts before the executors are recorded that have not responded.
-const unreachedAfter = 500 * time.Millisecond
+const unreachedAfter = time.Second
 
 // LoadEarlierLeases states the epoch of the previous leader, or 0 if it is unknown, and when the leases have expired
 // that were granted by the leaders before that one.
@@ -23,22 +23,25 @@
 	x.unreachedBy, x.isRecordedUnreached = former.unreachedBy, former.isRecordedUnreached
 }
 
-// recordUnreached has the executors recorded that have not responded to this leader for unreachedAfter. From then on,
-// it grants them no lease until a record without that is stored, so the next leader need not wait for leases of this
-// one.
+// recordUnreached has the executors recorded that have left a hold of this leader unanswered and got no lease of it. From
+// then on, it grants them none until a record without that is stored, so the next leader need not wait for leases of
+// this one.
 func (c *Cell) recordUnreached(now tick.Time) {
 	if c.areUnreachedRecorded || now.Sub(c.takeoverBeganAt) < unreachedAfter {
 		return
 	}
 	c.areUnreachedRecorded = true
 	for id, x := range c.execs {
-		if x.isRostered && !x.hasResponded && c.mayRunInherited(now, x) {
+		if x.isRostered && x.isUnreached() && x.unansweredHolds > 0 && c.mayRunInherited(now, x) {
 			x.isRecordedUnreached = true
 			c.pendingRosters[id] = x
 		}
 	}
 }
 
+// isUnreached reports whether the executor has never responded to this leader, and so got no lease of it.
+func (x *executor) isUnreached() bool { return !x.hasResponded && x.leaseExpiresBy == 0 }
+
 // noteReached has the record of an executor that has responded replaced if it states that it is unreached.
 func (c *Cell) noteReached(x *executor) {
 	if x.isRecordedUnreached {
@@ -49,7 +52,7 @@
 // rosterRecord returns the roster record of the executor.
 func (c *Cell) rosterRecord(x *executor) *jobpb.Roster {
 	r := &jobpb.Roster{Executor: x.entry.ID, Address: x.entry.Address}
-	if x.isRecordedUnreached && !x.hasResponded {
+	if x.isRecordedUnreached && x.isUnreached() {
 		r.UnreachedEpoch = c.epoch
 	}
 	return r
