--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -182,8 +182,8 @@
 	}
 }
 
-// endInheritance notes that the placement of the job's tasks is known. Its record is stored anew, so that the next leader
-// relies on it.
+// endInheritance notes that the placement of the job's tasks is known. Its record is stored anew, so that the next
+// leader relies on it.
 func (c *Cell) endInheritance(j *job) {
 	if j.isInherited {
 		j.isInherited = false
--- a/internal/state/cell/unreached.go
+++ b/internal/state/cell/unreached.go
@@ -23,9 +23,9 @@
 	x.unreachedBy, x.isRecordedUnreached = former.unreachedBy, former.isRecordedUnreached
 }
 
-// recordUnreached has the executors recorded that have left a hold of this leader unanswered and got no lease of it. From
-// then on, it grants them none until a record without that is stored, so the next leader need not wait for leases of
-// this one.
+// recordUnreached has the executors recorded that have left a hold of this leader unanswered and got no lease of it.
+// From then on, it grants them none until a record without that is stored, so the next leader need not wait for leases
+// of this one.
 func (c *Cell) recordUnreached(now tick.Time) {
 	if c.areUnreachedRecorded || now.Sub(c.takeoverBeganAt) < unreachedAfter {
 		return
