Revert the records of unreached executors

A recorded executor gets no lease until two batches are stored. What they gained, a shorter wait after a second loss of the leader, is small beside that: leases that count from the heartbeat already end 6.2 s after the last loss.

--- a/internal/services/elect/claim.go
+++ b/internal/services/elect/claim.go
@@ -26,9 +26,8 @@
 	sentAt tick.Time
 	// previousEpoch and recordedSince are those of the record before the claim; 0 if it is unknown.
 	previousEpoch, recordedSince uint64
-	// previousReadAt is when the record before the claim was read, and earlierLeasesUntil when the executor leases of the
-	// leaders before the one of that record have expired.
-	previousReadAt, earlierLeasesUntil tick.Time
+	// previousReadAt is when the record before the claim was read.
+	previousReadAt tick.Time
 }
 
 // noteAttempt notes that a record is sent for the offset.
@@ -114,7 +113,7 @@
 	e.ownEpoch, e.yielding = c.epoch, make(chan struct{})
 	t := Term{
 		Epoch: c.epoch, PreviousEpoch: c.previousEpoch, RecordedSince: c.recordedSince,
-		ExecutorLeasesExpireAt: e.earlierLeasesUntil, EarlierLeasesExpireAt: c.earlierLeasesUntil,
+		ExecutorLeasesExpireAt: e.earlierLeasesUntil,
 	}
 	now := tick.Now()
 	e.opts.Logger.Info().Uint64("epoch", t.Epoch).Uint64("previous-epoch", t.PreviousEpoch).
@@ -167,9 +166,7 @@
 
 // claimed returns the claim of the epoch that follows the newest record. The caller must hold the mutex.
 func (e *Elector) claimed(epoch uint64, sentAt tick.Time) *claimed {
-	c := &claimed{
-		epoch: epoch, sentAt: sentAt, previousReadAt: e.lastRecordAt, earlierLeasesUntil: e.earlierLeasesUntil,
-	}
+	c := &claimed{epoch: epoch, sentAt: sentAt, previousReadAt: e.lastRecordAt}
 	if e.lastRecord != nil && !e.isLastUnknown {
 		c.previousEpoch, c.recordedSince = e.lastRecord.Epoch, e.lastRecord.RecordedSince
 	}
--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -76,9 +76,8 @@
 	// RecordedSince is the lowest epoch from which on every leader, up to that of PreviousEpoch, stores a term record
 	// before it orders a start; 0 if that is known of none.
 	RecordedSince uint64
-	// ExecutorLeasesExpireAt is when all leases that former leaders have granted to executors have expired, and
-	// EarlierLeasesExpireAt when those have that were granted before the leader of PreviousEpoch.
-	ExecutorLeasesExpireAt, EarlierLeasesExpireAt tick.Time
+	// ExecutorLeasesExpireAt is when all leases that former leaders have granted to executors have expired.
+	ExecutorLeasesExpireAt tick.Time
 }
 
 // Options configure an Elector.
--- a/internal/services/leader/takeover.go
+++ b/internal/services/leader/takeover.go
@@ -36,7 +36,6 @@
 	jobs := 0
 	t.opts.Replica.Visit(func(b *book.Book) {
 		c.LoadTerm(b.Term(), et.PreviousEpoch, et.RecordedSince)
-		c.LoadEarlierLeases(et.PreviousEpoch, et.EarlierLeasesExpireAt)
 		b.Roster(c.LoadRoster)
 		c.LoadModel(b.Model())
 		b.Jobs(func(e *book.Entry) {
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -68,11 +68,7 @@
 	epoch  uint64
 	// previousLeasesExpireAt is the time from which no run of a previous leader can still hold a lease.
 	previousLeasesExpireAt tick.Time
-	// previousEpoch is the epoch of the previous leader; 0 if it is unknown. From earlierLeasesExpireAt on, no run of a
-	// leader before that one can hold a lease that it has not extended.
-	previousEpoch         uint64
-	earlierLeasesExpireAt tick.Time
-	isTakingOver          bool
+	isTakingOver           bool
 	// heartbeatAt is when the last stored heartbeat of this leader was sent; 0 if it is not stated.
 	heartbeatAt tick.Time
 	// takeoverBeganAt is the time of the first plan, and isAwaitedReported true once the awaited executors are logged.
@@ -80,8 +76,6 @@
 	isAwaitedReported bool
 	// areInheritedRunsOver is true once no executor can still run a task for a previous leader unknown to this one.
 	areInheritedRunsOver bool
-	// areUnreachedRecorded is true once the executors that this leader has not reached are recorded.
-	areUnreachedRecorded bool
 	config               *queue.Configuration
 	jobs                 map[string]*job
 	active               []*job
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -57,12 +57,6 @@
 	isRostered bool
 	// isInherited is true if a previous leader may have sent orders to the executor.
 	isInherited bool
-	// unreachedBy is the epoch of the leader that had not reached the executor according to the inherited roster record; 0
-	// if there is none.
-	unreachedBy uint64
-	// isRecordedUnreached is true from when this leader records that it has not reached the executor until a record
-	// without that is stored.
-	isRecordedUnreached bool
 	// hasResponded is true if the executor has responded to this leader; it then rejects orders of previous leaders.
 	hasResponded bool
 	// endsKnownAt is when the executor last sent a list that had all ends; 0 if its present process has sent none, so that
@@ -197,9 +191,8 @@
 	if !ok || x.isTerminated && x.isSucceededBy(e) {
 		next := newExecutor(e)
 		// A previous leader may have sent orders to the new incarnation.
-		if ok {
-			next.inherit(x)
-		}
+		// A previous leader may have sent orders to the new incarnation.
+		next.isInherited = ok && x.isInherited
 		next.isEntryOld = c.entries.gapEndedAt == readAt
 		x = next
 		c.setExecutor(x)
@@ -353,9 +346,7 @@
 // isUsable reports whether tasks may be started on the executor. An executor with orphaned runs, or with unknown ones
 // whose ends it has not listed, is not usable, since their resources are not accounted for.
 func (x *executor) isUsable(now tick.Time) bool {
-	isRegistered := x.isListed && x.isRostered && !x.isRecordedUnreached
-	hasAnswered := x.hasResponded && x.endsKnownAt != 0 && x.hasClock
+	isRegistered := x.isListed && x.isRostered && x.hasResponded && x.endsKnownAt != 0 && x.hasClock
 	isAvailable := !x.isTerminated && !x.isUnresponsive && !x.entry.Draining && len(x.orphaned) == 0
-	isPermitted := !x.isEvacuated && !now.Before(x.quarantinedUntil)
-	return isRegistered && hasAnswered && isAvailable && isPermitted && x.knowsCapacity(now)
+	return isRegistered && isAvailable && !x.isEvacuated && x.knowsCapacity(now) && !now.Before(x.quarantinedUntil)
 }
--- a/internal/state/cell/holds.go
+++ b/internal/state/cell/holds.go
@@ -56,7 +56,7 @@
 		// query the executor, so that the lease eventually expires.
 		return h, x.target(), 0
 	}
-	if c.longestGrant(now) > 0 && !x.isRecordedUnreached {
+	if c.longestGrant(now) > 0 {
 		h.DeadlineMS = c.extendLease(now, x)
 	}
 	if hasRuns && !x.hasMoreEnds && x.appliedCursor <= x.storedCursor {
@@ -68,7 +68,7 @@
 // holdWait returns how long an executor with runs may delay its response to a hold.
 func (c *Cell) holdWait(x *executor) time.Duration {
 	switch {
-	case x.hasUnsettledRun(), x.isRecordedUnreached:
+	case x.hasUnsettledRun():
 		return settleHoldWait
 	case len(x.latencyCritical) > 0 && len(x.bestEffort) > 0:
 		return c.watchInterval()
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -32,7 +32,6 @@
 	isFirst := !x.hasResponded
 	x.hasResponded = true
 	if isFirst {
-		c.noteReached(x)
 		// A previous leader may have extended the lease until just now.
 		x.leaseExpiresBy = max(x.leaseExpiresBy, now.Add(c.params.LongestLease()))
 	}
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -21,8 +21,6 @@
 	placed  []*run
 	hasTerm bool
 	rosters []*executor
-	// reached has the executors whose records state no longer that they are unreached.
-	reached []*executor
 	cursors map[*executor]uint64
 	retired []string
 }
@@ -63,14 +61,10 @@
 		b.states[j] = p.State
 	}
 	for id, x := range c.pendingRosters {
-		r := c.rosterRecord(x)
-		if err := b.addRecord(book.RosterKey(id), r); err != nil {
+		if err := b.addRecord(book.RosterKey(id), &jobpb.Roster{Executor: id, Address: x.entry.Address}); err != nil {
 			return nil, err
 		}
 		b.rosters = append(b.rosters, x)
-		if r.UnreachedEpoch == 0 {
-			b.reached = append(b.reached, x)
-		}
 	}
 	if c.isModelRecordDue {
 		if err := b.addRecord(book.ModelKey(), c.modelRecord()); err != nil {
@@ -164,8 +158,7 @@
 
 // removeRecord removes what the record stands for from the changes that Commit applies.
 func (c *Cell) removeRecord(b *Batch, key string) {
-	isRemoved := func(x *executor) bool { return book.RosterKey(x.entry.ID) == key }
-	b.rosters, b.reached = slices.DeleteFunc(b.rosters, isRemoved), slices.DeleteFunc(b.reached, isRemoved)
+	b.rosters = slices.DeleteFunc(b.rosters, func(x *executor) bool { return book.RosterKey(x.entry.ID) == key })
 	for j := range b.states {
 		if book.ProgressKey(j.id) != key {
 			continue
@@ -192,9 +185,6 @@
 			j.endedAt = now
 		}
 	}
-	for _, x := range b.reached {
-		x.isRecordedUnreached = false
-	}
 	for _, x := range b.rosters {
 		// The next batch removes the record of an executor that was retired meanwhile.
 		x.isRostered = !c.retired[x.entry.ID]
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -30,7 +30,6 @@
 	}
 	x.isRostered = true
 	x.isInherited = true
-	x.unreachedBy = r.UnreachedEpoch
 	delete(c.pendingRosters, r.Executor)
 }
 
@@ -66,12 +65,8 @@
 // inheritedLeaseExpiry returns when the executor's lease has certainly expired, so that it runs no task that a previous
 // leader started.
 func (c *Cell) inheritedLeaseExpiry(x *executor) tick.Time {
-	switch {
-	case x.hasResponded:
+	if x.hasResponded {
 		return x.leaseExpiresBy
-	case x.unreachedBy != 0 && x.unreachedBy == c.previousEpoch:
-		// The previous leader has granted it no lease.
-		return min(c.earlierLeasesExpireAt, c.previousLeasesExpireAt)
 	}
 	return c.previousLeasesExpireAt
 }
@@ -150,7 +145,6 @@
 		mayRun = mayRun || c.mayRunInherited(now, x)
 		isAwaited = isAwaited || c.isAwaited(now, x)
 	}
-	c.recordUnreached(now)
 	if !mayRun {
 		c.releaseLongRunning(now)
 	}
