Simulate at most one leader that stores heartbeats

Two losses within the election timeout elected two leaders one after the other, and the second counted former leases from the heartbeat of the one before the first, though the first led and went on to store heartbeats. The leader in between now stores its last heartbeat before the claim and acts on without the store until its lease ends.

--- a/internal/state/cell/simelection_test.go
+++ b/internal/state/cell/simelection_test.go
@@ -64,10 +64,17 @@
 	sim.electSuccessor()
 }
 
-// electSuccessor starts a new leader after the election timeout. The last heartbeat of the previous one is now.
+// electSuccessor starts a new leader after the election timeout. The last heartbeat of the present one is now. A leader
+// that is elected in between stores its last heartbeat before the claim of the new one.
 func (sim *simulation) electSuccessor() {
-	previousLeasesExpireAt := sim.now.Add(sim.params.LongestLease())
-	sim.after(simElectionTimeout, func() { sim.newLeader(previousLeasesExpireAt) })
+	old, lastHeartbeat := sim.currentLeader(), sim.now
+	sim.after(simElectionTimeout, func() {
+		if l := sim.currentLeader(); l != old {
+			l.isIsolated = true
+			lastHeartbeat = max(lastHeartbeat, l.leaseUntil.Add(-simLeaseDuration))
+		}
+		sim.newLeader(lastHeartbeat.Add(sim.params.LongestLease()))
+	})
 }
 
 // partition separates a third of the executors from the others, with or without the leader.
