Await executors for a while in a takeover that begins late

If all former leases had expired when a takeover began, as after an outage of the store, tasks were released before any executor had been asked: one that was done could start again. TestLateTakeoverStartsTasksBeforeExecutorsRespond fails without it ("y has not responded").

--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -17,6 +17,9 @@
 	// unreachedEndsWait is how long after its lease an executor that has not responded is awaited while service discovery
 	// lists it, as it may list runs that were done before. Those of long-running tasks never are.
 	unreachedEndsWait = 5 * time.Second
+	// minEndsWait is how long the takeover lasts at least while an executor has not responded. Entries that expired in an
+	// outage of the store are back within that time.
+	minEndsWait = 3 * time.Second
 	// maxAwaitedReported bounds the executors that are logged.
 	maxAwaitedReported = 10
 )
@@ -41,7 +44,7 @@
 
 // isAwaited reports whether the executor may still run tasks that a previous leader started, or have ends of them that
 // it has not listed. Those of an executor that has responded count until its lease expires, which holds of this leader
-// extend.
+// extend. One that has not may still list ends after its lease.
 func (c *Cell) isAwaited(now tick.Time, x *executor) bool {
 	if !x.hasUnknownEnds() {
 		return false
@@ -53,7 +56,7 @@
 	if x.isListed {
 		until = until.Add(unreachedEndsWait)
 	}
-	return now.Before(until)
+	return c.takeoverBeganAt == 0 || now.Before(max(until, c.takeoverBeganAt.Add(minEndsWait)))
 }
 
 // hasUnknownEnds reports whether the executor may have runs of a previous leader, or ends of them, that it has not
@@ -133,13 +136,13 @@
 // completeTakeover releases the tasks that no executor can still run for a previous leader unknown to this one, and
 // ends the takeover once that holds for all tasks.
 func (c *Cell) completeTakeover(now tick.Time) {
+	if c.takeoverBeganAt == 0 {
+		c.takeoverBeganAt = now
+	}
 	c.releaseHeld(now)
 	if !c.isTakingOver {
 		return
 	}
-	if c.takeoverBeganAt == 0 {
-		c.takeoverBeganAt = now
-	}
 	mayRun, isAwaited := false, false
 	for _, x := range c.execs {
 		mayRun = mayRun || c.mayRunInherited(now, x)
--- a/internal/state/cell/takeover_test.go
+++ b/internal/state/cell/takeover_test.go
@@ -155,3 +155,18 @@
 	h.planAndConfirm()
 	assert.Equal(t, h.cell.Usage(h.now).AwaitedExecutors, 0)
 }
+
+// TestLateTakeoverStartsTasksBeforeExecutorsRespond guards against tasks that start again before the executor on which
+// they were done has been asked, as all former leases have expired when the takeover begins.
+func TestLateTakeoverStartsTasksBeforeExecutorsRespond(t *testing.T) {
+	h := newTakeoverHarness(t, bookEntry("begun", &jobpb.Progress{Job: "begun", State: jobpb.State_STATE_RUNNING}))
+	h.advance(time.Minute)
+	h.cell.Discover(h.now, []queue.Executor{testExecutor("x")})
+	h.reportRunning("x")
+	assert.Equal(t, len(startedJobs(h.planAndConfirm())), 0, "y has not responded")
+	h.advance(minEndsWait - time.Millisecond)
+	h.reportRunning("x")
+	assert.Equal(t, len(startedJobs(h.planAndConfirm())), 0, "y has not responded")
+	h.advance(time.Millisecond)
+	assert.DeepEqual(t, startedJobs(h.planAndConfirm()), []string{"begun"})
+}
