Move the leases of the cell into a file; explain what a takeover awaits

Reading for newcomers, from the review: leases.go beside that of elect, one way to the time of the last heartbeat, a cell that knows it from the start, a paragraph on what a takeover awaits. No change of behaviour.

--- a/internal/services/elect/claim.go
+++ b/internal/services/elect/claim.go
@@ -144,6 +144,7 @@
 	l := e.heartbeatRecord(now, epoch)
 	l.Address, l.Resigned = "", true
 	left := e.HeartbeatAt().Add(e.opts.MaxExecutorLease).Sub(now)
+	// 0 would mean that it is not stated.
 	l.ExecutorLeaseMs = max(1, millisUp(left))
 	return l
 }
--- a/internal/services/elect/heartbeat.go
+++ b/internal/services/elect/heartbeat.go
@@ -60,9 +60,7 @@
 
 // lastSentAge returns how long ago the last stored record of the term was sent.
 func (e *Elector) lastSentAge(now tick.Time) time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return now.Sub(e.leaseUntil.Add(-LeaseDuration))
+	return now.Sub(e.HeartbeatAt())
 }
 
 // sendHeartbeat appends one heartbeat. It returns false if another instance has claimed leadership, and the pause
--- a/internal/services/leader/slow_takeover_test.go
+++ b/internal/services/leader/slow_takeover_test.go
@@ -42,8 +42,8 @@
 	return s.Executors.Hold(ctx, t, o)
 }
 
-// TestRunsLapseInSlowTakeover guards against leases of living executors that end because the store and the executors are
-// slow while the leader changes.
+// TestRunsLapseInSlowTakeover guards against leases of living executors that end because the store and the executors
+// are slow while the leader changes.
 func TestRunsLapseInSlowTakeover(t *testing.T) {
 	const slowHold = 550 * time.Millisecond
 	for _, slowAppend := range []time.Duration{400, 600, 700, 800} {
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -12,12 +12,8 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-const (
-	// maxClockDrift is the fraction by which an executor's clock may run slower than the local one.
-	maxClockDrift = 0.02
-	// leaseExpiryMargin is added to the duration of a lease before it counts as expired.
-	leaseExpiryMargin = 50 * time.Millisecond
-)
+// maxClockDrift is the fraction by which an executor's clock may run slower than the local one.
+const maxClockDrift = 0.02
 
 // resources are what tasks need of an executor.
 type resources struct {
@@ -299,50 +295,6 @@
 
 func millis(t tick.Time) float64 { return float64(t) / float64(time.Millisecond) }
 
-const (
-	// fullLeaseAge is how long ago an executor may have carried out an order to be granted the longest lease.
-	fullLeaseAge = 300 * time.Millisecond
-	// minLeaseRatio is the shortest lease that is granted, as a ratio to the longest one.
-	minLeaseRatio = 0.5
-)
-
-// extendLease returns the deadline, on the executor's clock, of a lease that begins now. It records by when that lease
-// will have expired on the local clock.
-func (c *Cell) extendLease(now tick.Time, x *executor) int64 {
-	d := c.leaseDuration(now, x)
-	x.leaseExpiresBy = max(x.leaseExpiresBy, now.Add(longestOnLocalClock(d)))
-	return int64(millis(now)+x.clockOffset(now)) + d.Milliseconds()
-}
-
-// leaseDuration returns the duration of a lease that begins now. It is shorter the longer the executor has not carried
-// out an order, so that a lease granted to one that has crashed meanwhile ends soon after the leases before. The next
-// leader counts the leases from the last heartbeat, so none outlasts that by more than the longest lease.
-func (c *Cell) leaseDuration(now tick.Time, x *executor) time.Duration {
-	age := max(0, now.Sub(x.aliveAt)-fullLeaseAge)
-	shortest := time.Duration(minLeaseRatio * float64(c.params.MaxHold))
-	return min(max(shortest, c.params.MaxHold-age), c.longestGrant(now))
-}
-
-// longestGrant is the duration of the longest lease that the leader may grant now; it is not positive once no lease may
-// begin.
-func (c *Cell) longestGrant(now tick.Time) time.Duration {
-	if c.heartbeatAt == 0 {
-		return c.params.MaxHold
-	}
-	return c.params.MaxHold - now.Sub(c.heartbeatAt)
-}
-
-// NoteHeartbeat states when the last stored heartbeat of this leader was sent.
-func (c *Cell) NoteHeartbeat(at tick.Time) { c.heartbeatAt = max(c.heartbeatAt, at) }
-
-// longestOnLocalClock is the longest time on the local clock for which a lease of the duration can last.
-func longestOnLocalClock(d time.Duration) time.Duration {
-	return time.Duration(float64(d)/(1-maxClockDrift)) + leaseExpiryMargin
-}
-
-// LongestLease is the longest time on the local clock for which a lease granted now can last.
-func (p Params) LongestLease() time.Duration { return longestOnLocalClock(p.MaxHold) }
-
 // isUsable reports whether tasks may be started on the executor. An executor with orphaned runs, or with unknown ones
 // whose ends it has not listed, is not usable, since their resources are not accounted for.
 func (x *executor) isUsable(now tick.Time) bool {
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -11,6 +11,11 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
+// A new leader does not know what runs on an executor that has not listed all its runs and ends. Until the executor's
+// lease has expired (mayRunInherited), no task starts that may still run there. After that, a task that is not
+// long-running may have been done there: it waits until the executor lists its ends or is no longer expected to
+// (isAwaited, mayListEnds).
+
 const (
 	// awaitedReportAfter is how long the takeover lasts before the executors are logged that have not responded.
 	awaitedReportAfter = time.Second
