Ignore what the late record of a replaced leader states of leases

A leader that resigns after it has read the claim of its successor stores its resignation behind that. Change: such statements count only from the newest epoch.

--- a/internal/services/elect/leases.go
+++ b/internal/services/elect/leases.go
@@ -51,9 +51,11 @@
 
 // noteFormerLeases applies what a record that was read at now states about the executor leases of the leaders before
 // its writer. An instance that has not followed these leaders itself can only count from when it reads their records.
-// The caller must hold the mutex.
+// The late record of a leader that has been replaced does not know of its successor. The caller must hold the mutex and
+// not have replaced lastRecord yet.
 func (e *Elector) noteFormerLeases(now tick.Time, l *jobpb.Lead) {
-	if l.ExecutorLeaseMs != 0 {
+	isLate := e.lastRecord != nil && l.Epoch < e.lastRecord.Epoch
+	if l.ExecutorLeaseMs != 0 && !isLate {
 		e.earlierLeasesUntil = min(e.earlierLeasesUntil, now.Add(millis(l.FormerLeasesMs)))
 	}
 }
