--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -187,7 +187,6 @@
 	if !ok || x.isTerminated && x.isSucceededBy(e) {
 		next := newExecutor(e)
 		// A previous leader may have sent orders to the new incarnation.
-		// A previous leader may have sent orders to the new incarnation.
 		next.isInherited = ok && x.isInherited
 		next.isEntryOld = c.entries.gapEndedAt == readAt
 		x = next
