State when executor leases end at the end of a term

What callers saw: a long-running task of a lost executor started again more than 7 s after the last disturbance where the leader changed in between without a fault: 7.24 s after the start of a larger instance, which asks the leader to yield (TestLargerInstanceBeginsWaitAnew), and 7.76, 8.76 and 10.83 s after the loss where the leader resigned 2, 3 and 5 s after it.

Cause: the former leader knew when the last lease of the executor ends, as it had extended none since the loss. Its successor counted a whole lease from the last stored heartbeat.

Change: a leader that yields or resigns states the end of the lease of each executor, in the answer to the request to yield or in the resignation. The successor relies on it for long-running tasks if its claim follows that leader. Ends of other tasks are awaited as before. Nothing is granted or ended earlier: the statement is read after the leader has stopped acting, and each lease is counted before its order is sent.

--- a/internal/services/elect/claim.go
+++ b/internal/services/elect/claim.go
@@ -113,12 +113,13 @@
 	e.ownEpoch, e.yielding = c.epoch, make(chan struct{})
 	t := Term{
 		Epoch: c.epoch, PreviousEpoch: c.previousEpoch, RecordedSince: c.recordedSince,
-		ExecutorLeasesExpireAt: e.earlierLeasesUntil,
+		ExecutorLeasesExpireAt: e.earlierLeasesUntil, LeaseEnds: e.leaseEndsOf(c.previousEpoch),
 	}
 	now := tick.Now()
 	e.opts.Logger.Info().Uint64("epoch", t.Epoch).Uint64("previous-epoch", t.PreviousEpoch).
 		Dur("previous-record-age", now.Sub(c.previousReadAt)).
-		Dur("former-leases-expire-in", t.ExecutorLeasesExpireAt.Sub(now)).Msg("election-won")
+		Dur("former-leases-expire-in", t.ExecutorLeasesExpireAt.Sub(now)).
+		Int("stated-lease-ends", len(t.LeaseEnds)).Msg("election-won")
 	return t
 }
 
@@ -146,6 +147,9 @@
 	left := e.HeartbeatAt().Add(e.opts.MaxExecutorLease).Sub(now)
 	// 0 would mean that it is not stated.
 	l.ExecutorLeaseMs = max(1, millisUp(left))
+	if e.opts.LeaseEnds != nil {
+		l.ExecutorLeases = e.opts.LeaseEnds(epoch).Messages(now)
+	}
 	return l
 }
 
--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -32,6 +32,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/logs"
+	"github.com/ibischute/ibischute/internal/state/expiry"
 	"github.com/ibischute/ibischute/internal/state/rtrip"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -78,6 +79,9 @@
 	RecordedSince uint64
 	// ExecutorLeasesExpireAt is when all leases that former leaders have granted to executors have expired.
 	ExecutorLeasesExpireAt tick.Time
+	// LeaseEnds is when those of single executors have expired, as far as the leader before has stated it at the end of
+	// its term.
+	LeaseEnds expiry.Times
 }
 
 // Options configure an Elector.
@@ -96,9 +100,11 @@
 	// HeartbeatAt of the leader that granted the lease.
 	MaxExecutorLease time.Duration
 	// AskYield asks the instance at the address to give up the lead of the epoch, given the processor capacity of this
-	// one. It returns true if that instance no longer acts as its leader. If it is nil, this instance waits for the
-	// election timeout.
-	AskYield func(ctx context.Context, address string, epoch uint64, cores float64) (bool, error)
+	// one. If it is nil, this instance waits for the election timeout.
+	AskYield func(ctx context.Context, address string, epoch uint64, cores float64) (*jobpb.YieldResponse, error)
+	// LeaseEnds returns when the leases of the executors expire that the leaders up to the one of the epoch, which no
+	// longer acts, have granted. It is nil, or returns nil, if that is unknown.
+	LeaseEnds func(epoch uint64) expiry.Times
 	// RunTerm runs while this instance is the leader. Its context ends with the term.
 	RunTerm func(ctx context.Context, t Term) error
 	Logger  zerolog.Logger
@@ -130,6 +136,9 @@
 	// instance last asked.
 	yieldedByOther     uint64
 	yieldedAt, askedAt tick.Time
+	// statedEnds is what the leader of statedEpoch has stated of the leases of single executors at the end of its term.
+	statedEpoch uint64
+	statedEnds  expiry.Times
 
 	// next is the offset after the last record read. Only Serve uses next, lastReadAt and readableSince.
 	next logs.Offset
@@ -324,6 +333,9 @@
 			e.opts.Logger.Info().Str("leader", l.Instance).Uint64("epoch", l.Epoch).Msg("leader-changed")
 		}
 		e.noteFormerLeases(now, l)
+		if l.Resigned {
+			e.noteLeaseEnds(now, l.Epoch, l.ExecutorLeases)
+		}
 		if isOwn && e.isLeader {
 			e.leaseUntil = max(e.leaseUntil, e.attempt.sentAt.Add(LeaseDuration))
 		}
--- a/internal/services/elect/elect_test.go
+++ b/internal/services/elect/elect_test.go
@@ -15,6 +15,7 @@
 	"github.com/ibischute/ibischute/internal/modules/logs"
 	"github.com/ibischute/ibischute/internal/services/elect"
 	"github.com/ibischute/ibischute/internal/stand/memlog"
+	"github.com/ibischute/ibischute/internal/state/expiry"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -29,8 +30,12 @@
 	view  *memlog.View
 	// refusesAppends makes the store refuse the appends of the process.
 	refusesAppends atomic.Bool
+	// ends is what the process states of leases at the end of each term.
+	ends expiry.Times
 }
 
+func (p *process) leaseEnds(uint64) expiry.Times { return p.ends }
+
 // storeOf is the access of a process to the log.
 type storeOf struct {
 	*memlog.View
@@ -82,7 +87,7 @@
 	p.Elector = elect.New(elect.Options{
 		AskYield: n.askYield,
 		Log:      storeOf{p.view, p}, Instance: name, Address: name, Cores: cores, ClaimDelay: claimDelay,
-		MaxExecutorLease: maxExecutorLease, IsEligible: func() bool { return true },
+		MaxExecutorLease: maxExecutorLease, IsEligible: func() bool { return true }, LeaseEnds: p.leaseEnds,
 		RunTerm: func(ctx context.Context, term elect.Term) error {
 			p.terms <- term
 			<-ctx.Done()
--- a/internal/services/elect/leases.go
+++ b/internal/services/elect/leases.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/state/expiry"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
@@ -60,6 +61,21 @@
 	}
 }
 
+// noteLeaseEnds records what the leader of the epoch has stated of the leases of single executors at the end of its
+// term. Leases end later by the time that the statement was on its way, never sooner. The caller must hold the mutex.
+func (e *Elector) noteLeaseEnds(now tick.Time, epoch uint64, list []*jobpb.ExecutorLease) {
+	e.statedEpoch, e.statedEnds = epoch, expiry.Read(now, list)
+}
+
+// leaseEndsOf returns what the leader of the epoch has stated of the leases of single executors, or nil. The caller
+// must hold the mutex.
+func (e *Elector) leaseEndsOf(epoch uint64) expiry.Times {
+	if epoch == 0 || epoch != e.statedEpoch {
+		return nil
+	}
+	return e.statedEnds
+}
+
 func millis(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // millisUp returns the duration in milliseconds, rounded up; 0 if it is negative.
--- a/internal/services/elect/yield.go
+++ b/internal/services/elect/yield.go
@@ -105,7 +105,8 @@
 		e.opts.Logger.Info().Err(err).Uint64("epoch", epoch).Msg("yield-probe-failed")
 		return false
 	}
-	hasYielded, err := e.opts.AskYield(ctx, address, epoch, e.opts.Cores)
+	answer, err := e.opts.AskYield(ctx, address, epoch, e.opts.Cores)
+	hasYielded := answer.GetYielded()
 	e.opts.Logger.Info().AnErr("cause", err).Uint64("epoch", epoch).Bool("yielded", hasYielded).Msg("yield-requested")
 	if err != nil || !hasYielded {
 		return false
@@ -113,6 +114,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.yieldedByOther, e.yieldedAt = epoch, tick.Now()
+	e.noteLeaseEnds(e.yieldedAt, epoch, answer.ExecutorLeases)
 	return true
 }
 
--- a/internal/services/elect/yield_test.go
+++ b/internal/services/elect/yield_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/services/elect"
 	"github.com/ibischute/ibischute/internal/stand/memlog"
 	"github.com/ibischute/ibischute/pkg/fault"
@@ -22,15 +23,20 @@
 	callTime = time.Millisecond
 )
 
-func (n *network) askYield(ctx context.Context, address string, epoch uint64, cores float64) (bool, error) {
+func (n *network) askYield(
+	ctx context.Context, address string, epoch uint64, cores float64,
+) (*jobpb.YieldResponse, error) {
 	tick.Pause(ctx, callTime)
 	p := n.process(address)
 	if p == nil {
-		return false, fault.New(fault.CodeNotSent, fault.NotRun, "no such process")
+		return nil, fault.New(fault.CodeNotSent, fault.NotRun, "no such process")
+	}
+	answer := &jobpb.YieldResponse{Yielded: p.Yield(tick.Now(), epoch, cores)}
+	if answer.Yielded {
+		answer.ExecutorLeases = p.leaseEnds(epoch).Messages(tick.Now())
 	}
-	hasYielded := p.Yield(tick.Now(), epoch, cores)
 	tick.Pause(ctx, callTime)
-	return hasYielded, nil
+	return answer, nil
 }
 
 // startPair starts a leader a and another instance b.
--- a/internal/services/intake/peer.go
+++ b/internal/services/intake/peer.go
@@ -68,20 +68,24 @@
 
 // Yield implements jobpb.Jobs.
 func (p *PeerServer) Yield(_ context.Context, r *jobpb.YieldRequest) (*jobpb.YieldResponse, error) {
-	return &jobpb.YieldResponse{Yielded: p.intake.opts.Elector.Yield(tick.Now(), r.Epoch, r.Cores)}, nil
+	if !p.intake.opts.Elector.Yield(tick.Now(), r.Epoch, r.Cores) {
+		return &jobpb.YieldResponse{}, nil
+	}
+	ends := p.intake.opts.Leader.LeaseEnds(r.Epoch)
+	return &jobpb.YieldResponse{Yielded: true, ExecutorLeases: ends.Messages(tick.Now())}, nil
 }
 
 // AskYield returns a function that asks the instance at an address to give up the lead of an epoch.
 func AskYield(
 	client *http.Client,
-) func(ctx context.Context, address string, epoch uint64, cores float64) (bool, error) {
-	return func(ctx context.Context, address string, epoch uint64, cores float64) (bool, error) {
+) func(ctx context.Context, address string, epoch uint64, cores float64) (*jobpb.YieldResponse, error) {
+	return func(ctx context.Context, address string, epoch uint64, cores float64) (*jobpb.YieldResponse, error) {
 		request := &jobpb.YieldRequest{Epoch: epoch, Cores: cores}
 		res, err := jobpb.NewJobsProtobufClient("http://"+address, client).Yield(ctx, request)
 		if err != nil {
-			return false, translateLeaderError(err)
+			return nil, translateLeaderError(err)
 		}
-		return res.Yielded, nil
+		return res, nil
 	}
 }
 
--- a/internal/services/leader/handover_test.go
+++ b/internal/services/leader/handover_test.go
@@ -8,21 +8,26 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
 // askYield passes requests to yield to the instance that is asked, if the instances have capacities.
-func (r *rig) askYield() func(ctx context.Context, address string, epoch uint64, cores float64) (bool, error) {
+func (r *rig) askYield() func(
+	ctx context.Context, address string, epoch uint64, cores float64,
+) (*jobpb.YieldResponse, error) {
 	if r.cores == nil {
 		return nil
 	}
-	return func(_ context.Context, address string, epoch uint64, cores float64) (bool, error) {
+	return func(_ context.Context, address string, epoch uint64, cores float64) (*jobpb.YieldResponse, error) {
 		for _, n := range r.nodes {
-			if n.name == address {
-				return n.elector.Yield(tick.Now(), epoch, cores), nil
+			if n.name != address || !n.elector.Yield(tick.Now(), epoch, cores) {
+				continue
 			}
+			ends := n.leader.LeaseEnds(epoch)
+			return &jobpb.YieldResponse{Yielded: true, ExecutorLeases: ends.Messages(tick.Now())}, nil
 		}
-		return false, nil
+		return &jobpb.YieldResponse{}, nil
 	}
 }
 
@@ -48,3 +53,22 @@
 		})
 	}
 }
+
+// TestResignationBeginsWaitAnew guards against a wait that begins anew for a lost executor because the leader resigns.
+func TestResignationBeginsWaitAnew(t *testing.T) {
+	for _, after := range []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				first := r.startNodes(3)
+				executor := r.submitLongRunning(1)
+				r.awaitHeartbeat()
+				lostAt := time.Now()
+				r.calls.edit(func() { r.calls.silent[executor] = true })
+				time.Sleep(after)
+				first.elector.Resign()
+				r.checkRestart(jobID(1), lostAt)
+			})
+		})
+	}
+}
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -26,6 +26,7 @@
 	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/internal/state/cell"
 	"github.com/ibischute/ibischute/internal/state/delay"
+	"github.com/ibischute/ibischute/internal/state/expiry"
 	"github.com/ibischute/ibischute/internal/state/fresh"
 	"github.com/ibischute/ibischute/internal/state/rtrip"
 	"github.com/ibischute/ibischute/pkg/fault"
@@ -80,6 +81,9 @@
 
 	mu   sync.Mutex
 	term *term
+	// lastEpoch is the epoch of the last term that has ended, and lastEnds what LeaseEnds returns for it.
+	lastEpoch uint64
+	lastEnds  expiry.Times
 }
 
 // New returns a Leader without a term.
@@ -211,9 +215,30 @@
 	l.opts.Replica.Observe(nil)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.lastEpoch, l.lastEnds = l.term.epoch, l.term.leaseEnds()
 	l.term = nil
 }
 
+// LeaseEnds returns when the leases expire that the leaders up to the one of the epoch, which this instance no longer
+// is, have granted to executors. It returns nil if that is not known.
+func (l *Leader) LeaseEnds(epoch uint64) expiry.Times {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.term != nil && l.term.epoch == epoch:
+		return l.term.leaseEnds()
+	case l.lastEpoch == epoch:
+		return l.lastEnds
+	}
+	return nil
+}
+
+func (t *term) leaseEnds() expiry.Times {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cell.LeaseEnds()
+}
+
 func (l *Leader) currentTerm() *term {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/services/leader/rig_test.go
+++ b/internal/services/leader/rig_test.go
@@ -137,7 +137,7 @@
 			_, ok := follower.Current()
 			return ok
 		},
-		RunTerm: n.leader.Run, Logger: logger,
+		RunTerm: n.leader.Run, LeaseEnds: n.leader.LeaseEnds, Logger: logger,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.kill = cancel
--- a/internal/services/leader/system_test.go
+++ b/internal/services/leader/system_test.go
@@ -170,7 +170,8 @@
 			_, ok := follower.Current()
 			return ok
 		},
-		AskYield: intake.AskYield(&http.Client{Transport: s}), RunTerm: n.leader.Run, Logger: logger,
+		AskYield: intake.AskYield(&http.Client{Transport: s}), RunTerm: n.leader.Run,
+		LeaseEnds: n.leader.LeaseEnds, Logger: logger,
 	})
 	committer := group.New(group.Options{
 		Log: log, Topic: logs.Intake, LastStoreResponseAt: log.Circuit().LastResponseAt, ReportSilence: log.ReportSilence,
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -30,6 +30,7 @@
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/internal/state/delay"
+	"github.com/ibischute/ibischute/internal/state/expiry"
 	"github.com/ibischute/ibischute/internal/state/interf"
 	"github.com/ibischute/ibischute/internal/state/quant"
 	"github.com/ibischute/ibischute/internal/state/ramp"
@@ -68,7 +69,9 @@
 	epoch  uint64
 	// previousLeasesExpireAt is the time from which no run of a previous leader can still hold a lease.
 	previousLeasesExpireAt tick.Time
-	isTakingOver           bool
+	// statedLeaseEnds is when those of single executors have expired, as far as the previous leader has stated it.
+	statedLeaseEnds expiry.Times
+	isTakingOver    bool
 	// heartbeatAt is when the last stored heartbeat of this leader was sent; 0 if it is not stated.
 	heartbeatAt tick.Time
 	// takeoverBeganAt is the time of the first plan, and isAwaitedReported true once the awaited executors are logged.
--- a/internal/state/cell/model_test.go
+++ b/internal/state/cell/model_test.go
@@ -163,6 +163,26 @@
 	}
 }
 
+// TestModelWithHandovers runs schedules in which leaders that are replaced state to their successors when leases end. A
+// lease that lasts longer than stated would let a long-running task run twice.
+func TestModelWithHandovers(t *testing.T) {
+	handovers := 0
+	for seed := *modelFirst; seed < *modelFirst+uint64(*modelSeeds); seed++ {
+		sim := runScheduleWith(seed, func(sim *simulation, length time.Duration) {
+			sim.hasHandovers, sim.startsBetweenPlans = true, seed%2 == 0
+			x := sim.execs[seed%uint64(len(sim.execs))]
+			for range 3 {
+				at := sim.randomDuration(2*time.Second, length)
+				sim.after(at, func() { x.stalledUntil = sim.now.Add(10 * time.Second) })
+				sim.after(at+sim.randomDuration(0, 7*time.Second), sim.takeover)
+			}
+		})
+		handovers += sim.handovers
+		assert.Assert(t, len(sim.violations) == 0, "seed %d:\n%s", seed, strings.Join(sim.violations, "\n"))
+	}
+	assert.Assert(t, handovers > *modelSeeds, "only %d handovers", handovers)
+}
+
 // runTruncatedSchedule runs the schedule with executors that list only one to three ends at a time, and returns how
 // often the ends on one of them exceeded that.
 func runTruncatedSchedule(seed uint64) (sim *simulation, truncated int) {
--- a/internal/state/cell/simelection_test.go
+++ b/internal/state/cell/simelection_test.go
@@ -6,18 +6,25 @@
 
 	"github.com/ibischute/ibischute/internal/state/aimd"
 	"github.com/ibischute/ibischute/internal/state/book"
+	"github.com/ibischute/ibischute/internal/state/expiry"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
 func (sim *simulation) currentLeader() *simLeader { return sim.leaders[len(sim.leaders)-1] }
 
 func (sim *simulation) newLeader(previousLeasesExpireAt tick.Time) *simLeader {
+	return sim.newInformedLeader(previousLeasesExpireAt, nil)
+}
+
+// newInformedLeader starts a leader to which the former one has stated when leases end.
+func (sim *simulation) newInformedLeader(previousLeasesExpireAt tick.Time, ends expiry.Times) *simLeader {
 	l := &simLeader{
 		sim: sim, epoch: uint64(len(sim.leaders)*3 + 1), leaseUntil: sim.now.Add(simLeaseDuration),
 		isHolding: map[string]bool{}, nextHoldAt: map[string]tick.Time{},
 		startWindow: aimd.New(simMaxStarts, simCallTimeout/2), formerLeasesExpireAt: previousLeasesExpireAt,
 	}
 	l.cell = New(sim.params, l.epoch, previousLeasesExpireAt)
+	l.cell.LoadLeaseEnds(ends)
 	l.cell.Configure(sim.config)
 	l.readEvacuations()
 	sim.fenceEpoch = l.epoch
@@ -50,6 +57,10 @@
 // takeover replaces the leader. The previous one is killed, or continues without the store until its lease expires.
 func (sim *simulation) takeover() {
 	old := sim.currentLeader()
+	if sim.hasHandovers && old.mayHandOver() {
+		sim.handOver()
+		return
+	}
 	if sim.rnd.IntN(3) == 0 {
 		old.isIsolated = true
 	} else {
@@ -58,6 +69,28 @@
 	sim.electSuccessor()
 }
 
+// maxHandoverDelay is the longest time for which the statement of a leader that ends its term is on its way.
+const maxHandoverDelay = 300 * time.Millisecond
+
+func (l *simLeader) mayHandOver() bool {
+	return !l.isKilled && !l.isIsolated && !l.cell.IsFenced() && !l.sim.now.Before(l.pausedUntil)
+}
+
+// handOver ends the term of the leader, which states when leases end to its successor. Its orders under way arrive.
+func (sim *simulation) handOver() {
+	old, sent := sim.currentLeader(), sim.now
+	old.isKilled = true
+	messages := old.cell.LeaseEnds().Messages(sent)
+	lastHeartbeat := old.leaseUntil.Add(-simLeaseDuration)
+	sim.after(sim.randomDuration(0, maxHandoverDelay), func() {
+		if sim.currentLeader() != old {
+			return
+		}
+		sim.handovers++
+		sim.newInformedLeader(lastHeartbeat.Add(sim.params.LongestLease()), expiry.Read(sim.now, messages))
+	})
+}
+
 // replaceLeader ends the leader, which a new one replaces.
 func (sim *simulation) replaceLeader() {
 	sim.currentLeader().isKilled = true
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -71,7 +71,10 @@
 	config     *queue.Configuration
 	execs      []*simExecutor
 	leaders    []*simLeader
-	jobs       map[string]*jobpb.Job
+	// hasHandovers makes leaders that are replaced state to their successors when leases end. handovers counts these.
+	hasHandovers bool
+	handovers    int
+	jobs         map[string]*jobpb.Job
 	// done has the tasks of which a run has ended as done.
 	done map[orders.Task]bool
 	// acked has the tasks of which an end as done was acknowledged to an executor, which then discarded it.
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -76,6 +76,9 @@
 	if x.hasResponded {
 		return x.leaseExpiresBy
 	}
+	if at, ok := c.statedLeaseEnds[x.entry.ID]; ok {
+		return min(at, c.previousLeasesExpireAt)
+	}
 	return c.previousLeasesExpireAt
 }
 
@@ -212,6 +215,6 @@
 		left--
 		c.emit(Event{Name: "executor-awaited", Executor: id, Detail: fmt.Sprintf(
 			"listed %t, draining %t, tasks held back %d, former leases expire in %v",
-			x.isListed, x.entry.Draining, len(c.placements.held[x.hash]), c.previousLeasesExpireAt.Sub(now))})
+			x.isListed, x.entry.Draining, len(c.placements.held[x.hash]), inMillis(c.inheritedLeaseExpiry(x).Sub(now)))})
 	}
 }
