Keep the failed attempts of a gang over a change of leader

Cause: the attempts of the gang were restored from the record of each of its tasks in turn, so that a task that had not failed, and has an entry for its executor only, set them to none.

Change: the attempts that the entries name are joined by run number.

TestNewLeaderForgetsFailuresOfGang failed before (running, not failed).

--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -130,7 +130,7 @@
 	t.checkpoint = tp.Checkpoint
 	t.failedRuns = tp.FailedRuns
 	if t.step.pb.Gang {
-		t.step.gangFailures = tp.FailedRuns
+		t.step.addGangFailures(tp.FailedRuns)
 	}
 	if tp.Done && !t.done {
 		t.markDone()
@@ -138,6 +138,16 @@
 	return t
 }
 
+// addGangFailures counts failed attempts of the gang that the record of one of its tasks names. Only the tasks that
+// have failed name them.
+func (s *step) addGangFailures(runs []uint64) {
+	for _, number := range runs {
+		if !slices.Contains(s.gangFailures, number) {
+			s.gangFailures = append(s.gangFailures, number)
+		}
+	}
+}
+
 func (c *Cell) addJob(acceptedAt tick.Time, pb *jobpb.Job) *job {
 	j := &job{
 		id: pb.Id, pb: pb, acceptedAt: acceptedAt, state: jobpb.State_STATE_QUEUED,
--- a/internal/state/cell/takeover_test.go
+++ b/internal/state/cell/takeover_test.go
@@ -9,6 +9,7 @@
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/internal/state/book"
+	"github.com/ibischute/ibischute/internal/state/chain"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -170,3 +171,24 @@
 	h.advance(time.Millisecond)
 	assert.DeepEqual(t, startedJobs(h.planAndConfirm()), []string{"begun"})
 }
+
+// TestNewLeaderForgetsFailuresOfGang guards against a gang that starts again after its last permitted attempt, because
+// a task that has not failed itself stands behind those that have in the record.
+func TestNewLeaderForgetsFailuresOfGang(t *testing.T) {
+	progress := &jobpb.Progress{Job: "g", State: jobpb.State_STATE_RUNNING, Tasks: []*jobpb.TaskProgress{
+		{Index: 0, FailedRuns: []uint64{1}},
+		{Index: 1, FailedRuns: []uint64{1, 2}},
+		{Index: 2, Executor: chain.Hash("x")},
+	}}
+	e := bookEntry("g", progress)
+	e.Job.Steps[0].Count, e.Job.Steps[0].Gang = 3, true
+	h := newTakeoverHarness(t, e)
+	h.reportRunning("x")
+	h.reportRunning("y")
+	list := startOrders(h.planAndConfirm())
+	assert.Equal(t, len(list), 3)
+	h.reportEnd(list[0], 1, orders.EndedFailed, "")
+	h.commit()
+	state, _ := h.cell.State("g")
+	assert.Equal(t, state, jobpb.State_STATE_FAILED, "the gang has failed three times")
+}
