State done tasks as ranges in records that would be too large

Cause: the record of the job names each done task. With some 30,000 of them it exceeded the log's limit for a record and was left out of each batch, together with the cursors of all executors.

Change: a record that exceeds the limit states its done tasks as ranges of indexes, joined over occurrences, before it gives up checkpoints or placement. Smaller records are as before, since a leader of a former version would take the tasks in ranges for not done.

TestJobOfManyDoneTasksOutgrowsItsRecord failed before: the record was removed. Tasks done in a random order, and the time to encode the record with each batch, are not mended; a record that is too large all the same is still left out.

--- a/internal/state/book/book.go
+++ b/internal/state/book/book.go
@@ -183,7 +183,7 @@
 func (b *Book) forgetPlacement(id string) {
 	p := &jobpb.Progress{Job: id, State: jobpb.State_STATE_QUEUED}
 	if previous := b.entry(id).Progress; previous != nil {
-		p.State, p.Tasks = previous.State, previous.Tasks
+		p.State, p.Tasks, p.Done = previous.State, previous.Tasks, previous.Done
 	}
 	b.entry(id).Progress = p
 }
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -9,6 +9,7 @@
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/internal/state/book"
+	"github.com/ibischute/ibischute/internal/state/done"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -108,6 +109,7 @@
 		return
 	}
 	j.hasStarted = e.Progress.State == jobpb.State_STATE_RUNNING
+	done.Visit(e.Progress.Done, e.Job, j.restoreDone)
 	for _, tp := range e.Progress.Tasks {
 		t := j.restoreProgress(tp)
 		if t == nil {
@@ -120,6 +122,15 @@
 	}
 }
 
+// restoreDone applies that a task is recorded as done.
+func (j *job) restoreDone(occurrence, step, index uint32) {
+	j.materialize(occurrence)
+	t := j.task(orders.Task{Job: j.id, Occurrence: occurrence, Step: step, Index: index})
+	if t != nil && !t.done {
+		t.markDone()
+	}
+}
+
 // restoreProgress applies the recorded progress of a task and returns the task, or nil if there is no such task.
 func (j *job) restoreProgress(tp *jobpb.TaskProgress) *task {
 	j.materialize(tp.Occurrence)
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -9,6 +9,7 @@
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/logs"
 	"github.com/ibischute/ibischute/internal/state/book"
+	"github.com/ibischute/ibischute/internal/state/done"
 	"github.com/ibischute/ibischute/pkg/fault"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -96,11 +97,11 @@
 	return nil
 }
 
-// Fit makes the records of the batch fit the log's limit for a record. It omits the checkpoints of a job whose record
-// is too large, and its placement if that does not suffice. A record that is still too large is removed from the batch,
-// so that it does not count as stored: no end is acknowledged until the job's record fits again, an executor without a
-// roster record gets no run, and the model is recorded later. Fit returns the keys of the reduced records and those of
-// the removed ones.
+// Fit makes the records of the batch fit the log's limit for a record. It states the done tasks of a job whose record
+// is too large as ranges, and omits the checkpoints, and the placement if that does not suffice. A record that is still
+// too large is removed from the batch, so that it does not count as stored: no end is acknowledged until the job's
+// record fits again, an executor without a roster record gets no run, and the model is recorded later. Fit returns the
+// keys of the reduced records and those of the removed ones.
 func (c *Cell) Fit(b *Batch, maxBytes int) (reduced, removed []string) {
 	kept := b.Records[:0]
 	for _, r := range b.Records {
@@ -108,9 +109,8 @@
 			kept = append(kept, r)
 			continue
 		}
-		r = reduceRecord(r, false)
-		if recordBytes(r) > maxBytes {
-			r = reduceRecord(r, true)
+		r, how := reduceRecord(r, maxBytes)
+		if how.omitsPlacement {
 			b.forgetPlacement(r.Key)
 		}
 		if recordBytes(r) > maxBytes {
@@ -128,32 +128,61 @@
 // recordBytes returns the size of a record in the log, which has one byte for the length of the key.
 func recordBytes(r logs.Record) int { return 1 + len(r.Key) + len(r.Value) }
 
-// reduceRecord returns the progress record of a job without checkpoints, or also without the placement of its tasks,
-// and any other record unchanged. After a change of leader, the tasks start from the beginning. If there is no
-// placement, a new leader waits for all executors.
-func reduceRecord(r logs.Record, withoutPlacement bool) logs.Record {
-	p := &jobpb.Progress{}
-	if !strings.HasPrefix(r.Key, book.ProgressKey("")) || proto.Unmarshal(r.Value, p) != nil {
-		return r
+// reduction is a way to make the progress record of a job smaller. Without checkpoints, the tasks start from the
+// beginning after a change of leader. Without the placement, a new leader waits for all executors. Leaders of versions
+// that do not know ranges take the tasks in them for not done.
+type reduction struct {
+	hasRanges, omitsCheckpoints, omitsPlacement bool
+}
+
+// reductions are tried in this order.
+var reductions = []reduction{
+	{hasRanges: true},
+	{omitsCheckpoints: true},
+	{hasRanges: true, omitsCheckpoints: true},
+	{hasRanges: true, omitsCheckpoints: true, omitsPlacement: true},
+}
+
+// reduceRecord returns the progress record of a job after the first reduction with which it fits, or the last one, and
+// that reduction. Any other record is returned unchanged.
+func reduceRecord(r logs.Record, maxBytes int) (logs.Record, reduction) {
+	reduced, last := r, reduction{}
+	for _, how := range reductions {
+		p := &jobpb.Progress{}
+		if !strings.HasPrefix(r.Key, book.ProgressKey("")) || proto.Unmarshal(r.Value, p) != nil {
+			return r, reduction{}
+		}
+		how.apply(p)
+		v, err := proto.Marshal(p)
+		if err != nil {
+			return r, reduction{}
+		}
+		reduced.Value, last = v, how
+		if recordBytes(reduced) <= maxBytes {
+			break
+		}
 	}
-	if withoutPlacement {
+	return reduced, last
+}
+
+func (how reduction) apply(p *jobpb.Progress) {
+	if how.hasRanges {
+		done.Compact(p)
+	}
+	if how.omitsPlacement {
 		p.PlacementEpoch = 0
 	}
-	tasks := p.Tasks[:0]
 	for _, t := range p.Tasks {
-		t.Checkpoint = ""
-		if withoutPlacement {
-			t.Executor = 0
+		if how.omitsCheckpoints {
+			t.Checkpoint = ""
 		}
-		if t.Done || len(t.FailedRuns) > 0 || t.Executor != 0 || len(t.Losses) > 0 {
-			tasks = append(tasks, t)
+		if how.omitsPlacement {
+			t.Executor = 0
 		}
 	}
-	p.Tasks = tasks
-	if v, err := proto.Marshal(p); err == nil {
-		r.Value = v
-	}
-	return r
+	p.Tasks = slices.DeleteFunc(p.Tasks, func(t *jobpb.TaskProgress) bool {
+		return !t.Done && t.Checkpoint == "" && len(t.FailedRuns) == 0 && t.Executor == 0 && len(t.Losses) == 0
+	})
 }
 
 // removeRecord removes what the record stands for from the changes that Commit applies.
--- a/internal/state/cell/record_test.go
+++ b/internal/state/cell/record_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/state/book"
 	"github.com/ibischute/ibischute/internal/state/interf"
 )
 
@@ -82,6 +83,41 @@
 	assert.Equal(t, j.recordedState, jobpb.State_STATE_COMPLETED)
 }
 
+// TestJobOfManyDoneTasksOutgrowsItsRecord guards against a job that comes again and again until its record exceeds the
+// log's limit, so that no end is acknowledged any more.
+func TestJobOfManyDoneTasksOutgrowsItsRecord(t *testing.T) {
+	const occurrences, tasks, limit = 5000, 8, 256 << 10
+	pb := &jobpb.Job{Id: "j", Queue: "q", RepeatCount: occurrences + 1, Steps: []*jobpb.Step{{Count: tasks}}}
+	c := New(Params{}, 1, 0)
+	j := c.addJob(0, pb)
+	j.materialize(occurrences)
+	for _, o := range j.occurrences[:occurrences] {
+		for _, task := range o.steps[0].tasks {
+			task.markDone()
+		}
+	}
+	j.occurrences[occurrences].steps[0].tasks[3].checkpoint = "saved"
+	c.dirty[j.id] = j
+	b, err := c.NextBatch()
+	assert.NilError(t, err)
+	assert.Assert(t, len(b.Records[0].Value) > limit, "the record has only %d bytes", len(b.Records[0].Value))
+	reduced, removed := c.Fit(b, limit)
+	assert.DeepEqual(t, reduced, []string{"p/j"})
+	assert.Equal(t, len(removed), 0)
+	p := &jobpb.Progress{}
+	assert.NilError(t, proto.Unmarshal(b.Records[0].Value, p))
+	next := New(Params{}, 2, 0)
+	next.Load(0, 0, &book.Entry{Job: pb, Progress: p})
+	loaded := next.jobs["j"]
+	assert.Equal(t, len(loaded.occurrences), occurrences+1)
+	for _, o := range loaded.occurrences[:occurrences] {
+		assert.Equal(t, o.unfinished, 0, "occurrence %d", o.index)
+	}
+	last := loaded.occurrences[occurrences].steps[0]
+	assert.Equal(t, last.unfinished, tasks)
+	assert.Equal(t, last.tasks[3].checkpoint, "saved")
+}
+
 // TestTooLargeRecordIsStoredWithoutCheckpoints checks that the ends of a job are stored if its checkpoints do not fit.
 func TestTooLargeRecordIsStoredWithoutCheckpoints(t *testing.T) {
 	const limit = 50
