Ignore election records that are stored behind the claim of a later leader

A long-running task started 0.3 s after the loss of its executor, beside its run.

Cause: a leader without access to the store for some seconds resigned, and its resignation was stored behind the claim of its successor. The resignation counted as the newest record, so that a third leader relied on the lease ends that it states, although the second leader had extended leases since. It also ended the term of the healthy second leader, with which the wait for a lost executor began anew (old).

Change: a record with a lower epoch than the newest one is ignored unless it is a claim by its offset; an instance does not resign from a term that another one has followed. A term that ends before it has taken over states what its predecessor has stated. The ends of an inherited executor are at least those of the former leaders, whether it has responded or not. Yield and statement are one call that tests share with the product.

--- a/internal/services/elect/claim.go
+++ b/internal/services/elect/claim.go
@@ -70,9 +70,12 @@
 	return max(e.lastRecordAt, e.readableSince).Add(electionTimeout + e.stagger())
 }
 
+// claimEpoch returns the epoch of a claim that is stored at the offset.
+func claimEpoch(at logs.Offset) uint64 { return uint64(at) + 1 }
+
 // claim tries to become the leader.
 func (e *Elector) claim(ctx context.Context) (Term, bool) {
-	epoch := uint64(e.next) + 1
+	epoch := claimEpoch(e.next)
 	sent, timeout := tick.Now(), e.claimTimeout()
 	e.continueRecords(epoch)
 	claim, formerLeasesUntil := e.claimRecord(sent, epoch)
@@ -113,13 +116,13 @@
 	e.ownEpoch, e.yielding = c.epoch, make(chan struct{})
 	t := Term{
 		Epoch: c.epoch, PreviousEpoch: c.previousEpoch, RecordedSince: c.recordedSince,
-		ExecutorLeasesExpireAt: e.earlierLeasesUntil, LeaseEnds: e.leaseEndsOf(c.previousEpoch),
+		ExecutorLeasesExpireAt: e.earlierLeasesUntil, StatedLeaseEnds: e.leaseEndsOf(c.previousEpoch),
 	}
 	now := tick.Now()
 	e.opts.Logger.Info().Uint64("epoch", t.Epoch).Uint64("previous-epoch", t.PreviousEpoch).
 		Dur("previous-record-age", now.Sub(c.previousReadAt)).
 		Dur("former-leases-expire-in", t.ExecutorLeasesExpireAt.Sub(now)).
-		Int("stated-lease-ends", len(t.LeaseEnds)).Msg("election-won")
+		Int("stated-lease-ends", len(t.StatedLeaseEnds)).Msg("election-won")
 	return t
 }
 
@@ -147,9 +150,7 @@
 	left := e.HeartbeatAt().Add(e.opts.MaxExecutorLease).Sub(now)
 	// 0 would mean that it is not stated.
 	l.ExecutorLeaseMs = max(1, millisUp(left))
-	if e.opts.LeaseEnds != nil {
-		l.ExecutorLeases = e.opts.LeaseEnds(epoch).Messages(now)
-	}
+	l.ExecutorLeases = e.leaseMessages(now, epoch)
 	return l
 }
 
--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -79,9 +79,9 @@
 	RecordedSince uint64
 	// ExecutorLeasesExpireAt is when all leases that former leaders have granted to executors have expired.
 	ExecutorLeasesExpireAt tick.Time
-	// LeaseEnds is when those of single executors have expired, as far as the leader before has stated it at the end of
-	// its term.
-	LeaseEnds expiry.Times
+	// StatedLeaseEnds is by when the leases of each executor will have expired, if the leader before has stated it at the
+	// end of its term. For an executor that it lacks, ExecutorLeasesExpireAt holds.
+	StatedLeaseEnds expiry.Times
 }
 
 // Options configure an Elector.
@@ -102,8 +102,9 @@
 	// AskYield asks the instance at the address to give up the lead of the epoch, given the processor capacity of this
 	// one. If it is nil, this instance waits for the election timeout.
 	AskYield func(ctx context.Context, address string, epoch uint64, cores float64) (*jobpb.YieldResponse, error)
-	// LeaseEnds returns when the leases of the executors expire that the leaders up to the one of the epoch, which no
-	// longer acts, have granted. It is nil, or returns nil, if that is unknown.
+	// LeaseEnds returns by when the leases will have expired that the leaders up to that of the epoch, a term of this
+	// instance, have granted. It is called once the term has been yielded or has ended. It is nil, or returns nil, if that
+	// is unknown.
 	LeaseEnds func(epoch uint64) expiry.Times
 	// RunTerm runs while this instance is the leader. Its context ends with the term.
 	RunTerm func(ctx context.Context, t Term) error
@@ -136,9 +137,9 @@
 	// instance last asked.
 	yieldedByOther     uint64
 	yieldedAt, askedAt tick.Time
-	// statedEnds is what the leader of statedEpoch has stated of the leases of single executors at the end of its term.
-	statedEpoch uint64
-	statedEnds  expiry.Times
+	// statedLeaseEnds is what the leader of statedEpoch has stated at the end of its term.
+	statedEpoch     uint64
+	statedLeaseEnds expiry.Times
 
 	// next is the offset after the last record read. Only Serve uses next, lastReadAt and readableSince.
 	next logs.Offset
@@ -325,6 +326,10 @@
 			e.isLastUnknown, e.recognized = true, nil
 			continue
 		}
+		if e.isLate(r.Offset, l) {
+			e.opts.Logger.Info().Str("leader", l.Instance).Uint64("epoch", l.Epoch).Msg("late-election-record")
+			continue
+		}
 		isOwn := e.isAttempted(r.Offset, l)
 		if e.lastRecord == nil || e.lastRecord.Epoch != l.Epoch {
 			e.recognizeClaim(isOwn)
@@ -343,3 +348,9 @@
 	}
 	e.next = page.Next(e.next)
 }
+
+// isLate reports whether the record was stored behind the claim of a later leader. It says nothing of that one. A claim
+// has the epoch that its offset determines and is never late. The caller must hold the mutex.
+func (e *Elector) isLate(at logs.Offset, l *jobpb.Lead) bool {
+	return e.lastRecord != nil && l.Epoch < e.lastRecord.Epoch && l.Epoch != claimEpoch(at)
+}
--- a/internal/services/elect/former_lease_test.go
+++ b/internal/services/elect/former_lease_test.go
@@ -162,17 +162,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		log := newLog(t)
 		lease := uint64(maxExecutorLease / time.Millisecond)
-		for i, l := range []*jobpb.Lead{
-			{Instance: "a", Address: "a", Epoch: 1, Process: 1, ExecutorLeaseMs: lease},
-			{Instance: "b", Address: "b", Epoch: 2, Process: 2, ExecutorLeaseMs: lease, FormerLeasesMs: 1},
-			{Instance: "a", Epoch: 1, Process: 1, Resigned: true, ExecutorLeaseMs: 1},
-		} {
-			at := logs.Offset(i)
-			b, err := proto.Marshal(l)
-			assert.NilError(t, err)
-			_, err = log.View().Append(t.Context(), logs.Election, 0, []logs.Record{{Value: b}}, logs.Condition{At: &at})
-			assert.NilError(t, err)
-		}
+		appendRecords(
+			t, log,
+			&jobpb.Lead{Instance: "a", Address: "a", Epoch: 1, Process: 1, ExecutorLeaseMs: lease},
+			&jobpb.Lead{Instance: "b", Address: "b", Epoch: 2, Process: 2, ExecutorLeaseMs: lease, FormerLeasesMs: 1},
+			&jobpb.Lead{Instance: "a", Epoch: 1, Process: 1, Resigned: true, ExecutorLeaseMs: 1},
+		)
 		began := tick.Now()
 		wait := (<-start(t, log, "c", 1, 0).terms).ExecutorLeasesExpireAt.Sub(began)
 		assert.Assert(t, wait >= maxExecutorLease, "waits only for %v", wait)
--- a/internal/services/elect/heartbeat.go
+++ b/internal/services/elect/heartbeat.go
@@ -115,15 +115,20 @@
 		return true
 	}
 	e.apply(tick.Now(), page)
+	return e.isNewest(t.Epoch)
+}
+
+// isNewest reports whether the newest record is of the epoch.
+func (e *Elector) isNewest(epoch uint64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.lastRecord != nil && e.lastRecord.Epoch == t.Epoch
+	return e.lastRecord != nil && e.lastRecord.Epoch == epoch
 }
 
 // announceResignation notifies the other instances after Resign that they may claim without waiting for the election
 // timeout.
 func (e *Elector) announceResignation(t Term) {
-	if !e.isResigning() {
+	if !e.isResigning() || !e.isNewest(t.Epoch) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/internal/services/elect/lease_ends_test.go
+++ b/internal/services/elect/lease_ends_test.go
@@ -5,8 +5,11 @@
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/logs"
 	"github.com/ibischute/ibischute/internal/services/elect"
 	"github.com/ibischute/ibischute/internal/stand/memlog"
 	"github.com/ibischute/ibischute/internal/state/expiry"
@@ -23,7 +26,7 @@
 // checkEnds checks that the term knows the end of the lease of x.
 func checkEnds(t *testing.T, term elect.Term, at tick.Time) {
 	t.Helper()
-	got, ok := term.LeaseEnds["x"]
+	got, ok := term.StatedLeaseEnds["x"]
 	assert.Assert(t, ok, "the end of the lease is unknown")
 	assert.Assert(t, !got.Before(at), "the lease counts as ended %v too early", at.Sub(got))
 	assert.Assert(t, got.Sub(at) <= maxReadDelay, "the lease is awaited for %v too long", got.Sub(at))
@@ -61,6 +64,39 @@
 		checkEnds(t, <-second.terms, at)
 		second.stop()
 		term := <-third.terms
-		assert.Equal(t, len(term.LeaseEnds), 0, "%v", term.LeaseEnds)
+		assert.Equal(t, len(term.StatedLeaseEnds), 0, "%v", term.StatedLeaseEnds)
+	})
+}
+
+// appendRecords stores election records from the start of the log on.
+func appendRecords(t *testing.T, log *memlog.Log, list ...*jobpb.Lead) {
+	t.Helper()
+	for i, l := range list {
+		at := logs.Offset(i)
+		b, err := proto.Marshal(l)
+		assert.NilError(t, err)
+		_, err = log.View().Append(t.Context(), logs.Election, 0, []logs.Record{{Value: b}}, logs.Condition{At: &at})
+		assert.NilError(t, err)
+	}
+}
+
+// TestLateResignationStatesEndsOfSuccessor guards against relying on what a leader states behind the claim of its
+// successor, which has granted further leases.
+func TestLateResignationStatesEndsOfSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newLog(t)
+		lease := uint64(maxExecutorLease / time.Millisecond)
+		appendRecords(
+			t, log,
+			&jobpb.Lead{Instance: "a", Address: "a", Epoch: 1, Process: 1, ExecutorLeaseMs: lease},
+			&jobpb.Lead{Instance: "b", Address: "b", Epoch: 2, Process: 2, ExecutorLeaseMs: lease, FormerLeasesMs: 1},
+			&jobpb.Lead{
+				Instance: "a", Epoch: 1, Process: 1, Resigned: true, ExecutorLeaseMs: 1,
+				ExecutorLeases: []*jobpb.ExecutorLease{{Executor: "x"}},
+			},
+		)
+		term := <-start(t, log, "c", 1, 0).terms
+		assert.Equal(t, term.PreviousEpoch, uint64(2))
+		assert.Equal(t, len(term.StatedLeaseEnds), 0, "%v", term.StatedLeaseEnds)
 	})
 }
--- a/internal/services/elect/leases.go
+++ b/internal/services/elect/leases.go
@@ -52,28 +52,35 @@
 
 // noteFormerLeases applies what a record that was read at now states about the executor leases of the leaders before
 // its writer. An instance that has not followed these leaders itself can only count from when it reads their records.
-// The late record of a leader that has been replaced does not know of its successor. The caller must hold the mutex and
-// not have replaced lastRecord yet.
+// The caller must hold the mutex.
 func (e *Elector) noteFormerLeases(now tick.Time, l *jobpb.Lead) {
-	isLate := e.lastRecord != nil && l.Epoch < e.lastRecord.Epoch
-	if l.ExecutorLeaseMs != 0 && !isLate {
+	if l.ExecutorLeaseMs != 0 {
 		e.earlierLeasesUntil = min(e.earlierLeasesUntil, now.Add(millis(l.FormerLeasesMs)))
 	}
 }
 
-// noteLeaseEnds records what the leader of the epoch has stated of the leases of single executors at the end of its
-// term. Leases end later by the time that the statement was on its way, never sooner. The caller must hold the mutex.
+// leaseMessages states when the leases of each executor will have expired. The term of the epoch must have been yielded
+// or have ended, as later orders would be missing otherwise.
+func (e *Elector) leaseMessages(now tick.Time, epoch uint64) []*jobpb.ExecutorLease {
+	if e.opts.LeaseEnds == nil {
+		return nil
+	}
+	return e.opts.LeaseEnds(epoch).Messages(now)
+}
+
+// noteLeaseEnds records what the leader of the epoch has stated at the end of its term. The ends are later by the time
+// that the statement was on its way, never sooner. The caller must hold the mutex.
 func (e *Elector) noteLeaseEnds(now tick.Time, epoch uint64, list []*jobpb.ExecutorLease) {
-	e.statedEpoch, e.statedEnds = epoch, expiry.Read(now, list)
+	e.statedEpoch, e.statedLeaseEnds = epoch, expiry.Read(now, list)
 }
 
-// leaseEndsOf returns what the leader of the epoch has stated of the leases of single executors, or nil. The caller
-// must hold the mutex.
+// leaseEndsOf returns what the leader of the epoch has stated at the end of its term, or nil. The caller must hold the
+// mutex.
 func (e *Elector) leaseEndsOf(epoch uint64) expiry.Times {
 	if epoch == 0 || epoch != e.statedEpoch {
 		return nil
 	}
-	return e.statedEnds
+	return e.statedLeaseEnds
 }
 
 func millis(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/internal/services/elect/yield.go
+++ b/internal/services/elect/yield.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/logs"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -52,6 +53,14 @@
 	return true
 }
 
+// AnswerYield yields as Yield does, and states when leases end.
+func (e *Elector) AnswerYield(now tick.Time, epoch uint64, cores float64) *jobpb.YieldResponse {
+	if !e.Yield(now, epoch, cores) {
+		return &jobpb.YieldResponse{}
+	}
+	return &jobpb.YieldResponse{Yielded: true, ExecutorLeases: e.leaseMessages(now, epoch)}
+}
+
 // isMuchLarger reports whether an instance should take the lead over from one with the processor capacity of the
 // leader, which is 0 if it is not stated.
 func isMuchLarger(cores, leaderCores float64) bool {
--- a/internal/services/elect/yield_test.go
+++ b/internal/services/elect/yield_test.go
@@ -31,10 +31,7 @@
 	if p == nil {
 		return nil, fault.New(fault.CodeNotSent, fault.NotRun, "no such process")
 	}
-	answer := &jobpb.YieldResponse{Yielded: p.Yield(tick.Now(), epoch, cores)}
-	if answer.Yielded {
-		answer.ExecutorLeases = p.leaseEnds(epoch).Messages(tick.Now())
-	}
+	answer := p.AnswerYield(tick.Now(), epoch, cores)
 	tick.Pause(ctx, callTime)
 	return answer, nil
 }
--- a/internal/services/intake/peer.go
+++ b/internal/services/intake/peer.go
@@ -68,11 +68,7 @@
 
 // Yield implements jobpb.Jobs.
 func (p *PeerServer) Yield(_ context.Context, r *jobpb.YieldRequest) (*jobpb.YieldResponse, error) {
-	if !p.intake.opts.Elector.Yield(tick.Now(), r.Epoch, r.Cores) {
-		return &jobpb.YieldResponse{}, nil
-	}
-	ends := p.intake.opts.Leader.LeaseEnds(r.Epoch)
-	return &jobpb.YieldResponse{Yielded: true, ExecutorLeases: ends.Messages(tick.Now())}, nil
+	return p.intake.opts.Elector.AnswerYield(tick.Now(), r.Epoch, r.Cores), nil
 }
 
 // AskYield returns a function that asks the instance at an address to give up the lead of an epoch.
--- a/internal/services/leader/handover_test.go
+++ b/internal/services/leader/handover_test.go
@@ -21,11 +21,9 @@
 	}
 	return func(_ context.Context, address string, epoch uint64, cores float64) (*jobpb.YieldResponse, error) {
 		for _, n := range r.nodes {
-			if n.name != address || !n.elector.Yield(tick.Now(), epoch, cores) {
-				continue
+			if n.name == address {
+				return n.elector.AnswerYield(tick.Now(), epoch, cores), nil
 			}
-			ends := n.leader.LeaseEnds(epoch)
-			return &jobpb.YieldResponse{Yielded: true, ExecutorLeases: ends.Messages(tick.Now())}, nil
 		}
 		return &jobpb.YieldResponse{}, nil
 	}
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -81,9 +81,10 @@
 
 	mu   sync.Mutex
 	term *term
-	// lastEpoch is the epoch of the last term that has ended, and lastEnds what LeaseEnds returns for it.
-	lastEpoch uint64
-	lastEnds  expiry.Times
+	// lastEpoch is the epoch of the last term that has begun, and lastLeaseEnds what LeaseEnds returns for it before it
+	// takes over and after it has ended.
+	lastEpoch     uint64
+	lastLeaseEnds expiry.Times
 }
 
 // New returns a Leader without a term.
@@ -161,6 +162,7 @@
 		appendTimeout:  rtrip.New(minAppendTimeout, callTimeout),
 		evacuationGate: fresh.New(maxEvacuationsAge, l.opts.EvacuateWithin), startDelays: delay.New(),
 	}
+	l.beginTerm(t)
 	if err := tm.takeOver(ctx, t); err != nil {
 		return err
 	}
@@ -215,22 +217,30 @@
 	l.opts.Replica.Observe(nil)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.lastEpoch, l.lastEnds = l.term.epoch, l.term.leaseEnds()
+	l.lastLeaseEnds = l.term.leaseEnds()
 	l.term = nil
 }
 
-// LeaseEnds returns when the leases expire that the leaders up to the one of the epoch, which this instance no longer
-// is, have granted to executors. It returns nil if that is not known.
+// beginTerm notes what the former leader has stated, which holds until the new one grants leases itself.
+func (l *Leader) beginTerm(t elect.Term) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastEpoch, l.lastLeaseEnds = t.Epoch, t.StatedLeaseEnds
+}
+
+// LeaseEnds returns by when the leases will have expired that the leaders up to that of the epoch, a term of this
+// instance, have granted, or nil if that is unknown. The term must have been yielded or have ended, as later orders
+// would be missing otherwise.
 func (l *Leader) LeaseEnds(epoch uint64) expiry.Times {
+	if t := l.currentTerm(); t != nil && t.epoch == epoch {
+		return t.leaseEnds()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch {
-	case l.term != nil && l.term.epoch == epoch:
-		return l.term.leaseEnds()
-	case l.lastEpoch == epoch:
-		return l.lastEnds
+	if l.lastEpoch != epoch {
+		return nil
 	}
-	return nil
+	return l.lastLeaseEnds
 }
 
 func (t *term) leaseEnds() expiry.Times {
--- a/internal/services/leader/takeover.go
+++ b/internal/services/leader/takeover.go
@@ -29,7 +29,7 @@
 	}
 	now := tick.Now()
 	c := cell.New(t.opts.Params, et.Epoch, et.ExecutorLeasesExpireAt)
-	c.LoadLeaseEnds(et.LeaseEnds)
+	c.LoadLeaseEnds(et.StatedLeaseEnds)
 	c.NoteHeartbeat(t.opts.HeartbeatAt())
 	c.Configure(cfg)
 	t.evacuated = t.opts.Config.Evacuated()
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -69,7 +69,7 @@
 	epoch  uint64
 	// previousLeasesExpireAt is the time from which no run of a previous leader can still hold a lease.
 	previousLeasesExpireAt tick.Time
-	// statedLeaseEnds is when those of single executors have expired, as far as the previous leader has stated it.
+	// statedLeaseEnds is by when the leases of each executor will have expired, if the previous leader has stated it.
 	statedLeaseEnds expiry.Times
 	isTakingOver    bool
 	// heartbeatAt is when the last stored heartbeat of this leader was sent; 0 if it is not stated.
--- a/internal/state/cell/leases.go
+++ b/internal/state/cell/leases.go
@@ -45,17 +45,17 @@
 // NoteHeartbeat states when the last stored heartbeat of this leader was sent.
 func (c *Cell) NoteHeartbeat(at tick.Time) { c.heartbeatAt = max(c.heartbeatAt, at) }
 
-// LoadLeaseEnds states when the leases of single executors expire that previous leaders have granted. It must be called
-// before the first plan.
+// LoadLeaseEnds states by when the leases of each executor will have expired that previous leaders have granted. It
+// must be called before the first plan.
 func (c *Cell) LoadLeaseEnds(ends expiry.Times) { c.statedLeaseEnds = ends }
 
-// LeaseEnds returns when the leases of the executors expire that leaders up to this one have granted.
+// LeaseEnds returns by when the leases of each executor will have expired that leaders up to this one have granted.
 func (c *Cell) LeaseEnds() expiry.Times {
 	ends := make(expiry.Times, len(c.execs))
 	for id, x := range c.execs {
 		ends[id] = x.leaseExpiresBy
 		if x.isInherited {
-			ends[id] = max(x.leaseExpiresBy, c.inheritedLeaseExpiry(x))
+			ends[id] = max(x.leaseExpiresBy, c.formerLeaseExpiry(x))
 		}
 	}
 	return ends
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -76,6 +76,11 @@
 	if x.hasResponded {
 		return x.leaseExpiresBy
 	}
+	return c.formerLeaseExpiry(x)
+}
+
+// formerLeaseExpiry returns when the leases of the executor have certainly expired that previous leaders have granted.
+func (c *Cell) formerLeaseExpiry(x *executor) tick.Time {
 	if at, ok := c.statedLeaseEnds[x.entry.ID]; ok {
 		return min(at, c.previousLeasesExpireAt)
 	}
@@ -214,7 +219,8 @@
 		}
 		left--
 		c.emit(Event{Name: "executor-awaited", Executor: id, Detail: fmt.Sprintf(
-			"listed %t, draining %t, tasks held back %d, former leases expire in %v",
-			x.isListed, x.entry.Draining, len(c.placements.held[x.hash]), inMillis(c.inheritedLeaseExpiry(x).Sub(now)))})
+			"listed %t, draining %t, tasks held back %d, its lease expires in %v, all former leases in %v",
+			x.isListed, x.entry.Draining, len(c.placements.held[x.hash]), inMillis(c.inheritedLeaseExpiry(x).Sub(now)),
+			inMillis(c.previousLeasesExpireAt.Sub(now)))})
 	}
 }
--- a/internal/state/expiry/expiry.go
+++ b/internal/state/expiry/expiry.go
@@ -1,4 +1,4 @@
-// Package expiry passes on when the leases of executors expire, from a leader that ends its term to its successor.
+// Package expiry passes on by when the leases of executors expire, from a leader that ends its term to its successor.
 //
 // # Usage
 //
@@ -13,23 +13,31 @@
 	"github.com/ibischute/ibischute/pkg/tick"
 )
 
-// maxLeft is the longest time that a message may state. Those with more are ignored.
-const maxLeft = time.Hour
+const (
+	// maxLeft is the longest time that a message may state. Those with more are ignored.
+	maxLeft = time.Hour
+	// maxMessages limits the executors that are stated, for the size of a record.
+	maxMessages = 4096
+)
 
-// Times has when the leases of executors have expired, by the ids of the executors.
+// Times has by when the leases of executors will have expired, by the ids of the executors. Nothing is known of an
+// executor that it lacks.
 type Times map[string]tick.Time
 
-// Messages returns the ends as messages that are sent at now, rounded up.
-func (e Times) Messages(now tick.Time) []*jobpb.ExecutorLease {
-	list := make([]*jobpb.ExecutorLease, 0, len(e))
-	for id, at := range e {
+// Messages returns the times as messages that are sent at now, rounded up, or none if there are too many.
+func (t Times) Messages(now tick.Time) []*jobpb.ExecutorLease {
+	if len(t) > maxMessages {
+		return nil
+	}
+	list := make([]*jobpb.ExecutorLease, 0, len(t))
+	for id, at := range t {
 		left := max(0, at.Sub(now)+time.Millisecond-1)
 		list = append(list, &jobpb.ExecutorLease{Executor: id, LeftMs: uint64(left.Milliseconds())})
 	}
 	return list
 }
 
-// Read returns the ends that messages state which were received at now. They are later than those of the sender by the
+// Read returns the times that messages state which were received at now. They are later than those of the sender by the
 // time that the messages were on their way.
 func Read(now tick.Time, list []*jobpb.ExecutorLease) Times {
 	ends := make(Times, len(list))
