Try records without checkpoints and placement before those with ranges

The size of a resignation is limited in bytes, so that it is always stored. Names and comments that the read-through stumbled on.

--- a/internal/services/elect/claim.go
+++ b/internal/services/elect/claim.go
@@ -116,7 +116,7 @@
 	e.ownEpoch, e.yielding = c.epoch, make(chan struct{})
 	t := Term{
 		Epoch: c.epoch, PreviousEpoch: c.previousEpoch, RecordedSince: c.recordedSince,
-		ExecutorLeasesExpireAt: e.earlierLeasesUntil, StatedLeaseEnds: e.leaseEndsOf(c.previousEpoch),
+		ExecutorLeasesExpireAt: e.earlierLeasesUntil, StatedLeaseEnds: e.statedBy(c.previousEpoch),
 	}
 	now := tick.Now()
 	e.opts.Logger.Info().Uint64("epoch", t.Epoch).Uint64("previous-epoch", t.PreviousEpoch).
--- a/internal/services/elect/elect.go
+++ b/internal/services/elect/elect.go
@@ -100,7 +100,8 @@
 	// HeartbeatAt of the leader that granted the lease.
 	MaxExecutorLease time.Duration
 	// AskYield asks the instance at the address to give up the lead of the epoch, given the processor capacity of this
-	// one. If it is nil, this instance waits for the election timeout.
+	// one. The response tells whether that instance no longer acts as its leader, and when leases end if so. If it is nil,
+	// this instance waits for the election timeout.
 	AskYield func(ctx context.Context, address string, epoch uint64, cores float64) (*jobpb.YieldResponse, error)
 	// LeaseEnds returns by when the leases will have expired that the leaders up to that of the epoch, a term of this
 	// instance, have granted. It is called once the term has been yielded or has ended. It is nil, or returns nil, if that
@@ -339,7 +340,7 @@
 		}
 		e.noteFormerLeases(now, l)
 		if l.Resigned {
-			e.noteLeaseEnds(now, l.Epoch, l.ExecutorLeases)
+			e.noteStatement(now, l.Epoch, l.ExecutorLeases)
 		}
 		if isOwn && e.isLeader {
 			e.leaseUntil = max(e.leaseUntil, e.attempt.sentAt.Add(LeaseDuration))
@@ -349,8 +350,9 @@
 	e.next = page.Next(e.next)
 }
 
-// isLate reports whether the record was stored behind the claim of a later leader. It says nothing of that one. A claim
-// has the epoch that its offset determines and is never late. The caller must hold the mutex.
+// isLate reports whether the record is of a leader before that of the newest record, and not a claim. It was stored
+// behind the claim of the later leader and does not end its term. A claim is recognized by its epoch, which its offset
+// determines, also after records with a wrong epoch. The caller must hold the mutex.
 func (e *Elector) isLate(at logs.Offset, l *jobpb.Lead) bool {
 	return e.lastRecord != nil && l.Epoch < e.lastRecord.Epoch && l.Epoch != claimEpoch(at)
 }
--- a/internal/services/elect/leases.go
+++ b/internal/services/elect/leases.go
@@ -68,15 +68,14 @@
 	return e.opts.LeaseEnds(epoch).Messages(now)
 }
 
-// noteLeaseEnds records what the leader of the epoch has stated at the end of its term. The ends are later by the time
-// that the statement was on its way, never sooner. The caller must hold the mutex.
-func (e *Elector) noteLeaseEnds(now tick.Time, epoch uint64, list []*jobpb.ExecutorLease) {
+// noteStatement records what the leader of the epoch has stated at the end of its term. The caller must hold the mutex.
+func (e *Elector) noteStatement(now tick.Time, epoch uint64, list []*jobpb.ExecutorLease) {
 	e.statedEpoch, e.statedLeaseEnds = epoch, expiry.Read(now, list)
 }
 
-// leaseEndsOf returns what the leader of the epoch has stated at the end of its term, or nil. The caller must hold the
+// statedBy returns what the leader of the epoch has stated at the end of its term, or nil. The caller must hold the
 // mutex.
-func (e *Elector) leaseEndsOf(epoch uint64) expiry.Times {
+func (e *Elector) statedBy(epoch uint64) expiry.Times {
 	if epoch == 0 || epoch != e.statedEpoch {
 		return nil
 	}
--- a/internal/services/elect/yield.go
+++ b/internal/services/elect/yield.go
@@ -123,7 +123,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.yieldedByOther, e.yieldedAt = epoch, tick.Now()
-	e.noteLeaseEnds(e.yieldedAt, epoch, answer.ExecutorLeases)
+	e.noteStatement(e.yieldedAt, epoch, answer.ExecutorLeases)
 	return true
 }
 
--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -162,7 +162,7 @@
 		appendTimeout:  rtrip.New(minAppendTimeout, callTimeout),
 		evacuationGate: fresh.New(maxEvacuationsAge, l.opts.EvacuateWithin), startDelays: delay.New(),
 	}
-	l.beginTerm(t)
+	l.noteTerm(t)
 	if err := tm.takeOver(ctx, t); err != nil {
 		return err
 	}
@@ -212,7 +212,7 @@
 	l.term = t
 }
 
-// endTerm stops observing the replica and clears the term.
+// endTerm stops observing the replica and clears the term. It keeps the lease ends, which the resignation states.
 func (l *Leader) endTerm() {
 	l.opts.Replica.Observe(nil)
 	l.mu.Lock()
@@ -221,8 +221,9 @@
 	l.term = nil
 }
 
-// beginTerm notes what the former leader has stated, which holds until the new one grants leases itself.
-func (l *Leader) beginTerm(t elect.Term) {
+// noteTerm keeps the lease ends that the former leader has stated, which LeaseEnds returns until this one has taken
+// over.
+func (l *Leader) noteTerm(t elect.Term) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastEpoch, l.lastLeaseEnds = t.Epoch, t.StatedLeaseEnds
@@ -243,6 +244,7 @@
 	return l.lastLeaseEnds
 }
 
+// leaseEnds returns the lease ends that the cell knows.
 func (t *term) leaseEnds() expiry.Times {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/state/cell/job.go
+++ b/internal/state/cell/job.go
@@ -149,8 +149,8 @@
 	return t
 }
 
-// addGangFailures counts failed attempts of the gang that the record of one of its tasks names. Only the tasks that
-// have failed name them.
+// addGangFailures counts failed attempts of the gang that the record of one of its tasks names. The members of an
+// attempt share its run number, so an attempt that several of them name counts once.
 func (s *step) addGangFailures(runs []uint64) {
 	for _, number := range runs {
 		if !slices.Contains(s.gangFailures, number) {
--- a/internal/state/cell/leases.go
+++ b/internal/state/cell/leases.go
@@ -50,6 +50,7 @@
 func (c *Cell) LoadLeaseEnds(ends expiry.Times) { c.statedLeaseEnds = ends }
 
 // LeaseEnds returns by when the leases of each executor will have expired that leaders up to this one have granted.
+// Former leaders had no runs on an executor that is not inherited.
 func (c *Cell) LeaseEnds() expiry.Times {
 	ends := make(expiry.Times, len(c.execs))
 	for id, x := range c.execs {
--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -97,11 +97,10 @@
 	return nil
 }
 
-// Fit makes the records of the batch fit the log's limit for a record. It states the done tasks of a job whose record
-// is too large as ranges, and omits the checkpoints, and the placement if that does not suffice. A record that is still
-// too large is removed from the batch, so that it does not count as stored: no end is acknowledged until the job's
-// record fits again, an executor without a roster record gets no run, and the model is recorded later. Fit returns the
-// keys of the reduced records and those of the removed ones.
+// Fit makes the records of the batch fit the log's limit for a record. It reduces the record of a job that is too
+// large. A record that is still too large is removed from the batch, so that it does not count as stored: no end is
+// acknowledged until the job's record fits again, an executor without a roster record gets no run, and the model is
+// recorded later. Fit returns the keys of the reduced records and those of the removed ones.
 func (c *Cell) Fit(b *Batch, maxBytes int) (reduced, removed []string) {
 	kept := b.Records[:0]
 	for _, r := range b.Records {
@@ -109,8 +108,8 @@
 			kept = append(kept, r)
 			continue
 		}
-		r, how := reduceRecord(r, maxBytes)
-		if how.omitsPlacement {
+		r, applied := reduceRecord(r, maxBytes)
+		if applied.omitsPlacement {
 			b.forgetPlacement(r.Key)
 		}
 		if recordBytes(r) > maxBytes {
@@ -129,16 +128,18 @@
 func recordBytes(r logs.Record) int { return 1 + len(r.Key) + len(r.Value) }
 
 // reduction is a way to make the progress record of a job smaller. Without checkpoints, the tasks start from the
-// beginning after a change of leader. Without the placement, a new leader waits for all executors. Leaders of versions
-// that do not know ranges take the tasks in them for not done.
+// beginning after a change of leader. Without the placement, a new leader waits for all executors. With ranges, done
+// tasks that follow each other take less space.
 type reduction struct {
 	hasRanges, omitsCheckpoints, omitsPlacement bool
 }
 
-// reductions are tried in this order.
+// reductions are tried in this order. Those with ranges come last, because leaders of versions that do not know ranges
+// start the tasks in them again, and because done tasks that are scattered take more space as ranges.
 var reductions = []reduction{
-	{hasRanges: true},
 	{omitsCheckpoints: true},
+	{omitsCheckpoints: true, omitsPlacement: true},
+	{hasRanges: true},
 	{hasRanges: true, omitsCheckpoints: true},
 	{hasRanges: true, omitsCheckpoints: true, omitsPlacement: true},
 }
@@ -146,37 +147,41 @@
 // reduceRecord returns the progress record of a job after the first reduction with which it fits, or the last one, and
 // that reduction. Any other record is returned unchanged.
 func reduceRecord(r logs.Record, maxBytes int) (logs.Record, reduction) {
-	reduced, last := r, reduction{}
-	for _, how := range reductions {
+	if !strings.HasPrefix(r.Key, book.ProgressKey("")) {
+		return r, reduction{}
+	}
+	reduced, applied := r, reduction{}
+	for _, applied = range reductions {
 		p := &jobpb.Progress{}
-		if !strings.HasPrefix(r.Key, book.ProgressKey("")) || proto.Unmarshal(r.Value, p) != nil {
+		if proto.Unmarshal(r.Value, p) != nil {
 			return r, reduction{}
 		}
-		how.apply(p)
+		applied.apply(p)
 		v, err := proto.Marshal(p)
 		if err != nil {
 			return r, reduction{}
 		}
-		reduced.Value, last = v, how
+		reduced.Value = v
 		if recordBytes(reduced) <= maxBytes {
 			break
 		}
 	}
-	return reduced, last
+	return reduced, applied
 }
 
-func (how reduction) apply(p *jobpb.Progress) {
-	if how.hasRanges {
+// apply reduces the progress, and leaves out tasks of which nothing is left to state.
+func (r reduction) apply(p *jobpb.Progress) {
+	if r.hasRanges {
 		done.Compact(p)
 	}
-	if how.omitsPlacement {
+	if r.omitsPlacement {
 		p.PlacementEpoch = 0
 	}
 	for _, t := range p.Tasks {
-		if how.omitsCheckpoints {
+		if r.omitsCheckpoints {
 			t.Checkpoint = ""
 		}
-		if how.omitsPlacement {
+		if r.omitsPlacement {
 			t.Executor = 0
 		}
 	}
--- a/internal/state/cell/record_test.go
+++ b/internal/state/cell/record_test.go
@@ -118,6 +118,29 @@
 	assert.Equal(t, last.tasks[3].checkpoint, "saved")
 }
 
+// TestScatteredDoneTasksOutgrowTheirRecord guards against a record that fits without checkpoints, but is left out
+// because ranges take more space.
+func TestScatteredDoneTasksOutgrowTheirRecord(t *testing.T) {
+	const tasks, limit = 2000, 10_000
+	c := New(Params{}, 1, 0)
+	j := c.addJob(0, &jobpb.Job{Id: "j", Steps: []*jobpb.Step{{Count: tasks}}})
+	for i, task := range j.occurrences[0].steps[0].tasks {
+		task.done = i%2 == 0
+		if !task.done {
+			task.checkpoint = "checkpoint"
+		}
+	}
+	c.dirty[j.id] = j
+	b, err := c.NextBatch()
+	assert.NilError(t, err)
+	reduced, removed := c.Fit(b, limit)
+	assert.DeepEqual(t, reduced, []string{"p/j"})
+	assert.Equal(t, len(removed), 0)
+	p := &jobpb.Progress{}
+	assert.NilError(t, proto.Unmarshal(b.Records[0].Value, p))
+	assert.Equal(t, len(p.Tasks), tasks/2)
+}
+
 // TestTooLargeRecordIsStoredWithoutCheckpoints checks that the ends of a job are stored if its checkpoints do not fit.
 func TestTooLargeRecordIsStoredWithoutCheckpoints(t *testing.T) {
 	const limit = 50
--- a/internal/state/expiry/expiry.go
+++ b/internal/state/expiry/expiry.go
@@ -1,4 +1,5 @@
-// Package expiry passes on by when the leases of executors expire, from a leader that ends its term to its successor.
+// Package expiry encodes by when the leases of executors will have expired, for a leader that ends its term to tell its
+// successor.
 //
 // # Usage
 //
@@ -16,24 +17,28 @@
 const (
 	// maxLeft is the longest time that a message may state. Those with more are ignored.
 	maxLeft = time.Hour
-	// maxMessages limits the executors that are stated, for the size of a record.
-	maxMessages = 4096
+	// maxBytes limits the size of the messages, so that they fit a record. messageBytes is that of a message without the
+	// id of its executor.
+	maxBytes     = 128 << 10
+	messageBytes = 12
 )
 
 // Times has by when the leases of executors will have expired, by the ids of the executors. Nothing is known of an
 // executor that it lacks.
 type Times map[string]tick.Time
 
-// Messages returns the times as messages that are sent at now, rounded up, or none if there are too many.
+// Messages returns the times as messages that are sent at now, rounded up, or none if they are too large.
 func (t Times) Messages(now tick.Time) []*jobpb.ExecutorLease {
-	if len(t) > maxMessages {
-		return nil
-	}
 	list := make([]*jobpb.ExecutorLease, 0, len(t))
+	size := 0
 	for id, at := range t {
+		size += messageBytes + len(id)
 		left := max(0, at.Sub(now)+time.Millisecond-1)
 		list = append(list, &jobpb.ExecutorLease{Executor: id, LeftMs: uint64(left.Milliseconds())})
 	}
+	if size > maxBytes {
+		return nil
+	}
 	return list
 }
 
--- a/internal/state/expiry/expiry_test.go
+++ b/internal/state/expiry/expiry_test.go
@@ -1,10 +1,13 @@
 package expiry_test
 
 import (
+	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/ibischute/ibischute/internal/modules/jobpb"
@@ -38,3 +41,20 @@
 	}
 	assert.Equal(t, len(expiry.Read(tick.Time(time.Minute), list)), 0)
 }
+
+// TestTooManyEndsExceedRecord guards against a resignation that is not stored because it states too much.
+func TestTooManyEndsExceedRecord(t *testing.T) {
+	const recordBytes = 256 << 10
+	for _, idBytes := range []int{1, 12, 100} {
+		for _, executors := range []int{100, 890, 3000, 20_000} {
+			ends := expiry.Times{}
+			for i := range executors {
+				ends[fmt.Sprintf("%d%s", i, strings.Repeat("x", idBytes))] = tick.Time(time.Hour)
+			}
+			lead := &jobpb.Lead{ExecutorLeases: ends.Messages(tick.Time(time.Minute))}
+			assert.Check(t, proto.Size(lead) < recordBytes/2+executors, "%d executors: %d", executors, proto.Size(lead))
+			isStated := len(lead.ExecutorLeases) == executors
+			assert.Check(t, isStated || executors > 890, "%d executors with ids of %d bytes", executors, idBytes)
+		}
+	}
+}
