--- a/internal/state/cell/record.go
+++ b/internal/state/cell/record.go
@@ -134,8 +134,8 @@
 	hasRanges, omitsCheckpoints, omitsPlacement bool
 }
 
-// reductions are tried in this order. Those with ranges come last, because leaders of versions that do not know ranges
-// start the tasks in them again, and because done tasks that are scattered take more space as ranges.
+// reductions are in the order of preference. Those with ranges come last, because leaders of versions that do not know
+// ranges start the tasks in them again, and because done tasks that are scattered take more space as ranges.
 var reductions = []reduction{
 	{omitsCheckpoints: true},
 	{omitsCheckpoints: true, omitsPlacement: true},
