Review: show that a fraction in the configuration loses accepted jobs

Cause: TargetLatencyMS is an int64 in platform/disc/disc.go, so that the decoder refuses the whole configuration if it is a fraction. Processes that start afterwards have no configuration at all.

Done: case 10 with a script: the configuration changes, 5 s later all processes are killed.

--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -240,3 +240,30 @@
 	}
 	n.w.note("the settings of %s change: %s instead of %s", n.name, to, from)
 }
+
+// config: the configuration changes to a latency target that is a fraction, and all processes are killed.
+func config(dir string, hasTrouble bool) *world {
+	w := newWorld(dir, 3, 4)
+	w.onSignal()
+	w.awaitReady()
+	step := stepSpec{
+		Count: 4, CPU: 2000, MemMB: 500, EstimateMS: 12000, Checkpointed: true,
+		b: behavior{cpu: 2000, needMS: 12000, saves: true},
+	}
+	j := &jobSpec{id: newID(), queue: "r-batch", Spec: "menu", Steps: []stepSpec{step}}
+	w.submit(j, w.nodes[0])
+	time.Sleep(3 * time.Second)
+	w.targetMS = 250
+	if hasTrouble {
+		w.targetMS = 250.5
+	}
+	w.note("the operator writes version 2: target_latency_ms %v", w.targetMS)
+	w.writeConfig(2)
+	time.Sleep(5 * time.Second)
+	for _, n := range w.nodes {
+		n.signal(syscall.SIGKILL)
+	}
+	time.Sleep(40 * time.Second)
+	w.checkStates(j)
+	return w
+}
--- a/review/stand-2/world.go
+++ b/review/stand-2/world.go
@@ -40,6 +40,8 @@
 	program      []string
 	// adviceLine is the setting of the policy service's address, which the queue with hasAdvice uses.
 	adviceLine string
+	// targetMS is the latency target of the queues.
+	targetMS float64
 	// version counts the changes of the configuration.
 	version int
 }
@@ -115,7 +117,7 @@
 		base: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, 1+rand.IntN(250)), dir: tmp, begin: time.Now(), log: logFile,
 		service: "desk", host: "orders.example", store: newStore(), gangs: map[string]*gang{},
 		queues:       []queueSpec{{name: "r-short", prefix: "/short/", maxAttempts: 3}, {name: "r-batch", prefix: "/batch/", priority: 2, maxAttempts: 2}, {name: "r-watch", prefix: "/watch/", maxAttempts: 2}},
-		cancelWithin: 3 * time.Second, program: []string{"target/ibischute", "node", "--metrics-port", "9464"},
+		cancelWithin: 3 * time.Second, targetMS: 500, program: []string{"target/ibischute", "node", "--metrics-port", "9464"},
 	}
 	if p := os.Getenv("PROGRAM"); p != "" {
 		w.program[0] = p
@@ -160,7 +162,7 @@
 	for _, q := range w.queues {
 		route := map[string]any{
 			"name": q.name, "host": w.host, "path_prefix": q.prefix, "kind": "non_idempotent", "timeout_ms": 3000,
-			"target_latency_ms": 500, "priority": q.priority, "service": w.service, "max_attempts": q.maxAttempts,
+			"target_latency_ms": w.targetMS, "priority": q.priority, "service": w.service, "max_attempts": q.maxAttempts,
 			"stretch_factor": 2.0,
 		}
 		if q.hasAdvice {
