--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"os"
 	"syscall"
 	"time"
@@ -267,3 +268,75 @@
 	w.checkStates(j)
 	return w
 }
+
+const (
+	// lastingWait is how long after its last run a task that lasts may be without one, and idleSpan the time for which it
+	// then has to be idle. calmBefore is the time without a disruption before that.
+	lastingWait = 6 * time.Second
+	idleSpan    = 3 * time.Second
+	calmBefore  = 4 * time.Second
+)
+
+// guard: an executor crashes once that runs many tasks that last; there is room for all of them elsewhere.
+func guard(dir string, hasTrouble bool) *world {
+	executorCPU = 64000
+	w := newWorld(dir, 3, 8)
+	w.onSignal()
+	w.awaitReady()
+	step := stepSpec{Count: 12, CPU: 400, MemMB: 400, LongRunning: true, b: behavior{cpu: 400, lasting: true}}
+	var jobs []*jobSpec
+	for i := range guardJobs {
+		s := step
+		j := &jobSpec{id: newID(), queue: "r-watch", Spec: fmt.Sprintf("watch %d", i), Steps: []stepSpec{s}}
+		jobs = append(jobs, j)
+		w.submit(j, w.nodes[i%len(w.nodes)])
+	}
+	time.Sleep(8 * time.Second)
+	victim := w.executors[0]
+	for _, x := range w.executors {
+		w.note("executor %s runs %d tasks", x.id, w.countRuns(x))
+		if w.countRuns(x) > w.countRuns(victim) {
+			victim = x
+		}
+	}
+	if hasTrouble {
+		victim.crash()
+		time.Sleep(2 * time.Second)
+		victim.start()
+	}
+	calmSince := time.Now()
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
+		w.checkLasting(calmSince, jobs)
+	}
+	w.checkStates(jobs...)
+	return w
+}
+
+const guardJobs = 12
+
+// checkLasting checks that each task that lasts runs, as far as the rule asks for it now.
+func (w *world) checkLasting(calmSince time.Time, jobs []*jobSpec) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if now.Sub(calmSince) < calmBefore+idleSpan {
+		return
+	}
+	for _, j := range jobs {
+		for n := range j.Steps[0].Count {
+			ts := w.check.task(taskName{j.id, 0, 0, n})
+			if ts.isReported || ts.runs == nil || !ts.runs[len(ts.runs)-1].isOver {
+				continue
+			}
+			if idle := now.Sub(ts.runs[len(ts.runs)-1].overAt); idle >= lastingWait+idleSpan {
+				ts.isReported = true
+				used := 0
+				for _, x := range w.executors {
+					used += len(x.runs)
+				}
+				w.check.fail("LOST", "%s.0.0.%d is to last and has had no run for %v; %d tasks of 0.4 cores run on 512 cores",
+					j.id, n, idle.Round(100*time.Millisecond), used)
+			}
+		}
+	}
+}
--- a/review/stand-2/check.go
+++ b/review/stand-2/check.go
@@ -76,6 +76,8 @@
 	failedAcked int
 	failed      int
 	lastOverAt  time.Time
+	// isReported is true once the task was found without a run for too long.
+	isReported bool
 }
 
 type doneEnd struct {
--- a/review/stand-2/executor.go
+++ b/review/stand-2/executor.go
@@ -78,6 +78,7 @@
 	failsAtMS  float64
 	isStopping bool
 	isOver     bool
+	overAt     time.Time
 }
 
 type gang struct {
@@ -144,7 +145,7 @@
 	names := []string{}
 	for _, r := range x.runs {
 		names = append(names, fmt.Sprintf("%s/%d", r.name, r.number))
-		r.isOver = true
+		r.isOver, r.overAt = true, time.Now()
 		x.w.breakGang(r)
 	}
 	x.runs = map[string]*run{}
@@ -421,7 +422,7 @@
 	if r.isOver || x.runs[r.name] != r {
 		return
 	}
-	r.isOver = true
+	r.isOver, r.overAt = true, time.Now()
 	delete(x.runs, r.name)
 	x.ended[r.name] = max(x.ended[r.name], r.number)
 	x.endCount++
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -17,7 +17,7 @@
 		os.Exit(2)
 	}
 	play, ok := map[string]func(dir string, hasTrouble bool) *world{
-		"fuzz": fuzz, "foreign": foreign, "crashes": crashes, "clock": clock, "settings": settings, "config": config,
+		"fuzz": fuzz, "foreign": foreign, "crashes": crashes, "clock": clock, "settings": settings, "config": config, "guard": guard, "memory": memory,
 	}[os.Args[1]]
 	if !ok {
 		fmt.Println("no such case")
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -22,10 +22,14 @@
 
 type partition struct {
 	records [][]byte
+	isKeyed bool
 	// first is the first offset that is retained for reads.
 	first     uint64
 	producers map[string]*producer
-	changed   chan struct{}
+	// latest has the index of the newest record of each key, and sorted the keys in order while it is valid.
+	latest  map[string]int
+	sorted  []string
+	changed chan struct{}
 	// appendMu processes the appends one at a time.
 	appendMu sync.Mutex
 }
@@ -48,7 +52,7 @@
 	key := topic + "/" + part
 	p, ok := s.parts[key]
 	if !ok {
-		p = &partition{producers: map[string]*producer{}, changed: make(chan struct{})}
+		p = &partition{producers: map[string]*producer{}, latest: map[string]int{}, isKeyed: strings.HasPrefix(topic, "keyed."), changed: make(chan struct{})}
 		s.parts[key] = p
 	}
 	return p
@@ -70,6 +74,22 @@
 	if len(records) == 0 {
 		return
 	}
+	for i, rec := range records {
+		if !p.isKeyed {
+			break
+		}
+		key := string(rec[1 : 1+int(rec[0])])
+		_, isKnown := p.latest[key]
+		if len(rec) == 1+int(rec[0]) {
+			delete(p.latest, key)
+			p.sorted = nil
+			continue
+		}
+		p.latest[key] = len(p.records) + i
+		if !isKnown {
+			p.sorted = nil
+		}
+	}
 	p.records = append(p.records, records...)
 	close(p.changed)
 	p.changed = make(chan struct{})
@@ -319,22 +339,18 @@
 	after := q.Get("depends_on")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	latest := map[string]int{}
-	for i, rec := range p.records {
-		key := string(rec[1 : 1+int(rec[0])])
-		if len(rec) == 1+int(rec[0]) {
-			delete(latest, key)
-			continue
+	if p.sorted == nil {
+		p.sorted = make([]string, 0, len(p.latest))
+		for k := range p.latest {
+			p.sorted = append(p.sorted, k)
 		}
-		latest[key] = i
+		sort.Strings(p.sorted)
 	}
-	var keys []string
-	for k := range latest {
-		if strings.Compare(k, after) > 0 {
-			keys = append(keys, k)
-		}
+	first := sort.SearchStrings(p.sorted, after)
+	if first < len(p.sorted) && p.sorted[first] == after {
+		first++
 	}
-	sort.Strings(keys)
+	keys := p.sorted[first:]
 	items, size := []any{}, 0
 	hasMore := false
 	for _, k := range keys {
@@ -342,11 +358,11 @@
 			hasMore = true
 			break
 		}
-		rec := p.records[latest[k]]
+		rec := p.records[p.latest[k]]
 		value := rec[1+int(rec[0]):]
 		size += len(value)
 		items = append(items, map[string]any{
-			"key": k, "value": base64.StdEncoding.EncodeToString(value), "offset": latest[k],
+			"key": k, "value": base64.StdEncoding.EncodeToString(value), "offset": p.latest[k],
 		})
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": hasMore, "end": len(p.records)})
--- a/review/stand-2/world.go
+++ b/review/stand-2/world.go
@@ -12,7 +12,9 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -40,6 +42,10 @@
 	program      []string
 	// adviceLine is the setting of the policy service's address, which the queue with hasAdvice uses.
 	adviceLine string
+	// accepted is the number of jobs that load has handed in.
+	accepted atomic.Int64
+	// isQuiet leaves calls out of the record, of which there are too many.
+	isQuiet bool
 	// targetMS is the latency target of the queues.
 	targetMS float64
 	// version counts the changes of the configuration.
@@ -66,6 +72,9 @@
 
 const contact = 3 * time.Second
 
+// executorCPU is the capacity of each executor in thousandths of a core.
+var executorCPU int64 = 16000
+
 // trouble notes a disruption that lasts for the duration from now on.
 func (w *world) trouble(d time.Duration) {
 	w.mu.Lock()
@@ -91,9 +100,18 @@
 }
 
 func (w *world) noteLocked(format string, args ...any) {
+	if w.isQuiet && isCall(format) {
+		return
+	}
 	_, _ = fmt.Fprintf(w.log, "%8.3f %s\n", time.Since(w.begin).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// isCall reports whether the line is about one call or the end of one run.
+func isCall(format string) bool {
+	return strings.HasPrefix(format, "%s %s %s/%d token") || strings.HasPrefix(format, "%s lists the end") ||
+		strings.HasPrefix(format, "client:")
+}
+
 // fatal ends the case as one that could not run.
 func (w *world) fatal(format string, args ...any) {
 	fmt.Printf("could not run: "+format+"\n", args...)
@@ -132,7 +150,7 @@
 	for i := range executors {
 		x := &executor{
 			w: w, id: fmt.Sprintf("i-%08x", rand.Uint32()), ip: fmt.Sprintf("%s.%d", w.base, 150+i), zone: zones[i%3],
-			labels: []string{"a", fmt.Sprintf("r%d", i%4)}, cpu: 16000,
+			labels: []string{"a", fmt.Sprintf("r%d", i%4)}, cpu: executorCPU,
 		}
 		w.executors = append(w.executors, x)
 		x.start()
