End an executor's life only on its own word or its lease

Cause: DiscoverAsOf marked an executor as terminated because the youngest entry at its address was of another id. Ruled out: the lease (6 s; the second start came after 0.3 s) and the executor's answers (it beat and answered all the while). Same class: an entry under the executor's own key with another address, where another executor answers 421.

Change: a claim only has the executor queried. A 421 ends its life only from the address where it was confirmed, or that of its roster record. Entries of services that no configuration names, or with a field missing or of another type, name no executor. Entries below a sequence that the executor did not write are followed from the second rising one on.

--- a/internal/services/leader/leader.go
+++ b/internal/services/leader/leader.go
@@ -114,6 +114,8 @@
 	planWake       chan struct{}
 	commitWake     chan struct{}
 	startWake      chan struct{}
+	// discoverWake ends the pause before the next read of the entries early.
+	discoverWake chan struct{}
 	// placementWake ends the pause after a commit early, because placed runs wait for a record.
 	placementWake chan struct{}
 	adviceWake    chan struct{}
@@ -153,7 +155,7 @@
 	defer cancel()
 	tm := &term{
 		Leader: l, epoch: t.Epoch, planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1),
-		startWake:  make(chan struct{}, 1),
+		startWake: make(chan struct{}, 1), discoverWake: make(chan struct{}, 1),
 		adviceWake: make(chan struct{}, 1), placementWake: make(chan struct{}, 1),
 		failed: make(chan error, 1), holdSenders: map[string]*holdSender{},
 		orderSemaphore: make(chan struct{}, maxOrders),
@@ -313,8 +315,12 @@
 			t.mu.Lock()
 			t.cell.Configure(cfg)
 			t.applyEvacuations(tick.Now())
+			namesUnnamed := t.cell.NamesUnnamedEntry()
 			t.mu.Unlock()
 			t.wakePlan()
+			if namesUnnamed {
+				wake.Send(t.discoverWake)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -337,6 +343,7 @@
 		if err == nil {
 			t.cell.DiscoverAsOf(tick.Now(), sent, list)
 		}
+		claimed := t.cell.UncheckedClaims()
 		if round%diagnoseRounds == 0 {
 			t.cell.Diagnose(tick.Now())
 		}
@@ -352,6 +359,9 @@
 		t.planTimes, t.appendTimes, t.startTimes, t.listTimes = planTimes{}, callTimes{}, callTimes{}, callTimes{}
 		t.mu.Unlock()
 		t.startHoldSenders(ctx, ids)
+		for _, id := range claimed {
+			t.query(ctx, id)
+		}
 		t.logUsage(usage)
 		t.logEvacuations(evacuations)
 		t.logStartWindow(window, pending)
@@ -360,6 +370,6 @@
 		t.logCallTimes(appends, starts, lists)
 		t.wakePlan()
 		t.wakeCommit()
-		tick.Pause(ctx, discoveryInterval)
+		wake.Wait(ctx, t.discoverWake, discoveryInterval)
 	}
 }
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -89,6 +89,7 @@
 	roomIndexes map[string]*roomIndex
 	ratings     int
 	entries     entryReads
+	unnamed     unnamedEntries
 	evacuation  evacuation
 	// replied has the executors that have replied since paces were last adjusted, in the order of their replies.
 	replied []*executor
--- /dev/null
+++ b/internal/state/cell/claims_test.go
@@ -0,0 +1,190 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/ibischute/ibischute/internal/modules/jobpb"
+	"github.com/ibischute/ibischute/internal/modules/orders"
+	"github.com/ibischute/ibischute/pkg/queue"
+)
+
+var claimedStep = &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 5000}
+
+// newHarnessWithRun starts a task on the only executor, "a".
+func newHarnessWithRun(t *testing.T) (*harness, Order) {
+	t.Helper()
+	h := newHarness(t, executorAt("a", "10.0.0.1:80", 1))
+	h.accept("j", "q", claimedStep)
+	list := startOrders(h.planAndConfirm())
+	assert.Equal(t, len(list), 1)
+	h.advance(500 * time.Millisecond)
+	h.cell.Events()
+	return h, list[0]
+}
+
+// discover applies a list of entries, with those of further executors that have room.
+func (h *harness) discover(entries ...queue.Executor) {
+	h.t.Helper()
+	h.cell.Discover(h.now, append(entries, executorAt("free", "10.0.0.9:80", 1)))
+	h.commit()
+	h.reportRunning("free")
+}
+
+// answerQuery applies the reply to a query of the executor, which must be possible.
+func (h *harness) answerQuery(id string, l orders.Lists, outcome orders.Outcome) {
+	h.t.Helper()
+	_, to, ok := h.cell.Query(id)
+	assert.Assert(h.t, ok)
+	h.cell.HandleQueryReply(h.now, h.now, to, l, orders.Reply{Outcome: outcome, ClockMS: 2000})
+}
+
+// TestClaimOfAddressEndsNoRun guards against a task that runs twice because the entry of another executor, which may be
+// from any writer or of a former process, states the address of its executor and a later start.
+func TestClaimOfAddressEndsNoRun(t *testing.T) {
+	h, first := newHarnessWithRun(t)
+	own, other := executorAt("a", "10.0.0.1:80", 1), executorAt("other", "10.0.0.1:80", 9000)
+	h.discover(own, other)
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 0, "the task was started again")
+	assert.DeepEqual(t, h.cell.UncheckedClaims(), []string{"a"})
+	rows := []orders.Running{{Run: first.Start.Run, Percent: 10}}
+	h.answerQuery("a", orders.Lists{StartedMS: 1, Running: rows}, orders.Done)
+	assert.Equal(t, len(h.cell.UncheckedClaims()), 0)
+	h.discover(own, other)
+	assert.Equal(t, len(h.cell.UncheckedClaims()), 0, "the claim was refuted")
+	assert.Equal(t, len(h.cell.execs["a"].runs), 1)
+	h.accept("k", "q", claimedStep)
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 1, "the executor is still used")
+}
+
+// TestClaimOfAddressIsCheckedUntilAnswered checks that a query without a response does not settle a claim, and that the
+// task starts again as soon as another process answers at the address.
+func TestClaimOfAddressIsCheckedUntilAnswered(t *testing.T) {
+	h, _ := newHarnessWithRun(t)
+	h.discover(executorAt("a", "10.0.0.1:80", 1), executorAt("next", "10.0.0.1:80", 9000))
+	h.answerQuery("a", orders.Lists{}, orders.NoResponse)
+	assert.DeepEqual(t, h.cell.UncheckedClaims(), []string{"a"})
+	h.answerQuery("a", orders.Lists{}, orders.OtherIncarnation)
+	assert.Equal(t, len(h.cell.UncheckedClaims()), 0)
+	again := startOrders(h.planAndConfirm())
+	assert.Equal(t, len(again), 1)
+	assert.Equal(t, again[0].Target.ID, "free")
+}
+
+// TestClaimIsReportedOnce guards against an event for each read of a claim whose writer renews it.
+func TestClaimIsReportedOnce(t *testing.T) {
+	h, first := newHarnessWithRun(t)
+	lists := orders.Lists{StartedMS: 1, Running: []orders.Running{{Run: first.Start.Run, Percent: 10}}}
+	claims := 0
+	for i := range 5 {
+		h.discover(executorAt("a", "10.0.0.1:80", 1), executorAt("other", "10.0.0.1:80", 9000+int64(i)))
+		assert.DeepEqual(t, h.cell.UncheckedClaims(), []string{"a"})
+		h.answerQuery("a", lists, orders.Done)
+		for _, e := range h.cell.Events() {
+			if e.Name == "executor-address-claimed" {
+				claims++
+			}
+		}
+	}
+	assert.Equal(t, claims, 1)
+}
+
+// TestReplyFromStatedAddressEndsNoRun guards against a task that runs twice because another writer's entry under the
+// key of its executor states the address of another one, whose reply counts as the end of the executor.
+func TestReplyFromStatedAddressEndsNoRun(t *testing.T) {
+	h, first := newHarnessWithRun(t)
+	own := executorAt("a", "10.0.0.1:80", 1)
+	for name, stated := range map[string]queue.Executor{
+		"same start":  executorAt("a", "10.0.0.9:80", 1),
+		"later start": executorAt("a", "10.0.0.9:80", 9000),
+	} {
+		h.discover(stated)
+		h.refuseAsOther("a")
+		assert.Equal(t, len(startOrders(h.planAndConfirm())), 0, "%s: the task was started again", name)
+		h.accept("k-"+name, "q", claimedStep)
+		for _, o := range startOrders(h.planAndConfirm()) {
+			assert.Equal(t, o.Target.ID, "free", "%s: the executor was never at the address", name)
+		}
+		h.discover(own)
+		h.reportRunning("a", orders.Running{Run: first.Start.Run, Percent: 10})
+		assert.Equal(t, len(h.cell.execs["a"].runs), 1, name)
+	}
+}
+
+// TestNewLeaderTrustsNoStatedAddress guards against a task that runs twice after a change of leader because another
+// writer's entry under the key of its executor states the address of another one.
+func TestNewLeaderTrustsNoStatedAddress(t *testing.T) {
+	h := newChainHarness(t, 5, &jobpb.Term{Epoch: 5, Since: 3}, placedEntry("on-x", 5, "x"))
+	h.reportRunning("y")
+	stated := executorAt("x", "y", 9000)
+	h.cell.Discover(h.now, []queue.Executor{stated, testExecutor("y")})
+	h.refuseAsOther("x")
+	assert.Equal(t, len(startedJobs(h.planAndConfirm())), 0, "the task was started again")
+	h.cell.Discover(h.now, []queue.Executor{testExecutor("x"), testExecutor("y")})
+	h.refuseAsOther("x")
+	assert.DeepEqual(t, startedJobs(h.planAndConfirm()), []string{"on-x"})
+}
+
+// TestEntryOfUnnamedServiceNamesNoExecutor guards against calls to and roster records of what another writer has left
+// among the entries. Executors of a service that a configuration names later are used from then on.
+func TestEntryOfUnnamedServiceNamesNoExecutor(t *testing.T) {
+	h, _ := newHarnessWithRun(t)
+	own, unnamed := executorAt("a", "10.0.0.1:80", 1), executorAt("printer", "10.0.0.1:80", 9000)
+	unnamed.Service = "printing"
+	h.discover(own, unnamed)
+	assert.Equal(t, len(h.cell.UncheckedClaims()), 0)
+	assert.Assert(t, h.cell.execs["printer"] == nil)
+	assert.Assert(t, !h.cell.NamesUnnamedEntry())
+	// Under the key of an executor, such an entry changes nothing.
+	unnamed.ID = "a"
+	h.discover(unnamed)
+	x := h.cell.execs["a"]
+	assert.Equal(t, x.entry.Service, "svc")
+	assert.Assert(t, x.isListed)
+	assert.Equal(t, len(x.runs), 1)
+	unnamed.ID = "printer"
+	h.discover(own, unnamed)
+	next := *h.cell.config
+	next.Version++
+	next.Services = map[string]queue.Service{"svc": enforcing["svc"], "printing": {Name: "printing"}}
+	h.cell.Configure(&next)
+	assert.Assert(t, h.cell.NamesUnnamedEntry())
+	h.discover(own, unnamed)
+	assert.Assert(t, h.cell.execs["printer"] != nil)
+	assert.Assert(t, !h.cell.NamesUnnamedEntry())
+}
+
+// TestExecutorKeepsRunsWhenServiceIsRemoved guards against runs that end because a configuration no longer names the
+// service of their executor.
+func TestExecutorKeepsRunsWhenServiceIsRemoved(t *testing.T) {
+	h, _ := newHarnessWithRun(t)
+	next := *h.cell.config
+	next.Version++
+	next.Services, next.Queues = map[string]queue.Service{"later": {Name: "later"}}, nil
+	h.cell.Configure(&next)
+	h.cell.Discover(h.now, []queue.Executor{executorAt("a", "10.0.0.1:80", 1)})
+	x := h.cell.execs["a"]
+	assert.Assert(t, x.isListed)
+	assert.Equal(t, len(x.runs), 1)
+}
+
+// TestEntryWithHigherSequenceIsReplaced guards against an executor that counts as ready for good because another writer
+// has stated a higher sequence under its key, so that its own later entries count as older.
+func TestEntryWithHigherSequenceIsReplaced(t *testing.T) {
+	h, _ := newHarnessWithRun(t)
+	own := executorAt("a", "10.0.0.1:80", 1)
+	own.Sequence = 7
+	stated := own
+	stated.Sequence = 1 << 30
+	h.discover(stated)
+	own.Draining = true
+	for range 3 {
+		h.discover(own)
+		assert.Assert(t, !h.cell.execs["a"].entry.Draining, "one older entry may be a late write")
+	}
+	own.Sequence++
+	h.discover(own)
+	assert.Assert(t, h.cell.execs["a"].entry.Draining)
+}
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -47,6 +47,8 @@
 	entry queue.Executor
 	// hash names the executor in the records of jobs.
 	hash uint32
+	// lateSequence is the sequence of the last entry if that is older than the known one, and 0 otherwise.
+	lateSequence int64
 	// isListed is true while service discovery lists the executor.
 	isListed bool
 	// isRostered is true if a stored record shows that this leader may send orders to the executor.
@@ -105,6 +107,14 @@
 	aliveAt, orderRepliedAt tick.Time
 	// heldAddress is the address for which the last hold was returned; empty before the first one.
 	heldAddress string
+	// confirmedAddress is where the executor last carried out an order, or that of its roster record before that.
+	confirmedAddress string
+	// claim is the entry of another executor at the same address that states a later start. isClaimUnchecked is true
+	// until the executor has been asked about it.
+	claim            claim
+	isClaimUnchecked bool
+	// isMisdirected is true if another executor answers at the address of the entry, where this one was never confirmed.
+	isMisdirected bool
 	// hasMoreEnds is true if the executor may have ends that its last list lacks.
 	hasMoreEnds bool
 	// isUnresponsive is true if the last hold got no response or was refused, and unansweredHolds the number of such holds
@@ -158,10 +168,14 @@
 	c.expireSlow(now)
 	c.noteEntriesRead(readAt)
 	listed := make(map[string]bool, len(list))
-	// latest has the entry of the youngest process at each address. Entries may outlive their processes.
 	latest := make(map[string]queue.Executor, len(list))
+	c.unnamed.begin()
 	for _, e := range list {
 		listed[e.ID] = true
+		if !c.namesExecutor(e) {
+			c.noteUnnamed(e)
+			continue
+		}
 		if e.StartedMS > latest[e.Address].StartedMS {
 			latest[e.Address] = e
 		}
@@ -172,10 +186,7 @@
 			x.isListed = false
 			c.emit(Event{Name: "executor-unlisted", Executor: id})
 		}
-		if next := latest[x.entry.Address]; next.ID != id && x.entry.StartedMS != 0 && next.StartedMS > x.entry.StartedMS {
-			c.noteOutage(now, x, true)
-			c.markTerminated(x, "address taken over by "+next.ID)
-		}
+		c.noteClaim(x, latest[x.entry.Address])
 		if x.entry.Draining || x.isTerminated || !x.isListed {
 			c.retire(now, id, x)
 		}
@@ -193,7 +204,7 @@
 		c.setExecutor(x)
 		c.emit(Event{Name: "executor-listed", Executor: e.ID, Detail: e.Address})
 	}
-	if x.isNewerThan(e) {
+	if x.isLate(e) {
 		// The store may carry out a write after a later one. The next entry replaces both.
 		x.isListed = true
 		return
@@ -230,6 +241,18 @@
 	return isSameProcess && e.Sequence != 0 && e.Sequence < x.entry.Sequence
 }
 
+// isLate reports whether the entry is older than the known one. If a further one follows that is older as well, the
+// known one was not written by the executor.
+func (x *executor) isLate(e queue.Executor) bool {
+	if !x.isNewerThan(e) {
+		x.lateSequence = 0
+		return false
+	}
+	isFurther := x.lateSequence != 0 && e.Sequence > x.lateSequence
+	x.lateSequence = e.Sequence
+	return !isFurther
+}
+
 // isSucceededBy reports whether the entry belongs to a later incarnation of the executor.
 func (x *executor) isSucceededBy(e queue.Executor) bool {
 	return e.Address != x.entry.Address || e.StartedMS != 0 && e.StartedMS != x.entry.StartedMS
@@ -297,7 +320,8 @@
 // isUsable reports whether tasks may be started on the executor. An executor with orphaned runs, or with unknown ones
 // whose ends it has not listed, is not usable, since their resources are not accounted for.
 func (x *executor) isUsable(now tick.Time) bool {
-	isRegistered := x.isListed && x.isRostered && x.hasResponded && x.endsKnownAt != 0 && x.hasClock
+	isConfirmed := x.hasResponded && x.confirmedAddress == x.entry.Address
+	isRegistered := x.isListed && x.isRostered && isConfirmed && x.endsKnownAt != 0 && x.hasClock
 	isAvailable := !x.isTerminated && !x.isUnresponsive && !x.entry.Draining && len(x.orphaned) == 0
 	return isRegistered && isAvailable && !x.isEvacuated && x.knowsCapacity(now) && !now.Before(x.quarantinedUntil)
 }
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -97,6 +97,9 @@
 // carried out by the executor's present incarnation.
 func (c *Cell) applyReply(now tick.Time, x *executor, address string, reply orders.Reply) bool {
 	c.noteReply(x)
+	if isAnswer(reply.Outcome) && address == x.entry.Address {
+		x.isClaimUnchecked = false
+	}
 	switch {
 	case reply.Outcome == orders.NoResponse, reply.Outcome == orders.NotSent, reply.Outcome == orders.Withheld:
 		return false
@@ -106,8 +109,7 @@
 	case address != x.entry.Address:
 		return false
 	case reply.Outcome == orders.OtherIncarnation:
-		c.noteOutage(now, x, true)
-		c.markTerminated(x, "response from another incarnation")
+		c.handleOtherIncarnation(now, x, address)
 		return false
 	}
 	x.sampleClock(now, reply.ClockMS)
@@ -115,6 +117,7 @@
 		return false
 	}
 	x.aliveAt = now
+	x.confirmAddress(address)
 	return true
 }
 
--- a/internal/state/cell/simexecutor_test.go
+++ b/internal/state/cell/simexecutor_test.go
@@ -83,6 +83,9 @@
 	x.sim.after(down, func() {
 		x.isDown = false
 		x.restart()
+		if x.sim.foreign != nil {
+			x.entryStartedMS = x.startedMS
+		}
 	})
 }
 
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -118,6 +118,8 @@
 	serveDelay time.Duration
 	// capacities is set if the capacities of the executors change.
 	capacities *simCapacities
+	// foreign is set if another writer leaves entries among those of the executors.
+	foreign *simForeignWriter
 	// endsPerList is the number of ends that executors list at a time.
 	endsPerList int
 	// crashModel has the tasks that crash their executors; nil if there are none.
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -38,6 +38,7 @@
 	}
 	x.isRostered = true
 	x.isInherited = true
+	x.confirmedAddress = r.Address
 	delete(c.pendingRosters, r.Executor)
 }
 
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -5,7 +5,10 @@
 //	q, ok := configuration.Match(host, path)
 package queue
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Version is the version number of a configuration.
 type Version uint64
@@ -88,6 +91,14 @@
 	return Queue{}, false
 }
 
+// NamesService reports whether the configuration defines the service or has a queue that uses it.
+func (c *Configuration) NamesService(name string) bool {
+	if _, ok := c.Services[name]; ok {
+		return true
+	}
+	return slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.Service == name })
+}
+
 // Executor is the entry of an executor in service discovery.
 type Executor struct {
 	ID      string
