--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -34,6 +34,7 @@
 	// unstoredSince is when the store last took records or there were none.
 	unstoredSince tick.Time
 	isHolding     map[string]bool
+	isQuerying    map[string]bool
 	nextHoldAt    map[string]tick.Time
 	startWindow   *aimd.Window
 	// evacuated are the evacuated domains that the leader has read.
@@ -146,6 +147,34 @@
 		list = append(list, x.entry())
 	}
 	l.cell.Discover(l.sim.now, l.sim.foreign.apply(list))
+	for _, id := range l.cell.UncheckedClaims() {
+		l.query(id)
+	}
+}
+
+// query requests the lists of an executor, besides its hold.
+func (l *simLeader) query(id string) {
+	h, to, ok := l.cell.Query(id)
+	if !ok || l.isQuerying[id] {
+		return
+	}
+	sim, x := l.sim, l.executor(id)
+	l.isQuerying[id] = true
+	sent := sim.now
+	finish := func(lists orders.Lists, r orders.Reply) {
+		delete(l.isQuerying, id)
+		if !l.isKilled {
+			l.cell.HandleQueryReply(sim.now, sent, to, lists, r)
+		}
+	}
+	answering, isOther := sim.processFor(x, to.Address)
+	sim.call(l, answering, func() func() {
+		if isOther || sim.processAt(x) != x {
+			return func() { finish(orders.Lists{}, orders.Reply{Outcome: orders.OtherIncarnation}) }
+		}
+		lists, r := x.hold(h)
+		return func() { finish(lists, r) }
+	}, func() { finish(orders.Lists{}, orders.Reply{Outcome: orders.NoResponse}) })
 }
 
 // isEntryMissing reports whether service discovery does not list the executor.
