--- a/internal/services/leader/advice_test.go
+++ b/internal/services/leader/advice_test.go
@@ -32,7 +32,9 @@
 func TestAdviceIsAskedForExecutorWithLabel(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
-		r.queues[0].Advice = &queue.AdviceTiming{DecisionMS: 5, PeriodMS: 1, ValidityMS: 20000}
+		r.queues[0].Advice = &queue.AdviceTiming{
+			Decision: 5 * time.Millisecond, Period: time.Millisecond, Validity: 20 * time.Second,
+		}
 		r.advisor = labelAdvisor{}
 		r.decode = func(id string, _ []byte) (queue.Executor, error) {
 			e, err := decodeExecutor(id, nil)
--- a/internal/state/cell/advice.go
+++ b/internal/state/cell/advice.go
@@ -62,7 +62,7 @@
 		}
 		c.isAdvicePending = true
 		a := s.job.queue.Advice
-		decisionTime := time.Duration(a.DecisionMS+int64(len(ids))*a.PeriodMS) * time.Millisecond
+		decisionTime := a.Decision + time.Duration(len(ids))*a.Period
 		return AdviceRequest{Step: s.tasks[0].id, Executors: ids, Timeout: decisionTime + time.Second}, true
 	}
 	return AdviceRequest{}, false
--- a/internal/state/cell/advice_test.go
+++ b/internal/state/cell/advice_test.go
@@ -16,7 +16,7 @@
 	h := newHarness(t, testExecutor("a"), testExecutor("b"), testExecutor("c"))
 	h.cell.Configure(&queue.Configuration{Version: 2, Services: enforcing, Queues: []queue.Queue{{
 		Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000,
-		Advice: &queue.AdviceTiming{DecisionMS: 5, PeriodMS: 1, ValidityMS: 3000},
+		Advice: &queue.AdviceTiming{Decision: 5 * time.Millisecond, Period: time.Millisecond, Validity: 3 * time.Second},
 	}}})
 	h.accept("j", "q", &jobpb.Step{Count: 2, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 5000})
 	return h
--- a/internal/state/cell/crowded_test.go
+++ b/internal/state/cell/crowded_test.go
@@ -138,7 +138,9 @@
 func adviseCrowdedFleet(c *Cell) {
 	cfg := &queue.Configuration{Version: c.config.Version + 1, Services: c.config.Services}
 	for _, q := range c.config.Queues {
-		q.Advice = &queue.AdviceTiming{DecisionMS: 5, PeriodMS: 1, ValidityMS: 3000}
+		q.Advice = &queue.AdviceTiming{
+			Decision: 5 * time.Millisecond, Period: time.Millisecond, Validity: 3 * time.Second,
+		}
 		cfg.Queues = append(cfg.Queues, q)
 	}
 	c.Configure(cfg)
--- a/internal/state/cell/rooms_test.go
+++ b/internal/state/cell/rooms_test.go
@@ -126,7 +126,7 @@
 		{Name: "q0", Service: "svc", MaxAttempts: 9, StretchFactor: 2, TargetMS: 500},
 		{
 			Name: "q1", Service: "svc", MaxAttempts: 9, StretchFactor: 2, TargetMS: 1000, Priority: 1,
-			Advice: &queue.AdviceTiming{DecisionMS: 5, PeriodMS: 1, ValidityMS: 1000},
+			Advice: &queue.AdviceTiming{Decision: 5 * time.Millisecond, Period: time.Millisecond, Validity: time.Second},
 		},
 		{Name: "q2", Service: "other", MaxAttempts: 9, StretchFactor: 2, TargetMS: 500},
 	}})
--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -186,7 +186,7 @@
 	h := newHarness(t, list...)
 	h.cell.Configure(&queue.Configuration{Version: 2, Services: enforcing, Queues: []queue.Queue{{
 		Name: "q", Service: "svc", MaxAttempts: 4, StretchFactor: 2, TargetMS: 1000,
-		Advice: &queue.AdviceTiming{DecisionMS: 5, PeriodMS: 1, ValidityMS: testTicketValidity.Milliseconds()},
+		Advice: &queue.AdviceTiming{Decision: 5 * time.Millisecond, Period: time.Millisecond, Validity: testTicketValidity},
 	}}})
 	return h
 }
@@ -258,7 +258,7 @@
 	h := newHarness(t, testExecutor("a"))
 	with := queue.Queue{
 		Name: "q", Service: "svc", MaxAttempts: 3, StretchFactor: 2, TargetMS: 1000,
-		Advice: &queue.AdviceTiming{DecisionMS: 10},
+		Advice: &queue.AdviceTiming{Decision: 10 * time.Millisecond},
 	}
 	h.cell.Configure(&queue.Configuration{Version: 2, Services: enforcing, Queues: []queue.Queue{with}})
 	h.accept("job", "q", &jobpb.Step{Count: 1, MilliCpu: 1000, MemoryMb: 100, EstimateMs: 300})
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -8,6 +8,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
 // Version is the version number of a configuration.
@@ -35,10 +36,10 @@
 	Advice *AdviceTiming
 }
 
-// AdviceTiming states how long the policy service of a queue takes to decide, which is DecisionMS plus PeriodMS for
-// each executor in the request, and how long its tickets are valid.
+// AdviceTiming states how long the policy service of a queue takes to decide, which is Decision plus Period for each
+// executor in the request, and how long its tickets are valid.
 type AdviceTiming struct {
-	DecisionMS, PeriodMS, ValidityMS int64
+	Decision, Period, Validity time.Duration
 }
 
 // Service is a pool of executors.
