Log what shows that a run is over

Its log cannot tell why: an executor that counts as replaced, a restart, a list that lacks the run and an expired lease are all logged as "run-over detail=lapsed", and executor-gone names no task.

--- a/internal/state/cell/claims_test.go
+++ b/internal/state/cell/claims_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -188,3 +189,71 @@
 	h.discover(own)
 	assert.Assert(t, h.cell.execs["a"].entry.Draining)
 }
+
+// TestEndOfRunStatesItsEvidence guards against logs that do not tell why a task was started again: all of these ends
+// were logged as lapsed.
+func TestEndOfRunStatesItsEvidence(t *testing.T) {
+	for evidence, end := range map[string]func(h *harness, o Order){
+		"lapsed: response from another incarnation at 10.0.0.1:80": func(h *harness, _ Order) { h.refuseAsOther("a") },
+		"lapsed: executor restarted, started 1, then 9000": func(h *harness, _ Order) {
+			h.answerQuery("a", orders.Lists{StartedMS: 9000}, orders.Done)
+		},
+		"lapsed: not in the list, confirmed true": func(h *harness, _ Order) {
+			h.answerQuery("a", orders.Lists{StartedMS: 1}, orders.Done)
+		},
+		"lapsed: lease expired ": func(h *harness, _ Order) {
+			h.cell.Discover(h.now, nil)
+			h.advance(h.cell.params.LongestLease())
+			h.planAndConfirm()
+		},
+		"lapsed": func(h *harness, o Order) { h.reportEnd(o, 1, orders.EndedLeaseExpired, "") },
+	} {
+		h, first := newHarnessWithRun(t)
+		end(h, first)
+		details := map[string]bool{}
+		for _, e := range h.cell.Events() {
+			if e.Name == "run-over" && e.Task == first.Start.Run.Task {
+				details[e.Detail] = true
+			}
+		}
+		assert.Equal(t, len(details), 1, evidence)
+		for detail := range details {
+			assert.Assert(t, strings.HasPrefix(detail, evidence), "%s, want %s", detail, evidence)
+			assert.Assert(t, evidence != "lapsed" || detail == evidence, detail)
+		}
+	}
+}
+
+// TestNewLeaderStatesEvidence checks that the log tells why a new leader starts a task that a former one may have
+// started.
+func TestNewLeaderStatesEvidence(t *testing.T) {
+	h := newChainHarness(t, 5, &jobpb.Term{Epoch: 5, Since: 3},
+		placedEntry("on-x", 5, "x"), placedEntry("on-y", 5, "y"), placedEntry("on-z", 5, "z"))
+	h.reportRunning("x")
+	h.planAndConfirm()
+	h.advance(10 * time.Second)
+	h.planAndConfirm()
+	got := map[string]string{}
+	for _, e := range h.cell.Events() {
+		if e.Name == "task-released" {
+			got[e.Task.Job] = e.Detail
+		}
+	}
+	assert.Equal(t, got["on-x"], "all runs and ends listed")
+	assert.Assert(t, strings.HasPrefix(got["on-y"], "lease expired 5s ago"), got["on-y"])
+	assert.Equal(t, got["on-z"], "not in the roster")
+}
+
+// TestStaleClaimOfLaterStartEndsNoRun guards against a task that runs twice because the entry of a former process at
+// the address states a later start: the wall clock of the machine was set back.
+func TestStaleClaimOfLaterStartEndsNoRun(t *testing.T) {
+	h, first := newHarnessWithRun(t)
+	former := executorAt("former", "10.0.0.1:80", 9000)
+	for range 6 {
+		h.advance(500 * time.Millisecond)
+		h.discover(former, executorAt("a", "10.0.0.1:80", 1))
+		h.reportRunning("a", orders.Running{Run: first.Start.Run, Percent: 10})
+		assert.Equal(t, len(startOrders(h.planAndConfirm())), 0)
+	}
+	assert.Equal(t, len(h.cell.execs["a"].runs), 1)
+}
--- a/internal/state/cell/crashes.go
+++ b/internal/state/cell/crashes.go
@@ -292,9 +292,9 @@
 	c.dirty[t.id.Job] = t.step.job
 }
 
-// releaseLost releases a run whose executor was lost.
-func (c *Cell) releaseLost(r *run, isConfirmed bool) {
-	c.releaseRun(r, orders.EndedLeaseExpired)
+// releaseLost releases a run whose executor was lost by the evidence.
+func (c *Cell) releaseLost(r *run, isConfirmed bool, evidence string) {
+	c.releaseRun(r, orders.EndedLeaseExpired, evidence)
 	c.recordLoss(r, isConfirmed)
 }
 
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -291,7 +291,7 @@
 	x.isTerminated = true
 	c.emit(Event{Name: "executor-gone", Executor: x.entry.ID, Detail: reason})
 	for _, r := range x.runs {
-		c.releaseLost(r, true)
+		c.releaseLost(r, true, reason)
 	}
 	c.observeIncarnation(x.hash, x.processStart()+1, true)
 	c.speed.Drop(x.entry.ID)
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -146,7 +146,7 @@
 	}
 	if r, ok := x.runs[e.Run.Task]; ok && r.id == e.Run && r.task != c.task(e.Run.Task) {
 		// The run belongs to a job that has ended.
-		c.releaseRun(r, e.Reason)
+		c.releaseRun(r, e.Reason, listedEnd)
 		return
 	}
 	if t := c.task(e.Run.Task); t != nil {
--- a/internal/state/cell/releases.go
+++ b/internal/state/cell/releases.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"fmt"
+
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -29,9 +31,10 @@
 		switch {
 		case !isConfirmed && !isStopped && !isLate:
 		case x.hasRestartedSince(r):
-			c.releaseLost(r, true)
+			c.releaseLost(r, true, fmt.Sprintf("executor restarted, started %d, then %d", r.incarnation, x.startedMS))
 		default:
-			c.releaseRun(r, orders.EndedLeaseExpired)
+			c.releaseRun(r, orders.EndedLeaseExpired, fmt.Sprintf(
+				"not in the list, confirmed %t, stopped %t, order late %t", isConfirmed, isStopped, isLate))
 		}
 	}
 }
@@ -50,12 +53,22 @@
 		}
 		for _, r := range x.runs {
 			if !r.isPlaced && (!x.isListed || !c.mayBeDone(r)) {
-				c.releaseLost(r, false)
+				c.releaseLost(r, false, x.expiryEvidence(now))
 			}
 		}
 	}
 }
 
+// listedEnd is the evidence for an end that the executor has listed.
+const listedEnd = ""
+
+// expiryEvidence states what shows that the executor's lease has expired.
+func (x *executor) expiryEvidence(now tick.Time) string {
+	return fmt.Sprintf("lease expired %v ago, last list %v ago, last order carried out %v ago, listed %t, confirmed at %q",
+		inMillis(now.Sub(x.leaseExpiresBy)), inMillis(now.Sub(x.lastResponseAt)), inMillis(now.Sub(x.aliveAt)), x.isListed,
+		x.confirmedAddress)
+}
+
 // mayBeDone reports whether the run may have been done before the lease of its executor expired.
 func (c *Cell) mayBeDone(r *run) bool {
 	if r.task.step.pb.LongRunning || r.task.done {
--- a/internal/state/cell/replies.go
+++ b/internal/state/cell/replies.go
@@ -74,7 +74,7 @@
 		Name: "start-refused", Task: id.Task, Run: id.Number, Executor: x.entry.ID,
 		Detail: reply.Outcome.String() + " " + reply.Detail,
 	})
-	c.releaseRun(r, orders.EndedNotStarted)
+	c.releaseRun(r, orders.EndedNotStarted, reply.Outcome.String())
 }
 
 // DoubtStart records that the response to a start order is overdue, so that the next list of the executor settles
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -158,8 +158,9 @@
 	return (c.epoch-1)*runNumbersPerEpoch + t.startCount
 }
 
-// releaseRun removes a run that is known to be over, so that its task can be started again unless it is done.
-func (c *Cell) releaseRun(r *run, reason orders.EndReason) {
+// releaseRun removes a run that is known to be over, so that its task can be started again unless it is done. The
+// evidence is that for an end that the executor has not listed, for the log.
+func (c *Cell) releaseRun(r *run, reason orders.EndReason, evidence string) {
 	x := r.exec
 	if x.runs[r.id.Task] != r {
 		return
@@ -180,7 +181,11 @@
 	if r.checkpoint != "" && t.step.pb.Checkpointing && !t.done {
 		t.keepCheckpoint(r.checkpoint)
 	}
-	c.emit(Event{Name: "run-over", Task: r.id.Task, Run: r.id.Number, Executor: x.entry.ID, Detail: string(reason)})
+	detail := string(reason)
+	if evidence != "" {
+		detail += ": " + evidence
+	}
+	c.emit(Event{Name: "run-over", Task: r.id.Task, Run: r.id.Number, Executor: x.entry.ID, Detail: detail})
 }
 
 // keepCheckpoint records the checkpoint from which the task resumes. Members of a gang share it.
@@ -204,7 +209,7 @@
 		if e.Reason == orders.EndedDone && !t.step.pb.LongRunning {
 			c.completeTask(now, t)
 		}
-		c.releaseRun(r, e.Reason)
+		c.releaseRun(r, e.Reason, listedEnd)
 		if e.Reason == orders.EndedFailed {
 			c.recordFailure(now, t, e.Run.Number, x, r)
 		}
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -133,10 +134,13 @@
 		}
 	}
 	for hash, tasks := range c.placements.held {
+		name := ""
 		left := slices.DeleteFunc(tasks, func(t *task) bool {
 			isReleased := !mayRun[hash] && (t.step.pb.LongRunning || !mayListEnds[hash])
 			if isReleased {
 				t.heldFor = 0
+				name = cmp.Or(name, c.executorName(hash))
+				c.emit(Event{Name: "task-released", Task: t.id, Executor: name, Detail: c.releaseEvidence(now, name)})
 			}
 			return isReleased
 		})
@@ -147,6 +151,21 @@
 	}
 }
 
+// releaseEvidence states why no run of a previous leader is left on the executor that this one does not know of.
+func (c *Cell) releaseEvidence(now tick.Time, id string) string {
+	x, ok := c.execs[id]
+	switch {
+	case !ok || !x.isInherited:
+		return "not in the roster"
+	case x.isTerminated:
+		return "another incarnation has answered"
+	case x.endsKnownAt != 0:
+		return "all runs and ends listed"
+	}
+	return fmt.Sprintf("lease expired %v ago, responded %t, listed %t",
+		inMillis(now.Sub(c.inheritedLeaseExpiry(x))), x.hasResponded, x.isListed)
+}
+
 // completeTakeover releases the tasks that no executor can still run for a previous leader unknown to this one, and
 // ends the takeover once that holds for all tasks.
 func (c *Cell) completeTakeover(now tick.Time) {
