Apply the lists of a process with an earlier start time

An executor that restarts under its id after the wall clock of its machine was set back states an earlier start than the process before. All its lists counted as overtaken ones of that process, for good: it got no work, and its ends were not acknowledged.

Change: a list with an earlier start is outdated only if its call was sent before the last list arrived. The process that answers a later call is not an earlier one.

--- a/internal/state/cell/claims_test.go
+++ b/internal/state/cell/claims_test.go
@@ -257,3 +257,30 @@
 	}
 	assert.Equal(t, len(h.cell.execs["a"].runs), 1)
 }
+
+// TestListWithEarlierStartIsThatOfNextProcess guards against an executor that is never used again because the wall
+// clock of its machine was set back before it restarted.
+func TestListWithEarlierStartIsThatOfNextProcess(t *testing.T) {
+	h := newHarness(t, executorAt("a", "10.0.0.1:80", 9000))
+	for range 2 {
+		// The second list states the clock of the process that the first one has shown.
+		h.answerQuery("a", orders.Lists{StartedMS: 9000}, orders.Done)
+	}
+	h.accept("j", "q", claimedStep)
+	first := startOrders(h.planAndConfirm())
+	assert.Equal(t, len(first), 1)
+	running := orders.Lists{StartedMS: 9000, Running: []orders.Running{{Run: first[0].Start.Run, Percent: 10}}}
+	h.advance(100 * time.Millisecond)
+	sentBefore := h.now
+	h.advance(100 * time.Millisecond)
+	h.answerQuery("a", running, orders.Done)
+	overtaken := orders.Lists{StartedMS: 1}
+	_, to, _ := h.cell.Query("a")
+	h.cell.HandleQueryReply(h.now, sentBefore, to, overtaken, orders.Reply{Outcome: orders.Done, ClockMS: 2000})
+	assert.Equal(t, len(h.cell.execs["a"].runs), 1, "the list may be that of an earlier process")
+	h.advance(100 * time.Millisecond)
+	h.answerQuery("a", overtaken, orders.Done)
+	assert.Equal(t, len(h.cell.execs["a"].runs), 0)
+	h.answerQuery("a", overtaken, orders.Done)
+	assert.Equal(t, len(startOrders(h.planAndConfirm())), 1, "the executor is used again")
+}
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -8,17 +8,18 @@
 )
 
 // isOutdated reports whether the lists are older than those applied before. Responses on different connections may
-// overtake each other.
-func (x *executor) isOutdated(l orders.Lists, reply orders.Reply) bool {
+// overtake each other. The process that answers a call sent after the last list is not an earlier one, even if it
+// states an earlier start: the wall clock of its machine may have been set back.
+func (x *executor) isOutdated(sent tick.Time, l orders.Lists, reply orders.Reply) bool {
 	if l.StartedMS != x.startedMS {
-		return l.StartedMS != 0 && l.StartedMS < x.startedMS
+		return l.StartedMS != 0 && l.StartedMS < x.startedMS && !sent.After(x.lastResponseAt)
 	}
 	return reply.ClockMS < x.listedClockMS
 }
 
 // applyLists applies the lists in the reply to a hold or a query.
 func (c *Cell) applyLists(now, sent tick.Time, x *executor, h orders.Hold, l orders.Lists, reply orders.Reply) {
-	if !c.applyReply(now, x, x.heldAddress, reply) || x.isOutdated(l, reply) {
+	if !c.applyReply(now, x, x.heldAddress, reply) || x.isOutdated(sent, l, reply) {
 		return
 	}
 	if x.startedMS != 0 && l.StartedMS != 0 && l.StartedMS != x.startedMS {
