--- a/internal/state/cell/capacity.go
+++ b/internal/state/cell/capacity.go
@@ -24,11 +24,6 @@
 	haveSequences bool
 }
 
-// String returns the resources for the log.
-func (r resources) String() string {
-	return fmt.Sprintf("%d mCPU, %d MB, %d GPUs", r.milliCPU, r.memoryMB, r.gpus)
-}
-
 // setCapacity applies the capacity that an entry states.
 func (c *Cell) setCapacity(x *executor, total resources) {
 	if x.isListed && x.total != total {
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/ibischute/ibischute/internal/modules/jobpb"
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/internal/state/chain"
 	"github.com/ibischute/ibischute/internal/state/ramp"
@@ -15,33 +14,6 @@
 // maxClockDrift is the fraction by which an executor's clock may run slower than the local one.
 const maxClockDrift = 0.02
 
-// resources are what tasks need of an executor.
-type resources struct {
-	milliCPU, memoryMB, gpus int64
-}
-
-// resourcesOf returns what a task of the step needs. The CPU of best-effort tasks is accounted for separately, since
-// they may also use CPU that latency-critical tasks leave idle (see freeBestEffortMilliCPU).
-func resourcesOf(s *jobpb.Step) resources {
-	r := resources{milliCPU: int64(s.MilliCpu), memoryMB: int64(s.MemoryMb), gpus: int64(s.Gpus)}
-	if s.Fills {
-		r.milliCPU = 0
-	}
-	return r
-}
-
-func (r resources) plus(o resources) resources {
-	return resources{r.milliCPU + o.milliCPU, r.memoryMB + o.memoryMB, r.gpus + o.gpus}
-}
-
-func (r resources) minus(o resources) resources {
-	return resources{r.milliCPU - o.milliCPU, r.memoryMB - o.memoryMB, r.gpus - o.gpus}
-}
-
-func (r resources) covers(o resources) bool {
-	return r.milliCPU >= o.milliCPU && r.memoryMB >= o.memoryMB && r.gpus >= o.gpus
-}
-
 // executor is the tracked state of one executor.
 type executor struct {
 	entry queue.Executor
@@ -160,121 +132,6 @@
 // satisfies reports whether the executor has the label that a step requires. An empty label is always satisfied.
 func (x *executor) satisfies(label string) bool { return label == "" || x.hasLabel(label) }
 
-// Discover applies the complete list of executors from service discovery, as of now.
-func (c *Cell) Discover(now tick.Time, list []queue.Executor) { c.DiscoverAsOf(now, now, list) }
-
-// DiscoverAsOf applies a complete list that was up to date at the time readAt.
-func (c *Cell) DiscoverAsOf(now, readAt tick.Time, list []queue.Executor) {
-	c.expireSlow(now)
-	c.noteEntriesRead(readAt)
-	listed := make(map[string]bool, len(list))
-	latest := make(map[string]queue.Executor, len(list))
-	c.unnamed.begin()
-	for _, e := range list {
-		listed[e.ID] = true
-		if !c.namesExecutor(e) {
-			c.noteUnnamed(e)
-			continue
-		}
-		if e.StartedMS > latest[e.Address].StartedMS {
-			latest[e.Address] = e
-		}
-		c.applyEntry(now, readAt, e)
-	}
-	for id, x := range c.execs {
-		if !listed[id] && x.isListed {
-			x.isListed = false
-			c.emit(Event{Name: "executor-unlisted", Executor: id})
-		}
-		c.noteClaim(x, latest[x.entry.Address])
-		if x.entry.Draining || x.isTerminated || !x.isListed {
-			c.retire(now, id, x)
-		}
-	}
-}
-
-func (c *Cell) applyEntry(now, readAt tick.Time, e queue.Executor) {
-	x, ok := c.execs[e.ID]
-	if !ok || x.isTerminated && x.isSucceededBy(e) {
-		next := newExecutor(e)
-		// A previous leader may have sent orders to the new incarnation.
-		next.isInherited = ok && x.isInherited
-		next.isEntryOld = c.entries.gapEndedAt == readAt
-		x = next
-		c.setExecutor(x)
-		c.emit(Event{Name: "executor-listed", Executor: e.ID, Detail: e.Address})
-	}
-	if x.isLate(e) {
-		// The store may carry out a write after a later one. The next entry replaces both.
-		x.isListed = true
-		return
-	}
-	if e.Draining && !x.entry.Draining {
-		x.drainDeadline = now.Add(time.Duration(e.RemainingMS) * time.Millisecond)
-		c.emit(Event{Name: "executor-draining", Executor: e.ID})
-	}
-	if e.StartedMS != 0 && x.startedMS != 0 && e.StartedMS != x.startedMS {
-		// Nothing is started on a restarted executor until its lists show which runs it has.
-		x.hasResponded, x.endsKnownAt = false, 0
-	}
-	if !e.Draining {
-		c.observeIncarnation(x.hash, e.StartedMS, false)
-	}
-	if x.isSucceededBy(e) {
-		x.warmUp = ramp.Ramp{}
-	}
-	x.warmUp.Observe(now, time.Duration(e.ColdRemainingMS)*time.Millisecond)
-	c.noteCapacityRead(x, readAt, e)
-	c.setCapacity(x, resources{e.MilliCPU, e.MemoryMB, e.GPUs})
-	x.entry = e
-	x.isListed = true
-	x.isEvacuated = c.evacuation.domains[e.Domain]
-	x.enforcesCapacity = c.enforcesCapacity(e.Service)
-	if !x.isRostered && !x.isTerminated && !x.entry.Draining && !c.retired[e.ID] {
-		c.pendingRosters[e.ID] = x
-	}
-}
-
-// isNewerThan reports whether the known entry was written after e by the same process.
-func (x *executor) isNewerThan(e queue.Executor) bool {
-	isSameProcess := e.StartedMS != 0 && e.StartedMS == x.entry.StartedMS && e.Address == x.entry.Address
-	return isSameProcess && e.Sequence != 0 && e.Sequence < x.entry.Sequence
-}
-
-// isLate reports whether the entry is older than the known one. If a further one follows that is older as well, the
-// known one was not written by the executor.
-func (x *executor) isLate(e queue.Executor) bool {
-	if !x.isNewerThan(e) {
-		x.lateSequence = 0
-		return false
-	}
-	isFurther := x.lateSequence != 0 && e.Sequence > x.lateSequence
-	x.lateSequence = e.Sequence
-	return !isFurther
-}
-
-// isSucceededBy reports whether the entry belongs to a later incarnation of the executor.
-func (x *executor) isSucceededBy(e queue.Executor) bool {
-	return e.Address != x.entry.Address || e.StartedMS != 0 && e.StartedMS != x.entry.StartedMS
-}
-
-// retire removes a draining, terminated or unlisted executor from the roster once no run can exist on it, so that later
-// leaders do not wait for it.
-func (c *Cell) retire(now tick.Time, id string, x *executor) {
-	if len(x.runs) > 0 || len(x.orphaned) > 0 || c.isAwaited(now, x) {
-		return
-	}
-	delete(c.pendingRosters, id)
-	if x.isRostered {
-		x.isRostered = false
-		c.retired[id] = true
-	}
-	if !x.isListed && (x.isTerminated || now.After(x.leaseExpiresBy)) {
-		c.dropExecutor(id)
-		c.speed.Drop(id)
-	}
-}
-
 func newExecutor(e queue.Executor) *executor {
 	return &executor{
 		entry: e, hash: chain.Hash(e.ID), total: resources{e.MilliCPU, e.MemoryMB, e.GPUs},
