--- a/internal/state/cell/unnamed.go
+++ b/internal/state/cell/unnamed.go
@@ -7,11 +7,13 @@
 
 // unnamedEntries are the entries of services that the configuration does not name, as of the last list.
 type unnamedEntries struct {
+	// services has the services of the entries, by id.
 	services map[string]string
 	// reported has the services of the entries that were logged, by id.
 	reported map[string]string
 }
 
+// begin begins a new list. An entry that the last one lacked is logged again if it comes back.
 func (u *unnamedEntries) begin() {
 	for id := range u.reported {
 		if _, ok := u.services[id]; !ok {
