Log the entry on which a start is based

Change: the line of a start has the start time of the process that wrote the entry (born), that of the process of the last list (listed-born), and the time since the leader first read the entry as it was last written (entry-age).

--- a/internal/services/leader/usage.go
+++ b/internal/services/leader/usage.go
@@ -164,6 +164,9 @@
 		if e.Detail != "" {
 			l = l.Str("detail", e.Detail)
 		}
+		if r := e.Entry; r != nil {
+			l = l.Int64("born", r.StartedMS).Int64("listed-born", r.ListedMS).Dur("entry-age", r.Age)
+		}
 		l.Msg(e.Name)
 	}
 }
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -160,6 +160,17 @@
 	// Queue and Stages are set with FirstWait: the queue of the task and the parts of the wait.
 	Queue  queue.Name
 	Stages delay.Stages
+	// Entry is set for a start: the entry of the executor on which it is based.
+	Entry *EntryRef
+}
+
+// EntryRef names an entry of service discovery on which a start is based.
+type EntryRef struct {
+	// StartedMS is the start time of the process that wrote the entry, ListedMS that of the process that sent the
+	// executor's last list.
+	StartedMS, ListedMS int64
+	// Age is how long ago the leader first read the entry as it was last written.
+	Age time.Duration
 }
 
 // maxEvents bounds the events between two calls of Events.
--- a/internal/state/cell/entries.go
+++ b/internal/state/cell/entries.go
@@ -78,6 +78,9 @@
 	x.warmUp.Observe(now, time.Duration(e.ColdRemainingMS)*time.Millisecond)
 	c.noteCapacityRead(x, readAt, e)
 	c.setCapacity(x, resources{e.MilliCPU, e.MemoryMB, e.GPUs})
+	if x.isRewritten(e) {
+		x.entryReadAt = readAt
+	}
 	x.entry = e
 	x.isListed = true
 	x.isEvacuated = c.evacuation.domains[e.Domain]
@@ -93,6 +96,16 @@
 	return isOther && x.hasResponded && x.isSucceededBy(e)
 }
 
+// isRewritten reports whether the entry may have been written since the known one.
+func (x *executor) isRewritten(e queue.Executor) bool {
+	return x.entryReadAt == 0 || e.Sequence == 0 || e.Sequence != x.entry.Sequence || e.StartedMS != x.entry.StartedMS
+}
+
+// entryRef names the entry on which a start that is made now is based.
+func (x *executor) entryRef(now tick.Time) *EntryRef {
+	return &EntryRef{StartedMS: x.entry.StartedMS, ListedMS: x.startedMS, Age: now.Sub(x.entryReadAt)}
+}
+
 // isNewerThan reports whether the known entry was written after e by the same process.
 func (x *executor) isNewerThan(e queue.Executor) bool {
 	isSameProcess := e.StartedMS != 0 && e.StartedMS == x.entry.StartedMS && e.Address == x.entry.Address
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -18,6 +18,8 @@
 type executor struct {
 	fencing
 	entry queue.Executor
+	// entryReadAt is when the entry was first read as it was last written.
+	entryReadAt tick.Time
 	// hash names the executor in the records of jobs.
 	hash uint32
 	// lateSequence is the sequence of the last entry if that is older than the known one, and 0 otherwise.
--- a/internal/state/cell/firstwait.go
+++ b/internal/state/cell/firstwait.go
@@ -45,7 +45,7 @@
 // startEvent returns the event of a start that is made now.
 func startEvent(now tick.Time, r *run) Event {
 	t, x := r.task, r.exec
-	e := Event{Name: "start", Task: t.id, Run: r.id.Number, Executor: x.entry.ID}
+	e := Event{Name: "start", Task: t.id, Run: r.id.Number, Executor: x.entry.ID, Entry: x.entryRef(now)}
 	if t.startCount == 1 && t.step.readyAt != 0 {
 		e.FirstWait = &FirstWait{Duration: now.Sub(t.step.readyAt), Kind: t.step.kind(), Size: t.step.sizeOn(x)}
 		e.Queue = queue.Name(t.step.job.pb.Queue)
