Use an executor's entry only for the process that wrote it

Cause: the labels, the capacity, the draining state and the warm-up that one process of an executor had stated were used for the next process, from the list that showed the restart until the new entry was read. The reviewer's guess, handleRestart without a check of the entry, is one of the paths; a late entry of a former process, a second restart, an entry read by a new leader and a placement that waits for its record had the same effect. Ruled out: an interval, as any is too short while the entry is late or unread.

Change: package regis has one rule: an entry describes a process only if it states the start time that the lists state. What a start requires of the process (the label) takes such an entry. The service, the failure domain and the rack belong to the executor, and the newest entry may tell them, so that an executor whose entry is not known still runs what requires no label. A process of unknown warm-up gets the tasks that a cold executor may always run; one whose former process was draining gets none, but what runs there is not stopped for it. Reservations end with the label, and outages keep the entry of the process that was lost. Each start order is checked again when it has a connection (StartBlockedBy).

Why this works: lists name their process, and a start is made only between lists of a process that still answers; the rule does not depend on how long the entry takes.

--- a/internal/services/leader/evacuation.go
+++ b/internal/services/leader/evacuation.go
@@ -40,8 +40,8 @@
 	return permits
 }
 
-// startBlockedBy returns why a start order must not be sent to the executor, or an empty string if it may.
-func (t *term) startBlockedBy(executor string) string {
+// startBlockedBy returns why a start order must not be sent, or an empty string if it may.
+func (t *term) startBlockedBy(o cell.Order) string {
 	now := tick.Now()
 	if !t.opts.HoldsLease(now) {
 		return "the leadership lease has expired"
@@ -49,26 +49,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.applyEvacuations(now)
-	switch {
-	case !t.cell.MayStartOn(executor):
-		return "the failure domain is evacuated"
-	case !t.knowsEvacuations(now):
+	if !t.knowsEvacuations(now) {
 		return "the evacuated domains are not known"
-	case !t.cell.KnowsCapacity(now, executor):
-		return "the capacity of the executor is not known"
 	}
-	return ""
+	return t.cell.StartBlockedBy(now, o)
 }
 
 // sendStart sends a start order unless something blocks it when the order leaves the process.
 func (t *term) sendStart(ctx context.Context, o cell.Order) orders.Reply {
-	if blockedBy := t.startBlockedBy(o.Target.ID); blockedBy != "" {
+	if blockedBy := t.startBlockedBy(o); blockedBy != "" {
 		return orders.Reply{Outcome: orders.Withheld, Detail: blockedBy}
 	}
 	start := *o.Start
 	blockedBy := ""
 	start.MaySend = func() bool {
-		blockedBy = t.startBlockedBy(o.Target.ID)
+		blockedBy = t.startBlockedBy(o)
 		return blockedBy == ""
 	}
 	reply := t.opts.Executors.Start(ctx, o.Target, start)
--- a/internal/state/ahead/ahead.go
+++ b/internal/state/ahead/ahead.go
@@ -103,16 +103,18 @@
 	}
 }
 
-// Begin starts a pass. It drops what concerns steps that no longer wait and executors that are no longer usable, and
-// returns the reservations that were not met in time. If one of a gang is dropped, so are the others.
-func (p *Planner) Begin(now tick.Time, isWaiting func(Step) bool, isUsable func(executor string) bool) []Reservation {
+// Begin starts a pass. It drops what concerns steps that no longer wait and executors that the step can no longer use,
+// and returns the reservations that were not met in time. If one of a gang is dropped, so are the others.
+func (p *Planner) Begin(
+	now tick.Time, isWaiting func(Step) bool, isUsable func(s Step, executor string) bool,
+) []Reservation {
 	p.budget = forecastsPerPass
 	p.pass++
 	p.waitsInPass = 0
 	p.forget(now, isWaiting)
 	var expired []Reservation
-	for _, w := range p.waits {
-		isLost := slices.ContainsFunc(w.reserved, func(id string) bool { return !isUsable(id) })
+	for s, w := range p.waits {
+		isLost := slices.ContainsFunc(w.reserved, func(id string) bool { return !isUsable(s, id) })
 		isExpired := slices.ContainsFunc(w.reserved, func(id string) bool {
 			return !now.Before(p.reservations[id].expiresAt)
 		})
--- a/internal/state/ahead/ahead_test.go
+++ b/internal/state/ahead/ahead_test.go
@@ -21,7 +21,7 @@
 
 func always(ahead.Step) bool { return true }
 
-func usable(string) bool { return true }
+func usable(ahead.Step, string) bool { return true }
 
 func request(job string, need ahead.Resources) ahead.Request {
 	return ahead.Request{
@@ -211,7 +211,7 @@
 func TestReservationEndsWithItsStepOrExecutor(t *testing.T) {
 	for name, begin := range map[string]func(p *ahead.Planner){
 		"step":     func(p *ahead.Planner) { p.Begin(at(0), func(ahead.Step) bool { return false }, usable) },
-		"executor": func(p *ahead.Planner) { p.Begin(at(0), always, func(string) bool { return false }) },
+		"executor": func(p *ahead.Planner) { p.Begin(at(0), always, func(ahead.Step, string) bool { return false }) },
 		"start":    func(p *ahead.Planner) { p.Started(ahead.Step{Job: "large"}, "svc", 0, cores(8)) },
 	} {
 		p := ahead.New()
@@ -243,7 +243,7 @@
 	gang := request("gang", cores(8))
 	gang.Tasks = 2
 	reserve(t, p, at(0), gang, fullFleet(2))
-	p.Begin(at(0), always, func(id string) bool { return id != "x1" })
+	p.Begin(at(0), always, func(_ ahead.Step, id string) bool { return id != "x1" })
 	assert.Assert(t, !p.IsReserved("x0"))
 }
 
@@ -364,7 +364,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		// The reservation of the pass before is dropped, so that each pass searches.
-		p.Begin(at(0), always, func(string) bool { return false })
+		p.Begin(at(0), always, func(ahead.Step, string) bool { return false })
 		p.Started(small, "svc", 0, cores(1))
 		for _, r := range steps {
 			if !p.Wait(at(0), r, executors) {
--- a/internal/state/cell/capacity.go
+++ b/internal/state/cell/capacity.go
@@ -41,24 +41,13 @@
 	return c.config != nil && c.config.Services[service].EnforcesCapacity
 }
 
-// KnowsCapacity reports whether a start on the executor may rely on its capacity. An executor that enforces it refuses
+// knowsCapacity reports whether a start on the executor may rely on its capacity. An executor that enforces it refuses
 // what does not fit. For another one, the entry must be recent and that of the present process.
-func (c *Cell) KnowsCapacity(now tick.Time, id string) bool {
-	x, ok := c.execs[id]
-	return ok && x.knowsCapacity(now)
-}
-
 func (x *executor) knowsCapacity(now tick.Time) bool {
 	if x.enforcesCapacity {
 		return true
 	}
-	return x.hasEntryOfProcess() && now.Sub(x.capacityReadAt) <= maxCapacityAge
-}
-
-// hasEntryOfProcess reports whether the entry belongs to the process that sent the last list. A new process may have
-// another capacity.
-func (x *executor) hasEntryOfProcess() bool {
-	return x.entry.StartedMS == 0 || x.startedMS == 0 || x.entry.StartedMS == x.startedMS
+	return x.registration.IsNewestOwn() && now.Sub(x.capacityReadAt) <= maxCapacityAge
 }
 
 // noteEntriesRead records that the entries were read at the time readAt. After a gap, and at the first read, they may
--- a/internal/state/cell/cell.go
+++ b/internal/state/cell/cell.go
@@ -201,7 +201,7 @@
 	// Jobs of a queue that was removed keep its policy service.
 	c.needsAdvice = c.needsAdvice || slices.ContainsFunc(cfg.Queues, func(q queue.Queue) bool { return q.Advice != nil })
 	for _, x := range c.execs {
-		x.enforcesCapacity = c.enforcesCapacity(x.entry.Service)
+		x.enforcesCapacity = c.enforcesCapacity(x.service())
 	}
 	for _, j := range c.active {
 		j.configure(cfg)
--- a/internal/state/cell/crashes.go
+++ b/internal/state/cell/crashes.go
@@ -59,7 +59,7 @@
 // restarted. Runs on draining executors, which leave as planned, are not lost.
 func (c *Cell) recordLoss(r *run, isConfirmed bool) {
 	t, x := r.task, r.exec
-	if t.done || r.isPlaced || x.entry.Draining || c.task(t.id) != t {
+	if t.done || r.isPlaced || r.isOnDraining() || c.task(t.id) != t {
 		return
 	}
 	l := crash.Loss{
@@ -85,6 +85,14 @@
 	}
 }
 
+// isOnDraining reports whether the process of the run is draining, or was when it ended.
+func (r *run) isOnDraining() bool {
+	if r.exec.hasRestartedSince(r) {
+		return r.wasDraining
+	}
+	return r.exec.isDraining()
+}
+
 // worked returns how long the run has worked at least, as far as its executor has shown. A run that this leader has
 // adopted was started by a former one, which counts as crash.EarlyWork.
 func (r *run) worked() time.Duration {
--- a/internal/state/cell/entries.go
+++ b/internal/state/cell/entries.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"time"
 
-	"github.com/ibischute/ibischute/internal/state/ramp"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -36,7 +34,7 @@
 			c.emit(Event{Name: "executor-unlisted", Executor: id})
 		}
 		c.noteClaim(x, latest[x.entry.Address])
-		if x.entry.Draining || x.isTerminated || !x.isListed {
+		if x.isDraining() || x.isTerminated || !x.isListed {
 			c.retire(now, id, x)
 		}
 	}
@@ -62,30 +60,18 @@
 		x.isListed = true
 		return
 	}
-	if e.Draining && !x.entry.Draining {
-		x.drainDeadline = now.Add(time.Duration(e.RemainingMS) * time.Millisecond)
-		c.emit(Event{Name: "executor-draining", Executor: e.ID})
-	}
 	if x.claimsRestart(e) {
 		c.fence(x, fmt.Sprintf("entry of the process started %d, known %d", e.StartedMS, x.startedMS))
 	}
 	if !e.Draining {
 		c.observeIncarnation(x.hash, e.StartedMS, false)
 	}
-	if x.isSucceededBy(e) {
-		x.warmUp = ramp.Ramp{}
-	}
-	x.warmUp.Observe(now, time.Duration(e.ColdRemainingMS)*time.Millisecond)
 	c.noteCapacityRead(x, readAt, e)
-	c.setCapacity(x, resources{e.MilliCPU, e.MemoryMB, e.GPUs})
-	if x.isRewritten(e) {
-		x.entryReadAt = readAt
-	}
 	x.entry = e
+	x.registration.Read(readAt, e)
+	c.describe(now, x)
 	x.isListed = true
-	x.isEvacuated = c.evacuation.domains[e.Domain]
-	x.enforcesCapacity = c.enforcesCapacity(e.Service)
-	if !x.isRostered && !x.isTerminated && !x.entry.Draining && !c.retired[e.ID] {
+	if !x.isRostered && !x.isTerminated && !x.isDraining() && !c.retired[e.ID] {
 		c.pendingRosters[e.ID] = x
 	}
 }
@@ -96,16 +82,6 @@
 	return isOther && x.hasResponded && x.isSucceededBy(e)
 }
 
-// isRewritten reports whether the entry may have been written since the known one.
-func (x *executor) isRewritten(e queue.Executor) bool {
-	return x.entryReadAt == 0 || e.Sequence == 0 || e.Sequence != x.entry.Sequence || e.StartedMS != x.entry.StartedMS
-}
-
-// entryRef names the entry on which a start that is made now is based.
-func (x *executor) entryRef(now tick.Time) *EntryRef {
-	return &EntryRef{StartedMS: x.entry.StartedMS, ListedMS: x.startedMS, Age: now.Sub(x.entryReadAt)}
-}
-
 // isNewerThan reports whether the known entry was written after e by the same process.
 func (x *executor) isNewerThan(e queue.Executor) bool {
 	isSameProcess := e.StartedMS != 0 && e.StartedMS == x.entry.StartedMS && e.Address == x.entry.Address
--- a/internal/state/cell/evacuation.go
+++ b/internal/state/cell/evacuation.go
@@ -66,16 +66,10 @@
 	}
 	c.evacuation.domains = next
 	for _, x := range c.execs {
-		x.isEvacuated = next[x.entry.Domain]
+		x.isEvacuated = next[x.domain()]
 	}
 }
 
-// MayStartOn reports whether a start order may be sent to the executor: its failure domain is not evacuated.
-func (c *Cell) MayStartOn(id string) bool {
-	x, ok := c.execs[id]
-	return ok && !x.isEvacuated
-}
-
 // EvacuationProgress is how far the evacuation of a failure domain is.
 type EvacuationProgress struct {
 	Domain string
@@ -88,7 +82,7 @@
 	left := map[string]int{}
 	for _, x := range c.execs {
 		if x.isEvacuated {
-			left[x.entry.Domain] += len(x.runs)
+			left[x.domain()] += len(x.runs)
 		}
 	}
 	var out []EvacuationProgress
@@ -157,7 +151,7 @@
 	var out [][]*run
 	gangs := map[*step]bool{}
 	for _, x := range c.execs {
-		if !x.isEvacuated || x.isTerminated || x.isUnresponsive || x.entry.Draining {
+		if !x.isEvacuated || x.isTerminated || x.isUnresponsive || x.isDraining() {
 			continue
 		}
 		for _, r := range x.runs {
@@ -370,7 +364,7 @@
 		c.placeRun(now, r.task, targets[i], number)
 		r.task.run.isMoved = true
 		if r.exec.isEvacuated {
-			c.evacuation.moved[r.exec.entry.Domain]++
+			c.evacuation.moved[r.exec.domain()]++
 		}
 	}
 	return len(m.runs)
--- a/internal/state/cell/executor.go
+++ b/internal/state/cell/executor.go
@@ -1,12 +1,11 @@
 package cell
 
 import (
-	"slices"
 	"time"
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/internal/state/chain"
-	"github.com/ibischute/ibischute/internal/state/ramp"
+	"github.com/ibischute/ibischute/internal/state/regis"
 	"github.com/ibischute/ibischute/pkg/queue"
 	"github.com/ibischute/ibischute/pkg/tick"
 )
@@ -17,9 +16,11 @@
 // executor is the tracked state of one executor.
 type executor struct {
 	fencing
+	// entry is the newest one in service discovery. It may be that of another process than the one that sends lists.
 	entry queue.Executor
-	// entryReadAt is when the entry was first read as it was last written.
-	entryReadAt tick.Time
+	// registration tells which entry describes the present process, described is what was last applied of it.
+	registration regis.Registration
+	described    description
 	// hash names the executor in the records of jobs.
 	hash uint32
 	// lateSequence is the sequence of the last entry if that is older than the known one, and 0 otherwise.
@@ -38,9 +39,8 @@
 	endsKnownAt tick.Time
 	// isEvacuated is true if the operator has evacuated the executor's failure domain.
 	isEvacuated bool
-	// warmUp is that of the executor's process. As of the last pass, coldLimit is the number of tasks that it may
-	// run, and isCold is false if there is no limit.
-	warmUp    ramp.Ramp
+	// As of the last pass, coldLimit is the number of tasks that the executor may run, and isCold is false if there is no
+	// limit.
 	coldLimit int
 	isCold    bool
 	// isTerminated is true if the incarnation of the executor is over.
@@ -121,8 +121,6 @@
 	// target of the latency-critical runs at that time.
 	throttledAt        tick.Time
 	throttledTailRatio float64
-	// drainDeadline is when the draining executor may leave.
-	drainDeadline tick.Time
 	// roomIndex is the last one that the executor was in, at the position.
 	roomIndex *roomIndex
 	position  int
@@ -135,14 +133,9 @@
 
 func (x *executor) free() resources { return x.total.minus(x.used) }
 
-func (x *executor) hasLabel(l string) bool { return slices.Contains(x.entry.Labels, l) }
-
-// satisfies reports whether the executor has the label that a step requires. An empty label is always satisfied.
-func (x *executor) satisfies(label string) bool { return label == "" || x.hasLabel(label) }
-
 func newExecutor(e queue.Executor, f fencing) *executor {
 	return &executor{
-		fencing: f, entry: e, hash: chain.Hash(e.ID), total: resources{e.MilliCPU, e.MemoryMB, e.GPUs},
+		fencing: f, entry: e, hash: chain.Hash(e.ID),
 		runs: map[orders.Task]*run{}, orphaned: map[orders.Run]bool{},
 		kept: map[*task]bool{},
 	}
@@ -187,6 +180,6 @@
 func (x *executor) isUsable(now tick.Time) bool {
 	isConfirmed := x.hasResponded && x.confirmedAddress == x.entry.Address
 	isRegistered := x.isListed && x.isRostered && isConfirmed && x.endsKnownAt != 0 && x.hasClock
-	isAvailable := !x.isTerminated && !x.isUnresponsive && !x.entry.Draining && len(x.orphaned) == 0
+	isAvailable := !x.isTerminated && !x.isUnresponsive && !x.isDraining() && len(x.orphaned) == 0
 	return isRegistered && isAvailable && !x.isEvacuated && x.knowsCapacity(now) && !now.Before(x.quarantinedUntil)
 }
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -12,9 +12,7 @@
 	if !c.applyReply(now, x, x.heldAddress, h.FencingToken, reply) || !c.identifyProcess(now, sent, x, h, l, reply) {
 		return
 	}
-	if l.StartedMS != 0 {
-		x.startedMS = l.StartedMS
-	}
+	c.identify(now, x, l.StartedMS)
 	c.observeIncarnation(x.hash, l.StartedMS, true)
 	x.listedClockMS = reply.ClockMS
 	x.sampleClock(now, reply.ClockMS)
@@ -130,6 +128,9 @@
 	c.speed.Drop(x.entry.ID)
 	c.dropTickets(x)
 	for _, r := range x.runs {
+		if !x.hasRestartedSince(r) {
+			r.wasDraining = x.isDraining()
+		}
 		// It is unknown which paces calls to the former process have set here.
 		r.isPaceUnconfirmed = r.isPaceUnconfirmed || !r.isPlaced && r.task.step.pb.Fills
 	}
--- a/internal/state/cell/outages.go
+++ b/internal/state/cell/outages.go
@@ -26,7 +26,8 @@
 func (c *Cell) noteOutage(now tick.Time, x *executor, isOver bool) {
 	o, ok := c.crashes.outages[x.hash]
 	if !ok || o.isOver && x.lastResponseAt.After(o.To) {
-		o = &outage{Outage: crash.Outage{From: max(x.lastResponseAt, x.orderRepliedAt), To: now}, entry: x.entry}
+		from := max(x.lastResponseAt, x.orderRepliedAt)
+		o = &outage{Outage: crash.Outage{From: from, To: now}, entry: *x.registration.Estimate()}
 		c.crashes.outages[x.hash] = o
 	}
 	o.isOver = o.isOver || isOver
@@ -90,7 +91,7 @@
 	lost := peer{hash: k.loss.Executor, outage: j.cell.crashes.outages[k.loss.Executor]}
 	switch x := j.executors[k.loss.Executor]; {
 	case x != nil:
-		entry, lost.startedMS = x.entry, x.processStart()
+		entry, lost.startedMS = x.lastEntry(lost.outage), x.processStart()
 	case lost.outage != nil:
 		entry = lost.outage.entry
 	}
@@ -134,8 +135,9 @@
 	}
 	g := []peer{}
 	for hash, x := range j.executors {
-		if isInGroup(x.entry, name) {
-			g = append(g, peer{hash: hash, outage: j.cell.crashes.outages[hash], startedMS: x.processStart()})
+		o := j.cell.crashes.outages[hash]
+		if isInGroup(x.lastEntry(o), name) {
+			g = append(g, peer{hash: hash, outage: o, startedMS: x.processStart()})
 		}
 	}
 	for hash, o := range j.cell.crashes.outages {
@@ -147,6 +149,14 @@
 	return g
 }
 
+// lastEntry returns the entry of the process that the outage has ended, or of the present one if there is no outage.
+func (x *executor) lastEntry(o *outage) queue.Executor {
+	if o != nil {
+		return o.entry
+	}
+	return *x.registration.Estimate()
+}
+
 func isInGroup(e queue.Executor, group string) bool {
 	return e.Domain == group || slices.Contains(e.Labels, group)
 }
--- a/internal/state/cell/placement.go
+++ b/internal/state/cell/placement.go
@@ -61,7 +61,7 @@
 // newPass begins a planning pass.
 func (c *Cell) newPass(now tick.Time) *pass {
 	for _, x := range c.fleet {
-		x.coldLimit, x.isCold = x.warmUp.Limit(now, c.params.Cold, float64(x.total.milliCPU)/milliCPUPerCore)
+		x.limitCold(now, c.params.Cold)
 	}
 	return c.newSearch(now)
 }
@@ -88,11 +88,11 @@
 		if !x.isUsable(p.now) {
 			continue
 		}
-		if x.entry.Service != service && len(pool) > 0 {
+		if x.service() != service && len(pool) > 0 {
 			p.pools[service] = pool
-			pool = p.pools[x.entry.Service]
+			pool = p.pools[x.service()]
 		}
-		service = x.entry.Service
+		service = x.service()
 		pool = append(pool, x)
 	}
 	if len(pool) > 0 {
@@ -202,8 +202,8 @@
 
 // mayTryOn reports whether the task has not failed on the executor, which is large enough for it.
 func (t *task) mayTryOn(x *executor) bool {
-	isAvailable := x.isListed && !x.isTerminated && !x.entry.Draining && !x.isEvacuated
-	isOfService := x.entry.Service == t.step.job.queue.Service
+	isAvailable := x.isListed && !x.isTerminated && !x.isDraining() && !x.isEvacuated
+	isOfService := x.service() == t.step.job.queue.Service
 	isRejected := t.step.advice != nil && t.step.advice.rejected[x.entry.ID]
 	if !isAvailable || !isOfService || isRejected || t.hasFailedOn(x) {
 		return false
@@ -269,7 +269,7 @@
 // cost rates an executor for a task of the step. Lower is better.
 func (x *executor) cost(s *step, need resources) float64 {
 	cost := 0.0
-	if s.pb.DataRack != "" && !x.hasLabel(s.pb.DataRack) {
+	if s.pb.DataRack != "" && !x.isInRack(s.pb.DataRack) {
 		cost += costRemoteData
 	}
 	cost += costPerFailure * float64(x.suspicion.failures)
--- a/internal/state/cell/reservations.go
+++ b/internal/state/cell/reservations.go
@@ -55,9 +55,10 @@
 		t := c.task(orders.Task{Job: k.Job, Occurrence: k.Occurrence, Step: k.Index})
 		return t != nil && t.step.waiting > 0 && t.step.isReady()
 	}
-	isUsable := func(id string) bool {
+	isUsable := func(k ahead.Step, id string) bool {
 		x, ok := c.execs[id]
-		return ok && x.isUsable(now)
+		t := c.task(orders.Task{Job: k.Job, Occurrence: k.Occurrence, Step: k.Index})
+		return ok && x.isUsable(now) && t != nil && x.satisfies(t.step.pb.RequiresLabel)
 	}
 	for _, r := range c.lookAhead.planner.Begin(now, isWaiting, isUsable) {
 		c.emitReservation("reservation-expired", r, "expected "+inMillis(now.Sub(r.RoomAt)).String()+" ago")
--- a/internal/state/cell/runs.go
+++ b/internal/state/cell/runs.go
@@ -54,6 +54,8 @@
 	usage      int64
 	// checkpointAt is when a list first had the checkpoint.
 	checkpointAt tick.Time
+	// wasDraining is true if the executor's process was draining when it ended.
+	wasDraining bool
 	// isMoved is true for the run that replaces one that was stopped to move it.
 	isMoved bool
 	// checkpointPercent is the progress that the checkpoint has at least.
--- a/internal/state/cell/stops.go
+++ b/internal/state/cell/stops.go
@@ -56,13 +56,14 @@
 // drainMargin is the part of a draining executor's remaining time that is kept for stops and their checkpoints.
 const drainMargin = 500 * time.Millisecond
 
-// stopDraining stops the runs that will not be done before their executor leaves.
+// stopDraining stops the runs that will not be done before their executor leaves. That a former process was draining
+// ends no run of the present one.
 func (c *Cell) stopDraining(now tick.Time) {
 	for _, x := range c.fleet {
-		if !x.entry.Draining || x.isTerminated {
+		if !x.isDraining() || !x.isDescribed() || x.isTerminated {
 			continue
 		}
-		left := x.drainDeadline.Sub(now) - drainMargin - c.params.StopTimeout
+		left := x.described.drainDeadline.Sub(now) - drainMargin - c.params.StopTimeout
 		for _, r := range x.runs {
 			if r.task.step.pb.LongRunning || c.remainingTime(r) > left {
 				c.markForStopping(r)
--- a/internal/state/cell/takeover.go
+++ b/internal/state/cell/takeover.go
@@ -240,7 +240,7 @@
 		left--
 		c.emit(Event{Name: "executor-awaited", Executor: id, Detail: fmt.Sprintf(
 			"listed %t, draining %t, tasks held back %d, its lease expires in %v, all former leases in %v",
-			x.isListed, x.entry.Draining, len(c.placements.held[x.hash]), inMillis(c.inheritedLeaseExpiry(x).Sub(now)),
+			x.isListed, x.isDraining(), len(c.placements.held[x.hash]), inMillis(c.inheritedLeaseExpiry(x).Sub(now)),
 			inMillis(c.previousLeasesExpireAt.Sub(now)))})
 	}
 }
--- a/internal/state/cell/waiting_test.go
+++ b/internal/state/cell/waiting_test.go
@@ -412,7 +412,7 @@
 	h.waitForPermittedStart(longestWait, func(string) bool { return true })
 	h.acceptBesideServersNearTarget()
 	started := h.waitForPermittedStart(longestWait, func(string) bool { return true })
-	assert.Assert(t, h.cell.execs[started.Target.ID].hasLabel("a"))
+	assert.Assert(t, h.cell.execs[started.Target.ID].satisfies("a"))
 }
 
 // TestAdviceIsRequestedForOverdueTask checks an overdue best-effort task whose tickets are for executors with
--- a/internal/state/cell/waits.go
+++ b/internal/state/cell/waits.go
@@ -54,6 +54,8 @@
 	// WaitCapacityUnknown means that the executor does not enforce its capacity, and its entry does not tell the present
 	// one.
 	WaitCapacityUnknown WaitCause = "capacity-unknown"
+	// WaitEntryUnknown means that the task requires a label, and no entry of the executor's present process is known.
+	WaitEntryUnknown WaitCause = "entry-unknown"
 )
 
 // WaitCauses returns the causes that Usage.Delayed may count.
@@ -62,7 +64,7 @@
 		WaitTakeover, WaitStartRecord, WaitOrphan, WaitRun, WaitOrphans, WaitQuarantine, WaitSuspect, WaitNoTicket,
 		WaitFailedOn, WaitNearTarget, WaitStartPause, WaitInterference, WaitNotPlanned, WaitReserved,
 		WaitCrash, WaitTrial, WaitGuarded, WaitOtherSuspect,
-		WaitCapacityUnknown,
+		WaitCapacityUnknown, WaitEntryUnknown,
 	}
 }
 
@@ -228,8 +230,8 @@
 	counts := map[WaitCause]int{}
 	avoids := t.avoidsFailedOn(p)
 	for _, x := range c.execs {
-		isCandidate := x.isListed && !x.isTerminated && !x.entry.Draining
-		if isCandidate && x.entry.Service == t.step.job.queue.Service {
+		isCandidate := x.isListed && !x.isTerminated && !x.isDraining()
+		if isCandidate && x.service() == t.step.job.queue.Service {
 			counts[p.causeOn(x, t, avoids)]++
 		}
 	}
@@ -240,6 +242,8 @@
 func (p *pass) causeOn(x *executor, t *task, avoidsFailedOn bool) WaitCause {
 	s, need := t.step, resourcesOf(t.step.pb)
 	switch {
+	case s.pb.RequiresLabel != "" && !x.isDescribed():
+		return WaitEntryUnknown
 	case !x.satisfies(s.pb.RequiresLabel):
 		return WaitNoLabel
 	case !x.free().covers(need), !x.hasBestEffortCPU(s):
--- a/internal/state/ramp/ramp.go
+++ b/internal/state/ramp/ramp.go
@@ -24,6 +24,15 @@
 	Overshoot float64
 }
 
+// AtStart returns how many tasks an executor may run that has just started and may be cold, or false if there is no
+// limit.
+func (b Bounds) AtStart() (int, bool) {
+	if b.Overshoot <= 0 {
+		return 0, false
+	}
+	return max(1, int(math.Floor(b.Slack))), true
+}
+
 // Ramp is the warm-up of one process of an executor. The zero value is warm.
 type Ramp struct {
 	// warmAt is when the executor is warm, total its whole warm-up as far as it is known.
