Send a start that relies on an entry only to its process

Cause: a call names the executor, not its process, and a new connection to its address reaches whichever process is there.

Change: a start that requires a label, or relies on a capacity that is not enforced, states the process that it is for. If another process answers, the start is not sent (other-process), and the executor is fenced as after any other sign of a restart.

Why this works: the process is checked on the connection that carries the start, not before.

--- a/internal/modules/orders/orders.go
+++ b/internal/modules/orders/orders.go
@@ -64,11 +64,14 @@
 	Malformed
 	// Withheld means that the order was not sent, because it is no longer permitted. It says nothing about the executor.
 	Withheld
+	// OtherProcess means that the order was not sent, because another process than the one that it is for runs at the
+	// executor.
+	OtherProcess
 )
 
 var outcomeNames = [...]string{
 	"unanswered", "not-sent", "done", "fenced", "outdated", "late", "no-room", "no-ticket", "other-incarnation",
-	"unhealthy", "malformed", "withheld",
+	"unhealthy", "malformed", "withheld", "other-process",
 }
 
 // String returns the outcome's name for logs.
@@ -83,6 +86,8 @@
 	// DeadlineMS is the end of the executor's lease on the executor's clock.
 	DeadlineMS   int64
 	FencingToken FencingToken
+	// StartedMS is the start time of the process that alone may get the order; 0 permits any process of the executor.
+	StartedMS int64
 	// MaySend reports whether the order may still be sent; nil permits it. It is called right before the order is sent,
 	// because an order may wait for a connection, and not after Start has returned.
 	MaySend func() bool
--- a/internal/services/leader/starts.go
+++ b/internal/services/leader/starts.go
@@ -100,6 +100,11 @@
 	return <-replies
 }
 
+// isSent reports whether an order may have reached its executor.
+func isSent(o orders.Outcome) bool {
+	return o != orders.NotSent && o != orders.Withheld && o != orders.OtherProcess
+}
+
 // updateStartWindow adapts the limit of start orders in flight to the outcome of one that was sent at the time sent.
 func (t *term) updateStartWindow(sent tick.Time, r orders.Reply) {
 	t.mu.Lock()
@@ -109,7 +114,7 @@
 		t.startWindow.Failed(now, sent)
 		return
 	}
-	if r.Outcome == orders.NotSent || r.Outcome == orders.Withheld {
+	if !isSent(r.Outcome) {
 		t.startWindow.Withdrawn(sent)
 		return
 	}
--- a/internal/stand/memex/starts.go
+++ b/internal/stand/memex/starts.go
@@ -12,6 +12,8 @@
 	return f.execute(ctx, t.ID, o.FencingToken, func(x *executor, r orders.Reply) orders.Reply {
 		existing, isRunning := x.runs[o.Run.Task]
 		switch {
+		case o.StartedMS != 0 && o.StartedMS != x.incarnation:
+			r = orders.Reply{Outcome: orders.OtherProcess}
 		case isRunning && existing.run == o.Run:
 		case o.Run.Number <= x.lastEnded[o.Run.Task]:
 			x.extendLease(r.ClockMS, o.DeadlineMS)
--- a/internal/state/cell/claims.go
+++ b/internal/state/cell/claims.go
@@ -80,5 +80,9 @@
 
 // isAnswer reports whether the executor, or another one at its address, has answered.
 func isAnswer(o orders.Outcome) bool {
-	return o != orders.NoResponse && o != orders.NotSent && o != orders.Withheld
+	switch o {
+	case orders.NoResponse, orders.NotSent, orders.Withheld, orders.OtherProcess:
+		return false
+	}
+	return true
 }
--- a/internal/state/cell/fencing.go
+++ b/internal/state/cell/fencing.go
@@ -145,6 +145,15 @@
 	}
 }
 
+// checkProcess fences the executor if another process than the one that the start order is for has answered in its
+// place.
+func (c *Cell) checkProcess(x *executor, o Order, reply orders.Reply) {
+	isForKnown := o.Start != nil && o.Start.StartedMS == x.startedMS && x.hasResponded
+	if reply.Outcome == orders.OtherProcess && isForKnown {
+		c.fence(x, fmt.Sprintf("not the process started %d has answered", x.startedMS))
+	}
+}
+
 // isOvertaken reports whether the lists, which answer a call sent at the time, are older than those applied before.
 // Responses on different connections may overtake each other, and the process that answers a call sent before the last
 // lists arrived may be a former one.
--- a/internal/state/cell/lists.go
+++ b/internal/state/cell/lists.go
@@ -96,7 +96,7 @@
 		x.isClaimUnchecked = false
 	}
 	switch {
-	case reply.Outcome == orders.NoResponse, reply.Outcome == orders.NotSent, reply.Outcome == orders.Withheld:
+	case !isAnswer(reply.Outcome):
 		return false
 	case reply.Outcome == orders.Fenced:
 		// A higher token of this leader rejects only the order.
--- a/internal/state/cell/process_test.go
+++ b/internal/state/cell/process_test.go
@@ -296,3 +296,49 @@
 	assert.Assert(t, o != nil)
 	assert.DeepEqual(t, o.entry.Labels, []string{"a", "r1"})
 }
+
+// TestStartThatReliesOnEntryIsForItsProcess guards against a start that the next process carries out before the leader
+// knows of the restart, so that neither a list nor an entry can tell.
+func TestStartThatReliesOnEntryIsForItsProcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		label    string
+		enforces bool
+		want     int64
+	}{
+		"label":               {"a", true, firstProcessMS},
+		"capacity":            {"", false, firstProcessMS},
+		"neither":             {"", true, 0},
+		"label, not enforced": {"a", false, firstProcessMS},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newProcessHarness(t, "a")
+			config := *h.cell.config
+			config.Version++
+			config.Services = map[string]queue.Service{"svc": {Name: "svc", EnforcesCapacity: c.enforces}}
+			h.cell.Configure(&config)
+			h.read(h.entryOf(firstProcessMS, "a"))
+			h.require("j", c.label)
+			list := startOrders(h.planAndConfirm())
+			assert.Equal(t, len(list), 1)
+			assert.Equal(t, list[0].Start.StartedMS, c.want)
+		})
+	}
+}
+
+// TestExecutorWhoseProcessHasChangedIsFenced guards against further starts on an executor on which another process has
+// answered in the place of the one that a start was for.
+func TestExecutorWhoseProcessHasChangedIsFenced(t *testing.T) {
+	h := newProcessHarness(t, "a")
+	h.require("j", "a")
+	h.cell.Plan(h.now, testWallMS, unbounded)
+	h.commit()
+	list := startOrders(h.cell.Plan(h.now, testWallMS, unbounded))
+	assert.Equal(t, len(list), 1)
+	h.cell.HandleReply(h.now, list[0], orders.Reply{Outcome: orders.OtherProcess})
+	assert.Assert(t, h.cell.IsFencing("a"))
+	h.advance(time.Second)
+	h.checkStarts()
+	h.listProcess(secondProcessMS)
+	h.read(h.entryOf(secondProcessMS, "a"))
+	h.checkStarts("j")
+}
--- a/internal/state/cell/replies.go
+++ b/internal/state/cell/replies.go
@@ -44,6 +44,7 @@
 		x.orderRepliedAt = now
 	}
 	c.checkClock(now, x, o, reply)
+	c.checkProcess(x, o, reply)
 	switch {
 	case o.Start != nil:
 		c.applyStartReply(now, x, o.Start.Run, reply)
