Let executors of the model restart as other kinds

Executors restart as another kind, also twice in a row and beside a change of leader. Entries are written with heartbeats, so that the first one of a process is late; they are missing for a while, old ones follow, and none is read while the store is down. Orders wait for connections, and a start for another process than the one that runs is not carried out. The entries are those of the model of changing capacities, moved to a file of their own.

--- a/internal/state/cell/capacity_schedule_test.go
+++ b/internal/state/cell/capacity_schedule_test.go
@@ -21,23 +21,13 @@
 	capacityFirst = flag.Uint64("capacity-first", 1, "the first seed of TestCapacityChanges")
 )
 
-const (
-	// simHeartbeat is the interval at which an executor writes its entry, and simEntryLifetime how long the entry outlives
-	// the last write.
-	simHeartbeat     = 1100 * time.Millisecond
-	simEntryLifetime = 3 * simHeartbeat
-	// capacityGrace is how long after a capacity has shrunk starts may still rely on the previous one.
-	capacityGrace = 3*time.Second + simHeartbeat
-	// simLateWriteRate is the share of entries that the store takes seconds later, after newer ones.
-	simLateWriteRate = 0.1
-)
+// capacityGrace is how long after a capacity has shrunk starts may still rely on the previous one.
+const capacityGrace = 3*time.Second + simHeartbeat
 
 // simCapacities are the changing capacities of the executors, which do not enforce them, and their entries in service
 // discovery, which tell of a change with the next heartbeat.
 type simCapacities struct {
-	sim     *simulation
-	rnd     *rand.Rand
-	entries map[*simExecutor]*simEntry
+	*simEntries
 	// former has the capacities that executors had, and until when.
 	former map[*simExecutor][]formerCapacity
 	// sentAt is when the last order to start each run was sent.
@@ -54,21 +44,12 @@
 	until tick.Time
 }
 
-// simEntry is the entry of an executor. sequence counts the writes of its process.
-type simEntry struct {
-	stored    queue.Executor
-	isStored  bool
-	expiresAt tick.Time
-	sequence  int64
-	process   int64
-}
-
 // addCapacityChanges lets the capacities of the executors change at random times, from a source of its own, and adds
 // jobs that fill the executors.
 func (sim *simulation) addCapacityChanges(seed uint64, length time.Duration, hasEvacuations bool) {
 	s := &simCapacities{
-		sim: sim, rnd: rand.New(rand.NewPCG(seed, 13)), entries: map[*simExecutor]*simEntry{},
-		former: map[*simExecutor][]formerCapacity{}, sentAt: map[orders.Run]tick.Time{},
+		simEntries: sim.addEntries(rand.New(rand.NewPCG(seed, 13))),
+		former:     map[*simExecutor][]formerCapacity{}, sentAt: map[orders.Run]tick.Time{},
 		hasRestarts: !hasEvacuations,
 	}
 	sim.capacities = s
@@ -78,8 +59,7 @@
 		x.enforcesCapacity = false
 		// The check of the ramp assumes that a new process is listed at once.
 		x.warmUp = 0
-		s.entries[x] = &simEntry{}
-		s.heartbeat(x)
+		s.add(x)
 		full := x.total
 		for range 1 + s.rnd.IntN(4) {
 			sim.after(s.duration(time.Second, length), func() { s.change(x, full) })
@@ -92,10 +72,6 @@
 	}
 }
 
-func (s *simCapacities) duration(lo, hi time.Duration) time.Duration {
-	return lo + time.Duration(s.rnd.Int64N(int64(hi-lo)+1))
-}
-
 // randomJob returns a job with large tasks, a quarter of which are best-effort ones that need much memory.
 func (s *simCapacities) randomJob(i int) *jobpb.Job {
 	step := &jobpb.Step{
@@ -127,38 +103,6 @@
 	s.changes++
 }
 
-// heartbeat writes the entry of the executor and schedules the next write.
-func (s *simCapacities) heartbeat(x *simExecutor) {
-	sim := s.sim
-	sim.after(s.duration(simHeartbeat*9/10, simHeartbeat), func() { s.heartbeat(x) })
-	if x.isDown || sim.isStoreDown {
-		return
-	}
-	e := s.entries[x]
-	if e.process != x.startedMS {
-		e.process, e.sequence = x.startedMS, 0
-	}
-	e.sequence++
-	written := x.currentEntry()
-	written.StartedMS, written.Sequence = x.startedMS, e.sequence
-	store := func() {
-		if !sim.isStoreDown {
-			e.stored, e.isStored, e.expiresAt = written, true, sim.now.Add(simEntryLifetime)
-		}
-	}
-	if s.rnd.Float64() < simLateWriteRate {
-		sim.after(s.duration(time.Second, 3*time.Second), store)
-		return
-	}
-	store()
-}
-
-// entry returns the entry of the executor, and whether it is present. It expires some time after its process has ended.
-func (s *simCapacities) entry(x *simExecutor) (queue.Executor, bool) {
-	e := s.entries[x]
-	return e.stored, e.isStored && (!x.isDown || s.sim.now.Before(e.expiresAt))
-}
-
 // noteSent records when an order is sent.
 func (s *simCapacities) noteSent(o Order) {
 	if s != nil && o.Start != nil {
--- a/internal/state/cell/simcheck_test.go
+++ b/internal/state/cell/simcheck_test.go
@@ -10,6 +10,7 @@
 // checkStart checks the guarantees about each start.
 func (sim *simulation) checkStart(x *simExecutor, o orders.Start, step *jobpb.Step) {
 	t := o.Run.Task
+	sim.kinds.noteStart(step)
 	sameStep := 0
 	for _, y := range sim.execs {
 		if y.isDown {
--- a/internal/state/cell/simleader_test.go
+++ b/internal/state/cell/simleader_test.go
@@ -158,7 +158,7 @@
 }
 
 func (l *simLeader) discover() {
-	if l.sim.capacities != nil && l.sim.isStoreDown {
+	if l.sim.entries != nil && l.sim.isStoreDown {
 		return
 	}
 	var list []queue.Executor
@@ -205,8 +205,8 @@
 
 // isEntryMissing reports whether service discovery does not list the executor.
 func (sim *simulation) isEntryMissing(x *simExecutor) bool {
-	if sim.capacities != nil {
-		_, ok := sim.capacities.entry(x)
+	if sim.entries != nil {
+		_, ok := sim.entries.entry(x)
 		return !ok
 	}
 	if sim.hasDiscovery {
@@ -218,8 +218,8 @@
 
 // entry returns the executor's entry in service discovery.
 func (x *simExecutor) entry() queue.Executor {
-	if x.sim.capacities != nil {
-		e, _ := x.sim.capacities.entry(x)
+	if x.sim.entries != nil {
+		e, _ := x.sim.entries.entry(x)
 		return e
 	}
 	return x.currentEntry()
@@ -251,7 +251,25 @@
 	return nil
 }
 
+// send sends the order, unless it waits for a connection and may no longer be sent then.
 func (l *simLeader) send(o Order) {
+	wait := l.sim.kinds.connectionWait(o)
+	if wait == 0 {
+		l.transmit(o)
+		return
+	}
+	l.sim.after(wait, func() {
+		switch {
+		case l.isKilled:
+		case !l.sim.now.Before(l.leaseUntil) || l.cell.StartBlockedBy(l.sim.now, o) != "":
+			l.cell.HandleReply(l.sim.now, o, orders.Reply{Outcome: orders.Withheld})
+		default:
+			l.transmit(o)
+		}
+	})
+}
+
+func (l *simLeader) transmit(o Order) {
 	x := l.executor(o.Target.ID)
 	if o.Stop != nil {
 		l.sim.stopCalls++
@@ -285,9 +303,14 @@
 		})
 	}
 	answering, isOther := l.sim.processFor(x, o.Target.Address)
+	// The connection is to the process that runs when the order is sent.
+	isForOther := o.Start != nil && o.Start.StartedMS != 0 && o.Start.StartedMS != answering.startedMS
 	l.sim.call(l, answering, simCall{
 		kind: orderCall(o), order: o,
 		handle: func() func() func() {
+			if isForOther {
+				return answer(reply(orders.Reply{Outcome: orders.OtherProcess}))
+			}
 			if isOther || l.sim.processAt(x) != x {
 				return answer(reply(orders.Reply{Outcome: orders.OtherIncarnation}))
 			}
--- a/internal/state/cell/simulation_test.go
+++ b/internal/state/cell/simulation_test.go
@@ -124,6 +124,10 @@
 	moves     int
 	// serveDelay is how long a long-running task takes to be at work after its start.
 	serveDelay time.Duration
+	// entries is set if executors write their entries with heartbeats.
+	entries *simEntries
+	// kinds is set if executors restart as other kinds.
+	kinds *simKinds
 	// capacities is set if the capacities of the executors change.
 	capacities *simCapacities
 	// foreign is set if another writer leaves entries among those of the executors.
