Do not await the judgement of crashes of tasks that are done

What callers would see: a job that does not end: one of its tasks is never started again, beside executors that are all free (LOST).

Cause: a step whose tasks may have crashed several executors starts them one at a time, and not while a confirmed crash that may end the job is to be judged. A task that was done after its third crash counted there, and is never judged.

Change: only tasks that are not done count.

Result: TestSchedulesWithOtherKinds, seed 2371, fails before and passes now.

--- a/internal/state/cell/crashtrial.go
+++ b/internal/state/cell/crashtrial.go
@@ -105,7 +105,9 @@
 
 // awaitsJudgement reports whether a confirmed crash that is not judged yet may end the job.
 func (s *step) awaitsJudgement() bool {
-	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.crashes.Crashes() >= crash.MaxCrashes })
+	return slices.ContainsFunc(s.tasks, func(t *task) bool {
+		return !t.done && t.crashes.Crashes() >= crash.MaxCrashes
+	})
 }
 
 // provenWork returns for how long lists have shown the run since its start was confirmed.
--- a/internal/state/cell/simkinds_test.go
+++ b/internal/state/cell/simkinds_test.go
@@ -166,3 +166,17 @@
 	assert.Assert(t, restarts > *kindSeeds*5, "only %d restarts as another kind", restarts)
 	assert.Assert(t, labelled > *kindSeeds*50, "only %d starts that require a kind", labelled)
 }
+
+// kindScheduleSeeds are seeds that failed, with the cause.
+var kindScheduleSeeds = []uint64{
+	// 2371: a task is never started again, because its step awaits the judgement of a crash of a task that is done.
+	2371,
+}
+
+// TestSchedulesWithOtherKinds guards against the failures of kindScheduleSeeds.
+func TestSchedulesWithOtherKinds(t *testing.T) {
+	for _, seed := range kindScheduleSeeds {
+		sim := runKindSchedule(seed)
+		assert.Check(t, len(sim.violations) == 0, "seed %d:\n%s", seed, strings.Join(sim.violations, "\n"))
+	}
+}
