--- a/internal/stand/memex/behavior.go
+++ b/internal/stand/memex/behavior.go
@@ -33,6 +33,8 @@
 	// CrashesAfter is how long after its start a run crashes its executor; 0 means that it does not. A run that ends
 	// sooner does not crash it.
 	CrashesAfter time.Duration
+	// RequiresLabel is a label that the executor must have; empty means any.
+	RequiresLabel string
 }
 
 // The keys of the specs.
@@ -47,6 +49,7 @@
 	keyMaxAttempts    = "max_attempts"
 	keyMaxPerExecutor = "anti_affinity"
 	keyCrashesAfterMS = "crashes_executor"
+	keyRequiresLabel  = "requirements"
 
 	defaultDuration = 400 * time.Millisecond
 )
@@ -70,6 +73,9 @@
 	if b.LongRunning {
 		v.Set(keyLongRunning, strconv.FormatBool(true))
 	}
+	if b.RequiresLabel != "" {
+		v.Set(keyRequiresLabel, b.RequiresLabel)
+	}
 	if b.FailureRate > 0 {
 		v.Set(keyFailureRate, strconv.FormatFloat(b.FailureRate, 'g', -1, 64))
 	}
@@ -91,7 +97,7 @@
 		Duration: time.Duration(number(keyDurationMS)) * time.Millisecond, LongRunning: v.Get(keyLongRunning) == "true",
 		MaxFailures: int(number(keyMaxFailures)), FailsWithin: time.Duration(number(keyFailsWithinMS)) * time.Millisecond,
 		MaxAttempts: int(number(keyMaxAttempts)), MaxPerExecutor: int(number(keyMaxPerExecutor)),
-		CrashesAfter: time.Duration(number(keyCrashesAfterMS)) * time.Millisecond,
+		CrashesAfter: time.Duration(number(keyCrashesAfterMS)) * time.Millisecond, RequiresLabel: v.Get(keyRequiresLabel),
 	}
 	b.FailureRate, _ = strconv.ParseFloat(v.Get(keyFailureRate), 64)
 	if b.Duration == 0 {
--- a/internal/stand/memex/memex.go
+++ b/internal/stand/memex/memex.go
@@ -64,6 +64,8 @@
 	capacity     *Capacity
 	former       []formerCapacity
 	isUnenforced bool
+	// labels are those of the process.
+	labels       []string
 	token        orders.FencingToken
 	endCount     uint64
 	leaseUntilMS int64
@@ -191,6 +193,15 @@
 	}
 }
 
+// SetLabels sets the labels of the executor's process.
+func (f *Fleet) SetLabels(id string, labels ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if x, ok := f.executors[id]; ok {
+		x.labels = labels
+	}
+}
+
 // Remove ends an executor without notice: its runs end and its unacknowledged ends are lost.
 func (f *Fleet) Remove(id string) {
 	f.mu.Lock()
--- a/internal/stand/memex/starts.go
+++ b/internal/stand/memex/starts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/ibischute/ibischute/internal/modules/orders"
 	"github.com/ibischute/ibischute/pkg/tick"
@@ -72,8 +73,9 @@
 	}
 }
 
-// checkStart records a violation if the task must not run again, is running on any executor, or exceeds the number of
-// tasks of its step that may run on the executor.
+// checkStart records a violation if the task must not run again, is running on any executor, requires a label that this
+// one has not, or exceeds the number of tasks of its step that may run there. Nothing tells a late start apart that the
+// next process carries out.
 func (f *Fleet) checkStart(id string, x *executor, run orders.Run, b Behavior, from origin) {
 	h := f.task(run.Task)
 	isUnfenced := from.isLate && from.isUnfenced
@@ -85,6 +87,10 @@
 	if b.MaxAttempts > 0 && h.ackedFailures >= b.MaxAttempts {
 		f.reportViolation(isUnfenced, "%v started on %s after %d failed runs", run, id, h.ackedFailures)
 	}
+	if b.RequiresLabel != "" && !slices.Contains(x.labels, b.RequiresLabel) {
+		f.reportViolation(from.isLate, "%v started on %s with the labels %v, it requires %s", run, id, x.labels,
+			b.RequiresLabel)
+	}
 	f.checkCrashes(id, run)
 	if b.MaxPerExecutor > 0 {
 		if n := x.countStep(run.Task); n >= b.MaxPerExecutor {
