--- a/internal/state/cell/fencing.go
+++ b/internal/state/cell/fencing.go
@@ -150,7 +150,7 @@
 func (c *Cell) checkProcess(x *executor, o Order, reply orders.Reply) {
 	isForKnown := o.Start != nil && o.Start.StartedMS == x.startedMS && x.hasResponded
 	if reply.Outcome == orders.OtherProcess && isForKnown {
-		c.fence(x, fmt.Sprintf("not the process started %d has answered", x.startedMS))
+		c.fence(x, fmt.Sprintf("another process than that started %d has answered", x.startedMS))
 	}
 }
 
