--- a/internal/services/leader/kind_test.go
+++ b/internal/services/leader/kind_test.go
@@ -58,7 +58,7 @@
 				}
 				r.submit(labelledJob(1, "a"))
 				r.submit(labelledJob(2, ""))
-				limit := time.Duration(maxDue)
+				limit := maxDue
 				if isReplaced {
 					limit = maxDueAfterLoss
 				}
